--- /dev/null
+++ b/packages/agent/src/kumquatway_agent/__init__.py
@@ -0,0 +1,5 @@
+"""
+kumquatway_agent.
+
+The process beside each upstream.
+"""
--- /dev/null
+++ b/packages/core/src/kumquatway_core/__init__.py
@@ -0,0 +1,29 @@
+"""
+kumquatway_core.
+
+What the entry and the agent share.
+"""
+
+from kumquatway_core import exceptions
+from kumquatway_core._verdict import (
+    HEADER,
+    MAY_HAVE_RUN,
+    NOT_RUN,
+    RAN,
+    Reason,
+    Verdict,
+    may_have_run,
+    not_run,
+)
+
+__all__ = [
+    "HEADER",
+    "MAY_HAVE_RUN",
+    "NOT_RUN",
+    "RAN",
+    "Reason",
+    "Verdict",
+    "exceptions",
+    "may_have_run",
+    "not_run",
+]
--- /dev/null
+++ b/packages/core/src/kumquatway_core/_verdict.py
@@ -0,0 +1,138 @@
+"""
+Verdict.
+
+Says of a request whether it may have run, as a value and not as an exception.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from typing_extensions import Sentinel
+
+RAN = Sentinel("RAN")
+NOT_RUN = Sentinel("NOT_RUN")
+MAY_HAVE_RUN = Sentinel("MAY_HAVE_RUN")
+
+HEADER = "Kumquatway-Verdict"
+
+_HEADER_VALUES = (
+    (RAN, "ran"),
+    (NOT_RUN, "not-run"),
+    (MAY_HAVE_RUN, "may-have-run"),
+)
+
+
+class Reason(enum.StrEnum):
+    """Why a request ended without its answer."""
+
+    NONE = "none"
+    BAD_REQUEST = "bad_request"
+    UNAUTHORIZED = "unauthorized"
+    NOT_FOUND = "not_found"
+    TOO_LARGE = "too_large"
+    KEY_REUSED = "key_reused"
+    LIMITED = "limited"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    NO_UPSTREAM = "no_upstream"
+    UNREACHABLE = "unreachable"
+    REFUSED = "refused"
+    SILENCE = "silence"
+    RESET = "reset"
+    UPSTREAM_ERROR = "upstream_error"
+    STORE_DOWN = "store_down"
+    IN_PROGRESS = "in_progress"
+    SHUTTING_DOWN = "shutting_down"
+    CANCELLED = "cancelled"
+    INTERNAL = "internal"
+
+
+STATUSES = {
+    Reason.NONE: 200,
+    Reason.BAD_REQUEST: 400,
+    Reason.UNAUTHORIZED: 401,
+    Reason.NOT_FOUND: 404,
+    Reason.TOO_LARGE: 413,
+    Reason.KEY_REUSED: 422,
+    Reason.LIMITED: 429,
+    Reason.OVERLOADED: 503,
+    Reason.DEADLINE: 504,
+    Reason.NO_UPSTREAM: 503,
+    Reason.UNREACHABLE: 503,
+    Reason.REFUSED: 503,
+    Reason.SILENCE: 504,
+    Reason.RESET: 502,
+    Reason.UPSTREAM_ERROR: 502,
+    Reason.STORE_DOWN: 503,
+    Reason.IN_PROGRESS: 409,
+    Reason.SHUTTING_DOWN: 503,
+    Reason.CANCELLED: 499,
+    Reason.INTERNAL: 500,
+}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """
+    Whether a request may have run, and why it got no answer.
+
+    :param ran: one of the sentinels `RAN`, `NOT_RUN`, `MAY_HAVE_RUN`.
+    :param reason: the cause, which decides the HTTP status.
+    :param detail: one line for people.
+    :param retry_after: seconds after which a retry makes sense, or None.
+    """
+
+    ran: Sentinel
+    reason: Reason = Reason.NONE
+    detail: str = ""
+    retry_after: float | None = None
+
+    def status(self) -> int:
+        """
+        Map the reason to an HTTP status.
+
+        :return: the status code.
+        """
+        return STATUSES[self.reason]
+
+    def header(self) -> str:
+        """
+        Spell the sentinel for the `Kumquatway-Verdict` header.
+
+        :return: `ran`, `not-run` or `may-have-run`.
+        """
+        return next(value for ran, value in _HEADER_VALUES if ran is self.ran)
+
+    def retry_is_safe(self, *, idempotent: bool) -> bool:
+        """
+        Tell whether the request may be sent again.
+
+        :param idempotent: whether running it twice does no harm.
+        :return: True where a retry cannot run non-idempotent work twice.
+        """
+        return self.ran is NOT_RUN or (idempotent and self.ran is MAY_HAVE_RUN)
+
+
+def not_run(
+    reason: Reason, detail: str = "", retry_after: float | None = None
+) -> Verdict:
+    """
+    Make the verdict of a request that truly did not run.
+
+    :param reason: the cause.
+    :param detail: one line for people.
+    :param retry_after: seconds after which a retry makes sense.
+    :return: the verdict.
+    """
+    return Verdict(ran=NOT_RUN, reason=reason, detail=detail, retry_after=retry_after)
+
+
+def may_have_run(reason: Reason, detail: str = "") -> Verdict:
+    """
+    Make the verdict of a request of which a byte may have left.
+
+    :param reason: the cause.
+    :param detail: one line for people.
+    :return: the verdict.
+    """
+    return Verdict(ran=MAY_HAVE_RUN, reason=reason, detail=detail)
--- /dev/null
+++ b/packages/entry/src/kumquatway/__init__.py
@@ -0,0 +1,5 @@
+"""
+kumquatway.
+
+The entry process and the shell of the operators.
+"""
--- /dev/null
+++ b/packages/fakes/src/kumquatway_fakes/__init__.py
@@ -0,0 +1,5 @@
+"""
+kumquatway_fakes.
+
+Stand-ins for the systems around kumquatway.
+"""
