--- /dev/null
+++ b/packages/core/src/kumquatway_core/text/__init__.py
@@ -0,0 +1,25 @@
+"""
+kumquatway_core.text.
+
+The text that operators edit: what it may say, and its check.
+"""
+
+from kumquatway_core.text._schema import (
+    Accelerator,
+    Account,
+    DataCentre,
+    Model,
+    Priority,
+    Service,
+    Text,
+)
+
+__all__ = [
+    "Accelerator",
+    "Account",
+    "DataCentre",
+    "Model",
+    "Priority",
+    "Service",
+    "Text",
+]
--- /dev/null
+++ b/packages/core/src/kumquatway_core/wire/__init__.py
@@ -0,0 +1,54 @@
+"""
+kumquatway_core.wire.
+
+The messages between processes, and their codec.
+"""
+
+from kumquatway_core.wire._codec import decode, encode
+from kumquatway_core.wire._messages import (
+    Beat,
+    BeatReply,
+    Call,
+    CallReply,
+    Cancel,
+    Credit,
+    Holding,
+    Load,
+    Message,
+    Open,
+    Piece,
+    Pieces,
+    Splice,
+    Stage,
+    Status,
+    StepItem,
+    Steps,
+    Subscribe,
+    Trouble,
+    VMState,
+)
+
+__all__ = [
+    "Beat",
+    "BeatReply",
+    "Call",
+    "CallReply",
+    "Cancel",
+    "Credit",
+    "Holding",
+    "Load",
+    "Message",
+    "Open",
+    "Piece",
+    "Pieces",
+    "Splice",
+    "Stage",
+    "Status",
+    "StepItem",
+    "Steps",
+    "Subscribe",
+    "Trouble",
+    "VMState",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/packages/core/src/kumquatway_core/wire/_messages.py
@@ -0,0 +1,300 @@
+"""
+Messages.
+
+Frozen structs of the codec, each tagged with its name on the wire. Positions are
+absolute: the first prompt token of a request is at position 0 in each attempt.
+"""
+
+import enum
+
+import msgspec
+
+
+class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
+    """What every message has: a tag and a compact array form."""
+
+
+class VMState(enum.StrEnum):
+    """Whether a VM takes new work."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Stage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    One stage of a route.
+
+    :param vm: name of the VM.
+    :param address: where its agent listens, `host:port`.
+    :param incarnation: the life of the agent that the route was made for.
+    :param first: its first layer.
+    :param end: one past its last layer.
+    """
+
+    vm: str
+    address: str
+    incarnation: int
+    first: int
+    end: int
+
+
+class Open(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    What each stage learns of a stream with its first step.
+
+    :param request: the request's id.
+    :param attempt: counts the routes tried, from 1.
+    :param route: the stages, covering every layer once.
+    :param entry: address of the entry that delivers the answer.
+    :param model: name of the model.
+    :param version: version of the weights.
+    :param adapter: name of the adapter, or "".
+    :param prompt_tokens: tokens before the first generated position.
+    :param end_position: one past the last position that may be generated.
+    :param seed: of sampling.
+    :param priority: 0 is served first.
+    """
+
+    request: str
+    attempt: int
+    route: tuple[Stage, ...]
+    entry: str
+    model: str
+    version: str
+    adapter: str
+    prompt_tokens: int
+    end_position: int
+    seed: int
+    priority: int
+
+
+class StepItem(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    One stream's part of a step.
+
+    :param request: the request's id.
+    :param attempt: the attempt it belongs to.
+    :param stage: index in the route of the stage that receives it.
+    :param layer: the next layer to run; 0 asks to embed tokens.
+    :param position: the first position in `data`.
+    :param count: the number of positions in `data`.
+    :param data: tokens (little-endian u32) for layer 0, else activations.
+    :param open: sent with the first step of a stream on a stage.
+    :param replay: the data was retained and is sent again after a failure.
+    """
+
+    request: str
+    attempt: int
+    stage: int
+    layer: int
+    position: int
+    count: int
+    data: bytes
+    open: Open | None = None
+    replay: bool = False
+
+
+class Steps(_Message):
+    """The items of one engine step for one next hop."""
+
+    items: tuple[StepItem, ...]
+
+
+class Credit(_Message):
+    """
+    Gives back room for data messages.
+
+    :param bytes: bytes of data that the receiver has taken in.
+    """
+
+    bytes: int
+
+
+class Piece(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    One generated token.
+
+    :param request: the request's id.
+    :param attempt: the attempt it belongs to.
+    :param position: its absolute position.
+    :param token: token id.
+    :param text: its text.
+    :param finish: "" or why the stream ended: `stop` or `length`.
+    """
+
+    request: str
+    attempt: int
+    position: int
+    token: int
+    text: str
+    finish: str = ""
+
+
+class Pieces(_Message):
+    """Generated tokens of one engine step for one entry."""
+
+    items: tuple[Piece, ...]
+
+
+class Trouble(_Message):
+    """
+    A stage could not go on with a stream.
+
+    :param stage: index of the stage that failed, in the route.
+    :param reason: a value of `Reason`.
+    """
+
+    request: str
+    attempt: int
+    stage: int
+    reason: str
+    detail: str
+
+
+class Cancel(_Message):
+    """The entry needs these attempts no more: (request, attempt) pairs."""
+
+    items: tuple[tuple[str, int], ...]
+
+
+class Splice(_Message):
+    """
+    Tells a live stage that its next stage was replaced.
+
+    :param route: the new route; only stage `stage` + 1 differs.
+    :param stage: index of the stage that receives this message.
+    :param resume: the position from which outputs are still needed.
+    """
+
+    request: str
+    attempt: int
+    stage: int
+    route: tuple[Stage, ...]
+    resume: int
+
+
+class Call(_Message):
+    """
+    A call of a plain service.
+
+    :param call: unique id of this try.
+    :param headers: pairs of name and value.
+    :param timeout: seconds the agent may wait for the upstream.
+    """
+
+    call: str
+    request: str
+    entry: str
+    service: str
+    incarnation: int
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout: float
+    idempotent: bool
+
+
+class CallReply(_Message):
+    """
+    The end of a call.
+
+    :param ran: `ran`, `not-run` or `may-have-run`.
+    :param reason: a value of `Reason`.
+    """
+
+    call: str
+    ran: str
+    reason: str
+    status: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    detail: str = ""
+
+
+class Holding(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """A range of layers that an engine has loaded."""
+
+    model: str
+    version: str
+    first: int
+    end: int
+    adapters: tuple[str, ...] = ()
+
+
+class Load(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    How busy an upstream is.
+
+    :param waiting: items not yet in an engine step.
+    :param streams: streams that it holds.
+    :param step_seconds: smoothed time of one engine step, seconds.
+    :param tokens_per_second: smoothed tokens run.
+    """
+
+    waiting: int = 0
+    streams: int = 0
+    step_seconds: float = 0.0
+    tokens_per_second: float = 0.0
+
+
+class Status(_Message):
+    """
+    What an agent says of its VM.
+
+    :param version: rises with every change but that of the load.
+    :param service: name of the plain service it serves, or "".
+    """
+
+    vm: str
+    address: str
+    incarnation: int
+    data_centre: str
+    accelerator: str
+    state: VMState
+    version: int
+    holdings: tuple[Holding, ...] = ()
+    service: str = ""
+    load: Load = Load()
+
+
+class Subscribe(_Message):
+    """Asks an agent for its status now and at each change."""
+
+    address: str
+
+
+class Beat(_Message):
+    """
+    A heartbeat, answered on the same connection.
+
+    :param clock: the sender's hybrid logical clock.
+    """
+
+    clock: int
+    sequence: int
+
+
+class BeatReply(_Message):
+    """The answer to a heartbeat, with the answerer's incarnation."""
+
+    clock: int
+    sequence: int
+    incarnation: int
+
+
+Message = (
+    Steps
+    | Credit
+    | Pieces
+    | Trouble
+    | Cancel
+    | Splice
+    | Call
+    | CallReply
+    | Status
+    | Subscribe
+    | Beat
+    | BeatReply
+)
