Read the settings of both processes, every problem at once

Cause: a process must learn its addresses and bounds at its start, and refuse a bad file with all that is wrong. Weighed: msgspec.convert of the whole document stops at the first error and allows unknown keys in data classes; tomlkit keeps no line numbers either. So tomllib reads, msgspec checks each value, and a small reader walks the data classes and goes on after a problem. Lines are looked up only for messages.

--- /dev/null
+++ b/packages/core/src/kumquatway_core/toml/_lines.py
@@ -0,0 +1,63 @@
+"""
+Lines.
+
+Finds the line of a key, for messages.
+"""
+
+import re
+import tomllib
+
+from kumquatway_core.toml._problem import Path
+
+_HEADER = re.compile(r"\s*\[\[?(?P<key>[^\[\]]+)\]\]?\s*(#.*)?$")
+_PAIR = re.compile(r"""\s*(?P<key>("[^"]*"|'[^']*'|[\w.\s-])+?)\s*=""")
+
+
+class Lines:
+    """
+    The lines of the keys of a document.
+
+    :param source: the document.
+    """
+
+    def __init__(self, *, source: str):
+        self.by_path: dict[Path, int] = {}
+        self._read(source)
+
+    def find(self, path: Path) -> int | None:
+        """
+        Find the line of a key, or else of the table that it belongs to.
+
+        :param path: names of keys, and positions in arrays.
+        :return: the line from 1, or None where nothing is known.
+        """
+        while path and path not in self.by_path:
+            path = path[:-1]
+        return self.by_path.get(path)
+
+    def _read(self, source: str):
+        table: Path = ()
+        for number, line in enumerate(source.split("\n"), start=1):
+            header = _HEADER.match(line)
+            if header:
+                table = _split(header["key"])
+                self.by_path.setdefault(table, number)
+                continue
+            pair = _PAIR.match(line)
+            if pair:
+                self.by_path.setdefault(table + _split(pair["key"]), number)
+
+
+def _split(key: str) -> Path:
+    """Split a dotted key by the library's own rules."""
+    if '"' not in key and "'" not in key:
+        return tuple(part.strip() for part in key.split("."))
+    try:
+        table = tomllib.loads(f"{key} = 0")
+    except tomllib.TOMLDecodeError:
+        return (key,)
+    steps: list[str] = []
+    while isinstance(table, dict):
+        step, table = next(iter(table.items()))
+        steps.append(step)
+    return tuple(steps)
--- /dev/null
+++ b/packages/core/src/kumquatway_core/toml/_reader.py
@@ -0,0 +1,167 @@
+"""
+Reader.
+
+Builds data classes from tables and goes on after a problem, to find them all.
+"""
+
+import dataclasses
+import difflib
+import types
+from collections.abc import Iterable
+from functools import cache
+from typing import Annotated, get_args, get_origin, get_type_hints
+
+import msgspec
+
+from kumquatway_core.toml._lines import Lines
+from kumquatway_core.toml._problem import Path, Problem, show_path, show_value
+from kumquatway_core.toml._rules import describe, is_finite, rules_of
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Field:
+    name: str
+    hint: object
+    required: bool
+
+
+class Reader:
+    """
+    Reads one document and keeps its problems.
+
+    :param file: the name of the document.
+    :param source: the document, for the lines of its keys.
+    """
+
+    def __init__(self, *, file: str, source: str):
+        self.file = file
+        self.source = source
+        self.problems: list[Problem] = []
+        self._lines: Lines | None = None
+
+    def note(self, path: Path, value: str, expected: str):
+        """
+        Keep a problem.
+
+        :param path: where it is.
+        :param value: what stands there, as shown.
+        :param expected: what should stand there.
+        """
+        if self._lines is None:
+            self._lines = Lines(source=self.source)
+        problem = Problem(
+            file=self.file,
+            line=self._lines.find(path),
+            key=show_path(path),
+            value=value,
+            expected=expected,
+        )
+        self.problems.append(problem)
+
+    def read(self, hint: object, value: object, path: Path = ()) -> object | None:
+        """
+        Read a value as a type; what does not fit is noted as a problem.
+
+        :param hint: a data class, a `dict` of them, or the type of a value.
+        :param value: what the document says.
+        :param path: where it stands.
+        :return: the value read, or None after a problem.
+        """
+        hint = _without_none(hint)
+        if dataclasses.is_dataclass(hint):
+            return self._read_table(hint, value, path)
+        if get_origin(hint) is dict:
+            return self._read_named(hint, value, path)
+        return self._read_value(hint, value, path)
+
+    def _read_table(self, cls: type, value: object, path: Path) -> object | None:
+        if not isinstance(value, dict):
+            self.note(path, show_value(value), "a table")
+            return None
+        before = len(self.problems)
+        fields = _fields(cls)
+        self._refuse_unknown(value, [field.name for field in fields], path)
+        read = {}
+        for field in fields:
+            if field.name in value:
+                inner = path + (field.name,)
+                read[field.name] = self.read(field.hint, value[field.name], inner)
+            elif field.required:
+                expected = describe(field.hint)
+                self.note(path + (field.name,), "nothing", expected)
+        return cls(**read) if len(self.problems) == before else None
+
+    def _read_named(self, hint: object, value: object, path: Path) -> dict | None:
+        if not isinstance(value, dict):
+            self.note(path, show_value(value), "a table of named tables")
+            return None
+        name_hint, inner_hint = get_args(hint)
+        read = {}
+        for name, inner in value.items():
+            inner_path = path + (name,)
+            self._read_value(name_hint, name, inner_path)
+            read[name] = self.read(inner_hint, inner, inner_path)
+        return read
+
+    def _read_value(self, hint: object, value: object, path: Path) -> object | None:
+        plain = _plain(hint)
+        if get_origin(plain) is tuple and isinstance(value, list):
+            before = len(self.problems)
+            inner = get_args(plain)[0]
+            for index, item in enumerate(value):
+                self._read_value(inner, item, path + (index,))
+            if len(self.problems) > before:
+                return None
+        try:
+            read = msgspec.convert(value, hint)
+        except (msgspec.ValidationError, ValueError, OverflowError):
+            self.note(path, show_value(value), describe(hint))
+            return None
+        allowed = all(rule.holds(read) for rule in rules_of(hint))
+        if not (allowed and is_finite(read)):
+            self.note(path, show_value(value), describe(hint))
+            return None
+        return read
+
+    def _refuse_unknown(self, table: dict, names: list[str], path: Path):
+        for key in sorted(table.keys() - set(names)):
+            self.note(path + (key,), "an unknown key", suggest(key, names))
+
+
+def suggest(key: str, names: Iterable[str]) -> str:
+    """
+    Name what an unknown word was probably meant to be.
+
+    :param key: the unknown word.
+    :param names: the known ones.
+    :return: the nearest of them, or all.
+    """
+    names = sorted(names)
+    near = difflib.get_close_matches(key, names, n=1)
+    if near:
+        return f"{near[0]} (did you mean it?)"
+    return "one of " + ", ".join(names) if names else "none, as there are none"
+
+
+@cache
+def _fields(cls: type) -> tuple[_Field, ...]:
+    hints = get_type_hints(cls, include_extras=True)
+    return tuple(
+        _Field(
+            name=field.name,
+            hint=hints[field.name],
+            required=field.default is dataclasses.MISSING
+            and field.default_factory is dataclasses.MISSING,
+        )
+        for field in dataclasses.fields(cls)
+    )
+
+
+def _plain(hint: object) -> object:
+    return get_args(hint)[0] if get_origin(hint) is Annotated else hint
+
+
+def _without_none(hint: object) -> object:
+    if get_origin(hint) is not types.UnionType:
+        return hint
+    return next(arg for arg in get_args(hint) if arg is not types.NoneType)
--- /dev/null
+++ b/packages/core/src/kumquatway_core/toml/_rules.py
@@ -0,0 +1,200 @@
+"""
+Rules.
+
+Types of values with their bounds, and what to tell whoever misses them.
+"""
+
+import ipaddress
+import math
+import re
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Annotated, get_args, get_origin
+from urllib.parse import urlsplit
+
+from msgspec import Meta
+from msgspec.inspect import (
+    BoolType,
+    EnumType,
+    FloatType,
+    IntType,
+    StrType,
+    UnionType,
+    VarTupleType,
+    type_info,
+)
+
+MAX_NAME = 64  # characters
+MAX_PORT = 65_535
+
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]*")
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Rule:
+    """
+    A check beside that of the type.
+
+    :param holds: tells whether a value is allowed.
+    :param expected: what is allowed, for messages and pages.
+    """
+
+    holds: Callable[[object], bool]
+    expected: str
+
+
+def _is_name(value: str) -> bool:
+    return len(value) <= MAX_NAME and _NAME.fullmatch(value) is not None
+
+
+def _is_digest(value: str) -> bool:
+    return _DIGEST.fullmatch(value) is not None
+
+
+def _is_address(value: str) -> bool:
+    host, colon, port = value.rpartition(":")
+    if host.startswith("[") and host.endswith("]"):
+        host = host[1:-1]
+        family = ipaddress.IPv6Address
+    else:
+        family = ipaddress.IPv4Address
+    try:
+        family(host)
+    except ValueError:
+        return False
+    digits = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    return bool(colon) and digits and int(port) <= MAX_PORT
+
+
+def _is_url(value: str) -> bool:
+    try:
+        parts = urlsplit(value)
+        address = _is_address(f"{_bracket(parts.hostname)}:{parts.port or 80}")
+    except ValueError:
+        return False
+    return parts.scheme in ("http", "https") and address and not parts.username
+
+
+def _bracket(host: str | None) -> str:
+    return f"[{host}]" if host and ":" in host else str(host)
+
+
+Name = Annotated[
+    str,
+    Rule(
+        holds=_is_name,
+        expected=f"a name of at most {MAX_NAME} characters a-z 0-9 . _ -, "
+        "a letter or digit first",
+    ),
+]
+Digest = Annotated[
+    str, Rule(holds=_is_digest, expected="a SHA-256 digest, 64 hexadecimal digits")
+]
+Address = Annotated[
+    str,
+    Rule(
+        holds=_is_address,
+        expected="an IP number and a port, such as 127.0.0.1:7000 or [::1]:7000",
+    ),
+]
+Url = Annotated[
+    str,
+    Rule(
+        holds=_is_url,
+        expected="an http or https URL with an IP number, "
+        "such as http://127.0.0.1:9000",
+    ),
+]
+
+
+def rules_of(hint: object) -> tuple[Rule, ...]:
+    """
+    Collect the rules on a type.
+
+    :param hint: a type, perhaps annotated.
+    :return: its rules.
+    """
+    if get_origin(hint) is not Annotated:
+        return ()
+    return tuple(note for note in get_args(hint)[1:] if isinstance(note, Rule))
+
+
+def describe(hint: object) -> str:
+    """
+    Tell what a type allows, in one phrase.
+
+    :param hint: a type, perhaps annotated.
+    :return: such as `an integer from 1 to 64`.
+    """
+    rules = rules_of(hint)
+    if rules:
+        return rules[0].expected
+    plain = get_args(hint)[0] if get_origin(hint) is Annotated else hint
+    if get_origin(plain) is tuple:
+        return _describe_array(hint, get_args(plain)[0])
+    return _describe_plain(type_info(hint))
+
+
+def is_finite(value: object) -> bool:
+    """
+    Tell whether a value is a number that can be compared.
+
+    :param value: any value.
+    :return: False for the floats `inf` and `nan` only.
+    """
+    return not isinstance(value, float) or math.isfinite(value)
+
+
+def _describe_array(hint: object, item: object) -> str:
+    info = type_info(hint)
+    least = info.min_length if isinstance(info, VarTupleType) else None
+    bound = f" of at least {least}" if least else ""
+    return f"an array{bound}, each {describe(item)}"
+
+
+def _describe_plain(info: object) -> str:
+    match info:
+        case BoolType():
+            return "true or false"
+        case EnumType():
+            return "one of " + ", ".join(member.value for member in info.cls)
+        case IntType():
+            return "an integer" + _bounds(info)
+        case FloatType():
+            return "a number" + _bounds(info)
+        case StrType():
+            most = info.max_length
+            return f"a string of at most {most} characters" if most else "a string"
+        case UnionType():
+            return "a table"
+    return "a table"
+
+
+def _bounds(info: IntType | FloatType) -> str:
+    if info.gt is not None:
+        return f" above {info.gt:g}, at most {info.le:g}"
+    if info.ge is not None:
+        return f" from {info.ge} to {info.le}"
+    return ""
+
+
+def whole(least: int, most: int) -> Meta:
+    """
+    Bound a whole number on both sides.
+
+    :param least: the least allowed.
+    :param most: the greatest allowed.
+    :return: the note for `Annotated`.
+    """
+    return Meta(ge=least, le=most)
+
+
+def above_zero(most: float) -> Meta:
+    """
+    Bound a number to be above 0.
+
+    :param most: the greatest allowed.
+    :return: the note for `Annotated`.
+    """
+    return Meta(gt=0, le=most)
