Add the log for people and as JSON

Cause: each process logs in two formats with the request's id on each line. Changed: kumquatway_core.logs, which hides bearer keys in messages and tracebacks and takes in the logs of the libraries.

--- /dev/null
+++ b/packages/core/src/kumquatway_core/logs/__init__.py
@@ -0,0 +1,10 @@
+"""
+kumquatway_core.logs.
+
+The log of a process: for people or as JSON, with the request on each line.
+"""
+
+from kumquatway_core.logs._configure import configure
+from kumquatway_core.logs._context import request_context
+
+__all__ = ["configure", "request_context"]
--- /dev/null
+++ b/packages/core/src/kumquatway_core/logs/_formats.py
@@ -0,0 +1,83 @@
+"""
+Formats.
+
+How one record is written.
+"""
+
+import traceback
+from datetime import UTC, datetime
+
+import msgspec
+
+from kumquatway_core.logs._redact import redact
+
+_encoder = msgspec.json.Encoder()
+
+
+class Line(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """
+    One line of the JSON log.
+
+    :param time: UTC, ISO 8601 with milliseconds.
+    :param request: the request's id, or "".
+    :param logger: the module that logged.
+    :param exception: the traceback, or "".
+    """
+
+    time: str
+    level: str
+    process: str
+    logger: str
+    message: str
+    request: str = ""
+    exception: str = ""
+
+
+def write_json(record: dict) -> str:
+    """
+    Write a record as one JSON object.
+
+    :param record: a record of loguru.
+    :return: the line, with its end.
+    """
+    return _encoder.encode(_line(record)).decode() + "\n"
+
+
+def write_human(record: dict) -> str:
+    """
+    Write a record for people.
+
+    :param record: a record of loguru.
+    :return: the line, with its end, and the traceback if there is one.
+    """
+    line = _line(record)
+    request = f" request={line.request}" if line.request else ""
+    written = (
+        f"{line.time} {line.level:<8}{line.process}{request} "
+        f"{line.logger}: {line.message}\n"
+    )
+    return written + line.exception
+
+
+def _line(record: dict) -> Line:
+    return Line(
+        time=_time(record["time"]),
+        level=record["level"].name.lower(),
+        process=record["extra"].get("process", ""),
+        logger=record["name"] or "",
+        message=redact(record["message"]),
+        request=record["extra"].get("request", ""),
+        exception=_exception(record),
+    )
+
+
+def _time(moment: datetime) -> str:
+    utc = moment.astimezone(UTC).replace(tzinfo=None)
+    return utc.isoformat(timespec="milliseconds") + "Z"
+
+
+def _exception(record: dict) -> str:
+    found = record["exception"]
+    if found is None or found.value is None:
+        return ""
+    return redact("".join(traceback.format_exception(found.value)))
