Check the text whole, list its changes, add both examples

Cause: an operator must learn all that is wrong in a text, each with its place. Weighed: a whole conversion by msgspec stops at the first error, so it is only the quick way for an entry without problems; the slow way goes key by key. networkx finds the cycles. No second reading of the tables is made. Changed: bounds in the schema, parse, check, diff, the examples of both users; the reader of settings takes the quick way too.

--- a/packages/core/src/kumquatway_core/text/__init__.py
+++ b/packages/core/src/kumquatway_core/text/__init__.py
@@ -4,6 +4,8 @@
 The text that operators edit: what it may say, and its check.
 """
 
+from kumquatway_core.text._check import check, parse
+from kumquatway_core.text._diff import Change, diff
 from kumquatway_core.text._schema import (
     Accelerator,
     Account,
@@ -17,9 +19,13 @@
 __all__ = [
     "Accelerator",
     "Account",
+    "Change",
     "DataCentre",
     "Model",
     "Priority",
     "Service",
     "Text",
+    "check",
+    "diff",
+    "parse",
 ]
--- a/packages/core/src/kumquatway_core/text/_schema.py
+++ b/packages/core/src/kumquatway_core/text/_schema.py
@@ -6,6 +6,26 @@
 
 import enum
 from dataclasses import dataclass, field
+from typing import Annotated
+
+from msgspec import Meta
+
+from kumquatway_core.toml import Digest, Name, above_zero, whole
+
+MAX_LAYERS = 10_000
+MAX_MEMORY = 16 * 1024 * 1024  # MiB
+MAX_TOKENS = 100_000_000
+MAX_RATE = 1e9  # per second
+MAX_WEIGHT = 1e6
+MAX_TIME = 86_400.0  # seconds
+MAX_STEP = 1e9  # microseconds
+MAX_VERSION = 128  # characters
+
+Weight = Annotated[float, above_zero(MAX_WEIGHT)]
+Rate = Annotated[float, above_zero(MAX_RATE)]
+Seconds = Annotated[float, above_zero(MAX_TIME)]
+Microseconds = Annotated[float, Meta(ge=0, le=MAX_STEP)]
+Memory = Annotated[int, whole(1, MAX_MEMORY)]
 
 
 class Priority(enum.StrEnum):
@@ -30,13 +50,13 @@
     :param depends_on: services or models that must be served for it.
     """
 
-    layers: int
-    layer_mib: int = 512
-    version: str = "1"
-    adapters: tuple[str, ...] = ()
-    demand: float = 1.0
-    max_context: int = 8192
-    depends_on: tuple[str, ...] = ()
+    layers: Annotated[int, whole(1, MAX_LAYERS)]
+    layer_mib: Memory = 512
+    version: Annotated[str, Meta(min_length=1, max_length=MAX_VERSION)] = "1"
+    adapters: tuple[Name, ...] = ()
+    demand: Weight = 1.0
+    max_context: Annotated[int, whole(2, MAX_TOKENS)] = 8192
+    depends_on: tuple[Name, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -50,8 +70,8 @@
     """
 
     checks_fencing: bool = False
-    timeout: float = 30.0
-    depends_on: tuple[str, ...] = ()
+    timeout: Seconds = 30.0
+    depends_on: tuple[Name, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -68,13 +88,13 @@
     :param max_concurrent: requests in progress, over all entries.
     """
 
-    keys: tuple[str, ...]
-    share: float = 1.0
+    keys: Annotated[tuple[Digest, ...], Meta(min_length=1)]
+    share: Weight = 1.0
     priority: Priority = Priority.NORMAL
-    requests_per_second: float = 100.0
-    tokens_per_second: float = 100_000.0
-    burst: float = 2.0
-    max_concurrent: int = 1000
+    requests_per_second: Rate = 100.0
+    tokens_per_second: Rate = 100_000.0
+    burst: Seconds = 2.0
+    max_concurrent: Annotated[int, whole(1, MAX_TOKENS)] = 1000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,7 +105,7 @@
     :param region: the region it lies in.
     """
 
-    region: str
+    region: Name
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,9 +119,9 @@
     :param checks_fencing: its engines refuse an order with an older number.
     """
 
-    memory_mib: int
-    layer_us: float
-    token_us: float
+    memory_mib: Memory
+    layer_us: Microseconds
+    token_us: Microseconds
     checks_fencing: bool = False
 
 
@@ -109,9 +129,9 @@
 class Text:
     """The whole text, as operators accepted it."""
 
-    name: str
-    models: dict[str, Model] = field(default_factory=dict)
-    services: dict[str, Service] = field(default_factory=dict)
-    accounts: dict[str, Account] = field(default_factory=dict)
-    data_centres: dict[str, DataCentre] = field(default_factory=dict)
-    accelerators: dict[str, Accelerator] = field(default_factory=dict)
+    name: Name
+    models: dict[Name, Model] = field(default_factory=dict)
+    services: dict[Name, Service] = field(default_factory=dict)
+    accounts: dict[Name, Account] = field(default_factory=dict)
+    data_centres: dict[Name, DataCentre] = field(default_factory=dict)
+    accelerators: dict[Name, Accelerator] = field(default_factory=dict)
--- a/packages/core/src/kumquatway_core/toml/_reader.py
+++ b/packages/core/src/kumquatway_core/toml/_reader.py
@@ -15,7 +15,7 @@
 
 from kumquatway_core.toml._lines import Lines
 from kumquatway_core.toml._problem import Path, Problem, show_path, show_value
-from kumquatway_core.toml._rules import describe, is_finite, rules_of
+from kumquatway_core.toml._rules import describe, rules_of
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,21 +74,35 @@
             return self._read_named(hint, value, path)
         return self._read_value(hint, value, path)
 
+    def read_fields(self, cls: type, table: dict, path: Path = ()) -> dict:
+        """
+        Read the fields of a table that are right; the others are noted.
+
+        :param cls: the data class of the table.
+        :param table: what the document says.
+        :param path: where it stands.
+        :return: the values by field; None for one with a problem.
+        """
+        fields = _fields(cls)
+        self._refuse_unknown(table, [field.name for field in fields], path)
+        read = {}
+        for field in fields:
+            inner = path + (field.name,)
+            if field.name in table:
+                read[field.name] = self.read(field.hint, table[field.name], inner)
+            elif field.required:
+                self.note(inner, "nothing", describe(field.hint))
+        return read
+
     def _read_table(self, cls: type, value: object, path: Path) -> object | None:
         if not isinstance(value, dict):
             self.note(path, show_value(value), "a table")
             return None
+        quick = _read_quickly(cls, value)
+        if quick is not None:
+            return quick
         before = len(self.problems)
-        fields = _fields(cls)
-        self._refuse_unknown(value, [field.name for field in fields], path)
-        read = {}
-        for field in fields:
-            if field.name in value:
-                inner = path + (field.name,)
-                read[field.name] = self.read(field.hint, value[field.name], inner)
-            elif field.required:
-                expected = describe(field.hint)
-                self.note(path + (field.name,), "nothing", expected)
+        read = self.read_fields(cls, value, path)
         return cls(**read) if len(self.problems) == before else None
 
     def _read_named(self, hint: object, value: object, path: Path) -> dict | None:
@@ -105,7 +119,7 @@
 
     def _read_value(self, hint: object, value: object, path: Path) -> object | None:
         plain = _plain(hint)
-        if get_origin(plain) is tuple and isinstance(value, list):
+        if _is_array(hint) and isinstance(value, list):
             before = len(self.problems)
             inner = get_args(plain)[0]
             for index, item in enumerate(value):
@@ -117,8 +131,7 @@
         except (msgspec.ValidationError, ValueError, OverflowError):
             self.note(path, show_value(value), describe(hint))
             return None
-        allowed = all(rule.holds(read) for rule in rules_of(hint))
-        if not (allowed and is_finite(read)):
+        if not all(rule.holds(read) for rule in rules_of(hint)):
             self.note(path, show_value(value), describe(hint))
             return None
         return read
@@ -157,6 +170,37 @@
     )
 
 
+@cache
+def _is_simple(cls: type) -> bool:
+    """Tell whether msgspec alone can check a data class but for unknown keys."""
+    hints = [field.hint for field in _fields(cls)]
+    nested = any(
+        dataclasses.is_dataclass(_without_none(hint)) or get_origin(hint) is dict
+        for hint in hints
+    )
+    arrays = [get_args(_plain(hint))[0] for hint in hints if _is_array(hint)]
+    return not nested and not any(rules_of(hint) for hint in hints + arrays)
+
+
+@cache
+def _names(cls: type) -> frozenset[str]:
+    return frozenset(field.name for field in _fields(cls))
+
+
+def _read_quickly(cls: type, value: dict) -> object | None:
+    """Read a table that has no problem, as nearly all are, in one call."""
+    if not _is_simple(cls) or not value.keys() <= _names(cls):
+        return None
+    try:
+        return msgspec.convert(value, cls)
+    except (msgspec.ValidationError, ValueError, OverflowError):
+        return None
+
+
+def _is_array(hint: object) -> bool:
+    return get_origin(_plain(hint)) is tuple
+
+
 def _plain(hint: object) -> object:
     return get_args(hint)[0] if get_origin(hint) is Annotated else hint
 
--- a/packages/core/src/kumquatway_core/toml/_rules.py
+++ b/packages/core/src/kumquatway_core/toml/_rules.py
@@ -5,8 +5,6 @@
 """
 
 import ipaddress
-import math
-import re
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Annotated, get_args, get_origin
@@ -27,8 +25,8 @@
 MAX_NAME = 64  # characters
 MAX_PORT = 65_535
 
-_NAME = re.compile(r"[a-z0-9][a-z0-9._-]*")
-_DIGEST = re.compile(r"[0-9a-f]{64}")
+_NAME = r"^[a-z0-9][a-z0-9._-]*\Z"
+_DIGEST = r"^[0-9a-f]{64}\Z"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -44,14 +42,6 @@
     expected: str
 
 
-def _is_name(value: str) -> bool:
-    return len(value) <= MAX_NAME and _NAME.fullmatch(value) is not None
-
-
-def _is_digest(value: str) -> bool:
-    return _DIGEST.fullmatch(value) is not None
-
-
 def _is_address(value: str) -> bool:
     host, colon, port = value.rpartition(":")
     if host.startswith("[") and host.endswith("]"):
@@ -82,14 +72,16 @@
 
 Name = Annotated[
     str,
-    Rule(
-        holds=_is_name,
-        expected=f"a name of at most {MAX_NAME} characters a-z 0-9 . _ -, "
+    Meta(
+        pattern=_NAME,
+        max_length=MAX_NAME,
+        description=f"a name of at most {MAX_NAME} characters a-z 0-9 . _ -, "
         "a letter or digit first",
     ),
 ]
 Digest = Annotated[
-    str, Rule(holds=_is_digest, expected="a SHA-256 digest, 64 hexadecimal digits")
+    str,
+    Meta(pattern=_DIGEST, description="a SHA-256 digest, 64 hexadecimal digits"),
 ]
 Address = Annotated[
     str,
@@ -133,19 +125,12 @@
     plain = get_args(hint)[0] if get_origin(hint) is Annotated else hint
     if get_origin(plain) is tuple:
         return _describe_array(hint, get_args(plain)[0])
+    for note in hint.__metadata__ if plain is not hint else ():
+        if isinstance(note, Meta) and note.description:
+            return note.description
     return _describe_plain(type_info(hint))
 
 
-def is_finite(value: object) -> bool:
-    """
-    Tell whether a value is a number that can be compared.
-
-    :param value: any value.
-    :return: False for the floats `inf` and `nan` only.
-    """
-    return not isinstance(value, float) or math.isfinite(value)
-
-
 def _describe_array(hint: object, item: object) -> str:
     info = type_info(hint)
     least = info.min_length if isinstance(info, VarTupleType) else None
--- /dev/null
+++ b/packages/core/tests/test_text.py
@@ -0,0 +1,238 @@
+"""Tests of the text, its check and its differences."""
+
+import dataclasses
+import hashlib
+from pathlib import Path
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from kumquatway_core.exceptions import ConfigurationError
+from kumquatway_core.text import Priority, check, diff, parse
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+TEXT = f"""
+name = "small"
+
+[data_centres.eupen]
+region = "east"
+
+[accelerators.fast]
+memory_mib = 1000
+layer_us = 10
+token_us = 1
+
+[models.bulletin]
+layers = 4
+depends_on = ["control"]
+
+[services.control]
+timeout = 5
+
+[accounts.desk]
+keys = ["{"ab" * 32}"]
+share = 2
+priority = "bulk"
+"""
+
+
+def problems_of(*replaced):
+    text = TEXT
+    for old, new in replaced:
+        assert old in text
+        text = text.replace(old, new)
+    return [str(problem) for problem in check(text, "text.toml")]
+
+
+class TestParse:
+    """A text that may come into force."""
+
+    def test_values_and_defaults_are_read(self):
+        text = parse(TEXT, "text.toml")
+        assert text.models["bulletin"].depends_on == ("control",)
+        assert text.models["bulletin"].layer_mib == 512
+        assert text.accounts["desk"].priority is Priority.BULK
+        assert text.accounts["desk"].share == 2.0
+
+    @pytest.mark.parametrize("name", ["vinoteca", "maes"])
+    def test_the_examples_are_right_and_their_demo_keys_hold(self, name):
+        path = EXAMPLES / f"{name}.toml"
+        text = parse(path.read_text(encoding="utf-8"), path.name)
+        assert text.name == name
+        assert len(text.data_centres) == 3 and len(text.accelerators) == 5
+        for account, value in text.accounts.items():
+            key = f"demo-key-{account}".encode()
+            assert value.keys == (hashlib.sha256(key).hexdigest(),)
+
+    def test_the_exception_lists_every_problem(self):
+        bad = TEXT.replace("layers = 4", "layers = 0").replace("share = 2", "share = x")
+        with pytest.raises(ConfigurationError, match="valid TOML") as refused:
+            parse(bad, "text.toml")
+        line = bad[: bad.index("share = x")].count("\n") + 1
+        assert f"text.toml:{line}: " in str(refused.value)
+        bad = bad.replace("share = x", "share = 0")
+        with pytest.raises(ConfigurationError) as refused:
+            parse(bad, "text.toml")
+        assert len(str(refused.value).splitlines()) == 2
+
+
+class TestCheck:
+    """What a wrong text is told."""
+
+    @pytest.mark.parametrize(
+        ("old", "new", "message"),
+        [
+            ("layers = 4", "layers = 0", "13: models.bulletin.layers: got 0, expected"),
+            (
+                "layers = 4",
+                "layrs = 4",
+                "13: models.bulletin.layrs: got an unknown key",
+            ),
+            ("layers = 4", "layers = true", "got True, expected an integer from 1"),
+            ("layers = 4", "layers = 4\nlayer_mib = 2000", "at most 1000 MiB"),
+            ("[accelerators.fast]", "[accelerators.Fast]", "accelerators.Fast: got"),
+            (
+                "[services.control]",
+                "[services.controls]",
+                "controls (did you mean it?)",
+            ),
+            (
+                "[services.control]",
+                "[services.bulletin]",
+                "name than that of the model",
+            ),
+            ("timeout = 5", "timeout = nan", "17: services.control.timeout: got nan"),
+            ('["control"]', '["bulletin"]', "the cycle bulletin -> bulletin"),
+            ('"bulk"', '"bulky"', "expected one of urgent, normal, bulk"),
+            ('["abab', '["xbab', "accounts.desk.keys[0]: got 'xbab"),
+            (
+                "[accounts.desk]",
+                "[accounts]\ndesk = 3\n[account.x]",
+                "accounts.desk: got 3",
+            ),
+        ],
+    )
+    def test_each_problem_names_key_value_and_expectation(self, old, new, message):
+        assert message in "\n".join(problems_of((old, new)))
+
+    def test_a_cycle_over_models_and_services_is_named_once(self):
+        found = problems_of(("timeout = 5", 'depends_on = ["bulletin"]'))
+        assert found == [
+            "text.toml:14: models.bulletin.depends_on: got the cycle "
+            "bulletin -> control -> bulletin, expected no cycle of dependencies"
+        ]
+
+    def test_a_model_without_any_accelerator_is_refused(self):
+        start = TEXT.index("[accelerators")
+        end = TEXT.index("[models")
+        assert "with a kind that holds a layer" in str(
+            check(TEXT[:start] + TEXT[end:], "text.toml")[0]
+        )
+
+    def test_an_account_s_key_stands_once(self):
+        twin = f'[accounts.twin]\nkeys = ["{"ab" * 32}"]\n[accounts.desk]'
+        found = problems_of(("[accounts.desk]", twin))
+        assert len(found) == 1 and "a key other than those of twin" in found[0]
+
+    def test_problems_of_several_tables_come_together(self):
+        found = problems_of(
+            ("layers = 4", "layers = -4"),
+            ("timeout = 5", "timeout = 0"),
+            ("share = 2", "shares = 2"),
+        )
+        assert len(found) == 3
+
+    @pytest.mark.parametrize(
+        ("line", "key"),
+        [
+            ('"a b" = 3', '"a b" = 3'),
+            ("models.x = 3", "models.x = 3"),
+            ('[models]\n"quo.ted" = 3', '"quo.ted"'),
+        ],
+    )
+    def test_quoted_and_dotted_keys_have_their_line(self, line, key):
+        source = f'\nname = "x"\n{line}\n'
+        expected = source[: source.index(key)].count("\n") + 1
+        assert {problem.line for problem in check(source, "t")} == {expected}
+
+
+KEYS = [
+    ("name = ", "name"),
+    ("region = ", "data_centres.eupen.region"),
+    ("memory_mib = ", "accelerators.fast.memory_mib"),
+    ("layer_us = ", "accelerators.fast.layer_us"),
+    ("token_us = ", "accelerators.fast.token_us"),
+    ("layers = ", "models.bulletin.layers"),
+    ("depends_on = ", "models.bulletin.depends_on"),
+    ("timeout = ", "services.control.timeout"),
+    ("keys = ", "accounts.desk.keys"),
+    ("share = ", "accounts.desk.share"),
+    ("priority = ", "accounts.desk.priority"),
+]
+BAD_VALUES = st.one_of(
+    st.sampled_from(["-1", "nan", "-inf", "{ a = 1 }", "1979-05-27", "07:32:00"]),
+    st.sampled_from(["9" * 400, "1e999", "[[1]]", '["A B"]', "[nan]", "true"]),
+    st.integers(max_value=-1).map(str),
+    st.text("AZ _/\u00e9", max_size=20).map(lambda text: f"'{text}!'"),
+)
+
+
+class TestGenerated:
+    """Bad inputs without number: each is a clear refusal."""
+
+    @settings(derandomize=True, max_examples=250, deadline=None)
+    @given(key=st.sampled_from(KEYS), value=BAD_VALUES)
+    def test_a_bad_value_names_its_key(self, key, value):
+        start, path = key
+        lines = [
+            start + value if line.startswith(start) else line
+            for line in TEXT.splitlines()
+        ]
+        found = check("\n".join(lines), "text.toml")
+        assert any(problem.key.startswith(path) for problem in found)
+        assert all(problem.expected and problem.value for problem in found)
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(
+        start=st.integers(0, len(TEXT)),
+        size=st.integers(0, 40),
+        put=st.text('[]"={}\n.#a0\x00', max_size=6),
+    )
+    def test_a_damaged_text_never_breaks_the_check(self, start, size, put):
+        source = TEXT[:start] + put + TEXT[start + size :]
+        for problem in check(source, "text.toml"):
+            assert problem.key or "TOML" in problem.expected
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(
+        source=st.text(max_size=100)
+        | st.sampled_from(["a=" + "[" * 9999, "a=" + "1" * 9999])
+    )
+    def test_garbage_is_refused(self, source):
+        assert check(source, "text.toml")
+
+
+class TestDiff:
+    """What changed between two texts."""
+
+    def test_equal_texts_do_not_differ(self):
+        assert diff(parse(TEXT, "a"), parse(TEXT, "b")) == ()
+
+    def test_changes_name_key_old_and_new(self):
+        old = parse(TEXT, "text.toml")
+        accounts = {"night": old.accounts["desk"]}
+        models = {"bulletin": dataclasses.replace(old.models["bulletin"], layers=8)}
+        new = dataclasses.replace(old, accounts=accounts, models=models)
+        assert [str(change) for change in diff(old, new)] == [
+            "models.bulletin.layers: 4 -> 8",
+            "accounts.desk: removed",
+            "accounts.night: added",
+        ]
+
+    def test_digests_of_keys_are_not_shown(self):
+        old = parse(TEXT, "text.toml")
+        new = parse(TEXT.replace("ab" * 32, "cd" * 32), "text.toml")
+        (change,) = diff(old, new)
+        assert str(change) == (
+            "accounts.desk.keys: 1 keys -> 1 keys (1 added, 1 removed)"
+        )
