--- a/packages/core/src/kumquatway_core/toml/_reader.py
+++ b/packages/core/src/kumquatway_core/toml/_reader.py
@@ -15,7 +15,7 @@
 
 from kumquatway_core.toml._lines import Lines
 from kumquatway_core.toml._problem import Path, Problem, show_path, show_value
-from kumquatway_core.toml._rules import describe, rules_of
+from kumquatway_core.toml._rules import Digest, describe, rules_of
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -129,7 +129,7 @@
         try:
             read = msgspec.convert(value, hint)
         except (msgspec.ValidationError, ValueError, OverflowError):
-            self.note(path, show_value(value), describe(hint))
+            self.note(path, _show(hint, value), describe(hint))
             return None
         if not all(rule.holds(read) for rule in rules_of(hint)):
             self.note(path, show_value(value), describe(hint))
@@ -197,6 +197,14 @@
         return None
 
 
+def _show(hint: object, value: object) -> str:
+    """Show a value, but not a key that stands in place of its digest."""
+    secret = hint == Digest or (_is_array(hint) and get_args(_plain(hint))[0] == Digest)
+    if secret and not (isinstance(value, list) and not value):
+        return f"a hidden {type(value).__name__}"
+    return show_value(value)
+
+
 def _is_array(hint: object) -> bool:
     return get_origin(_plain(hint)) is tuple
 
--- a/packages/core/src/kumquatway_core/toml/_rules.py
+++ b/packages/core/src/kumquatway_core/toml/_rules.py
@@ -150,7 +150,8 @@
             return "a number" + _bounds(info)
         case StrType():
             most = info.max_length
-            return f"a string of at most {most} characters" if most else "a string"
+            least = info.min_length or 0
+            return f"a string of {least} to {most} characters" if most else "a string"
         case UnionType():
             return "a table"
     return "a table"
@@ -158,9 +159,9 @@
 
 def _bounds(info: IntType | FloatType) -> str:
     if info.gt is not None:
-        return f" above {info.gt:g}, at most {info.le:g}"
+        return f" above {info.gt:,.0f}, at most {info.le:,.0f}"
     if info.ge is not None:
-        return f" from {info.ge} to {info.le}"
+        return f" from {info.ge:,.0f} to {info.le:,.0f}"
     return ""
 
 
