--- a/packages/core/src/kumquatway_core/__init__.py
+++ b/packages/core/src/kumquatway_core/__init__.py
@@ -5,6 +5,8 @@
 """
 
 from kumquatway_core import exceptions
+from kumquatway_core._incarnation import new_incarnation
+from kumquatway_core._supervise import Supervisor
 from kumquatway_core._verdict import (
     HEADER,
     MAY_HAVE_RUN,
@@ -22,8 +24,10 @@
     "NOT_RUN",
     "RAN",
     "Reason",
+    "Supervisor",
     "Verdict",
     "exceptions",
     "may_have_run",
+    "new_incarnation",
     "not_run",
 ]
--- /dev/null
+++ b/packages/core/src/kumquatway_core/_supervise.py
@@ -0,0 +1,104 @@
+"""
+Supervise.
+
+A supervisor restarts a child that failed, with backoff and an intensity limit.
+"""
+
+import random
+import time
+from collections import deque
+from collections.abc import Awaitable, Callable
+
+import anyio
+from loguru import logger
+
+from kumquatway_core.exceptions import ProcessError
+
+FIRST_BACKOFF = 0.05  # seconds
+MAX_BACKOFF = 5.0  # seconds
+MAX_RESTARTS = 20  # within RESTART_PERIOD
+RESTART_PERIOD = 60.0  # seconds
+
+Child = Callable[[], Awaitable[None]]
+
+
+class Supervisor:
+    """
+    Runs children side by side until it is stopped.
+
+    A child that returns is done. A child that raises is started again; one that
+    raises too often ends the supervisor, so that its own parent decides.
+
+    :param name: for logs.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        clock: Callable[[], float] = time.monotonic,
+        max_restarts: int = MAX_RESTARTS,
+        period: float = RESTART_PERIOD,
+        first_backoff: float = FIRST_BACKOFF,
+    ):
+        self.name = name
+        self.clock = clock
+        self.max_restarts = max_restarts
+        self.period = period
+        self.first_backoff = first_backoff
+        self.children: list[tuple[str, Child]] = []
+        self.restarts = 0
+        self._group: anyio.abc.TaskGroup | None = None
+
+    def add(self, name: str, child: Child) -> None:
+        """
+        Add a child, and start it at once if the supervisor runs.
+
+        :param name: for logs.
+        :param child: called again for each start.
+        """
+        self.children.append((name, child))
+        if self._group is not None:
+            self._group.start_soon(self._keep, name, child)
+
+    async def run(self) -> None:
+        """
+        Run the children until all are done.
+
+        :raises ProcessError: if a child failed more often than allowed.
+        """
+        async with anyio.create_task_group() as group:
+            self._group = group
+            for name, child in self.children:
+                group.start_soon(self._keep, name, child)
+
+    async def _keep(self, name: str, child: Child) -> None:
+        failures: deque[float] = deque()
+        backoff = self.first_backoff
+        while True:
+            started = self.clock()
+            try:
+                await child()
+                return
+            except Exception as error:
+                logger.opt(exception=error).error(
+                    "{}: child {} failed: {}", self.name, name, error
+                )
+            now = self.clock()
+            if now - started > self.period:
+                backoff = self.first_backoff
+            self._count(name, failures, now)
+            await anyio.sleep(random.uniform(0, backoff))
+            backoff = min(backoff * 2, MAX_BACKOFF)
+
+    def _count(self, name: str, failures: deque[float], now: float) -> None:
+        self.restarts += 1
+        failures.append(now)
+        while failures and now - failures[0] > self.period:
+            failures.popleft()
+        if len(failures) > self.max_restarts:
+            raise ProcessError(
+                f"{self.name}: child {name} failed {len(failures)} times "
+                f"within {self.period:.0f} s"
+            )
--- /dev/null
+++ b/packages/core/src/kumquatway_core/mesh/_beats.py
@@ -0,0 +1,37 @@
+"""
+Beats.
+
+How often a connection is proved, and how long it may be silent.
+"""
+
+MIN_INTERVAL = 0.1  # seconds
+MAX_INTERVAL = 2.0  # seconds
+BEAT_BYTES = 160  # of one beat and its answer with their frames
+BEAT_BUDGET = 6_000  # bytes a second for all beats of a process
+SILENCE_FLOOR = 0.3  # seconds
+SILENCE_BEATS = 3  # beats that may be missing
+RTT_FACTOR = 4  # round trips added to the bound
+
+
+def beat_interval(peers: int) -> float:
+    """
+    Space beats so that all of a process's connections stay in the budget.
+
+    :param peers: connections that are open.
+    :return: seconds between beats on one connection.
+    """
+    interval = peers * BEAT_BYTES / BEAT_BUDGET
+    return min(max(interval, MIN_INTERVAL), MAX_INTERVAL)
+
+
+def silence_bound(interval: float, round_trip: float, lag: float) -> float:
+    """
+    Bound the silence after which a connection is in doubt.
+
+    :param interval: seconds between beats.
+    :param round_trip: smoothed seconds from beat to answer.
+    :param lag: seconds by which this process itself ran late.
+    :return: seconds.
+    """
+    missing = SILENCE_BEATS * interval
+    return max(missing, SILENCE_FLOOR) + RTT_FACTOR * round_trip + lag
--- /dev/null
+++ b/packages/core/src/kumquatway_core/mesh/_inbox.py
@@ -0,0 +1,159 @@
+"""
+Inbox.
+
+The receiving side: drops repeats, answers beats, acknowledges.
+"""
+
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+
+import anyio
+import zmq
+import zmq.asyncio
+from loguru import logger
+
+from kumquatway_core.exceptions import WireError
+from kumquatway_core.wire import Ack, Beat, BeatReply, Message, decode, encode
+
+ACK_INTERVAL = 0.05  # seconds
+ACK_BYTES = 1024 * 1024  # taken in before an early acknowledgement
+MAX_SOURCES = 10_000
+SEQUENCE_BYTES = 8
+FRAMES = 3  # identity, sequence, message
+
+
+class Source:
+    """
+    What is known of one life of a sender.
+
+    :param address: where the sender listens.
+    :param incarnation: its life.
+    """
+
+    def __init__(self, *, address: str, incarnation: int):
+        self.address = address
+        self.incarnation = incarnation
+        self.identity = b""
+        self.sequence = 0
+        self.heard = 0.0
+        self.unacked_bytes = 0
+
+
+class Inbox:
+    """
+    Takes in the messages of every sender.
+
+    :param socket: a bound ROUTER.
+    :param incarnation: of this process.
+    :param handle: called with each source and message, once and in order.
+    :param hlc: reads the hybrid logical clock.
+    :param merge: takes in the clock of a sender.
+    """
+
+    def __init__(
+        self,
+        *,
+        socket: zmq.asyncio.Socket,
+        incarnation: int,
+        handle: Callable[[Source, Message], None],
+        hlc: Callable[[], int],
+        merge: Callable[[int], None],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.socket = socket
+        self.incarnation = incarnation
+        self.handle = handle
+        self.hlc = hlc
+        self.merge = merge
+        self.clock = clock
+        self.sources: OrderedDict[tuple[str, int], Source] = OrderedDict()
+        self.dirty: set[tuple[str, int]] = set()
+        self.refused = 0
+
+    async def run(self) -> None:
+        """Take in messages until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._ack_often)
+            while True:
+                frames = await self.socket.recv_multipart()
+                await self._take(frames)
+
+    async def _take(self, frames: list[bytes]) -> None:
+        try:
+            source, sequence, message = self._open(frames)
+        except WireError as error:
+            self.refused += 1
+            logger.warning("a message was refused: {}", error)
+            return
+        source.heard = self.clock()
+        if isinstance(message, Beat):
+            await self._answer(source, message)
+            return
+        if sequence <= source.sequence:
+            return
+        source.sequence = sequence
+        source.unacked_bytes += len(frames[2])
+        self.dirty.add((source.address, source.incarnation))
+        self._deliver(source, message)
+        if source.unacked_bytes > ACK_BYTES:
+            await self._ack(source)
+
+    def _deliver(self, source: Source, message: Message) -> None:
+        try:
+            self.handle(source, message)
+        except Exception as error:
+            self.refused += 1
+            logger.opt(exception=error).error(
+                "a message of {} from {} failed: {}",
+                type(message).__name__,
+                source.address,
+                error,
+            )
+
+    def _open(self, frames: list[bytes]) -> tuple[Source, int, Message]:
+        if len(frames) != FRAMES or len(frames[1]) != SEQUENCE_BYTES:
+            raise WireError(f"{len(frames)} frames of a wrong size")
+        source = self._source(frames[0])
+        sequence = int.from_bytes(frames[1], "big")
+        return source, sequence, decode(frames[2])
+
+    def _source(self, identity: bytes) -> Source:
+        try:
+            address, incarnation, _ = identity.decode().split("|")
+            key = (address, int(incarnation))
+        except ValueError as error:
+            raise WireError("an identity of a wrong form") from error
+        source = self.sources.get(key)
+        if source is None:
+            source = Source(address=key[0], incarnation=key[1])
+            self.sources[key] = source
+        source.identity = identity
+        self.sources.move_to_end(key)
+        if len(self.sources) > MAX_SOURCES:
+            self.sources.popitem(last=False)
+        return source
+
+    async def _answer(self, source: Source, beat: Beat) -> None:
+        self.merge(beat.clock)
+        reply = BeatReply(
+            clock=self.hlc(), sequence=beat.sequence, incarnation=self.incarnation
+        )
+        await self._send(source, reply)
+
+    async def _ack(self, source: Source) -> None:
+        source.unacked_bytes = 0
+        await self._send(source, Ack(sequence=source.sequence))
+
+    async def _ack_often(self) -> None:
+        while True:
+            await anyio.sleep(ACK_INTERVAL)
+            for key in list(self.dirty):
+                source = self.sources.get(key)
+                if source is not None:
+                    await self._ack(source)
+            self.dirty.clear()
+
+    async def _send(self, source: Source, message: Message) -> None:
+        head = (0).to_bytes(SEQUENCE_BYTES, "big")
+        await self.socket.send_multipart([source.identity, head, encode(message)])
--- /dev/null
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -0,0 +1,308 @@
+"""
+Peer.
+
+One task that sends to one address: connect, prove, send, and connect anew.
+"""
+
+import enum
+import time
+from collections import deque
+from collections.abc import Callable
+
+import anyio
+import zmq
+import zmq.asyncio
+from loguru import logger
+
+from kumquatway_core import Reason, Verdict, not_run
+from kumquatway_core.exceptions import WireError
+from kumquatway_core.mesh._beats import beat_interval, silence_bound
+from kumquatway_core.wire import Ack, Beat, BeatReply, Message, decode, encode
+
+WINDOW = 8 * 1024 * 1024  # bytes sent and not yet acknowledged
+OUTBOX_BOUND = 64 * 1024 * 1024  # bytes waiting for the window
+ANSWER_WAIT = 0.25  # seconds for the first answer on a new connection
+MAX_ANSWER_WAIT = 2.0  # seconds
+RECONNECT_MS = 50
+SMOOTHING = 0.2
+UNSEQUENCED = 0
+SEQUENCE_BYTES = 8
+
+
+class PeerState(enum.StrEnum):
+    """What is known of the other end."""
+
+    CONNECTING = "connecting"
+    UP = "up"
+    DOWN = "down"
+
+
+class Parcel:
+    """
+    A message on its way.
+
+    :param message: what is sent.
+    :param sequence: its place among the messages to this peer.
+    """
+
+    __slots__ = ("data", "left", "message", "sequence", "withdrawn")
+
+    def __init__(self, *, message: Message, sequence: int):
+        self.message = message
+        self.sequence = sequence
+        self.data = encode(message)
+        self.left = False
+        self.withdrawn = False
+
+
+class Peer:
+    """
+    The sending side of the connection to one address.
+
+    :param context: of pyzmq.
+    :param address: `host:port` of the other end.
+    :param identity: this process's address and incarnation.
+    :param peers: tells the number of open connections of the process.
+    :param hlc: reads the hybrid logical clock.
+    :param on_state: called with the peer at each change of its state.
+    :param on_lost: called with the peer and the messages that a new incarnation
+        of the other end will never see.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: zmq.asyncio.Context,
+        address: str,
+        identity: str,
+        peers: Callable[[], int],
+        hlc: Callable[[], int],
+        on_state: Callable[["Peer"], None],
+        on_lost: Callable[["Peer", list[Message]], None],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.context = context
+        self.address = address
+        self.identity = identity
+        self.peers = peers
+        self.hlc = hlc
+        self.on_state = on_state
+        self.on_lost = on_lost
+        self.clock = clock
+        self.state = PeerState.CONNECTING
+        self.incarnation = 0
+        self.connections = 0
+        self.round_trip = 0.0
+        self.last_used = clock()
+        self.closed = False
+        self._outbox: deque[Parcel] = deque()
+        self._outbox_bytes = 0
+        self._unacked: deque[Parcel] = deque()
+        self._unacked_bytes = 0
+        self._sequence = 0
+        self._beats = 0
+        self._beat_sent: dict[int, float] = {}
+        self._heard = 0.0
+        self._lag = 0.0
+        self._wake = anyio.Event()
+        self._broken = anyio.Event()
+        self._scope = anyio.CancelScope()
+
+    def send(self, message: Message) -> Parcel | Verdict:
+        """
+        Put a message in the queue to this peer; it never blocks.
+
+        :param message: what to send.
+        :return: the parcel, or a verdict of `not_run` if the queue is full.
+        """
+        if self._outbox_bytes > OUTBOX_BOUND:
+            return not_run(Reason.OVERLOADED, f"the queue to {self.address} is full")
+        self._sequence += 1
+        parcel = Parcel(message=message, sequence=self._sequence)
+        self._outbox.append(parcel)
+        self._outbox_bytes += len(parcel.data)
+        self.last_used = self.clock()
+        self._wake.set()
+        return parcel
+
+    def withdraw(self, parcel: Parcel) -> bool:
+        """
+        Take back a message that has not left this process.
+
+        :param parcel: as returned by `send`.
+        :return: True if no byte of it left, now or later.
+        """
+        if parcel.left:
+            return False
+        parcel.withdrawn = True
+        return True
+
+    def backlog(self) -> int:
+        """
+        Tell how much waits for this peer.
+
+        :return: bytes not yet acknowledged.
+        """
+        return self._outbox_bytes + self._unacked_bytes
+
+    def close(self) -> None:
+        """Stop the peer's task."""
+        self.closed = True
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Keep a proved connection until the peer is closed."""
+        wait = ANSWER_WAIT
+        with self._scope:
+            while True:
+                socket = self._connect()
+                try:
+                    proved = await self._prove(socket, wait)
+                    if proved:
+                        wait = ANSWER_WAIT
+                        await self._serve(socket)
+                    else:
+                        self._change(PeerState.DOWN)
+                        wait = min(wait * 2, MAX_ANSWER_WAIT)
+                finally:
+                    socket.close(linger=0)
+
+    def _connect(self) -> zmq.asyncio.Socket:
+        self.connections += 1
+        socket = self.context.socket(zmq.DEALER)
+        identity = f"{self.identity}|{self.connections}"
+        socket.setsockopt(zmq.IDENTITY, identity.encode())
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        socket.setsockopt(zmq.SNDHWM, 0)
+        socket.connect(f"tcp://{self.address}")
+        return socket
+
+    async def _prove(self, socket: zmq.asyncio.Socket, wait: float) -> bool:
+        self._beat_sent.clear()
+        heard = self._heard
+        with anyio.move_on_after(wait + 2 * self.round_trip):
+            await self._send_beat(socket)
+            while self._heard == heard:
+                self._take(await socket.recv_multipart())
+            return True
+        return False
+
+    async def _serve(self, socket: zmq.asyncio.Socket) -> None:
+        self._rewind()
+        self._broken = anyio.Event()
+        self._change(PeerState.UP)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._pump, socket)
+            group.start_soon(self._hear, socket)
+            group.start_soon(self._watch, socket)
+            group.start_soon(self._beat, socket)
+            await self._broken.wait()
+            group.cancel_scope.cancel()
+
+    def _rewind(self) -> None:
+        """Send again what may not have arrived over the last connection."""
+        while self._unacked:
+            parcel = self._unacked.pop()
+            self._unacked_bytes -= len(parcel.data)
+            self._outbox.appendleft(parcel)
+            self._outbox_bytes += len(parcel.data)
+
+    async def _pump(self, socket: zmq.asyncio.Socket) -> None:
+        while True:
+            while self._outbox and self._unacked_bytes < WINDOW:
+                await self._send_parcel(socket, self._outbox.popleft())
+            self._wake = anyio.Event()
+            await self._wake.wait()
+
+    async def _send_parcel(self, socket: zmq.asyncio.Socket, parcel: Parcel) -> None:
+        self._outbox_bytes -= len(parcel.data)
+        if parcel.withdrawn:
+            return
+        parcel.left = True
+        self._unacked.append(parcel)
+        self._unacked_bytes += len(parcel.data)
+        head = parcel.sequence.to_bytes(SEQUENCE_BYTES, "big")
+        await socket.send_multipart([head, parcel.data])
+
+    async def _hear(self, socket: zmq.asyncio.Socket) -> None:
+        while True:
+            self._take(await socket.recv_multipart())
+
+    def _take(self, frames: list[bytes]) -> None:
+        try:
+            message = decode(frames[-1])
+        except WireError as error:
+            logger.warning("a bad answer from {}: {}", self.address, error)
+            return
+        if isinstance(message, BeatReply):
+            self._take_reply(message)
+        elif isinstance(message, Ack):
+            self._take_ack(message)
+
+    def _take_reply(self, reply: BeatReply) -> None:
+        now = self.clock()
+        self._heard = now
+        sent = self._beat_sent.pop(reply.sequence, None)
+        if sent is not None:
+            self._smooth(now - sent)
+        if reply.incarnation == self.incarnation:
+            return
+        known = self.incarnation
+        self.incarnation = reply.incarnation
+        if known:
+            self._forget()
+
+    def _smooth(self, sample: float) -> None:
+        if self.round_trip:
+            self.round_trip += SMOOTHING * (sample - self.round_trip)
+        else:
+            self.round_trip = sample
+
+    def _forget(self) -> None:
+        """Drop what was sent to an incarnation that is gone."""
+        lost = [parcel.message for parcel in self._unacked]
+        self._unacked.clear()
+        self._unacked_bytes = 0
+        self.on_lost(self, lost)
+
+    def _take_ack(self, ack: Ack) -> None:
+        self._heard = self.clock()
+        while self._unacked and self._unacked[0].sequence <= ack.sequence:
+            parcel = self._unacked.popleft()
+            self._unacked_bytes -= len(parcel.data)
+        self._wake.set()
+
+    async def _watch(self, socket: zmq.asyncio.Socket) -> None:
+        """Notice at once that the other end closed the connection."""
+        monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+        try:
+            await monitor.recv_multipart()
+            self._broken.set()
+        finally:
+            socket.disable_monitor()
+
+    async def _beat(self, socket: zmq.asyncio.Socket) -> None:
+        while True:
+            interval = beat_interval(self.peers())
+            before = self.clock()
+            await anyio.sleep(interval)
+            now = self.clock()
+            self._lag = max(now - before - interval, 0.0, self._lag / 2)
+            bound = silence_bound(interval, self.round_trip, self._lag)
+            if now - self._heard > bound:
+                self._broken.set()
+                return
+            await self._send_beat(socket)
+
+    async def _send_beat(self, socket: zmq.asyncio.Socket) -> None:
+        self._beats += 1
+        self._beat_sent[self._beats] = self.clock()
+        beat = Beat(clock=self.hlc(), sequence=self._beats)
+        head = UNSEQUENCED.to_bytes(SEQUENCE_BYTES, "big")
+        await socket.send_multipart([head, encode(beat)])
+
+    def _change(self, state: PeerState) -> None:
+        if state is self.state:
+            return
+        self.state = state
+        self.on_state(self)
--- a/packages/core/src/kumquatway_core/wire/__init__.py
+++ b/packages/core/src/kumquatway_core/wire/__init__.py
@@ -6,12 +6,12 @@
 
 from kumquatway_core.wire._codec import decode, encode
 from kumquatway_core.wire._messages import (
+    Ack,
     Beat,
     BeatReply,
     Call,
     CallReply,
     Cancel,
-    Credit,
     Holding,
     Load,
     Message,
@@ -29,12 +29,12 @@
 )
 
 __all__ = [
+    "Ack",
     "Beat",
     "BeatReply",
     "Call",
     "CallReply",
     "Cancel",
-    "Credit",
     "Holding",
     "Load",
     "Message",
--- a/packages/core/src/kumquatway_core/wire/_messages.py
+++ b/packages/core/src/kumquatway_core/wire/_messages.py
@@ -15,10 +15,11 @@
 
 
 class VMState(enum.StrEnum):
-    """Whether a VM takes new work."""
+    """Whether a VM takes new work: only a live one does."""
 
     LIVE = "live"
     LEAVING = "leaving"
+    SICK = "sick"
 
 
 class Stage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -54,6 +55,8 @@
     :param end_position: one past the last position that may be generated.
     :param seed: of sampling.
     :param priority: 0 is served first.
+    :param epoch: counts the routes of one attempt, from 1; a splice raises it.
+    :param known: generated tokens (little-endian u32) that the caller already has.
     """
 
     request: str
@@ -67,6 +70,8 @@
     end_position: int
     seed: int
     priority: int
+    epoch: int = 1
+    known: bytes = b""
 
 
 class StepItem(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -81,6 +86,7 @@
     :param count: the number of positions in `data`.
     :param data: tokens (little-endian u32) for layer 0, else activations.
     :param open: sent with the first step of a stream on a stage.
+    :param epoch: the route's epoch that the sender knows; an older one is refused.
     :param replay: the data was retained and is sent again after a failure.
     """
 
@@ -91,6 +97,7 @@
     position: int
     count: int
     data: bytes
+    epoch: int = 1
     open: Open | None = None
     replay: bool = False
 
@@ -101,14 +108,14 @@
     items: tuple[StepItem, ...]
 
 
-class Credit(_Message):
+class Ack(_Message):
     """
-    Gives back room for data messages.
+    Says what arrived, which gives the sender room for more.
 
-    :param bytes: bytes of data that the receiver has taken in.
+    :param sequence: every message up to this one was taken in.
     """
 
-    bytes: int
+    sequence: int
 
 
 class Piece(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -160,18 +167,16 @@
 
 class Splice(_Message):
     """
-    Tells a live stage that its next stage was replaced.
+    Tells a live stage that stages of its route were replaced.
+
+    The stage before a replaced one sends its retained activations to the new one.
 
-    :param route: the new route; only stage `stage` + 1 differs.
     :param stage: index of the stage that receives this message.
-    :param resume: the position from which outputs are still needed.
+    :param open: what the new stages learn, with the new route and a higher epoch.
     """
 
-    request: str
-    attempt: int
     stage: int
-    route: tuple[Stage, ...]
-    resume: int
+    open: Open
 
 
 class Call(_Message):
@@ -286,7 +291,7 @@
 
 Message = (
     Steps
-    | Credit
+    | Ack
     | Pieces
     | Trouble
     | Cancel
