Let a conflict carry the revisions found

Cause: a group commit has to know which rows of a transaction conflicted. Weighed: a subclass in the platform package; ruled out, the exceptions have one module. Changed: Conflict takes the found revisions, none by default.

--- a/packages/core/src/kumquatway_core/exceptions.py
+++ b/packages/core/src/kumquatway_core/exceptions.py
@@ -26,7 +26,15 @@
 
 
 class Conflict(PlatformError):
-    """A compare-and-swap found another revision than the expected one."""
+    """
+    A compare-and-swap found another revision than the expected one.
+
+    :param found: the revision found for each expectation that failed.
+    """
+
+    def __init__(self, message: str, found: tuple = ()):
+        super().__init__(message)
+        self.found = found
 
 
 class WireError(KumquatwayError):
