Add the clients of the platform and its stand-ins

Cause: claims, leases and revisions need the table service, and a failure there has to say whether a byte may have left. Weighed: one deadline per call around httpx against httpx's own timeouts only; the latter bound each read, not the call, and do nothing over ASGI. A 503 counts as 'not done' only with the service's own body; one from a proxy is a lost answer.

--- /dev/null
+++ b/packages/core/src/kumquatway_core/platform/__init__.py
@@ -0,0 +1,52 @@
+"""
+kumquatway_core.platform.
+
+Clients of the platform's table service, object store and list of VMs.
+"""
+
+from kumquatway_core.platform._channel import Channel, new_transport
+from kumquatway_core.platform._messages import (
+    ABSENT,
+    VM,
+    Committed,
+    Conflicts,
+    Expectation,
+    Key,
+    Names,
+    Put,
+    Read,
+    Refusal,
+    Row,
+    Rows,
+    Scan,
+    Transaction,
+    VMKind,
+    VMs,
+)
+from kumquatway_core.platform._objects import Objects
+from kumquatway_core.platform._table import Table
+from kumquatway_core.platform._vms import VMList
+
+__all__ = [
+    "ABSENT",
+    "VM",
+    "Channel",
+    "Committed",
+    "Conflicts",
+    "Expectation",
+    "Key",
+    "Names",
+    "Objects",
+    "Put",
+    "Read",
+    "Refusal",
+    "Row",
+    "Rows",
+    "Scan",
+    "Table",
+    "Transaction",
+    "VMKind",
+    "VMList",
+    "VMs",
+    "new_transport",
+]
--- /dev/null
+++ b/packages/core/src/kumquatway_core/platform/_objects.py
@@ -0,0 +1,84 @@
+"""
+Objects.
+
+The client of the platform's object store.
+"""
+
+from http import HTTPStatus
+from urllib.parse import quote
+
+import msgspec
+
+from kumquatway_core.exceptions import AnswerLost
+from kumquatway_core.platform._channel import Channel, decode
+from kumquatway_core.platform._messages import Names
+
+_names = msgspec.msgpack.Decoder(Names)
+
+
+class Objects:
+    """
+    Keeps bytes under names.
+
+    :param channel: the way to the service.
+    """
+
+    def __init__(self, *, channel: Channel):
+        self.channel = channel
+
+    async def get(self, name: str) -> bytes | None:
+        """
+        Read an object.
+
+        :param name: its name.
+        :return: its bytes, or None if there is none.
+        :raises PlatformError: if the store did not answer.
+        """
+        response = await self.channel.repeat("GET", _path(name))
+        if response.status_code == HTTPStatus.NOT_FOUND:
+            return None
+        _expect_ok(response.status_code)
+        return response.content
+
+    async def put(self, name: str, data: bytes) -> None:
+        """
+        Write an object whole; a repeat does no harm.
+
+        :param name: its name.
+        :param data: its bytes.
+        :raises PlatformError: if the store did not confirm it.
+        """
+        response = await self.channel.repeat("PUT", _path(name), data)
+        _expect_ok(response.status_code)
+
+    async def delete(self, name: str) -> None:
+        """
+        Remove an object, if there is one.
+
+        :param name: its name.
+        :raises PlatformError: if the store did not confirm it.
+        """
+        response = await self.channel.repeat("DELETE", _path(name))
+        _expect_ok(response.status_code)
+
+    async def list(self, prefix: str = "") -> tuple[str, ...]:
+        """
+        List the names of objects.
+
+        :param prefix: what each name begins with.
+        :return: the names, in order.
+        :raises PlatformError: if the store did not answer.
+        """
+        path = f"/objects?prefix={quote(prefix, safe='')}"
+        response = await self.channel.repeat("GET", path)
+        _expect_ok(response.status_code)
+        return decode(_names, response.content).names
+
+
+def _path(name: str) -> str:
+    return "/objects/" + quote(name)
+
+
+def _expect_ok(status: int) -> None:
+    if status != HTTPStatus.OK:
+        raise AnswerLost(f"the object store answered {status}")
--- /dev/null
+++ b/packages/core/src/kumquatway_core/platform/_table.py
@@ -0,0 +1,92 @@
+"""
+Table.
+
+The client of the platform's transactional table service.
+"""
+
+from http import HTTPStatus
+
+import msgspec
+
+from kumquatway_core.exceptions import AnswerLost, Conflict
+from kumquatway_core.platform._channel import Channel, decode
+from kumquatway_core.platform._messages import (
+    Committed,
+    Conflicts,
+    Key,
+    Read,
+    Row,
+    Rows,
+    Scan,
+    Transaction,
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_rows = msgspec.msgpack.Decoder(Rows)
+_committed = msgspec.msgpack.Decoder(Committed)
+_conflicts = msgspec.msgpack.Decoder(Conflicts)
+
+
+class Table:
+    """
+    Reads rows and commits transactions.
+
+    :param channel: the way to the service.
+    """
+
+    def __init__(self, *, channel: Channel):
+        self.channel = channel
+
+    async def read(self, keys: tuple[Key, ...]) -> tuple[Row, ...]:
+        """
+        Read rows as of one moment.
+
+        :param keys: the rows wanted.
+        :return: those that exist.
+        :raises PlatformError: if the service did not answer.
+        """
+        return await self._rows("/rows/read", Read(keys=keys))
+
+    async def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = 100
+    ) -> tuple[Row, ...]:
+        """
+        Read a page of rows in the order of their keys.
+
+        :param table: the table's name.
+        :param prefix: what each key begins with.
+        :param after: the last key of the page before.
+        :param limit: the most rows to return.
+        :return: the rows.
+        :raises PlatformError: if the service did not answer.
+        """
+        scan = Scan(table=table, prefix=prefix, after=after, limit=limit)
+        return await self._rows("/rows/scan", scan)
+
+    async def commit(self, transaction: Transaction) -> Committed:
+        """
+        Write rows together, if every expectation holds. Never repeated here.
+
+        :param transaction: the expectations and the writes.
+        :return: the new revisions.
+        :raises Conflict: if an expectation failed; nothing was written.
+        :raises PlatformUnavailable: if nothing was written.
+        :raises AnswerLost: if the writes may have happened or may yet happen.
+        """
+        body = _encoder.encode(transaction)
+        response = await self.channel.call("POST", "/transactions", body)
+        if response.status_code == HTTPStatus.CONFLICT:
+            found = decode(_conflicts, response.content).found
+            raise Conflict(f"{len(found)} rows had another revision", found)
+        _expect_ok(response.status_code)
+        return decode(_committed, response.content)
+
+    async def _rows(self, path: str, question: Read | Scan) -> tuple[Row, ...]:
+        response = await self.channel.repeat("POST", path, _encoder.encode(question))
+        _expect_ok(response.status_code)
+        return decode(_rows, response.content).rows
+
+
+def _expect_ok(status: int) -> None:
+    if status != HTTPStatus.OK:
+        raise AnswerLost(f"the table service answered {status}")
--- /dev/null
+++ b/packages/core/src/kumquatway_core/platform/_vms.py
@@ -0,0 +1,38 @@
+"""
+VM list.
+
+The client of the platform's lagging list of VMs.
+"""
+
+from http import HTTPStatus
+
+import msgspec
+
+from kumquatway_core.exceptions import AnswerLost
+from kumquatway_core.platform._channel import Channel, decode
+from kumquatway_core.platform._messages import VMs
+
+_vms = msgspec.json.Decoder(VMs)
+
+
+class VMList:
+    """
+    Reads the list of VMs.
+
+    :param channel: the way to the service.
+    """
+
+    def __init__(self, *, channel: Channel):
+        self.channel = channel
+
+    async def read(self) -> VMs:
+        """
+        Read the list.
+
+        :return: the VMs and the age of the list.
+        :raises PlatformError: if the service did not answer.
+        """
+        response = await self.channel.repeat("GET", "/vms")
+        if response.status_code != HTTPStatus.OK:
+            raise AnswerLost(f"the VM list answered {response.status_code}")
+        return decode(_vms, response.content)
--- /dev/null
+++ b/packages/core/tests/test_platform.py
@@ -0,0 +1,204 @@
+"""Tests of the platform's clients over the stand-ins."""
+
+import anyio
+import httpx
+import pytest
+
+from kumquatway_core.exceptions import AnswerLost, Conflict, PlatformUnavailable
+from kumquatway_core.platform import (
+    ABSENT,
+    VM,
+    Channel,
+    Expectation,
+    Key,
+    Objects,
+    Put,
+    Table,
+    Transaction,
+    VMList,
+    new_transport,
+)
+from kumquatway_core.platform._channel import POOL_AGE_SECONDS
+from kumquatway_core.wire import VMState
+from kumquatway_fakes import Faults, ObjectStore, TableService, VMListService
+
+KEY = Key(table="t", key="a")
+
+
+def channel_to(app, **options) -> Channel:
+    return Channel(
+        addresses=("http://store",),
+        transports=lambda: httpx.ASGITransport(app=app),
+        **options,
+    )
+
+
+def put(revision: int, value: bytes = b"v", key: str = "a") -> Transaction:
+    return Transaction(
+        expectations=(Expectation(table="t", key=key, revision=revision),),
+        puts=(Put(table="t", key=key, value=value),),
+    )
+
+
+class TestTable:
+    """Rows, transactions and what a failure says."""
+
+    def setup_method(self):
+        self.service = TableService()
+        self.table = Table(channel=channel_to(self.service.app, deadline=5.0))
+
+    async def _scan_pages(self):
+        for key in ("a", "b", "c"):
+            await self.table.commit(put(ABSENT, key=key))
+        first = await self.table.scan("t", limit=2)
+        return first, await self.table.scan("t", after=first[-1].key)
+
+    def test_a_scan_goes_on_after_its_last_key(self):
+        first, second = anyio.run(self._scan_pages)
+        assert [row.key for row in first + second] == ["a", "b", "c"]
+
+    def test_a_conflict_names_the_revisions_found_and_writes_nothing(self):
+        revision = anyio.run(self.table.commit, put(ABSENT)).revisions[0]
+        both = Transaction(
+            expectations=put(ABSENT).expectations,
+            puts=put(ABSENT, b"other").puts + put(ABSENT, key="b").puts,
+        )
+        with pytest.raises(Conflict) as error:
+            anyio.run(self.table.commit, both)
+        assert [found.revision for found in error.value.found] == [revision]
+        assert self.service.get("t", "a").value == b"v"
+        assert self.service.get("t", "b") is None
+
+    def test_a_refused_call_wrote_nothing(self):
+        self.service.gate.faults = Faults(down=True)
+        with pytest.raises(PlatformUnavailable):
+            anyio.run(self.table.commit, put(ABSENT))
+        assert self.service.get("t", "a") is None
+
+    def test_a_lost_answer_is_told_from_a_refusal(self):
+        self.service.gate.faults = Faults(lose_next=1)
+        with pytest.raises(AnswerLost):
+            anyio.run(self.table.commit, put(ABSENT))
+        assert self.service.get("t", "a").value == b"v"
+
+    def test_a_late_write_lands_after_its_answer_was_given_up(self):
+        self.service.gate.faults = Faults(late_next=1)
+        with pytest.raises(AnswerLost):
+            anyio.run(self.table.commit, put(ABSENT))
+        assert self.service.get("t", "a") is None
+        self.service.gate.land()
+        assert self.service.get("t", "a").value == b"v"
+
+    def test_an_unreadable_answer_is_a_lost_answer(self):
+        async def garbage(scope, receive, send):
+            await send({"type": "http.response.start", "status": 200, "headers": []})
+            await send({"type": "http.response.body", "body": b"\xc1"})
+
+        with pytest.raises(AnswerLost):
+            anyio.run(Table(channel=channel_to(garbage)).commit, put(ABSENT))
+
+    def test_a_503_from_between_is_a_lost_answer(self):
+        async def proxy(scope, receive, send):
+            await send({"type": "http.response.start", "status": 503, "headers": []})
+            await send({"type": "http.response.body", "body": b"bad gateway"})
+
+        with pytest.raises(AnswerLost):
+            anyio.run(Table(channel=channel_to(proxy)).commit, put(ABSENT))
+
+
+class TestChannel:
+    """Connections that are refused, silent or old."""
+
+    def test_a_silent_call_ends_and_the_next_uses_a_new_pool(self):
+        service = TableService()
+        service.gate.faults = Faults(lose_next=1, silent=True)
+        channel = channel_to(service.app, deadline=0.05)
+        table = Table(channel=channel)
+
+        async def run():
+            with pytest.raises(AnswerLost):
+                await table.commit(put(ABSENT))
+            assert channel.pool is None
+            channel.deadline = 5.0
+            return await table.read((KEY,))
+
+        assert anyio.run(run)[0].value == b"v"
+
+    def test_a_pool_is_replaced_when_old(self):
+        now = 0.0
+        channel = channel_to(TableService().app, clock=lambda: now)
+        table = Table(channel=channel)
+
+        async def run():
+            nonlocal now
+            await table.read((KEY,))
+            first = channel.pool
+            await table.read((KEY,))
+            assert channel.pool is first
+            now = POOL_AGE_SECONDS + 1
+            await table.read((KEY,))
+            assert channel.pool is not first
+            assert first.client.is_closed
+
+        anyio.run(run)
+
+    def test_a_refused_connection_tries_the_next_address(self):
+        async def run():
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            await listener.aclose()
+            address = f"http://127.0.0.1:{port}"
+            channel = Channel(addresses=(address, address), transports=new_transport)
+            with pytest.raises(PlatformUnavailable):
+                await Table(channel=channel).commit(put(ABSENT))
+
+        anyio.run(run)
+
+    def test_a_connection_that_never_answers_ends_by_the_deadline(self):
+        async def run():
+            listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            address = (f"http://127.0.0.1:{port}",)
+            channel = Channel(addresses=address, deadline=0.1)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(listener.serve, lambda stream: anyio.sleep_forever())
+                with pytest.raises(AnswerLost):
+                    await Table(channel=channel).commit(put(ABSENT))
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+
+class TestObjects:
+    """Bytes under names."""
+
+    def test_round_trip_and_a_lost_answer_is_repeated(self):
+        store = ObjectStore()
+        objects = Objects(channel=channel_to(store.app))
+
+        async def run():
+            store.gate.faults = Faults(lose_next=1)
+            await objects.put("claims/a b", b"data")
+            assert await objects.get("claims/a b") == b"data"
+            assert await objects.list("claims/") == ("claims/a b",)
+            await objects.delete("claims/a b")
+            assert await objects.get("claims/a b") is None
+
+        anyio.run(run)
+
+
+class TestVMList:
+    """The lagging list."""
+
+    def test_a_change_shows_after_the_lag(self):
+        now = 0.0
+        service = VMListService(lag=5.0, clock=lambda: now)
+        vms = VMList(channel=channel_to(service.app))
+        service.put(VM(name="u1", address="127.0.0.1:1", data_centre="eupen"))
+        now = 5.0
+        service.leave("u1")
+        shown = anyio.run(vms.read)
+        assert shown.as_of == 5.0
+        assert [vm.state for vm in shown.vms] == [VMState.LIVE]
+        now = 10.0
+        assert [vm.state for vm in anyio.run(vms.read).vms] == [VMState.LEAVING]
