--- /dev/null
+++ b/packages/agent/src/kumquatway_agent/service/_caller.py
@@ -0,0 +1,156 @@
+"""
+Caller.
+
+Calls the plain service, and says of each call whether it may have run.
+"""
+
+from collections.abc import Callable
+
+import anyio
+import httpx
+from loguru import logger
+
+from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
+from kumquatway_core.wire import Call, CallReply
+
+CONNECT_TIMEOUT = 1.0  # seconds
+KEEPALIVE = 15.0  # seconds
+MAX_BODY = 32 * 1024 * 1024  # bytes of an answer
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-encoding",
+    )
+)
+
+Send = Callable[[str, CallReply], object]
+
+
+class ServiceCaller:
+    """
+    The service of one upstream.
+
+    :param name: of the service.
+    :param url: its base URL.
+    :param incarnation: of this agent.
+    :param send: sends a reply to an entry.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        url: str,
+        incarnation: int,
+        send: Send,
+        transport: httpx.AsyncBaseTransport | None = None,
+    ):
+        self.name = name
+        self.incarnation = incarnation
+        self.send = send
+        self.accepting = True
+        self.running: dict[str, Call] = {}
+        self.kept = _client(url, transport, httpx.Limits(keepalive_expiry=KEEPALIVE))
+        # A fresh connection for each call that may not run twice: a pooled one
+        # that broke unnoticed would leave its verdict in doubt.
+        self.fresh = _client(url, transport, httpx.Limits(max_keepalive_connections=0))
+
+    async def take(self, call: Call) -> None:
+        """
+        Run one call and send its reply.
+
+        :param call: as received, once.
+        """
+        verdict = self._refusal(call)
+        if verdict is not None:
+            self.send(call.entry, _failed(call, verdict))
+            return
+        self.running[call.call] = call
+        try:
+            reply = await self._run(call)
+        finally:
+            del self.running[call.call]
+        self.send(call.entry, reply)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.kept.aclose()
+        await self.fresh.aclose()
+
+    def _refusal(self, call: Call) -> Verdict | None:
+        if not self.accepting:
+            return not_run(Reason.SHUTTING_DOWN, "the VM is leaving")
+        if call.service != self.name:
+            return not_run(Reason.REFUSED, f"the VM does not serve {call.service}")
+        if call.incarnation != self.incarnation:
+            return not_run(Reason.REFUSED, "meant for another incarnation")
+        return None
+
+    async def _run(self, call: Call) -> CallReply:
+        http = self.kept if call.idempotent else self.fresh
+        try:
+            with anyio.fail_after(call.timeout):
+                return await _request(http, call)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            verdict = not_run(Reason.UNREACHABLE, repr(error))
+        except (TimeoutError, httpx.TimeoutException):
+            verdict = may_have_run(Reason.SILENCE, "the service did not answer")
+        except httpx.HTTPError as error:
+            verdict = may_have_run(Reason.RESET, repr(error))
+        except ValueError as error:
+            verdict = not_run(Reason.BAD_REQUEST, str(error))
+        logger.info("call {} of {} failed: {}", call.call, call.request, verdict)
+        return _failed(call, verdict)
+
+
+def _client(url, transport, limits) -> httpx.AsyncClient:
+    return httpx.AsyncClient(
+        base_url=url,
+        transport=transport,
+        limits=limits,
+        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT),
+        trust_env=False,
+    )
+
+
+async def _request(http: httpx.AsyncClient, call: Call) -> CallReply:
+    answer = await http.request(
+        call.method, call.path, content=call.body, headers=list(call.headers)
+    )
+    if len(answer.content) > MAX_BODY:
+        verdict = Verdict(ran=RAN, reason=Reason.TOO_LARGE, detail="a large answer")
+        return _failed(call, verdict)
+    return CallReply(
+        call=call.call,
+        ran="ran",
+        reason=Reason.NONE,
+        status=answer.status_code,
+        headers=tuple(_end_to_end(answer.headers)),
+        body=answer.content,
+    )
+
+
+def _end_to_end(headers: httpx.Headers) -> list[tuple[str, str]]:
+    return [
+        (name, value)
+        for name, value in headers.multi_items()
+        if name.lower() not in HOP_HEADERS
+    ]
+
+
+def _failed(call: Call, verdict: Verdict) -> CallReply:
+    return CallReply(
+        call=call.call,
+        ran=verdict.header(),
+        reason=verdict.reason,
+        detail=verdict.detail,
+    )
+
+
--- /dev/null
+++ b/packages/core/src/kumquatway_core/http/__init__.py
@@ -0,0 +1,10 @@
+"""
+kumquatway_core.http.
+
+What the HTTP listeners of both processes share.
+"""
+
+from kumquatway_core.http._responses import events_response, metrics_response
+from kumquatway_core.http._serve import serve
+
+__all__ = ["events_response", "metrics_response", "serve"]
--- a/packages/core/src/kumquatway_core/wire/_messages.py
+++ b/packages/core/src/kumquatway_core/wire/_messages.py
@@ -250,6 +250,7 @@
 
     :param version: rises with every change but that of the load.
     :param service: name of the plain service it serves, or "".
+    :param http_address: where it serves health, metrics and events.
     """
 
     vm: str
@@ -262,6 +263,8 @@
     holdings: tuple[Holding, ...] = ()
     service: str = ""
     load: Load = Load()
+    rack: str = ""
+    http_address: str = ""
 
 
 class Subscribe(_Message):
@@ -270,6 +273,17 @@
     address: str
 
 
+class Drain(_Message):
+    """
+    Tells an agent that its VM leaves.
+
+    :param leave: False takes the drain back.
+    """
+
+    vm: str
+    leave: bool
+
+
 class Beat(_Message):
     """
     A heartbeat, answered on the same connection.
@@ -300,6 +314,7 @@
     | CallReply
     | Status
     | Subscribe
+    | Drain
     | Beat
     | BeatReply
 )
