--- a/packages/agent/src/kumquatway_agent/_agent.py
+++ b/packages/agent/src/kumquatway_agent/_agent.py
@@ -27,7 +27,7 @@
 )
 from kumquatway_core.events import Clock, DrainChanged, Journal, ProcessStarted
 from kumquatway_core.http import serve
-from kumquatway_core.mesh import Mesh, Source
+from kumquatway_core.mesh import Mesh, Peer, PeerState, Source
 from kumquatway_core.settings import AgentSettings
 from kumquatway_core.wire import (
     Call,
@@ -63,6 +63,8 @@
             address=settings.mesh_address,
             incarnation=self.incarnation,
             handle=self._handle,
+            on_state=self._on_peer_state,
+            on_lost=self._on_lost,
             hlc=self.clock.tick,
             merge=self.clock.merge,
         )
@@ -89,7 +91,7 @@
             self.journal.emit(
                 ProcessStarted(vm=self.settings.vm, incarnation=self.incarnation)
             )
-            logger.info("agent of {} listens at {}", self.settings.vm, self.mesh.address)
+            logger.info("{} listens at {}", self.settings.vm, self.mesh.address)
             task_status.started()
             await self.leaving.wait()
             await self._finish()
@@ -212,6 +214,14 @@
             return
         handler(message)
 
+    def _on_peer_state(self, peer: Peer) -> None:
+        if self.stage is not None and peer.state is PeerState.DOWN:
+            self.stage.lose_next_hop(peer.address)
+
+    def _on_lost(self, peer: Peer, lost: list[Message]) -> None:
+        if self.stage is not None:
+            self.stage.lose_next_hop(peer.address)
+
     def _take_call(self, call: Call) -> None:
         self.metrics.calls.inc({})
         self._group.start_soon(self.caller.take, call)
--- a/packages/agent/src/kumquatway_agent/_cli.py
+++ b/packages/agent/src/kumquatway_agent/_cli.py
@@ -56,7 +56,5 @@
     except ConfigurationError as error:
         print(error, file=sys.stderr)
         sys.exit(BAD_SETTINGS)
-    configure(
-        format=settings.log.format, level=settings.log.level, process=settings.vm
-    )
+    configure(format=settings.log.format, level=settings.log.level, process=settings.vm)
     anyio.run(serve_agent, settings)
--- a/packages/agent/src/kumquatway_agent/service/_caller.py
+++ b/packages/agent/src/kumquatway_agent/service/_caller.py
@@ -152,5 +152,3 @@
         reason=verdict.reason,
         detail=verdict.detail,
     )
-
-
--- a/packages/agent/src/kumquatway_agent/stage/_stage.py
+++ b/packages/agent/src/kumquatway_agent/stage/_stage.py
@@ -102,7 +102,8 @@
         open = splice.open
         stream = self.streams.streams.get((open.request, open.attempt))
         if stream is None:
-            self._trouble(open, splice.stage, Reason.REFUSED, "unknown stream")
+            detail = "unknown stream"
+            self._trouble(open, splice.stage, Reason.REFUSED, detail)
             return
         if open.epoch <= stream.open.epoch:
             return
@@ -113,6 +114,19 @@
             self._replay(stream)
             self.outgoing.flush()
 
+    def lose_next_hop(self, address: str) -> None:
+        """
+        Tell the entries of the streams that cannot be passed on.
+
+        :param address: of an agent that does not answer or restarted.
+        """
+        for stream in list(self.streams.streams.values()):
+            if stream.next_hop().address != address or not stream.done:
+                continue
+            detail = "the next stage does not answer"
+            index = stream.next_index()
+            self._trouble(stream.open, index, Reason.UNREACHABLE, detail)
+
     def drop(self, keys: list[Key]) -> None:
         """
         Forget streams and free their slots.
@@ -145,7 +159,7 @@
         logger.info("a step of {} is refused: {}", item.request, refusal.detail)
         stream = self.streams.streams.get((item.request, item.attempt))
         open = item.open or (stream.open if stream else None)
-        if open is not None:
+        if open is not None and 0 <= item.stage < len(open.route):
             self._trouble(open, item.stage, refusal.reason, refusal.detail)
 
     def _on_output(self, work: Work, output: StepOutput) -> None:
@@ -232,6 +246,7 @@
             request=open.request,
             attempt=open.attempt,
             stage=stage,
+            vm=open.route[stage].vm,
             reason=reason,
             detail=detail,
         )
--- a/packages/agent/src/kumquatway_agent/stage/_streams.py
+++ b/packages/agent/src/kumquatway_agent/stage/_streams.py
@@ -61,6 +61,7 @@
     def __init__(self, *, open: Open, stage: int, now: float):
         self.open = open
         self.stage = stage
+        self.heard_epoch = open.epoch
         self.queued = 0
         self.done = 0
         self.retained = Retained()
@@ -245,12 +246,13 @@
         return None
 
     def _check(self, stream: Stream, item: StepItem) -> Work | Output | Refusal | None:
-        if item.epoch < stream.open.epoch:
+        if item.epoch < stream.heard_epoch:
             self.dropped += 1
             return None
+        stream.heard_epoch = item.epoch
         if item.open is not None and item.open.epoch > stream.open.epoch:
             stream.open = item.open
-        if item.layer != stream.here().first or item.stage != stream.stage:
+        if item.stage != stream.stage or item.layer != stream.here().first:
             return Refusal(reason=Reason.REFUSED, detail="not the next layer")
         stream.touched = self.clock()
         end = item.position + item.count
--- /dev/null
+++ b/packages/core/src/kumquatway_core/events/__init__.py
@@ -0,0 +1,52 @@
+"""
+kumquatway_core.events.
+
+What a process did, in an order that holds over all processes.
+"""
+
+from kumquatway_core.events._clock import Clock, milliseconds
+from kumquatway_core.events._codec import decode, encode
+from kumquatway_core.events._journal import Journal, Page, Record, matches
+from kumquatway_core.events._kinds import (
+    KINDS,
+    ConfigurationChanged,
+    DrainChanged,
+    Event,
+    LeaseChanged,
+    MembershipChanged,
+    ProcessStarted,
+    ProcessStopped,
+    Refused,
+    RequestEnded,
+    RequestStarted,
+    RouteChosen,
+    StageFailed,
+    StreamRecovered,
+    kind_of,
+)
+
+__all__ = [
+    "KINDS",
+    "Clock",
+    "ConfigurationChanged",
+    "DrainChanged",
+    "Event",
+    "Journal",
+    "LeaseChanged",
+    "MembershipChanged",
+    "Page",
+    "ProcessStarted",
+    "ProcessStopped",
+    "Record",
+    "Refused",
+    "RequestEnded",
+    "RequestStarted",
+    "RouteChosen",
+    "StageFailed",
+    "StreamRecovered",
+    "decode",
+    "encode",
+    "kind_of",
+    "matches",
+    "milliseconds",
+]
--- a/packages/core/src/kumquatway_core/http/_serve.py
+++ b/packages/core/src/kumquatway_core/http/_serve.py
@@ -9,9 +9,11 @@
 import hypercorn.config
 from loguru import logger
 
+from kumquatway_core.exceptions import ProcessError
+
 MAX_HEADER_BYTES = 16 * 1024
 KEEP_ALIVE = 30.0  # seconds
-GRACE = 1.0  # seconds
+GRACE = 0.1  # seconds
 
 
 async def serve(
@@ -19,17 +21,15 @@
     address: str,
     *,
     header_bytes: int = MAX_HEADER_BYTES,
-    stop: anyio.Event | None = None,
     grace: float = GRACE,
 ) -> None:
     """
-    Listen for HTTP.
+    Listen for HTTP until cancelled.
 
     :param app: an ASGI application.
     :param address: `host:port`.
     :param header_bytes: bound on a request's headers.
-    :param stop: once set, no request is taken; those in progress may end.
-    :param grace: seconds for the requests in progress.
+    :param grace: seconds for the requests in progress at the end.
     """
     config = hypercorn.config.Config()
     config.bind = [address]
@@ -39,8 +39,21 @@
     config.keep_alive_timeout = KEEP_ALIVE
     config.graceful_timeout = grace
     config.include_server_header = False
-    stopped = stop or anyio.Event()
+    stopped = anyio.Event()
     logger.debug("listening for HTTP at {}", address)
-    await hypercorn.asyncio.serve(
-        app, config, shutdown_trigger=stopped.wait, mode="asgi"
-    )
+    async with anyio.create_task_group() as group:
+        group.start_soon(_listen, app, config, stopped)
+        try:
+            await anyio.sleep_forever()
+        finally:
+            stopped.set()
+
+
+async def _listen(app, config: hypercorn.config.Config, stopped: anyio.Event) -> None:
+    # Hypercorn ends cleanly by its trigger and not when it is cancelled.
+    with anyio.CancelScope(shield=True):
+        await hypercorn.asyncio.serve(
+            app, config, shutdown_trigger=stopped.wait, mode="asgi"
+        )
+    if not stopped.is_set():
+        raise ProcessError(f"the listener at {config.bind[0]} ended")
--- a/packages/core/src/kumquatway_core/wire/_messages.py
+++ b/packages/core/src/kumquatway_core/wire/_messages.py
@@ -149,12 +149,15 @@
     A stage could not go on with a stream.
 
     :param stage: index of the stage that failed, in the route.
+    :param vm: the VM of that stage, so that a late message about a replaced one
+        does no harm.
     :param reason: a value of `Reason`.
     """
 
     request: str
     attempt: int
     stage: int
+    vm: str
     reason: str
     detail: str
 
--- /dev/null
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -0,0 +1,244 @@
+"""
+Entry.
+
+The process before the callers: its children and how messages reach them.
+"""
+
+from collections.abc import Callable
+
+import anyio
+from loguru import logger
+
+from kumquatway._metrics import EntryMetrics
+from kumquatway.admin import AdminContext, admin_app
+from kumquatway.api import Context, caller_app
+from kumquatway.calls import Calls
+from kumquatway.membership import Member, Members, watch_agents, watch_list
+from kumquatway.routing import choose_replacement, choose_route
+from kumquatway.streams import Ask, Routes, Streams
+from kumquatway_core import Reason, Supervisor, Verdict, new_incarnation, not_run
+from kumquatway_core.events import (
+    Clock,
+    Event,
+    Journal,
+    MembershipChanged,
+    ProcessStarted,
+    ProcessStopped,
+)
+from kumquatway_core.http import serve
+from kumquatway_core.mesh import Mesh, Peer, PeerState, Source
+from kumquatway_core.platform import Channel, VMList
+from kumquatway_core.settings import EntrySettings
+from kumquatway_core.text import Text
+from kumquatway_core.wire import (
+    CallReply,
+    Message,
+    Pieces,
+    Stage,
+    Status,
+    Trouble,
+    VMState,
+)
+
+KIB = 1024  # bytes
+DRAIN_CHECK = 0.05  # seconds
+RETRY_AFTER = 1.0  # seconds
+
+
+class Entry:
+    """
+    One entry.
+
+    :param settings: as read from its file.
+    :param text: to start with.
+    """
+
+    def __init__(self, *, settings: EntrySettings, text: Text):
+        self.settings = settings
+        self.text = text
+        self.incarnation = new_incarnation()
+        self.metrics = EntryMetrics()
+        self.clock = Clock()
+        self.journal = Journal(process=settings.name, clock=self.clock)
+        self.leaving = anyio.Event()
+        self.mesh = Mesh(
+            address=settings.mesh_address,
+            incarnation=self.incarnation,
+            handle=self._handle,
+            on_state=self._on_peer_state,
+            on_lost=self._on_lost,
+            hlc=self.clock.tick,
+            merge=self.clock.merge,
+        )
+        self.members = Members(on_change=self._on_member)
+        self.streams = Streams(
+            entry=settings.mesh_address,
+            routes=Routes(route=self._route, replacement=self._replacement),
+            send=self.mesh.send,
+            emit=self.emit,
+        )
+        self.calls = Calls(entry=settings.mesh_address, mesh=self.mesh)
+        self.vms = VMList(channel=Channel(addresses=(settings.platform.vms,)))
+        self.supervisor = Supervisor(name=settings.name)
+        self._handlers: dict[type, Callable[[Message], object]] = {
+            Pieces: self.streams.take_pieces,
+            Trouble: self.streams.take_trouble,
+            Status: self._take_status,
+            CallReply: self.calls.take_reply,
+        }
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
+        """Serve until told to leave or cancelled."""
+        async with anyio.create_task_group() as group:
+            await group.start(self.mesh.run)
+            self._add_children()
+            group.start_soon(self.supervisor.run)
+            self.emit(ProcessStarted(incarnation=self.incarnation))
+            logger.info("callers are served at {}", self.settings.caller_address)
+            task_status.started()
+            await self.leaving.wait()
+            await self._finish()
+            group.cancel_scope.cancel()
+
+    def leave(self) -> None:
+        """Take no new request, and end once those in progress have ended."""
+        self.leaving.set()
+
+    def emit(self, event: Event) -> None:
+        """
+        Write down an event and count it.
+
+        :param event: what happened.
+        """
+        self.journal.emit(event)
+        self.metrics.count(event)
+
+    def refusal(self) -> Verdict | None:
+        """
+        Tell why no request is taken now.
+
+        :return: None if requests are taken.
+        """
+        if self.leaving.is_set():
+            return not_run(Reason.SHUTTING_DOWN, "the entry is leaving", RETRY_AFTER)
+        return None
+
+    def in_progress(self) -> int:
+        """
+        Count what a shutdown has to wait for.
+
+        :return: streams and calls.
+        """
+        return len(self.streams.sessions) + len(self.calls.waiting)
+
+    def _add_children(self) -> None:
+        settings = self.settings
+        context = Context(
+            text=lambda: self.text,
+            limits=settings.limits,
+            streams=self.streams,
+            calls=self.calls,
+            members=self.members,
+            emit=self.emit,
+            refusal=self.refusal,
+        )
+        admin = AdminContext(
+            keys=frozenset(settings.admin_keys),
+            members=self.members,
+            journal=self.journal,
+            registry=self.metrics.registry,
+            send=self.mesh.send,
+            refusal=self.refusal,
+        )
+        header_bytes = settings.limits.header_kib * KIB
+        callers = caller_app(context)
+        operators = admin_app(admin)
+        self.supervisor.add(
+            "callers",
+            lambda: serve(callers, settings.caller_address, header_bytes=header_bytes),
+        )
+        self.supervisor.add("admin", lambda: serve(operators, settings.admin_address))
+        self.supervisor.add("list", self._watch_list)
+        self.supervisor.add("agents", self._watch_agents)
+
+    async def _watch_list(self) -> None:
+        await watch_list(members=self.members, read=self.vms.read)
+
+    async def _watch_agents(self) -> None:
+        await watch_agents(
+            members=self.members,
+            send=self.mesh.send,
+            address=self.settings.mesh_address,
+        )
+
+    def _handle(self, source: Source, message: Message) -> None:
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            logger.warning(
+                "{} from {} has no use here", type(message).__name__, source.address
+            )
+            return
+        handler(message)
+
+    def _take_status(self, status: Status) -> None:
+        before = self.members.by_vm.get(status.vm)
+        known = before.status.incarnation if before and before.status else 0
+        self.members.take_status(status)
+        if known and status.incarnation > known:
+            self._lose(status.address, "the agent restarted")
+        elif status.state is VMState.SICK:
+            self.streams.lose_address(status.address, "the engine does not answer")
+
+    def _lose(self, address: str, detail: str) -> None:
+        self.streams.lose_address(address, detail)
+        self.calls.lose_address(address, detail)
+
+    def _on_peer_state(self, peer: Peer) -> None:
+        if peer.state is PeerState.DOWN:
+            self.streams.lose_address(peer.address, "the agent does not answer")
+
+    def _on_lost(self, peer: Peer, lost: list[Message]) -> None:
+        self.calls.lose(lost)
+        self.streams.lose_address(peer.address, "the agent restarted")
+
+    def _on_member(self, member: Member) -> None:
+        incarnation = member.status.incarnation if member.status else 0
+        gone = member.vm not in self.members.by_vm
+        state = "gone" if gone else member.state().value
+        event = MembershipChanged(vm=member.vm, state=state, incarnation=incarnation)
+        self.emit(event)
+
+    def _usable(self) -> list[Member]:
+        return [
+            member
+            for member in self.members.live()
+            if not self.mesh.is_down(member.address)
+        ]
+
+    def _route(self, ask: Ask, avoid: frozenset[str]) -> tuple[Stage, ...] | Verdict:
+        return choose_route(
+            members=self._usable(),
+            name=ask.name,
+            model=ask.model,
+            adapter=ask.adapter,
+            avoid=avoid,
+        )
+
+    def _replacement(
+        self, ask: Ask, stage: Stage, avoid: frozenset[str]
+    ) -> Stage | None:
+        return choose_replacement(
+            members=self._usable(),
+            name=ask.name,
+            version=ask.model.version,
+            adapter=ask.adapter,
+            stage=stage,
+            avoid=avoid,
+        )
+
+    async def _finish(self) -> None:
+        with anyio.move_on_after(self.settings.shutdown_s):
+            while self.in_progress():
+                await anyio.sleep(DRAIN_CHECK)
+        self.emit(ProcessStopped())
+        logger.info("the entry ends; {} left in progress", self.in_progress())
--- /dev/null
+++ b/packages/entry/src/kumquatway/api/_app.py
@@ -0,0 +1,46 @@
+"""
+App.
+
+The listener of callers.
+"""
+
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import PlainTextResponse, Response
+from starlette.routing import Route
+
+from kumquatway.api._context import Context
+from kumquatway.api._models import model_handlers
+from kumquatway.api._services import service_handler
+
+METHODS = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"]
+
+
+def caller_app(context: Context) -> Starlette:
+    """
+    Build the application for callers.
+
+    :param context: of the entry.
+    :return: an ASGI application.
+    """
+    chat, complete, models = model_handlers(context)
+    call = service_handler(context)
+
+    async def healthz(request: Request) -> Response:
+        return PlainTextResponse("ok")
+
+    async def readyz(request: Request) -> Response:
+        if context.refusal() is None:
+            return PlainTextResponse("ready")
+        return PlainTextResponse("not ready", status_code=503)
+
+    return Starlette(
+        routes=[
+            Route("/healthz", healthz),
+            Route("/readyz", readyz),
+            Route("/v1/chat/completions", chat, methods=["POST"]),
+            Route("/v1/completions", complete, methods=["POST"]),
+            Route("/v1/models", models, methods=["GET"]),
+            Route("/services/{service}/{path:path}", call, methods=METHODS),
+        ]
+    )
--- /dev/null
+++ b/packages/entry/src/kumquatway/api/_generate.py
@@ -0,0 +1,287 @@
+"""
+Generate.
+
+Runs a request to a model and writes its answer, whole or as a stream.
+"""
+
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+import anyio
+import msgspec
+
+from kumquatway.api._errors import (
+    REQUEST_ID,
+    error_document,
+    error_headers,
+)
+from kumquatway.api._schema import (
+    AnswerMessage,
+    ChatChoice,
+    ChunkChoice,
+    Delta,
+    Document,
+    TextChoice,
+    Usage,
+)
+from kumquatway.api._stops import StopFilter
+from kumquatway.streams import Ask, Session, Streams
+from kumquatway_core import HEADER, RAN, Reason, Verdict, not_run
+from kumquatway_core.events import Event, RequestEnded
+from kumquatway_core.wire import Piece
+
+SSE_DONE = b"data: [DONE]\n\n"
+STOP = "stop"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Form:
+    """
+    How the answers of one endpoint are written.
+
+    :param whole: makes the choice of a whole answer from text and finish reason.
+    :param piece: makes the choice of a chunk.
+    :param first: makes the choice of the chunk before the first token, or None.
+    """
+
+    prefix: str
+    whole_object: str
+    chunk_object: str
+    whole: Callable[[str, str], ChatChoice | TextChoice]
+    piece: Callable[[str, str | None], ChunkChoice | TextChoice]
+    first: Callable[[], ChunkChoice] | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Said:
+    """
+    A part of an answer.
+
+    :param text: what the caller gets now.
+    :param finish: "" or why the answer ended.
+    """
+
+    text: str
+    finish: str = ""
+
+
+CHAT = Form(
+    prefix="chatcmpl-",
+    whole_object="chat.completion",
+    chunk_object="chat.completion.chunk",
+    whole=lambda text, finish: ChatChoice(
+        index=0,
+        message=AnswerMessage(role="assistant", content=text),
+        finish_reason=finish,
+    ),
+    piece=lambda text, finish: ChunkChoice(
+        index=0, delta=Delta(content=text or None), finish_reason=finish
+    ),
+    first=lambda: ChunkChoice(
+        index=0, delta=Delta(role="assistant", content=""), finish_reason=None
+    ),
+)
+COMPLETION = Form(
+    prefix="cmpl-",
+    whole_object="text_completion",
+    chunk_object="text_completion",
+    whole=lambda text, finish: TextChoice(index=0, text=text, finish_reason=finish),
+    piece=lambda text, finish: TextChoice(index=0, text=text, finish_reason=finish),
+)
+
+
+class Generated:
+    """
+    The response of one request, as an ASGI application.
+
+    :param streams: of the entry.
+    :param ask: what the caller wants.
+    :param form: of the endpoint.
+    :param model: as the caller named it.
+    :param stream: whether the answer is streamed.
+    :param usage: whether a stream ends with its counts.
+    :param stops: strings that end the answer.
+    :param emit: writes down an event.
+    :param on_end: called with the generated tokens at the end, in any case.
+    """
+
+    def __init__(
+        self,
+        *,
+        streams: Streams,
+        ask: Ask,
+        form: Form,
+        model: str,
+        stream: bool,
+        usage: bool,
+        stops: tuple[str, ...],
+        emit: Callable[[Event], object],
+        on_end: Callable[[int], None] = lambda tokens: None,
+    ):
+        self.streams = streams
+        self.ask = ask
+        self.form = form
+        self.model = model
+        self.stream = stream
+        self.usage = usage
+        self.emit = emit
+        self.on_end = on_end
+        self.filter = StopFilter(stops=stops)
+        self.created = int(time.time())
+        self.tokens = 0
+        self.verdict = not_run(Reason.CANCELLED, "the caller went away")
+
+    async def __call__(self, scope, receive, send) -> None:
+        """Answer; a caller that goes away cancels the request."""
+        session = self.streams.open(self.ask)
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(_cancel_on_disconnect, receive, group.cancel_scope)
+                if self.stream:
+                    await self._send_stream(session, send)
+                else:
+                    await self._send_whole(session, send)
+                group.cancel_scope.cancel()
+        finally:
+            self.streams.close(session)
+            self.on_end(self.tokens)
+            self._emit_end()
+
+    async def _parts(self, session: Session) -> AsyncIterator[Said | Verdict]:
+        """Turn tokens into text, up to a stop string."""
+        async for piece in session.run():
+            if isinstance(piece, Verdict):
+                self.verdict = piece
+                yield piece
+                return
+            said = self._say(piece)
+            if said.finish:
+                self.verdict = Verdict(ran=RAN)
+            yield said
+            if said.finish:
+                return
+
+    def _say(self, piece: Piece) -> Said:
+        self.tokens += 1
+        text = self.filter.add(piece.text)
+        if self.filter.stopped:
+            return Said(text=text, finish=STOP)
+        if piece.finish:
+            return Said(text=text + self.filter.rest(), finish=piece.finish)
+        return Said(text=text)
+
+    async def _send_whole(self, session: Session, send) -> None:
+        texts = []
+        finish = ""
+        async for part in self._parts(session):
+            if isinstance(part, Verdict):
+                await self._send_error(part, send)
+                return
+            texts.append(part.text)
+            finish = part.finish
+        choice = self.form.whole("".join(texts), finish)
+        document = self._document(self.form.whole_object, choice, self._usage())
+        headers = {HEADER: self.verdict.header(), REQUEST_ID: self.ask.request}
+        body = msgspec.json.encode(document)
+        await _start(send, 200, "application/json", headers)
+        await send({"type": "http.response.body", "body": body})
+
+    async def _send_stream(self, session: Session, send) -> None:
+        started = False
+        async for part in self._parts(session):
+            if isinstance(part, Verdict):
+                await self._send_stream_error(part, started, send)
+                return
+            if not started:
+                await self._start_stream(send)
+                started = True
+            if part.text or part.finish:
+                await self._send_part(part, send)
+        await self._finish_stream(send)
+
+    async def _start_stream(self, send) -> None:
+        headers = {REQUEST_ID: self.ask.request, "Cache-Control": "no-store"}
+        await _start(send, 200, "text/event-stream", headers)
+        if self.form.first is not None:
+            await self._send_chunk(self.form.first(), send)
+
+    async def _send_part(self, part: Said, send) -> None:
+        if part.text:
+            await self._send_chunk(self.form.piece(part.text, None), send)
+        if part.finish:
+            await self._send_chunk(self.form.piece("", part.finish), send)
+
+    async def _send_chunk(self, choice, send) -> None:
+        document = self._document(self.form.chunk_object, choice, None)
+        await _send_event(send, msgspec.json.encode(document))
+
+    async def _finish_stream(self, send) -> None:
+        if self.usage:
+            document = self._document(self.form.chunk_object, None, self._usage())
+            await _send_event(send, msgspec.json.encode(document))
+        trailer = f": {HEADER}: {self.verdict.header()}\n\n".encode()
+        await send({"type": "http.response.body", "body": trailer + SSE_DONE})
+
+    async def _send_error(self, verdict: Verdict, send) -> None:
+        headers = error_headers(verdict, self.ask.request)
+        await _start(send, verdict.status(), "application/json", headers)
+        body = error_document(verdict)
+        await send({"type": "http.response.body", "body": body})
+
+    async def _send_stream_error(self, verdict: Verdict, started: bool, send) -> None:
+        if not started:
+            await self._send_error(verdict, send)
+            return
+        await _send_event(send, error_document(verdict))
+        await self._finish_stream(send)
+
+    def _document(self, kind: str, choice, usage: Usage | None) -> Document:
+        return Document(
+            id=self.form.prefix + self.ask.request,
+            object=kind,
+            created=self.created,
+            model=self.model,
+            choices=[] if choice is None else [choice],
+            usage=usage,
+        )
+
+    def _usage(self) -> Usage:
+        prompt = self.ask.prompt_tokens()
+        return Usage(
+            prompt_tokens=prompt,
+            completion_tokens=self.tokens,
+            total_tokens=prompt + self.tokens,
+        )
+
+    def _emit_end(self) -> None:
+        self.emit(
+            RequestEnded(
+                request=self.ask.request,
+                verdict=self.verdict.header(),
+                status=self.verdict.status(),
+                reason=self.verdict.reason.value,
+                detail=self.verdict.detail,
+            )
+        )
+
+
+async def _cancel_on_disconnect(receive, scope: anyio.CancelScope) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            scope.cancel()
+            return
+
+
+async def _start(send, status: int, media_type: str, headers: dict[str, str]) -> None:
+    pairs = [(b"content-type", media_type.encode())]
+    for name, value in headers.items():
+        pairs.append((name.lower().encode(), value.encode()))
+    message = {"type": "http.response.start", "status": status, "headers": pairs}
+    await send(message)
+
+
+async def _send_event(send, data: bytes) -> None:
+    body = b"data: " + data + b"\n\n"
+    await send({"type": "http.response.body", "body": body, "more_body": True})
--- /dev/null
+++ b/packages/entry/src/kumquatway/api/_services.py
@@ -0,0 +1,161 @@
+"""
+Services.
+
+The handler of calls to plain services.
+"""
+
+from http import HTTPMethod
+
+import anyio
+from starlette.requests import Request
+from starlette.responses import Response
+
+from kumquatway.api._body import read_body
+from kumquatway.api._context import Caller, Context, find_caller, new_request_id
+from kumquatway.api._errors import REQUEST_ID, error_response
+from kumquatway.calls import Answer, ServiceAsk
+from kumquatway.routing import choose_upstream
+from kumquatway_core import HEADER, RAN, Reason, Verdict, not_run
+from kumquatway_core.events import RequestEnded, RequestStarted
+
+IDEMPOTENT = "kumquatway-idempotent"
+IDEMPOTENCY_KEY = "idempotency-key"
+# RFC 9110, section 9.2.2
+IDEMPOTENT_METHODS = frozenset(
+    (
+        HTTPMethod.GET,
+        HTTPMethod.HEAD,
+        HTTPMethod.PUT,
+        HTTPMethod.DELETE,
+        HTTPMethod.OPTIONS,
+        HTTPMethod.TRACE,
+    )
+)
+PRIVATE_HEADERS = frozenset(
+    ("authorization", "connection", "host", "content-length", "transfer-encoding")
+)
+MAX_TRIES = 3
+RETRY_AFTER = 1.0  # seconds
+
+
+def service_handler(context: Context):
+    """
+    Make the handler of `/services/NAME/PATH`.
+
+    :param context: of the entry.
+    :return: the handler.
+    """
+
+    async def call(request: Request) -> Response:
+        name = new_request_id()
+        text = context.text()
+        caller = find_caller(text, request.headers.get("authorization", ""))
+        if caller is None:
+            return error_response(not_run(Reason.UNAUTHORIZED, "unknown key"), name)
+        ask = await _ask(context, request, name)
+        if isinstance(ask, Verdict):
+            return error_response(ask, name)
+        return await _run(context, caller, ask)
+
+    return call
+
+
+async def _run(context: Context, caller: Caller, ask: ServiceAsk) -> Response:
+    context.emit(
+        RequestStarted(request=ask.request, account=caller.name, target=ask.service)
+    )
+    result = await _try(context, ask)
+    if isinstance(result, Verdict):
+        verdict = result
+        response = error_response(result, ask.request)
+    else:
+        verdict = Verdict(ran=RAN)
+        response = _response(result, ask.request)
+    context.emit(
+        RequestEnded(
+            request=ask.request,
+            verdict=verdict.header(),
+            status=response.status_code,
+            reason=verdict.reason.value,
+        )
+    )
+    return response
+
+
+async def _try(context: Context, ask: ServiceAsk) -> Answer | Verdict:
+    """Try upstreams, each other first, while a retry is safe."""
+    tried: set[str] = set()
+    verdict = not_run(Reason.NO_UPSTREAM, f"no upstream of {ask.service}", RETRY_AFTER)
+    for _ in range(MAX_TRIES):
+        member = choose_upstream(
+            members=context.members.live(), service=ask.service, avoid=tried
+        )
+        if member is None:
+            return verdict
+        tried.add(member.vm)
+        result = await context.calls.send(ask, member)
+        if isinstance(result, Answer):
+            return result
+        verdict = result
+        if not verdict.retry_is_safe(idempotent=ask.idempotent):
+            return verdict
+        await anyio.lowlevel.checkpoint()
+    return verdict
+
+
+async def _ask(context: Context, request: Request, name: str) -> ServiceAsk | Verdict:
+    refusal = context.refusal()
+    if refusal is not None:
+        return refusal
+    service = request.path_params["service"]
+    described = context.text().services.get(service)
+    if described is None:
+        return not_run(Reason.NOT_FOUND, f"no service {service!r}")
+    body = await read_body(request, context.limits.body_kib)
+    if isinstance(body, Verdict):
+        return body
+    idempotent = _idempotent(request)
+    if isinstance(idempotent, Verdict):
+        return idempotent
+    return ServiceAsk(
+        request=name,
+        service=service,
+        method=request.method,
+        path=_path(request),
+        headers=_headers(request),
+        body=body,
+        timeout=described.timeout,
+        idempotent=idempotent,
+    )
+
+
+def _idempotent(request: Request) -> bool | Verdict:
+    said = request.headers.get(IDEMPOTENT)
+    if said is None:
+        return request.method in IDEMPOTENT_METHODS
+    if said.lower() not in ("true", "false"):
+        return not_run(Reason.BAD_REQUEST, f"{IDEMPOTENT} is true or false")
+    return said.lower() == "true"
+
+
+def _path(request: Request) -> str:
+    path = "/" + request.path_params["path"]
+    query = request.url.query
+    return f"{path}?{query}" if query else path
+
+
+def _headers(request: Request) -> tuple[tuple[str, str], ...]:
+    return tuple(
+        (name, value)
+        for name, value in request.headers.items()
+        if name not in PRIVATE_HEADERS
+    )
+
+
+def _response(answer: Answer, name: str) -> Response:
+    response = Response(answer.body, status_code=answer.status)
+    for key, value in answer.headers:
+        response.headers[key] = value
+    response.headers[HEADER] = "ran"
+    response.headers[REQUEST_ID] = name
+    return response
--- /dev/null
+++ b/packages/entry/src/kumquatway/calls/_calls.py
@@ -0,0 +1,167 @@
+"""
+Calls.
+
+Sends a call to an upstream of a plain service and waits for its reply.
+"""
+
+import secrets
+from dataclasses import dataclass
+
+import anyio
+
+from kumquatway.membership import Member
+from kumquatway_core import (
+    MAY_HAVE_RUN,
+    NOT_RUN,
+    RAN,
+    Reason,
+    Verdict,
+    may_have_run as doubt,
+)
+from kumquatway_core.mesh import Mesh
+from kumquatway_core.wire import Call, CallReply, Message
+
+ID_BYTES = 8
+RANS = {"ran": RAN, "not-run": NOT_RUN, "may-have-run": MAY_HAVE_RUN}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceAsk:
+    """
+    What a caller wants of a plain service.
+
+    :param path: with its query.
+    :param timeout: seconds.
+    """
+
+    request: str
+    service: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout: float
+    idempotent: bool
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """What a service answered."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+class _Waiting:
+    """A call that waits for its reply."""
+
+    def __init__(self, *, address: str):
+        self.address = address
+        self.done = anyio.Event()
+        self.result: Answer | Verdict | None = None
+
+    def settle(self, result: Answer | Verdict) -> None:
+        if self.result is None:
+            self.result = result
+            self.done.set()
+
+
+class Calls:
+    """
+    Every call in flight.
+
+    :param entry: address of this entry.
+    :param mesh: sends to agents.
+    """
+
+    def __init__(self, *, entry: str, mesh: Mesh):
+        self.entry = entry
+        self.mesh = mesh
+        self.waiting: dict[str, _Waiting] = {}
+
+    async def send(self, ask: ServiceAsk, member: Member) -> Answer | Verdict:
+        """
+        Send a call to one upstream.
+
+        :param ask: what the caller wants.
+        :param member: the upstream.
+        :return: its answer, or the verdict.
+        """
+        call = secrets.token_hex(ID_BYTES)
+        waiting = _Waiting(address=member.address)
+        self.waiting[call] = waiting
+        try:
+            return await self._send(call, ask, member, waiting)
+        finally:
+            del self.waiting[call]
+
+    def take_reply(self, reply: CallReply) -> None:
+        """
+        Take in a reply; one that nobody waits for is dropped.
+
+        :param reply: as received.
+        """
+        waiting = self.waiting.get(reply.call)
+        if waiting is None:
+            return
+        waiting.settle(_result(reply))
+
+    def lose(self, lost: list[Message]) -> None:
+        """
+        Take in that messages went to an incarnation that is gone.
+
+        :param lost: as the mesh reports them.
+        """
+        for message in lost:
+            waiting = self.waiting.get(getattr(message, "call", ""))
+            if waiting is not None:
+                waiting.settle(doubt(Reason.RESET, "the agent restarted"))
+
+    def lose_address(self, address: str, detail: str) -> None:
+        """
+        Take in that an agent restarted.
+
+        :param address: of the agent.
+        :param detail: one line for people.
+        """
+        for waiting in self.waiting.values():
+            if waiting.address == address:
+                waiting.settle(doubt(Reason.RESET, detail))
+
+    async def _send(
+        self, call: str, ask: ServiceAsk, member: Member, waiting: _Waiting
+    ) -> Answer | Verdict:
+        message = Call(
+            call=call,
+            request=ask.request,
+            entry=self.entry,
+            service=ask.service,
+            incarnation=member.status.incarnation,
+            method=ask.method,
+            path=ask.path,
+            headers=ask.headers,
+            body=ask.body,
+            timeout=ask.timeout,
+            idempotent=ask.idempotent,
+        )
+        peer = self.mesh.peer(member.address)
+        parcel = peer.send(message)
+        if isinstance(parcel, Verdict):
+            return parcel
+        with anyio.move_on_after(ask.timeout):
+            await waiting.done.wait()
+        if waiting.result is not None:
+            return waiting.result
+        if peer.withdraw(parcel):
+            detail = "no connection to the upstream's agent"
+            return Verdict(ran=NOT_RUN, reason=Reason.UNREACHABLE, detail=detail)
+        return doubt(Reason.DEADLINE, "no answer within the bound")
+
+
+def _result(reply: CallReply) -> Answer | Verdict:
+    if reply.status:
+        return Answer(status=reply.status, headers=reply.headers, body=reply.body)
+    return Verdict(
+        ran=RANS[reply.ran], reason=Reason(reply.reason), detail=reply.detail
+    )
--- /dev/null
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -0,0 +1,414 @@
+"""
+Session.
+
+One request to a model: its route, what the caller has, and its recovery.
+"""
+
+import time
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+import anyio
+from loguru import logger
+
+from kumquatway_core import Reason, Verdict, may_have_run
+from kumquatway_core.events import Event, RouteChosen, StageFailed, StreamRecovered
+from kumquatway_core.text import Model
+from kumquatway_core.wire import (
+    Cancel,
+    Message,
+    Open,
+    Piece,
+    Splice,
+    Stage,
+    StepItem,
+    Steps,
+    Trouble,
+)
+
+TOKEN_BYTES = 4
+MAX_RECOVERIES = 16
+NO_ROUTE_WAIT = 0.1  # seconds between looks for a route
+FIRST_PIECE_BOUND = 30.0  # seconds of silence before the first token
+SILENCE_FLOOR = 2.0  # seconds
+SILENCE_FACTOR = 12  # of the usual time between tokens
+SMOOTHING = 0.2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ask:
+    """
+    What a caller wants of a model.
+
+    :param request: the request's id.
+    :param name: of the model.
+    :param model: as the text describes it.
+    :param adapter: name or "".
+    :param prompt: tokens, little-endian u32.
+    :param max_tokens: of the answer.
+    :param seed: of sampling.
+    :param priority: 0 is served first.
+    :param deadline: monotonic seconds.
+    """
+
+    request: str
+    name: str
+    model: Model
+    adapter: str
+    prompt: bytes
+    max_tokens: int
+    seed: int
+    priority: int
+    deadline: float
+
+    def prompt_tokens(self) -> int:
+        """
+        Count the prompt.
+
+        :return: tokens.
+        """
+        return len(self.prompt) // TOKEN_BYTES
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Routes:
+    """
+    How a session gets its upstreams.
+
+    :param route: chooses a chain that avoids some VMs.
+    :param replacement: chooses another VM for a stage's layers.
+    """
+
+    route: Callable[[Ask, frozenset[str]], tuple[Stage, ...] | Verdict]
+    replacement: Callable[[Ask, Stage, frozenset[str]], Stage | None]
+
+
+class Session:
+    """
+    One request in flight.
+
+    :param ask: what the caller wants.
+    :param entry: address of this entry.
+    :param routes: chooses upstreams.
+    :param send: sends a message to an address.
+    :param emit: writes down an event.
+    """
+
+    def __init__(
+        self,
+        *,
+        ask: Ask,
+        entry: str,
+        routes: Routes,
+        send: Callable[[str, Message], object],
+        emit: Callable[[Event], object],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.ask = ask
+        self.entry = entry
+        self.routes = routes
+        self.send = send
+        self.emit = emit
+        self.clock = clock
+        self.attempt = 0
+        self.epoch = 0
+        self.route: tuple[Stage, ...] = ()
+        self.tokens: list[int] = []
+        self.recoveries = 0
+        self.dropped = 0
+        self.usual_gap = 0.0
+        self._last_piece = clock()
+        self._failed: dict[str, Verdict] = {}
+        self._failed_at = 0.0
+        self._means = ""
+        self._pieces: deque[Piece] = deque()
+        self._wake = anyio.Event()
+
+    def next_position(self) -> int:
+        """
+        Find the position that the caller waits for.
+
+        :return: absolute position.
+        """
+        return self.ask.prompt_tokens() + len(self.tokens)
+
+    def take_piece(self, piece: Piece) -> None:
+        """
+        Take in a token; repeats and those of older attempts are dropped.
+
+        :param piece: as received.
+        """
+        if piece.attempt != self.attempt or piece.position < self._expected():
+            self.dropped += 1
+            return
+        if piece.position > self._expected():
+            self._fail_all(f"position {self._expected()} was lost")
+            return
+        self._pieces.append(piece)
+        self._wake.set()
+
+    def take_trouble(self, trouble: Trouble) -> None:
+        """
+        Take in a failure of a stage.
+
+        :param trouble: as received; one about a replaced stage is ignored.
+        """
+        if trouble.attempt != self.attempt:
+            return
+        if not 0 <= trouble.stage < len(self.route):
+            return
+        if self.route[trouble.stage].vm != trouble.vm:
+            return
+        reason = Reason(trouble.reason)
+        self._fail(trouble.vm, may_have_run(reason, trouble.detail))
+
+    def lose_address(self, address: str, detail: str) -> None:
+        """
+        Take in that an agent does not answer.
+
+        :param address: of the agent.
+        :param detail: one line for people.
+        """
+        for stage in self.route:
+            if stage.address == address:
+                self._fail(stage.vm, may_have_run(Reason.UNREACHABLE, detail))
+
+    def uses(self, address: str) -> bool:
+        """
+        Tell whether the route has an agent.
+
+        :param address: of the agent.
+        :return: True if a stage listens there.
+        """
+        return any(stage.address == address for stage in self.route)
+
+    async def run(self) -> AsyncIterator[Piece | Verdict]:
+        """
+        Generate the answer.
+
+        :return: each token once and in order; a verdict, if any, is the last.
+        """
+        verdict = await self._start(frozenset())
+        if verdict is not None:
+            yield verdict
+            return
+        while True:
+            verdict = await self._wait()
+            if verdict is not None:
+                yield verdict
+                return
+            while self._pieces:
+                piece = self._pieces.popleft()
+                self._count(piece)
+                yield piece
+                if piece.finish:
+                    return
+
+    def close(self) -> None:
+        """Free every stage of the route."""
+        cancel = Cancel(items=((self.ask.request, self.attempt),))
+        for address in {stage.address for stage in self.route}:
+            self.send(address, cancel)
+        self.route = ()
+
+    def _expected(self) -> int:
+        return self.next_position() + len(self._pieces)
+
+    def _count(self, piece: Piece) -> None:
+        now = self.clock()
+        gap = now - self._last_piece
+        if self.tokens:
+            self.usual_gap += SMOOTHING * (gap - self.usual_gap)
+        self._last_piece = now
+        self.tokens.append(piece.token)
+        if self._means:
+            self._recovered(now)
+
+    def _recovered(self, now: float) -> None:
+        event = StreamRecovered(
+            request=self.ask.request,
+            attempt=self.attempt,
+            means=self._means,
+            position=self.next_position() - 1,
+            seconds=round(now - self._failed_at, 6),
+        )
+        self._means = ""
+        self.emit(event)
+
+    async def _wait(self) -> Verdict | None:
+        """Wait for tokens, and recover from failures meanwhile."""
+        while not self._pieces:
+            if self._failed:
+                verdict = await self._recover()
+                if verdict is not None:
+                    return verdict
+                continue
+            self._wake = anyio.Event()
+            bound = min(self._silence_bound(), self.ask.deadline - self.clock())
+            with anyio.move_on_after(max(bound, 0)):
+                await self._wake.wait()
+                continue
+            if self.clock() >= self.ask.deadline:
+                return may_have_run(Reason.DEADLINE, "the deadline passed")
+            self._fail_all("no token within the bound")
+        return None
+
+    def _silence_bound(self) -> float:
+        if not self.tokens:
+            return FIRST_PIECE_BOUND
+        return SILENCE_FLOOR + SILENCE_FACTOR * self.usual_gap
+
+    def _fail(self, vm: str, verdict: Verdict) -> None:
+        if vm in self._failed:
+            return
+        if not self._failed and not self._means:
+            self._failed_at = self.clock()
+        self._failed[vm] = verdict
+        index = next(i for i, stage in enumerate(self.route) if stage.vm == vm)
+        self.emit(
+            StageFailed(
+                request=self.ask.request,
+                vm=vm,
+                attempt=self.attempt,
+                stage=index,
+                reason=verdict.reason,
+                detail=verdict.detail,
+            )
+        )
+        self._wake.set()
+
+    def _fail_all(self, detail: str) -> None:
+        for stage in self.route:
+            self._fail(stage.vm, may_have_run(Reason.SILENCE, detail))
+
+    async def _recover(self) -> Verdict | None:
+        self.recoveries += 1
+        failed = self._failed
+        self._failed = {}
+        logger.info("{} recovers from {}", self.ask.request, sorted(failed))
+        if self.recoveries > MAX_RECOVERIES:
+            return next(iter(failed.values()))
+        avoid = frozenset(failed)
+        if len(failed) < len(self.route) and self._splice(avoid):
+            self._means = "replay"
+            return None
+        if len(failed) == len(self.route):
+            avoid = frozenset()
+        self.close()
+        self._means = "prefill"
+        return await self._start(avoid)
+
+    def _splice(self, failed: frozenset[str]) -> bool:
+        """Replace the failed stages; those that live keep their KV cache."""
+        route = []
+        for stage in self.route:
+            if stage.vm not in failed:
+                route.append(stage)
+                continue
+            found = self.routes.replacement(self.ask, stage, self._avoid(failed))
+            if found is None:
+                return False
+            route.append(found)
+        self._leave(failed)
+        old, self.route = self.route, tuple(route)
+        self.epoch += 1
+        self._announce(old)
+        return True
+
+    def _avoid(self, failed: frozenset[str]) -> frozenset[str]:
+        return failed | {stage.vm for stage in self.route}
+
+    def _leave(self, failed: frozenset[str]) -> None:
+        cancel = Cancel(items=((self.ask.request, self.attempt),))
+        for stage in self.route:
+            if stage.vm in failed:
+                self.send(stage.address, cancel)
+
+    def _announce(self, old: tuple[Stage, ...]) -> None:
+        """Tell the live stages whose next hop changed; feed a new first stage."""
+        open = self._open()
+        last = len(self.route) - 1
+        for index, stage in enumerate(self.route):
+            following = (index + 1) % len(self.route)
+            lives = stage == old[index]
+            changed = self.route[following] != old[following]
+            if lives and changed and index != last:
+                self.send(stage.address, Splice(stage=index, open=open))
+        if self.route[last] == old[last] and self.route[0] != old[0]:
+            self.send(self.route[last].address, Splice(stage=last, open=open))
+        if self.route[0] != old[0]:
+            self._feed(open)
+
+    async def _start(self, avoid: frozenset[str]) -> Verdict | None:
+        """Begin an attempt on a new route."""
+        while True:
+            route = self.routes.route(self.ask, avoid)
+            if not isinstance(route, Verdict):
+                break
+            verdict = await self._pause(route)
+            if verdict is not None:
+                return verdict
+            avoid = frozenset()
+        self.attempt += 1
+        self.epoch = 1
+        self.route = route
+        self._last_piece = self.clock()
+        self.emit(
+            RouteChosen(
+                request=self.ask.request,
+                attempt=self.attempt,
+                vms=tuple(stage.vm for stage in route),
+            )
+        )
+        self._feed(self._open())
+        return None
+
+    async def _pause(self, verdict: Verdict) -> Verdict | None:
+        """Refuse a request that did not begin; let one in progress wait."""
+        if not self.attempt:
+            return verdict
+        if self.clock() + NO_ROUTE_WAIT >= self.ask.deadline:
+            return may_have_run(verdict.reason, verdict.detail)
+        await anyio.sleep(NO_ROUTE_WAIT)
+        return None
+
+    def _feed(self, open: Open) -> None:
+        """Send the prompt, and what was generated, to the first stage."""
+        data = self.ask.prompt + open.known
+        item = StepItem(
+            request=open.request,
+            attempt=open.attempt,
+            stage=0,
+            layer=0,
+            position=0,
+            count=len(data) // TOKEN_BYTES,
+            data=data,
+            epoch=open.epoch,
+            open=open,
+            replay=open.epoch > 1,
+        )
+        result = self.send(self.route[0].address, Steps(items=(item,)))
+        if isinstance(result, Verdict):
+            self._fail(self.route[0].vm, result)
+
+    def _open(self) -> Open:
+        waiting = (piece.token for piece in self._pieces)
+        known = b"".join(
+            token.to_bytes(TOKEN_BYTES, "little") for token in (*self.tokens, *waiting)
+        )
+        return Open(
+            request=self.ask.request,
+            attempt=self.attempt,
+            route=self.route,
+            entry=self.entry,
+            model=self.ask.name,
+            version=self.ask.model.version,
+            adapter=self.ask.adapter,
+            prompt_tokens=self.ask.prompt_tokens(),
+            end_position=self.ask.prompt_tokens() + self.ask.max_tokens,
+            seed=self.ask.seed,
+            priority=self.ask.priority,
+            epoch=self.epoch,
+            known=known,
+        )
--- a/packages/fakes/src/kumquatway_fakes/_model.py
+++ b/packages/fakes/src/kumquatway_fakes/_model.py
@@ -19,6 +19,7 @@
 _FOLD = np.uint64(0x9E3779B97F4A7C15)
 _PAST = np.uint64(0xC2B2AE3D27D4EB4F)
 _INDEX = np.uint64(0xD6E8FEB86659FD93)
+_MASK = 2**64 - 1
 _SHIFT = np.uint64(29)
 
 
@@ -47,7 +48,7 @@
     :return: the new states and the KV cache after them.
     """
     sums = np.cumsum(states, dtype=np.uint64) + np.uint64(past)
-    index = np.uint64(layer + 1) * _INDEX
+    index = np.uint64((layer + 1) * int(_INDEX) & _MASK)
     return _mix(states * _FOLD + sums * _PAST + index), int(sums[-1])
 
 
@@ -59,8 +60,8 @@
     :param seed: of the request.
     :return: token id, its text, and whether it ends the answer.
     """
-    drawn = (state ^ (seed * 0x9E3779B97F4A7C15)) & 0xFFFFFFFFFFFFFFFF
-    drawn = (drawn * 0xBF58476D1CE4E5B9) & 0xFFFFFFFFFFFFFFFF
+    drawn = (state ^ (seed * 0x9E3779B97F4A7C15)) & _MASK
+    drawn = (drawn * 0xBF58476D1CE4E5B9) & _MASK
     drawn ^= drawn >> 31
     word = drawn % len(WORDS)
     stop = (drawn >> 16) % STOP_EVERY == 0
