--- a/packages/agent/src/kumquatway_agent/service/_caller.py
+++ b/packages/agent/src/kumquatway_agent/service/_caller.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
+from kumquatway_core.http import open_client
 from kumquatway_core.wire import Call, CallReply
 
 CONNECT_TIMEOUT = 1.0  # seconds
@@ -111,13 +112,8 @@
 
 
 def _client(url, transport, limits) -> httpx.AsyncClient:
-    return httpx.AsyncClient(
-        base_url=url,
-        transport=transport,
-        limits=limits,
-        timeout=httpx.Timeout(None, connect=CONNECT_TIMEOUT),
-        trust_env=False,
-    )
+    timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT)
+    return open_client(url, timeout=timeout, limits=limits, transport=transport)
 
 
 async def _request(http: httpx.AsyncClient, call: Call) -> CallReply:
--- a/packages/core/src/kumquatway_core/engine/_client.py
+++ b/packages/core/src/kumquatway_core/engine/_client.py
@@ -18,6 +18,7 @@
     StepReply,
     StepRequest,
 )
+from kumquatway_core.http import open_client
 
 CONNECT_TIMEOUT = 1.0  # seconds
 CALL_TIMEOUT = 5.0  # seconds
@@ -51,8 +52,8 @@
         self.http = self._open()
 
     def _open(self) -> httpx.AsyncClient:
-        return httpx.AsyncClient(
-            base_url=self.url,
+        return open_client(
+            self.url,
             transport=self.transport,
             timeout=httpx.Timeout(CALL_TIMEOUT, connect=CONNECT_TIMEOUT),
             limits=httpx.Limits(keepalive_expiry=KEEPALIVE),
--- a/packages/core/src/kumquatway_core/http/__init__.py
+++ b/packages/core/src/kumquatway_core/http/__init__.py
@@ -4,7 +4,8 @@
 What the HTTP listeners of both processes share.
 """
 
+from kumquatway_core.http._client import open_client
 from kumquatway_core.http._responses import events_response, metrics_response
 from kumquatway_core.http._serve import serve
 
-__all__ = ["events_response", "metrics_response", "serve"]
+__all__ = ["events_response", "metrics_response", "open_client", "serve"]
--- /dev/null
+++ b/packages/core/src/kumquatway_core/http/_client.py
@@ -0,0 +1,41 @@
+"""
+Client.
+
+Opens HTTP clients that share what is costly to make.
+"""
+
+import functools
+import ssl
+
+import httpx
+
+
+@functools.cache
+def _tls() -> ssl.SSLContext:
+    return ssl.create_default_context()
+
+
+def open_client(
+    url: str,
+    *,
+    timeout: httpx.Timeout,
+    limits: httpx.Limits,
+    transport: httpx.AsyncBaseTransport | None = None,
+) -> httpx.AsyncClient:
+    """
+    Open a client with a pool of its own.
+
+    :param url: base URL.
+    :param timeout: of a call, unless the call brings its own.
+    :param limits: of the pool.
+    :param transport: for tests.
+    :return: the client; the caller closes it.
+    """
+    return httpx.AsyncClient(
+        base_url=url,
+        transport=transport,
+        timeout=timeout,
+        limits=limits,
+        verify=_tls(),
+        trust_env=False,
+    )
