Add the reason of an answer that was not kept

Cause: a repeated key may name a request that ran and whose answer was too large or could not be stored; no reason said so. Weighed: IN_PROGRESS (409), which invites waiting for what never comes. Changed: ANSWER_GONE, status 410.

--- a/packages/core/src/kumquatway_core/_verdict.py
+++ b/packages/core/src/kumquatway_core/_verdict.py
@@ -42,6 +42,7 @@
     UPSTREAM_ERROR = "upstream_error"
     STORE_DOWN = "store_down"
     IN_PROGRESS = "in_progress"
+    ANSWER_GONE = "answer_gone"
     SHUTTING_DOWN = "shutting_down"
     CANCELLED = "cancelled"
     INTERNAL = "internal"
@@ -65,6 +66,7 @@
     Reason.UPSTREAM_ERROR: 502,
     Reason.STORE_DOWN: 503,
     Reason.IN_PROGRESS: 409,
+    Reason.ANSWER_GONE: 410,
     Reason.SHUTTING_DOWN: 503,
     Reason.CANCELLED: 499,
     Reason.INTERNAL: 500,
