--- /dev/null
+++ b/packages/core/tests/test_revisions.py
@@ -0,0 +1,262 @@
+"""Tests of revisions: by cases, and by a state machine with racing operators."""
+
+import asyncio
+import itertools
+
+import anyio
+import httpx
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from kumquatway_core.platform import Channel, Table
+from kumquatway_core.revisions import (
+    Accepted,
+    InDoubt,
+    Invalid,
+    NotStored,
+    RacedEdit,
+    Replica,
+    Revisions,
+    _rows,
+)
+from kumquatway_fakes import Faults, TableService
+
+WRONG = "wrong"
+
+
+def check(text: str) -> tuple[str, ...]:
+    return ("line 1: wrong",) if text == WRONG else ()
+
+
+def store_of(service: TableService) -> Revisions:
+    channel = Channel(
+        addresses=("http://store",),
+        transports=lambda: httpx.ASGITransport(app=service.app),
+    )
+    ids = itertools.count()
+    return Revisions(
+        table=Table(channel=channel),
+        check=check,
+        clock=lambda: 0.0,
+        ids=lambda: f"proposal-{id(channel)}-{next(ids)}",
+    )
+
+
+class TestRevisions:
+    """Edits that win, race, are wrong or are in doubt."""
+
+    def setup_method(self):
+        self.service = TableService()
+        self.revisions = store_of(self.service)
+
+    def propose(self, text="one", expected=0):
+        return anyio.run(self.revisions.propose, text, expected, "ana")
+
+    def test_an_accepted_edit_is_the_latest_and_leaves_a_record(self):
+        self.propose("a\nb")
+        edit = self.propose("a\nc", 1)
+        assert edit.revision.number == 2
+        assert anyio.run(self.revisions.latest) == edit.revision
+        record = anyio.run(self.revisions.audit)[1]
+        assert record.head.author == "ana"
+        assert record.changed.splitlines()[-2:] == ["-b", "+c"]
+
+    def test_a_raced_edit_names_both_revisions(self):
+        self.propose()
+        assert self.propose("two") == RacedEdit(expected=0, found=1)
+
+    def test_a_wrong_text_is_not_stored(self):
+        assert isinstance(self.propose(WRONG), Invalid)
+        assert anyio.run(self.revisions.latest) is None
+
+    def test_an_outage_stores_nothing(self):
+        self.service.gate.faults = Faults(down=True)
+        assert isinstance(self.propose(), NotStored)
+
+    def test_a_lost_answer_is_resolved_by_the_edit_meeting_itself(self):
+        self.service.gate.faults = Faults(lose_next=1)
+        assert isinstance(self.propose(), Accepted)
+        assert len(anyio.run(self.revisions.audit)) == 1
+
+    def test_an_edit_in_doubt_that_was_overtaken_is_still_told_accepted(self):
+        self.service.gate.faults = Faults(lose_next=9)
+        doubt = self.propose()
+        assert isinstance(doubt, InDoubt)
+        self.service.gate.faults = Faults()
+        self.propose("two", 1)
+        assert isinstance(anyio.run(self.revisions.resolve, doubt), Accepted)
+        assert anyio.run(self.revisions.latest_number) == 2
+
+    def test_a_late_edit_does_not_undo_a_later_one(self):
+        self.service.gate.faults = Faults(late_next=9)
+        doubt = self.propose()
+        self.service.gate.faults = Faults()
+        assert isinstance(self.propose("two"), Accepted)
+        self.service.gate.land()
+        assert anyio.run(self.revisions.latest).text == "two"
+        assert isinstance(anyio.run(self.revisions.resolve, doubt), RacedEdit)
+
+    def test_the_audit_trail_is_bounded(self, monkeypatch):
+        monkeypatch.setattr("kumquatway_core.revisions._revisions.AUDIT_KEEP", 2)
+        for number in range(4):
+            self.propose(str(number), number)
+        records = anyio.run(self.revisions.audit)
+        assert [record.head.number for record in records] == [3, 4]
+
+
+class TestReplica:
+    """The revision in force on a process."""
+
+    def setup_method(self):
+        self.service = TableService()
+        self.revisions = store_of(self.service)
+
+    def test_a_process_born_in_an_outage_takes_a_peers_revision(self):
+        async def run():
+            edit = await self.revisions.propose("one", 0, "ana")
+            self.service.gate.faults = Faults(down=True)
+            replica = Replica(check=check)
+            assert not await replica.poll(self.revisions)
+            assert await replica.offer(edit.revision)
+            assert not await replica.poll(self.revisions)
+            assert replica.in_force == edit.revision
+
+        anyio.run(run)
+
+    def test_a_revision_that_is_cut_or_wrong_is_not_taken(self):
+        async def run():
+            edit = await self.revisions.propose("one", 0, "ana")
+            head = edit.revision.head
+            replica = Replica(check=check)
+            assert not await replica.offer(_rows.Revision(head=head, text="on"))
+            strict = Replica(check=lambda text: ("no",))
+            assert not await strict.offer(edit.revision)
+            assert strict.in_force is None
+
+        anyio.run(run)
+
+    def test_a_notified_process_does_not_wait_for_its_interval(self):
+        async def run():
+            replica = Replica(check=check, pause=lambda seconds: anyio.sleep_forever())
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(replica.watch, self.revisions)
+                await self.revisions.propose("one", 0, "ana")
+                replica.notify(1)
+                with anyio.fail_after(10):
+                    assert (await replica.wait_for(1)).text == "one"
+                tasks.cancel_scope.cancel()
+
+        anyio.run(run)
+
+    def test_a_slow_apply_is_not_overtaken(self):
+        applied = []
+
+        async def apply(revision):
+            if revision.number == 1:
+                await anyio.sleep(0)
+            applied.append(revision.number)
+
+        async def run():
+            first = await self.revisions.propose("one", 0, "ana")
+            second = await self.revisions.propose("two", 1, "ana")
+            replica = Replica(check=check, apply=apply)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(replica.offer, first.revision)
+                tasks.start_soon(replica.offer, second.revision)
+            assert replica.number == 2
+
+        anyio.run(run)
+        assert applied == [1, 2]
+
+
+class RevisionsMachine(RuleBasedStateMachine):
+    """Two operators and three processes over a store with faults."""
+
+    def __init__(self):
+        super().__init__()
+        self.service = TableService()
+        self.operators = [store_of(self.service), store_of(self.service)]
+        self.replicas = [Replica(check=check) for _ in range(3)]
+        self.numbers = [0, 0, 0]
+        self.accepted: dict[int, str] = {}
+        self.doubts: list[InDoubt] = []
+        self.texts = itertools.count()
+        self.runner = asyncio.Runner()
+
+    def teardown(self):
+        self.runner.close()
+
+    def learn(self, edit):
+        if isinstance(edit, Accepted):
+            head = edit.revision.head
+            known = self.accepted.setdefault(head.number, head.proposal)
+            assert known == head.proposal
+        if isinstance(edit, InDoubt):
+            self.doubts.append(edit)
+
+    @rule(who=st.integers(0, 1), back=st.integers(0, 1), wrong=st.booleans())
+    def propose(self, who, back, wrong):
+        expected = max(0, max(self.numbers) - back)
+        text = WRONG if wrong else f"text {next(self.texts)}"
+        edit = self.operators[who].propose(text, expected, f"operator {who}")
+        self.learn(self.runner.run(edit))
+
+    @rule()
+    def race(self):
+        async def both():
+            expected = max(self.numbers)
+            return await asyncio.gather(
+                *(
+                    operator.propose(f"text {next(self.texts)}", expected, "x")
+                    for operator in self.operators
+                )
+            )
+
+        for edit in self.runner.run(both()):
+            self.learn(edit)
+
+    @rule()
+    def resolve(self):
+        if self.doubts:
+            doubt = self.doubts.pop()
+            self.learn(self.runner.run(self.operators[0].resolve(doubt)))
+
+    @rule(which=st.integers(0, 2))
+    def poll(self, which):
+        self.runner.run(self.replicas[which].poll(self.operators[0]))
+
+    @rule(giver=st.integers(0, 2), taker=st.integers(0, 2))
+    def copy(self, giver, taker):
+        revision = self.replicas[giver].in_force
+        if revision is not None:
+            self.runner.run(self.replicas[taker].offer(revision))
+
+    @rule(lost=st.integers(0, 4), late=st.integers(0, 4), down=st.booleans())
+    def set_faults(self, lost, late, down):
+        self.service.gate.faults = Faults(down=down, lose_next=lost, late_next=late)
+
+    @rule()
+    def land(self):
+        self.service.gate.land()
+
+    @invariant()
+    def never_back_and_never_wrong(self):
+        for which, replica in enumerate(self.replicas):
+            assert replica.number >= self.numbers[which]
+            self.numbers[which] = replica.number
+            if replica.in_force is not None:
+                assert replica.in_force.text != WRONG
+
+    @invariant()
+    def one_edit_for_each_number(self):
+        for replica in self.replicas:
+            head = replica.in_force.head if replica.in_force else None
+            if head is not None:
+                known = self.accepted.setdefault(head.number, head.proposal)
+                assert known == head.proposal
+
+
+TestRevisionsMachine = RevisionsMachine.TestCase
+TestRevisionsMachine.settings = settings(
+    max_examples=50, stateful_step_count=25, derandomize=True, deadline=None
+)
