--- /dev/null
+++ b/packages/core/src/kumquatway_core/claims/_claims.py
@@ -0,0 +1,331 @@
+"""
+Claims.
+
+Decides in the table service which try of an idempotency key may be dispatched.
+"""
+
+import time
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+import msgspec
+
+from kumquatway_core._verdict import RAN, Reason, Verdict, may_have_run, not_run
+from kumquatway_core.claims._results import (
+    Claim,
+    ClaimResult,
+    Finished,
+    Granted,
+    Held,
+    Kept,
+    Refused,
+)
+from kumquatway_core.claims._rows import (
+    TABLE,
+    Answer,
+    ClaimRow,
+    State,
+    decode_row,
+    encode_row,
+    row_key,
+)
+from kumquatway_core.exceptions import PlatformError
+from kumquatway_core.platform import (
+    ABSENT,
+    Applied,
+    Change,
+    GroupCommit,
+    Key,
+    Objects,
+    Outcome,
+    Raced,
+    Row,
+    Table,
+    Unapplied,
+)
+
+CLAIM_SECONDS = 8.0  # bound on one claim
+SETTLE_SECONDS = 1.0  # between looks at the leftovers
+RETRY_SECONDS = 1.0  # told to callers
+MAX_RACES = 3
+MAX_INLINE = 32 * 1024  # bytes of an answer kept in the row
+MAX_ANSWER = 8 * 1024 * 1024  # bytes of an answer kept at all
+MAX_LEFTOVERS = 1000
+
+_encoder = msgspec.msgpack.Encoder()
+_answers = msgspec.msgpack.Decoder(Answer)
+
+
+def new_id() -> str:
+    """
+    Make an id.
+
+    :return: 32 hexadecimal digits.
+    """
+    return uuid.uuid4().hex
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Leftover:
+    """An end that the row of a claim still has to be given."""
+
+    place: Key
+    row: ClaimRow
+
+
+class Claims:
+    """
+    Claims, completes and abandons on behalf of one entry.
+
+    :param table: the table service.
+    :param objects: the object store, for large answers.
+    :param clock: wall clock, seconds; read for the expiry only.
+    :param ids: makes ids that are never made again.
+    :param group: commits the rows; `run` runs it.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: Table,
+        objects: Objects,
+        clock: Callable[[], float] = time.time,
+        ids: Callable[[], str] = new_id,
+        group: GroupCommit | None = None,
+    ):
+        self.table = table
+        self.objects = objects
+        self.clock = clock
+        self.ids = ids
+        self.group = group or GroupCommit(table=table)
+        self.leftovers: dict[tuple[Key, str], _Leftover] = {}
+
+    async def run(self) -> None:
+        """Commit and clean up, until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.group.run)
+            while True:
+                await anyio.sleep(SETTLE_SECONDS)
+                await self.settle_leftovers()
+
+    async def claim(
+        self, *, account: str, key: str, digest: str, upstream: str, attempt: str
+    ) -> ClaimResult:
+        """
+        Ask to dispatch a request; only `Granted` allows it.
+
+        :param account: the client account.
+        :param key: the caller's idempotency key.
+        :param digest: of the request's method, path and body.
+        :param upstream: where the request would go.
+        :param attempt: id of this try, never used by another.
+        :return: the decision.
+        """
+        place = Key(table=TABLE, key=row_key(account, key))
+        row = ClaimRow(
+            state=State.CLAIMED,
+            digest=digest,
+            attempt=attempt,
+            token=self.ids(),
+            upstream=upstream,
+            written=self.clock(),
+        )
+        if len(self.leftovers) >= MAX_LEFTOVERS:
+            return _refuse_store_down("too many claims wait for the store")
+        try:
+            with anyio.fail_after(CLAIM_SECONDS):
+                return await self._claim(place, row)
+        except TimeoutError:
+            self._leave(place, _released(row))
+            return _refuse_store_down(f"no decision within {CLAIM_SECONDS} s")
+        except anyio.get_cancelled_exc_class():
+            self._leave(place, _released(row))
+            raise
+        except PlatformError as error:
+            return Refused(verdict=may_have_run(Reason.INTERNAL, str(error)))
+
+    async def complete(self, claim: Claim, answer: Answer) -> Kept:
+        """
+        Keep the answer of a request that ran, for later tries of its key.
+
+        :param claim: as granted.
+        :param answer: what the upstream answered.
+        :return: whether it is stored, will be, or is lost.
+        """
+        row = msgspec.structs.replace(claim.row, state=State.FINISHED)
+        size = len(_encoder.encode(answer))
+        if size <= MAX_INLINE:
+            row = msgspec.structs.replace(row, answer=answer)
+        elif size <= MAX_ANSWER:
+            stored = await self._store_object(claim, answer)
+            row = msgspec.structs.replace(row, stored=stored)
+        return await self._end(claim, row)
+
+    async def abandon(self, claim: Claim) -> Kept:
+        """
+        Free the key after a request that truly did not run.
+
+        :param claim: as granted; no byte of its request has left.
+        :return: whether the row says so, will say so, or belongs to another.
+        """
+        return await self._end(claim, _released(claim.row))
+
+    async def settle_leftovers(self) -> int:
+        """
+        Give rows the ends that could not be written before.
+
+        :return: how many are left.
+        """
+        for slot, leftover in list(self.leftovers.items()):
+            try:
+                done = await self._settle(leftover)
+            except PlatformError:
+                break
+            if done:
+                self.leftovers.pop(slot, None)
+        return len(self.leftovers)
+
+    async def _claim(self, place: Key, row: ClaimRow) -> ClaimResult:
+        value = encode_row(row)
+        expected = ABSENT
+        holder = None
+        for _ in range(MAX_RACES):
+            change = Change(key=place, expected=expected, value=value)
+            outcome = await self.group.submit(change)
+            if not isinstance(outcome, Raced):
+                return self._decide(place, row, outcome)
+            if outcome.row is None:
+                expected = ABSENT
+                continue
+            holder = decode_row(outcome.row.value)
+            if not self._may_take_over(place, row, holder):
+                return await self._decide_held(row, holder, outcome.row)
+            expected = outcome.row.revision
+        return Refused(verdict=may_have_run(Reason.IN_PROGRESS), holder=holder)
+
+    def _decide(self, place: Key, row: ClaimRow, outcome: Outcome) -> ClaimResult:
+        if isinstance(outcome, Applied):
+            claim = Claim(place=place, row=row, revision=outcome.revision)
+            return Granted(claim=claim)
+        if not isinstance(outcome, Unapplied):
+            self._leave(place, _released(row))
+        return _refuse_store_down(outcome.detail)
+
+    def _may_take_over(self, place: Key, row: ClaimRow, holder: ClaimRow) -> bool:
+        """Tell whether the holder is known never to have dispatched."""
+        if holder.digest != row.digest:
+            return False
+        if holder.state is State.RELEASED:
+            return True
+        left = self.leftovers.get((place, holder.token))
+        return left is not None and left.row.state is State.RELEASED
+
+    async def _decide_held(
+        self, row: ClaimRow, holder: ClaimRow, found: Row
+    ) -> ClaimResult:
+        if holder.digest != row.digest:
+            verdict = not_run(Reason.KEY_REUSED, "the key stands for another request")
+            return Refused(verdict=verdict)
+        if holder.state is State.FINISHED:
+            return await self._fetch_answer(holder)
+        if holder.attempt == row.attempt:
+            place = Key(table=found.table, key=found.key)
+            claim = Claim(place=place, row=holder, revision=found.revision)
+            return Held(claim=claim)
+        verdict = may_have_run(Reason.IN_PROGRESS, f"attempt {holder.attempt}")
+        return Refused(verdict=verdict, holder=holder)
+
+    async def _fetch_answer(self, holder: ClaimRow) -> Finished | Refused:
+        if holder.answer is not None:
+            return Finished(answer=holder.answer)
+        if not holder.stored:
+            return _refuse_gone(holder)
+        try:
+            data = await self.objects.get(holder.stored)
+        except PlatformError as error:
+            return _refuse_for_now(holder, str(error))
+        try:
+            return Finished(answer=_answers.decode(data or b""))
+        except msgspec.MsgspecError:
+            return _refuse_gone(holder)
+
+    async def _store_object(self, claim: Claim, answer: Answer) -> str:
+        """Store an answer beside its row; "" where it could not be stored."""
+        name = f"claims/{claim.place.key}/{claim.row.token}"
+        try:
+            await self.objects.put(name, _encoder.encode(answer))
+        except PlatformError:
+            return ""
+        except anyio.get_cancelled_exc_class():
+            self._leave(
+                claim.place, msgspec.structs.replace(claim.row, state=State.FINISHED)
+            )
+            raise
+        return name
+
+    async def _end(self, claim: Claim, row: ClaimRow) -> Kept:
+        change = Change(key=claim.place, expected=claim.revision, value=encode_row(row))
+        try:
+            with anyio.fail_after(CLAIM_SECONDS):
+                outcome = await self.group.submit(change)
+        except TimeoutError:
+            return self._leave(claim.place, row)
+        except anyio.get_cancelled_exc_class():
+            self._leave(claim.place, row)
+            raise
+        if isinstance(outcome, Applied):
+            return Kept.STORED
+        if isinstance(outcome, Raced):
+            return Kept.LOST
+        return self._leave(claim.place, row)
+
+    def _leave(self, place: Key, row: ClaimRow) -> Kept:
+        """Remember an end for later; beyond the bound the row stays claimed."""
+        if len(self.leftovers) >= MAX_LEFTOVERS:
+            return Kept.LOST
+        self.leftovers[place, row.token] = _Leftover(place=place, row=row)
+        return Kept.LATER
+
+    async def _settle(self, leftover: _Leftover) -> bool:
+        """
+        Write a leftover end over the claim that it belongs to.
+
+        An absent row is written too: it shuts out a claim that is still under way.
+        """
+        rows = await self.table.read((leftover.place,))
+        expected = ABSENT
+        if rows:
+            found = decode_row(rows[0].value)
+            ours = found.token == leftover.row.token
+            if not ours or found.state is not State.CLAIMED:
+                return True
+            expected = rows[0].revision
+        change = Change(
+            key=leftover.place, expected=expected, value=encode_row(leftover.row)
+        )
+        with anyio.move_on_after(CLAIM_SECONDS):
+            return isinstance(await self.group.submit(change), Applied)
+        return False
+
+
+def _released(row: ClaimRow) -> ClaimRow:
+    return msgspec.structs.replace(row, state=State.RELEASED)
+
+
+def _refuse_store_down(detail: str) -> Refused:
+    return Refused(verdict=not_run(Reason.STORE_DOWN, detail, RETRY_SECONDS))
+
+
+def _refuse_gone(holder: ClaimRow) -> Refused:
+    detail = "the request ran; its answer was not kept"
+    verdict = Verdict(ran=RAN, reason=Reason.ANSWER_GONE, detail=detail)
+    return Refused(verdict=verdict, holder=holder)
+
+
+def _refuse_for_now(holder: ClaimRow, detail: str) -> Refused:
+    verdict = Verdict(
+        ran=RAN, reason=Reason.STORE_DOWN, detail=detail, retry_after=RETRY_SECONDS
+    )
+    return Refused(verdict=verdict, holder=holder)
--- /dev/null
+++ b/packages/core/src/kumquatway_core/claims/_rows.py
@@ -0,0 +1,100 @@
+"""
+Rows.
+
+What the table keeps of a claim, and how it is read and written.
+"""
+
+import enum
+import hashlib
+
+import msgspec
+
+from kumquatway_core.exceptions import PlatformError
+
+TABLE = "claims"
+KEY_BYTES = 20
+
+
+class State(enum.StrEnum):
+    """How far the request of a claim came."""
+
+    CLAIMED = "claimed"
+    RELEASED = "released"
+    FINISHED = "finished"
+
+
+class Answer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    What the upstream answered.
+
+    :param status: the HTTP status.
+    :param headers: pairs of name and value.
+    :param body: the body.
+    """
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+
+
+class ClaimRow(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    A claim as the table keeps it.
+
+    :param digest: of the request that the key stands for.
+    :param attempt: unique id of the try that wrote the row.
+    :param token: unique id of the call of `claim` that wrote the row.
+    :param upstream: where that try goes.
+    :param written: wall clock of the first write for the key, seconds.
+    :param answer: the answer, if it is small.
+    :param stored: the name of the object that holds the answer, or "".
+    """
+
+    state: State
+    digest: str
+    attempt: str
+    token: str
+    upstream: str
+    written: float
+    answer: Answer | None = None
+    stored: str = ""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(ClaimRow)
+
+
+def row_key(account: str, key: str) -> str:
+    """
+    Make the key of a claim's row; callers' keys may have any length.
+
+    :param account: the client account.
+    :param key: the caller's idempotency key.
+    :return: a key of fixed length, spread evenly.
+    """
+    parts = msgspec.msgpack.encode((account, key))
+    return hashlib.blake2b(parts, digest_size=KEY_BYTES).hexdigest()
+
+
+def encode_row(row: ClaimRow) -> bytes:
+    """
+    Encode a row.
+
+    :param row: the claim.
+    :return: the row's value.
+    """
+    return _encoder.encode(row)
+
+
+def decode_row(value: bytes) -> ClaimRow:
+    """
+    Decode a row.
+
+    :param value: the row's value.
+    :return: the claim.
+    :raises PlatformError: if the value is no claim.
+    """
+    try:
+        return _decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise PlatformError(f"a row that is no claim: {error}") from error
--- a/packages/core/src/kumquatway_core/platform/__init__.py
+++ b/packages/core/src/kumquatway_core/platform/__init__.py
@@ -5,6 +5,15 @@
 """
 
 from kumquatway_core.platform._channel import Channel, new_transport
+from kumquatway_core.platform._group import (
+    Applied,
+    Change,
+    GroupCommit,
+    Outcome,
+    Raced,
+    Unapplied,
+    Unknown,
+)
 from kumquatway_core.platform._messages import (
     ABSENT,
     VM,
@@ -30,14 +39,19 @@
 __all__ = [
     "ABSENT",
     "VM",
+    "Applied",
+    "Change",
     "Channel",
     "Committed",
     "Conflicts",
     "Expectation",
+    "GroupCommit",
     "Key",
     "Names",
     "Objects",
+    "Outcome",
     "Put",
+    "Raced",
     "Read",
     "Refusal",
     "Row",
@@ -45,6 +59,8 @@
     "Scan",
     "Table",
     "Transaction",
+    "Unapplied",
+    "Unknown",
     "VMKind",
     "VMList",
     "VMs",
--- /dev/null
+++ b/packages/core/tests/test_claims.py
@@ -0,0 +1,432 @@
+"""Tests of claims: by cases, and by a state machine over several entries."""
+
+import asyncio
+import itertools
+
+import anyio
+import httpx
+import pytest
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from kumquatway_core import MAY_HAVE_RUN, NOT_RUN, RAN, Reason
+from kumquatway_core.claims import (
+    RETENTION_SECONDS,
+    Answer,
+    Claims,
+    Finished,
+    Granted,
+    Held,
+    Kept,
+    Refused,
+    State,
+    Sweep,
+    _claims,
+    _rows,
+    _sweep,
+)
+from kumquatway_core.leases import Lease
+from kumquatway_core.platform import (
+    Channel,
+    GroupCommit,
+    Objects,
+    Put,
+    Table,
+    Transaction,
+)
+from kumquatway_fakes import Faults, ObjectStore, TableService
+
+ANSWER = Answer(status=200, body=b"seat 7")
+KEYS = ("k1", "k2")
+
+
+class _Platform:
+    """The stand-ins, and entries that claim over them."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.ids = map(str, itertools.count())
+        self.service = TableService()
+        self.store = ObjectStore()
+        self.table = Table(channel=self.channel(self.service.app))
+        self.objects = Objects(channel=self.channel(self.store.app))
+
+    def channel(self, app) -> Channel:
+        return Channel(
+            addresses=("http://store",),
+            transports=lambda: httpx.ASGITransport(app=app),
+        )
+
+    def entry(self) -> Claims:
+        return Claims(
+            table=self.table,
+            objects=self.objects,
+            clock=lambda: self.now,
+            ids=lambda: next(self.ids),
+            group=GroupCommit(table=self.table, window=0.0),
+        )
+
+    def row(self, key="k1"):
+        place = _rows.row_key("vinoteca", key)
+        row = self.service.get(_rows.TABLE, place)
+        return _rows.decode_row(row.value) if row else None
+
+
+def claim(entry: Claims, attempt: str, key="k1", digest="d"):
+    return entry.claim(
+        account="vinoteca", key=key, digest=digest, upstream="desk-1", attempt=attempt
+    )
+
+
+class TestClaims:
+    """Who may dispatch, and what later tries are told."""
+
+    def setup_method(self):
+        self.platform = _Platform()
+        self.a = self.platform.entry()
+        self.b = self.platform.entry()
+
+    def run(self, scenario):
+        async def main():
+            with anyio.fail_after(30):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(self.a.group.run)
+                    tasks.start_soon(self.b.group.run)
+                    await scenario()
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
+    def set_faults(self, **faults):
+        self.platform.service.gate.faults = Faults(**faults)
+
+    def test_one_of_two_tries_through_two_entries_is_granted(self):
+        async def scenario():
+            results = await asyncio.gather(claim(self.a, "1"), claim(self.b, "2"))
+            assert sum(isinstance(result, Granted) for result in results) == 1
+            refused = next(one for one in results if isinstance(one, Refused))
+            assert refused.verdict.ran is MAY_HAVE_RUN
+            assert refused.verdict.reason is Reason.IN_PROGRESS
+            assert refused.holder.upstream == "desk-1"
+
+        self.run(scenario)
+
+    def test_a_completed_key_gives_the_stored_answer(self):
+        async def scenario():
+            granted = await claim(self.a, "1")
+            assert await self.a.complete(granted.claim, ANSWER) is Kept.STORED
+            assert await claim(self.b, "2") == Finished(answer=ANSWER)
+
+        self.run(scenario)
+
+    @pytest.mark.parametrize("end", ["claimed", "finished", "released"])
+    def test_a_key_with_another_body_is_refused_in_every_state(self, end):
+        async def scenario():
+            granted = await claim(self.a, "1")
+            if end == "finished":
+                await self.a.complete(granted.claim, ANSWER)
+            if end == "released":
+                await self.a.abandon(granted.claim)
+            refused = await claim(self.b, "2", digest="other")
+            assert refused.verdict.ran is NOT_RUN
+            assert refused.verdict.status() == 422
+
+        self.run(scenario)
+
+    def test_an_abandoned_key_is_free_for_another_try(self):
+        async def scenario():
+            granted = await claim(self.a, "1")
+            assert await self.a.abandon(granted.claim) is Kept.STORED
+            assert isinstance(await claim(self.b, "2"), Granted)
+
+        self.run(scenario)
+
+    def test_a_second_claim_of_an_attempt_is_held_and_never_released(self):
+        async def scenario():
+            await claim(self.a, "1")
+            assert isinstance(await claim(self.a, "1"), Held)
+            self.set_faults(lose_next=9)
+            assert isinstance(await claim(self.a, "1"), Refused)
+            self.set_faults()
+            assert await self.a.settle_leftovers() == 0
+            assert self.platform.row().state is State.CLAIMED
+
+        self.run(scenario)
+
+    def test_an_outage_refuses_and_says_not_run(self):
+        async def scenario():
+            self.set_faults(down=True)
+            refused = await claim(self.a, "1")
+            assert refused.verdict.ran is NOT_RUN
+            assert refused.verdict.reason is Reason.STORE_DOWN
+            assert refused.verdict.retry_after is not None
+            assert not self.a.leftovers
+
+        self.run(scenario)
+
+    def test_a_lost_answer_is_resolved(self):
+        async def scenario():
+            self.set_faults(lose_next=1)
+            assert isinstance(await claim(self.a, "1"), Granted)
+
+        self.run(scenario)
+
+    def test_an_unknown_claim_is_free_here_at_once_and_elsewhere_when_settled(self):
+        async def scenario():
+            self.set_faults(lose_next=9)
+            refused = await claim(self.a, "1")
+            assert refused.verdict.ran is NOT_RUN
+            self.set_faults()
+            assert (await claim(self.b, "2")).verdict.ran is MAY_HAVE_RUN
+            assert await self.a.settle_leftovers() == 0
+            assert isinstance(await claim(self.b, "3"), Granted)
+
+        self.run(scenario)
+
+    def test_an_unknown_claim_is_taken_over_by_its_own_entry(self):
+        async def scenario():
+            self.set_faults(lose_next=9)
+            await claim(self.a, "1")
+            self.set_faults()
+            assert isinstance(await claim(self.a, "2"), Granted)
+            assert await self.a.settle_leftovers() == 0
+            assert self.platform.row().attempt == "2"
+
+        self.run(scenario)
+
+    def test_a_claim_that_lands_late_meets_its_release(self):
+        async def scenario():
+            self.set_faults(late_next=9)
+            await claim(self.a, "1")
+            self.set_faults()
+            await self.a.settle_leftovers()
+            self.platform.service.gate.land()
+            assert isinstance(await claim(self.b, "2"), Granted)
+
+        self.run(scenario)
+
+    def test_a_cancelled_claim_is_released(self):
+        async def scenario():
+            with anyio.move_on_after(0) as scope:
+                await claim(self.a, "1")
+            assert scope.cancelled_caught
+            await anyio.wait_all_tasks_blocked()
+            assert await self.a.settle_leftovers() == 0
+            assert isinstance(await claim(self.b, "2"), Granted)
+
+        self.run(scenario)
+
+    def test_a_completion_in_an_outage_is_stored_later(self):
+        async def scenario():
+            granted = await claim(self.a, "1")
+            self.set_faults(down=True)
+            assert await self.a.complete(granted.claim, ANSWER) is Kept.LATER
+            assert await self.a.settle_leftovers() == 1
+            self.set_faults()
+            assert await self.a.settle_leftovers() == 0
+            assert await claim(self.b, "2") == Finished(answer=ANSWER)
+
+        self.run(scenario)
+
+    def test_a_large_answer_lies_in_the_object_store(self):
+        large = Answer(status=200, body=b"x" * (_claims.MAX_INLINE + 1))
+
+        async def scenario():
+            granted = await claim(self.a, "1")
+            await self.a.complete(granted.claim, large)
+            assert self.platform.row().answer is None
+            assert await claim(self.b, "2") == Finished(answer=large)
+            self.platform.store.gate.faults = Faults(down=True)
+            refused = await claim(self.b, "3")
+            assert refused.verdict.ran is RAN
+            assert refused.verdict.reason is Reason.STORE_DOWN
+
+        self.run(scenario)
+
+    def test_an_answer_that_could_not_be_stored_is_told_as_ran(self):
+        large = Answer(status=200, body=b"x" * (_claims.MAX_INLINE + 1))
+
+        async def scenario():
+            granted = await claim(self.a, "1")
+            self.platform.store.gate.faults = Faults(down=True)
+            await self.a.complete(granted.claim, large)
+            refused = await claim(self.b, "2")
+            assert refused.verdict.ran is RAN
+            assert refused.verdict.reason is Reason.ANSWER_GONE
+
+        self.run(scenario)
+
+    def test_leftovers_are_bounded_and_refuse_new_claims(self, monkeypatch):
+        monkeypatch.setattr(_claims, "MAX_LEFTOVERS", 1)
+
+        async def scenario():
+            self.set_faults(lose_next=9)
+            await claim(self.a, "1")
+            self.set_faults()
+            refused = await claim(self.a, "2", key="k2")
+            assert refused.verdict.reason is Reason.STORE_DOWN
+            assert self.platform.row("k2") is None
+
+        self.run(scenario)
+
+    def test_an_unreadable_row_is_never_run_over(self):
+        async def scenario():
+            place = _rows.row_key("vinoteca", "k1")
+            put = Put(table=_rows.TABLE, key=place, value=b"\xc1")
+            await self.platform.table.commit(Transaction(puts=(put,)))
+            assert (await claim(self.a, "1")).verdict.ran is MAY_HAVE_RUN
+
+        self.run(scenario)
+
+
+class TestSweep:
+    """Expired claims go, in pages."""
+
+    def test_only_expired_claims_are_deleted_page_by_page(self, monkeypatch):
+        monkeypatch.setattr(_sweep, "PAGE", 2)
+        platform = _Platform()
+        entry = platform.entry()
+        lease = Lease(table=platform.table, name="sweep", holder="a")
+        sweep = Sweep(
+            table=platform.table,
+            objects=platform.objects,
+            lease=lease,
+            clock=lambda: platform.now,
+        )
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(entry.group.run)
+                for number in range(3):
+                    await claim(entry, f"old {number}", key=f"old {number}")
+                platform.now = RETENTION_SECONDS
+                await claim(entry, "young", key="young")
+                tasks.cancel_scope.cancel()
+            assert await sweep.step()
+            while await sweep.step():
+                pass
+            assert platform.row("old 0") is not None
+            platform.now += _sweep.SKEW_SECONDS + 1
+            while await sweep.step():
+                pass
+            left = {key.key for key in platform.service.rows}
+            assert left == {_rows.row_key("vinoteca", "young")}
+
+        anyio.run(main)
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Three entries that claim, dispatch, die and are paused at any point."""
+
+    def __init__(self):
+        super().__init__()
+        self.platform = _Platform()
+        self.runner = asyncio.Runner()
+        self.tasks: list[asyncio.Task] = []
+        self.entries = [self.start() for _ in range(3)]
+        self.attempts = itertools.count()
+        self.granted: list[tuple[int, str, Granted]] = []
+        self.runs = dict.fromkeys(KEYS, 0)
+        self.done: dict[str, Answer] = {}
+
+    def start(self) -> Claims:
+        entry = self.platform.entry()
+
+        async def spawn():
+            self.tasks.append(asyncio.create_task(entry.group.run()))
+
+        self.runner.run(spawn())
+        return entry
+
+    def teardown(self):
+        self.runner.close()
+
+    def judge(self, which, key, result):
+        if isinstance(result, Granted):
+            assert self.runs[key] == 0
+            self.granted.append((which, key, result))
+        elif isinstance(result, Finished):
+            assert result.answer == self.done[key]
+        else:
+            assert isinstance(result, Refused)
+            assert result.verdict.ran is not RAN or self.runs[key] == 1
+
+    @rule(which=st.integers(0, 2), key=st.sampled_from(KEYS))
+    def claim(self, which, key):
+        attempt = str(next(self.attempts))
+        result = self.runner.run(claim(self.entries[which], attempt, key))
+        self.judge(which, key, result)
+
+    @rule(key=st.sampled_from(KEYS))
+    def claim_at_once(self, key):
+        async def all_entries():
+            return await asyncio.gather(
+                *(claim(entry, str(next(self.attempts)), key) for entry in self.entries)
+            )
+
+        for which, result in enumerate(self.runner.run(all_entries())):
+            self.judge(which, key, result)
+
+    @rule(which=st.integers(0, 2), key=st.sampled_from(KEYS), turns=st.integers(0, 12))
+    def cancel_a_claim(self, which, key, turns):
+        async def cancelled():
+            attempt = str(next(self.attempts))
+            task = asyncio.create_task(claim(self.entries[which], attempt, key))
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            task.cancel()
+            return (await asyncio.gather(task, return_exceptions=True))[0]
+
+        result = self.runner.run(cancelled())
+        if not isinstance(result, asyncio.CancelledError):
+            self.judge(which, key, result)
+
+    @rule(data=st.data(), complete=st.booleans())
+    def dispatch(self, data, complete):
+        """A granted try runs, perhaps long after, perhaps with its entry dead."""
+        if not self.granted:
+            return
+        which, key, granted = self.granted.pop(
+            data.draw(st.integers(0, len(self.granted) - 1))
+        )
+        self.runs[key] += 1
+        if complete:
+            answer = Answer(status=200, body=granted.claim.row.attempt.encode())
+            self.done[key] = answer
+            self.runner.run(self.entries[which].complete(granted.claim, answer))
+
+    @rule()
+    def abandon(self):
+        if self.granted:
+            which, _, granted = self.granted.pop()
+            self.runner.run(self.entries[which].abandon(granted.claim))
+
+    @rule(which=st.integers(0, 2))
+    def settle(self, which):
+        self.runner.run(self.entries[which].settle_leftovers())
+
+    @rule(which=st.integers(0, 2))
+    def replace_entry(self, which):
+        self.entries[which] = self.start()
+
+    @rule(lost=st.integers(0, 4), late=st.integers(0, 4), down=st.booleans())
+    def set_faults(self, lost, late, down):
+        self.platform.service.gate.faults = Faults(
+            down=down, lose_next=lost, late_next=late
+        )
+
+    @rule()
+    def land(self):
+        self.platform.service.gate.land()
+
+    @invariant()
+    def at_most_one_run(self):
+        for key in KEYS:
+            granted = sum(key == other for _, other, _ in self.granted)
+            assert self.runs[key] + granted <= 1
+
+
+TestClaimsMachine = ClaimsMachine.TestCase
+TestClaimsMachine.settings = settings(
+    max_examples=60, stateful_step_count=25, derandomize=True, deadline=None
+)
