Add the size of a token's activations to a model of the text

Cause: the planner turns a link's bandwidth into tokens a second. Ruled out: a constant in the planner, since the width differs by model. Changed: Model.activation_bytes, default 16 KiB.

--- a/packages/core/src/kumquatway_core/text/_schema.py
+++ b/packages/core/src/kumquatway_core/text/_schema.py
@@ -28,6 +28,7 @@
     :param demand: the share of the fleet it should get, relative to others.
     :param max_context: prompt and answer together, tokens.
     :param depends_on: services or models that must be served for it.
+    :param activation_bytes: what one token carries from stage to stage, bytes.
     """
 
     layers: int
@@ -37,6 +38,7 @@
     demand: float = 1.0
     max_context: int = 8192
     depends_on: tuple[str, ...] = ()
+    activation_bytes: int = 16 * 1024
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
