--- /dev/null
+++ b/packages/entry/src/kumquatway/admission/_pool.py
@@ -0,0 +1,97 @@
+"""
+Pool.
+
+The waiting and the running requests of one target, and how fast they move.
+"""
+
+from kumquatway.admission._capacity import Capacity
+from kumquatway.admission._classes import Classes
+
+SMOOTHING = 1 / 32
+STATUS_RESERVE_SHARE = 0.1
+
+
+class Pool:
+    """
+    One model's or plain service's part of the entry.
+
+    :param capacity: bounds its requests in progress.
+    """
+
+    def __init__(self, *, capacity: Capacity):
+        self.capacity = capacity
+        self.queue = Classes()
+        self.running = 0
+        self.finished = 0
+        self.mean_cost = 0.0
+        self.mean_hold = 0.0
+        self.horizon = 0.0
+
+    def free(self) -> bool:
+        """
+        Tell whether any request may start.
+
+        :return: True if the limit is not reached.
+        """
+        return self.running < int(self.capacity.limit)
+
+    def free_for_status(self) -> bool:
+        """
+        Tell whether a status read may start, for which some room is kept.
+
+        :return: True if the limit with its reserve is not reached.
+        """
+        limit = int(self.capacity.limit)
+        return self.running < limit + 1 + int(limit * STATUS_RESERVE_SHARE)
+
+    def take(self):
+        """Count a request that starts."""
+        self.running += 1
+        self.capacity.used(self.running)
+
+    def leave(self, cost: float, hold: float) -> None:
+        """
+        Count a request that ended.
+
+        :param cost: its estimated cost.
+        :param hold: seconds from start to end.
+        """
+        self.running -= 1
+        self.finished += 1
+        part = max(SMOOTHING, 1 / self.finished)
+        self.mean_cost += part * (cost - self.mean_cost)
+        self.mean_hold += part * (hold - self.mean_hold)
+
+    def rate(self) -> float:
+        """
+        Estimate the service of a full pool by Little's law.
+
+        :return: cost per second, or infinity while nothing has ended.
+        """
+        if self.mean_hold <= 0:
+            return float("inf")
+        return self.capacity.limit * self.mean_cost / self.mean_hold
+
+    def hold(self, cost: float) -> float:
+        """
+        Estimate how long a request takes once started.
+
+        :param cost: its estimated cost.
+        :return: seconds.
+        """
+        if self.mean_cost <= 0:
+            return 0.0
+        return self.mean_hold * cost / self.mean_cost
+
+    def promise(self, cost: float, wait: float, now: float) -> float:
+        """
+        Space out refused requests by the pool's rate.
+
+        :param cost: estimated cost of the refused request.
+        :param wait: seconds until the queue would take one more.
+        :param now: seconds of the injected clock.
+        :return: seconds from now.
+        """
+        at = max(now + wait, self.horizon)
+        self.horizon = at + cost / self.rate()
+        return at - now
