--- a/packages/core/src/kumquatway_core/settings/_schema.py
+++ b/packages/core/src/kumquatway_core/settings/_schema.py
@@ -95,6 +95,8 @@
     :param limits: bounds on requests.
     :param log: the log.
     :param text_file: a text to start with when the store holds none, or "".
+    :param seeds: mesh addresses of other entries, for a start while the platform
+        does not answer.
     :param shutdown_s: the bound on a graceful shutdown, seconds.
     """
 
@@ -108,6 +110,7 @@
     limits: LimitSettings = LimitSettings()
     log: LogSettings = LogSettings()
     text_file: str = ""
+    seeds: tuple[Address, ...] = ()
     shutdown_s: Seconds = 60.0
 
 
--- a/packages/core/src/kumquatway_core/wire/_messages.py
+++ b/packages/core/src/kumquatway_core/wire/_messages.py
@@ -287,6 +287,28 @@
     leave: bool
 
 
+class RevisionSeen(_Message):
+    """
+    Tells a peer which revision of the text is in force here.
+
+    :param address: of the sender, for a copy if the peer has a higher one.
+    """
+
+    address: str
+    number: int
+
+
+class RevisionCopy(_Message):
+    """
+    A revision of the text for a peer that has an older one.
+
+    :param data: the encoded revision.
+    """
+
+    number: int
+    data: bytes
+
+
 class Beat(_Message):
     """
     A heartbeat, answered on the same connection.
@@ -318,6 +340,8 @@
     | Status
     | Subscribe
     | Drain
+    | RevisionSeen
+    | RevisionCopy
     | Beat
     | BeatReply
 )
--- /dev/null
+++ b/packages/entry/src/kumquatway/_cli/_client.py
@@ -0,0 +1,117 @@
+"""
+Client.
+
+Calls the admin API of an entry.
+"""
+
+import httpx
+import msgspec
+
+from kumquatway.admin import EditView, StatusView
+from kumquatway_core.events import Page, decode
+from kumquatway_core.exceptions import KumquatwayError
+
+ADMIN_VARIABLE = "KUMQUATWAY_ADMIN"
+ADMIN_KEY_VARIABLE = "KUMQUATWAY_ADMIN_KEY"
+TIMEOUT = 10.0  # seconds
+EDIT_STATUSES = (200, 412, 422, 503, 504)
+
+
+class AdminFailure(KumquatwayError):
+    """The admin listener could not be reached or refused the call."""
+
+
+class AdminClient:
+    """
+    The admin API of one entry.
+
+    :param url: base URL of its admin listener.
+    :param key: the operator's bearer key.
+    """
+
+    def __init__(self, *, url: str, key: str):
+        headers = {"Authorization": f"Bearer {key}"}
+        self.http = httpx.Client(
+            base_url=url, headers=headers, timeout=TIMEOUT, trust_env=False
+        )
+
+    def status(self) -> StatusView:
+        """
+        Read the status.
+
+        :return: the VMs as the entry sees them.
+        :raises AdminFailure: if the call failed.
+        """
+        return msgspec.json.decode(self._get("/admin/status"), type=StatusView)
+
+    def revision(self) -> int:
+        """
+        Read the revision in force.
+
+        :return: its number, 0 before the first.
+        :raises AdminFailure: if the call failed.
+        """
+        answer = self._call("GET", "/admin/text")
+        return int(answer.headers["ETag"].strip('"'))
+
+    def replace(self, source: str, revision: int, author: str) -> EditView:
+        """
+        Replace the text.
+
+        :param source: TOML.
+        :param revision: that it was made from.
+        :param author: for the audit trail.
+        :return: what became of the edit.
+        :raises AdminFailure: if the call failed.
+        """
+        headers = {"If-Match": f'"{revision}"'}
+        if author:
+            headers["Kumquatway-Author"] = author
+        answer = self._call(
+            "PUT",
+            "/admin/text",
+            allowed=EDIT_STATUSES,
+            content=source.encode(),
+            headers=headers,
+        )
+        return msgspec.json.decode(answer.content, type=EditView)
+
+    def drain(self, vm: str, undo: bool) -> None:
+        """
+        Let a VM leave, or take that back.
+
+        :param vm: its name.
+        :raises AdminFailure: if the call failed.
+        """
+        method = "DELETE" if undo else "POST"
+        self._call(method, f"/admin/drain/{vm}", allowed=(202,))
+
+    def events(self, since: int) -> Page:
+        """
+        Read a page of events.
+
+        :param since: the sequence to ask from.
+        :return: the page.
+        :raises AdminFailure: if the call failed.
+        """
+        return decode(self._get(f"/admin/events?since={since}"))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.http.close()
+
+    def _get(self, path: str) -> bytes:
+        return self._call("GET", path).content
+
+    def _call(
+        self, method: str, path: str, allowed: tuple[int, ...] = (200,), **options
+    ) -> httpx.Response:
+        try:
+            answer = self.http.request(method, path, **options)
+        except httpx.HTTPError as error:
+            raise AdminFailure(f"{self.http.base_url}: {error}") from error
+        if answer.status_code not in allowed:
+            raise AdminFailure(
+                f"{method} {path} answered {answer.status_code}: {answer.text}"
+            )
+        return answer
--- a/packages/entry/src/kumquatway/_demo/_deployment.py
+++ b/packages/entry/src/kumquatway/_demo/_deployment.py
@@ -13,7 +13,7 @@
 from kumquatway._entry import Entry
 from kumquatway_agent import Agent
 from kumquatway_core.http import serve
-from kumquatway_core.platform import VM
+from kumquatway_core.platform import VM, VMKind
 from kumquatway_core.settings import (
     AgentSettings,
     EngineSettings,
@@ -21,7 +21,7 @@
     PlatformSettings,
     ServiceSettings,
 )
-from kumquatway_core.text import Text
+from kumquatway_core.text import parse
 from kumquatway_core.wire import Holding
 from kumquatway_fakes import (
     Engine,
@@ -76,12 +76,13 @@
     """
     A running deployment.
 
-    :param text: in force.
+    :param source: the text to put in force, TOML.
     :param layout: what it consists of.
     """
 
-    def __init__(self, *, text: Text, layout: Layout):
-        self.text = text
+    def __init__(self, *, source: str, layout: Layout):
+        self.source = source
+        self.text = parse(source, "text")
         self.layout = layout
         self.table = TableService()
         self.objects = ObjectStore()
@@ -91,6 +92,7 @@
         self.agents: dict[str, Agent] = {}
         self.entries: list[Entry] = []
         self.platform = self._addresses()
+        self.left = anyio.Event()
         self._group: anyio.abc.TaskGroup | None = None
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
@@ -105,6 +107,19 @@
             await self._ready()
             task_status.started()
 
+    def leave(self) -> None:
+        """Let requests in progress end: entries first, then agents."""
+        if self._group is not None:
+            self._group.start_soon(self._leave)
+
+    async def _leave(self) -> None:
+        for entry in self.entries:
+            entry.leave()
+        with anyio.move_on_after(SHUTDOWN):
+            while any(entry.in_progress() for entry in self.entries):
+                await anyio.sleep(READY_POLL)
+        self.left.set()
+
     def stop(self) -> None:
         """End every task at once."""
         if self._group is not None:
@@ -218,7 +233,15 @@
             admin_keys=(self.layout.admin_key,),
             shutdown_s=SHUTDOWN,
         )
-        entry = Entry(settings=settings, text=self.text)
+        self.vms.put(
+            VM(
+                name=settings.name,
+                address=settings.mesh_address,
+                data_centre=settings.data_centre,
+                kind=VMKind.ENTRY,
+            )
+        )
+        entry = Entry(settings=settings, source=self.source)
         self.entries.append(entry)
         await group.start(entry.run)
 
@@ -226,9 +249,9 @@
         """Wait until each entry knows each upstream and answers callers."""
         with anyio.fail_after(READY_TIMEOUT):
             for entry in self.entries:
+                await _answers(entry.settings.caller_address)
                 while len(entry.members.live()) < len(self.agents):
                     await anyio.sleep(READY_POLL)
-                await _answers(entry.settings.caller_address)
 
 
 def _split(pipeline: Pipeline, model) -> list[Holding]:
@@ -252,7 +275,9 @@
     async with httpx.AsyncClient(base_url=f"http://{address}") as http:
         while True:
             try:
-                await http.get("/readyz")
-                return
+                answer = await http.get("/readyz")
+                if answer.status_code == httpx.codes.OK:
+                    return
             except httpx.TransportError:
-                await anyio.sleep(READY_POLL)
+                pass
+            await anyio.sleep(READY_POLL)
--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -13,6 +13,7 @@
 from kumquatway.admin import AdminContext, admin_app
 from kumquatway.api import Context, caller_app
 from kumquatway.calls import Calls
+from kumquatway.configuration import Configuration, check_text
 from kumquatway.membership import Member, Members, watch_agents, watch_list
 from kumquatway.routing import choose_replacement, choose_route
 from kumquatway.streams import Ask, Routes, Streams
@@ -27,13 +28,16 @@
 )
 from kumquatway_core.http import serve
 from kumquatway_core.mesh import Mesh, Peer, PeerState, Source
-from kumquatway_core.platform import Channel, VMList
+from kumquatway_core.platform import Channel, Table, VMList
+from kumquatway_core.revisions import Revisions
 from kumquatway_core.settings import EntrySettings
 from kumquatway_core.text import Text
 from kumquatway_core.wire import (
     CallReply,
     Message,
     Pieces,
+    RevisionCopy,
+    RevisionSeen,
     Stage,
     Status,
     Trouble,
@@ -43,6 +47,7 @@
 KIB = 1024  # bytes
 DRAIN_CHECK = 0.05  # seconds
 RETRY_AFTER = 1.0  # seconds
+NO_TEXT = Text(name="none")
 
 
 class Entry:
@@ -50,12 +55,12 @@
     One entry.
 
     :param settings: as read from its file.
-    :param text: to start with.
+    :param source: a text for a store that has none, TOML, or "".
     """
 
-    def __init__(self, *, settings: EntrySettings, text: Text):
+    def __init__(self, *, settings: EntrySettings, source: str = ""):
         self.settings = settings
-        self.text = text
+        self.source = source
         self.incarnation = new_incarnation()
         self.metrics = EntryMetrics()
         self.clock = Clock()
@@ -77,6 +82,14 @@
             send=self.mesh.send,
             emit=self.emit,
         )
+        table = Table(channel=Channel(addresses=settings.platform.tables))
+        self.configuration = Configuration(
+            revisions=Revisions(table=table, check=check_text),
+            address=settings.mesh_address,
+            peers=self._peers,
+            send=self.mesh.send,
+            emit=self.emit,
+        )
         self.calls = Calls(entry=settings.mesh_address, mesh=self.mesh)
         self.vms = VMList(channel=Channel(addresses=(settings.platform.vms,)))
         self.supervisor = Supervisor(name=settings.name)
@@ -85,6 +98,8 @@
             Trouble: self.streams.take_trouble,
             Status: self._take_status,
             CallReply: self.calls.take_reply,
+            RevisionSeen: self.configuration.take_seen,
+            RevisionCopy: self.configuration.take_copy,
         }
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
@@ -121,8 +136,18 @@
         """
         if self.leaving.is_set():
             return not_run(Reason.SHUTTING_DOWN, "the entry is leaving", RETRY_AFTER)
+        if self.configuration.text is None:
+            return not_run(Reason.NO_UPSTREAM, "no text is in force", RETRY_AFTER)
         return None
 
+    def text(self) -> Text:
+        """
+        Read the text in force.
+
+        :return: the text; an empty one before the first revision.
+        """
+        return self.configuration.text or NO_TEXT
+
     def in_progress(self) -> int:
         """
         Count what a shutdown has to wait for.
@@ -134,7 +159,7 @@
     def _add_children(self) -> None:
         settings = self.settings
         context = Context(
-            text=lambda: self.text,
+            text=self.text,
             limits=settings.limits,
             streams=self.streams,
             calls=self.calls,
@@ -145,6 +170,7 @@
         admin = AdminContext(
             keys=frozenset(settings.admin_keys),
             members=self.members,
+            configuration=self.configuration,
             journal=self.journal,
             registry=self.metrics.registry,
             send=self.mesh.send,
@@ -160,6 +186,18 @@
         self.supervisor.add("admin", lambda: serve(operators, settings.admin_address))
         self.supervisor.add("list", self._watch_list)
         self.supervisor.add("agents", self._watch_agents)
+        self.supervisor.add("revisions", self.configuration.watch)
+        self.supervisor.add("gossip", self.configuration.gossip)
+        self.supervisor.add("copies", self.configuration.take_copies)
+        if self.source:
+            self.supervisor.add("bootstrap", self._bootstrap)
+
+    async def _bootstrap(self) -> None:
+        await self.configuration.bootstrap(self.source)
+
+    def _peers(self) -> list[str]:
+        listed = {vm.address for vm in self.members.entries.values()}
+        return sorted((listed | set(self.settings.seeds)) - {self.mesh.address})
 
     async def _watch_list(self) -> None:
         await watch_list(members=self.members, read=self.vms.read)
--- a/packages/entry/src/kumquatway/membership/_members.py
+++ b/packages/entry/src/kumquatway/membership/_members.py
@@ -67,6 +67,7 @@
         self.on_change = on_change
         self.clock = clock
         self.by_vm: dict[str, Member] = {}
+        self.entries: dict[str, VM] = {}
         self.version = 0
 
     def take_list(self, vms: tuple[VM, ...]) -> None:
@@ -77,6 +78,7 @@
         """
         if not vms:
             return
+        self.entries = {vm.name: vm for vm in vms if vm.kind is VMKind.ENTRY}
         upstreams = {vm.name: vm for vm in vms if vm.kind is VMKind.UPSTREAM}
         for member in self.by_vm.values():
             member.listed = member.vm in upstreams
