--- a/packages/entry/src/kumquatway/_cli/_client.py
+++ b/packages/entry/src/kumquatway/_cli/_client.py
@@ -8,11 +8,13 @@
 import msgspec
 
 from kumquatway.admin import EditView, StatusView
-from kumquatway_core.events import Page, decode
+from kumquatway_core.events import Page, Record, decode
 from kumquatway_core.exceptions import KumquatwayError
 
 ADMIN_VARIABLE = "KUMQUATWAY_ADMIN"
 ADMIN_KEY_VARIABLE = "KUMQUATWAY_ADMIN_KEY"
+ADMIN_EVENTS = "/admin/events"
+AGENT_EVENTS = "/events"
 TIMEOUT = 10.0  # seconds
 EDIT_STATUSES = (200, 412, 422, 503, 504)
 
@@ -86,15 +88,16 @@
         method = "DELETE" if undo else "POST"
         self._call(method, f"/admin/drain/{vm}", allowed=(202,))
 
-    def events(self, since: int) -> Page:
+    def events(self, path: str, since: int) -> Page:
         """
         Read a page of events.
 
+        :param path: of the events.
         :param since: the sequence to ask from.
         :return: the page.
         :raises AdminFailure: if the call failed.
         """
-        return decode(self._get(f"/admin/events?since={since}"))
+        return decode(self._get(f"{path}?since={since}"))
 
     def close(self) -> None:
         """Close the connection."""
@@ -115,3 +118,22 @@
                 f"{method} {path} answered {answer.status_code}: {answer.text}"
             )
         return answer
+
+
+def read_journal(client: AdminClient, path: str) -> list[Record]:
+    """
+    Read all events of a process.
+
+    :param client: of the process.
+    :param path: of its events.
+    :return: its records, oldest first.
+    :raises AdminFailure: if a call failed.
+    """
+    records: list[Record] = []
+    since = 0
+    while True:
+        page = client.events(path, since)
+        if not page.records:
+            return records
+        records.extend(page.records)
+        since = page.next
--- a/packages/entry/src/kumquatway/_cli/_commands.py
+++ b/packages/entry/src/kumquatway/_cli/_commands.py
@@ -14,11 +14,16 @@
 from rich.console import Console
 from rich.table import Table
 
-from kumquatway._cli._client import AdminClient
+from kumquatway._cli._client import (
+    ADMIN_EVENTS,
+    AGENT_EVENTS,
+    AdminClient,
+    AdminFailure,
+    read_journal,
+)
 from kumquatway._entry import Entry
 from kumquatway.admin import EditView, StatusView
-from kumquatway.timeline import draw as draw_lanes
-from kumquatway.timeline import merge, table
+from kumquatway.timeline import draw as draw_lanes, merge, table
 from kumquatway_core.events import Record
 from kumquatway_core.exceptions import ConfigurationError
 from kumquatway_core.logs import configure
@@ -163,7 +168,7 @@
     :param admins: base URLs of admin listeners.
     :param draw: file for the lanes, or None.
     """
-    journals = [_read_journal(admin, key) for admin in admins]
+    journals = [journal for admin in admins for journal in _read_all(admin, key)]
     records = merge(journals, request=request, vm=vm, kinds=kinds)
     if draw is not None:
         draw.write_text(draw_lanes(records))
@@ -187,17 +192,26 @@
     run_demo(text=text, port=port)
 
 
-def _read_journal(admin: str, key: str) -> list[Record]:
+def _read_all(admin: str, key: str) -> list[list[Record]]:
+    """Read the journals of an entry and of the agents that it knows."""
     client = AdminClient(url=admin, key=key)
-    records: list[Record] = []
-    since = 0
-    while True:
-        page = client.events(since)
-        records.extend(page.records)
-        if page.next == since or not page.records:
-            client.close()
-            return records
-        since = page.next
+    journals = [read_journal(client, ADMIN_EVENTS)]
+    for member in client.status().members:
+        if member.status is not None and member.status.http_address:
+            journals.append(_read_agent(member.status.http_address))
+    client.close()
+    return journals
+
+
+def _read_agent(address: str) -> list[Record]:
+    client = AdminClient(url=f"http://{address}", key="")
+    try:
+        return read_journal(client, AGENT_EVENTS)
+    except AdminFailure as error:
+        print(f"left out: {error}", file=sys.stderr)
+        return []
+    finally:
+        client.close()
 
 
 def _read_file(path: Path) -> str:
@@ -249,5 +263,3 @@
         str(found.load.waiting),
         f"{found.load.step_seconds * 1000:.1f}",
     )
-
-
--- a/packages/entry/src/kumquatway/_cli/_main.py
+++ b/packages/entry/src/kumquatway/_cli/_main.py
@@ -5,7 +5,7 @@
 """
 
 import sys
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
@@ -133,7 +133,7 @@
     vm: Annotated[str, cappa.Arg(long=True, help="Only this VM.")] = ""
     kind: Annotated[
         list[str], cappa.Arg(long=True, help="Only this kind; repeat it for more.")
-    ] = cappa.Default(list)
+    ] = field(default_factory=list)
     draw: Annotated[
         Path | None, cappa.Arg(long=True, help="Write the lanes to this SVG file.")
     ] = None
@@ -172,9 +172,7 @@
 class Kumquatway:
     """The subcommands."""
 
-    command: cappa.Subcommands[
-        Serve | Check | Apply | Status | Drain | Timeline | Demo
-    ]
+    command: cappa.Subcommands[Serve | Check | Apply | Status | Drain | Timeline | Demo]
 
 
 def main() -> None:
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -8,7 +8,6 @@
 import pytest
 
 from kumquatway._demo import Deployment, Layout, Pipeline
-from kumquatway_core.text import Account, Model, Service, Text
 from kumquatway_fakes import answer
 
 KEY = "test-key"
@@ -23,14 +22,22 @@
     return "asyncio"
 
 
-def make_text() -> Text:
-    digest = hashlib.sha256(KEY.encode()).hexdigest()
-    return Text(
-        name="test",
-        models={"bulletin": Model(layers=LAYERS)},
-        services={"desk": Service()},
-        accounts={"guests": Account(keys=(digest,))},
-    )
+SOURCE = f"""
+name = "test"
+
+[models.bulletin]
+layers = {LAYERS}
+
+[services.desk]
+
+[accounts.guests]
+keys = ["{hashlib.sha256(KEY.encode()).hexdigest()}"]
+
+[accelerators.any]
+memory_mib = 80000
+layer_us = 0
+token_us = 0
+"""
 
 
 def make_layout() -> Layout:
@@ -43,7 +50,7 @@
 
 
 async def with_deployment(use) -> None:
-    deployment = Deployment(text=make_text(), layout=make_layout())
+    deployment = Deployment(source=SOURCE, layout=make_layout())
     async with anyio.create_task_group() as group:
         await group.start(deployment.run)
         address = deployment.entries[0].settings.caller_address
