--- a/packages/core/src/kumquatway_core/text/_schema.py
+++ b/packages/core/src/kumquatway_core/text/_schema.py
@@ -20,6 +20,7 @@
 MAX_TIME = 86_400.0  # seconds
 MAX_STEP = 1e9  # microseconds
 MAX_VERSION = 128  # characters
+MAX_ACTIVATION = 64 * 1024 * 1024  # bytes
 
 Weight = Annotated[float, above_zero(MAX_WEIGHT)]
 Rate = Annotated[float, above_zero(MAX_RATE)]
@@ -48,6 +49,7 @@
     :param demand: the share of the fleet it should get, relative to others.
     :param max_context: prompt and answer together, tokens.
     :param depends_on: services or models that must be served for it.
+    :param activation_bytes: what one token carries from stage to stage, bytes.
     """
 
     layers: Annotated[int, whole(1, MAX_LAYERS)]
@@ -57,6 +59,7 @@
     demand: Weight = 1.0
     max_context: Annotated[int, whole(2, MAX_TOKENS)] = 8192
     depends_on: tuple[Name, ...] = ()
+    activation_bytes: Annotated[int, whole(1, MAX_ACTIVATION)] = 16 * 1024
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
