--- a/packages/core/src/kumquatway_core/events/__init__.py
+++ b/packages/core/src/kumquatway_core/events/__init__.py
@@ -6,7 +6,7 @@
 
 from kumquatway_core.events._clock import Clock, milliseconds
 from kumquatway_core.events._codec import decode, encode
-from kumquatway_core.events._journal import Journal, Page, Record, matches
+from kumquatway_core.events._journal import PAGE, Journal, Page, Record, matches
 from kumquatway_core.events._kinds import (
     KINDS,
     ConfigurationChanged,
@@ -27,6 +27,7 @@
 
 __all__ = [
     "KINDS",
+    "PAGE",
     "Clock",
     "ConfigurationChanged",
     "DrainChanged",
