--- a/packages/core/src/kumquatway_core/revisions/_replica.py
+++ b/packages/core/src/kumquatway_core/revisions/_replica.py
@@ -76,7 +76,7 @@
         :return: whether it was taken.
         """
         async with self.taking:
-            if not self._is_wanted(revision):
+            if not await self._is_wanted(revision):
                 return False
             await self.apply(revision)
             self.in_force = revision
@@ -145,14 +145,14 @@
         await self.pause(seconds)
         self.wake.set()
 
-    def _is_wanted(self, revision: Revision) -> bool:
+    async def _is_wanted(self, revision: Revision) -> bool:
         """Guard: only a higher, whole and valid revision comes into force."""
         if revision.number <= self.number:
             return False
         if digest(revision.text) != revision.head.digest:
             logger.error("revision {} does not fit its digest", revision.number)
             return False
-        problems = self.check(revision.text)
+        problems = await anyio.to_thread.run_sync(self.check, revision.text)
         if problems:
             self.refused = max(self.refused, revision.number)
             logger.error("revision {} is refused: {}", revision.number, problems)
--- a/packages/core/src/kumquatway_core/revisions/_revisions.py
+++ b/packages/core/src/kumquatway_core/revisions/_revisions.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import anyio
 import msgspec
 
 from kumquatway_core.exceptions import AnswerLost, Conflict, PlatformError
@@ -160,7 +161,7 @@
         :param author: who makes it.
         :return: what became of the edit.
         """
-        problems = self.check(text)
+        problems = await anyio.to_thread.run_sync(self.check, text)
         if problems:
             return Invalid(problems=problems)
         try:
@@ -218,7 +219,7 @@
         The repeat expects the same head, so that only one of the tries takes effect
         and an earlier one that is still under way is shut out by it.
         """
-        transaction = _transaction(doubt)
+        transaction = await anyio.to_thread.run_sync(_transaction, doubt)
         for _ in range(MAX_TRIES):
             try:
                 await self.table.commit(transaction)
--- a/packages/core/src/kumquatway_core/revisions/_rows.py
+++ b/packages/core/src/kumquatway_core/revisions/_rows.py
@@ -4,8 +4,9 @@
 What the table keeps of the operators' text.
 """
 
-import difflib
 import hashlib
+from collections import Counter
+from collections.abc import Iterator
 
 import msgspec
 
@@ -65,7 +66,7 @@
     Who changed what, and when.
 
     :param head: the revision that the edit made.
-    :param changed: unified difference to the revision before, cut at a bound.
+    :param changed: the lines taken out and put in, cut at a bound.
     """
 
     head: Head
@@ -94,16 +95,26 @@
 
 def difference(before: str, after: str) -> str:
     """
-    Say what an edit changed.
+    Say what an edit changed, in time linear in the texts.
 
     :param before: the text before.
     :param after: the text after.
-    :return: a unified difference without context, cut at `MAX_CHANGED`.
+    :return: lines taken out and put in, each with its table's header; a line that
+        only moved within its table is left out; cut at `MAX_CHANGED`.
     """
-    lines = difflib.unified_diff(
-        before.splitlines(), after.splitlines(), lineterm="", n=0
-    )
-    return "\n".join(lines)[:MAX_CHANGED]
+    old = Counter(_lines_with_header(before))
+    new = Counter(_lines_with_header(after))
+    taken_out = [f"-{line}" for line in (old - new).elements()]
+    put_in = [f"+{line}" for line in (new - old).elements()]
+    return "\n".join(taken_out + put_in)[:MAX_CHANGED]
+
+
+def _lines_with_header(text: str) -> Iterator[str]:
+    header = ""
+    for line in text.splitlines():
+        if line.startswith("["):
+            header = line
+        yield f"{header} {line}"
 
 
 def decode(kind: type, value: bytes):
