--- a/packages/core/src/kumquatway_core/platform/_group.py
+++ b/packages/core/src/kumquatway_core/platform/_group.py
@@ -12,7 +12,6 @@
 
 from kumquatway_core.exceptions import AnswerLost, Conflict, PlatformError
 from kumquatway_core.platform._messages import (
-    ABSENT,
     Committed,
     Expectation,
     Key,
@@ -36,12 +35,12 @@
 
     :param key: the row.
     :param expected: the revision that it must have.
-    :param value: the new value, which no other writer would write; None deletes.
+    :param value: the new value, which no other change ever writes.
     """
 
     key: Key
     expected: int
-    value: bytes | None
+    value: bytes
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -96,7 +95,7 @@
         self.done.set()
 
     def size(self) -> int:
-        return len(self.change.value or b"")
+        return len(self.change.value)
 
 
 class GroupCommit:
@@ -234,16 +233,12 @@
             found = {Key(table=row.table, key=row.key): row for row in rows}
             for pending in raced:
                 row = found.get(pending.change.key)
-                pending.settle(_outcome_after_conflict(pending.change, row, in_doubt))
+                pending.settle(_outcome_after_conflict(pending.change, row))
         return [pending for pending in batch if pending.change.key not in keys]
 
 
-def _outcome_after_conflict(
-    change: Change, row: Row | None, in_doubt: bool
-) -> Applied | Raced:
-    if in_doubt and change.value is None and row is None:
-        return Applied(revision=ABSENT)
-    if in_doubt and row is not None and row.value == change.value:
+def _outcome_after_conflict(change: Change, row: Row | None) -> Applied | Raced:
+    if row is not None and row.value == change.value:
         return Applied(revision=row.revision)
     return Raced(row=row)
 
@@ -260,9 +255,7 @@
         puts=tuple(
             Put(table=change.key.table, key=change.key.key, value=change.value)
             for change in changes
-            if change.value is not None
         ),
-        deletes=tuple(change.key for change in changes if change.value is None),
     )
 
 
@@ -272,8 +265,5 @@
 
 
 def _settle_applied(batch: list[_Pending], committed: Committed) -> None:
-    revisions = iter(committed.revisions)
-    for pending in batch:
-        deleted = pending.change.value is None
-        revision = ABSENT if deleted else next(revisions)
+    for pending, revision in zip(batch, committed.revisions, strict=True):
         pending.settle(Applied(revision=revision))
