--- a/packages/core/tests/test_revisions.py
+++ b/packages/core/tests/test_revisions.py
@@ -8,6 +8,7 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from kumquatway_core.exceptions import AnswerLost, PlatformUnavailable
 from kumquatway_core.platform import Channel, Table
 from kumquatway_core.revisions import (
     Accepted,
@@ -78,6 +79,15 @@
         assert isinstance(self.propose(), Accepted)
         assert len(anyio.run(self.revisions.audit)) == 1
 
+    def test_a_refusal_after_a_lost_answer_leaves_a_doubt(self):
+        errors = iter((AnswerLost("reset"), PlatformUnavailable("down")))
+
+        async def commit(transaction):
+            raise next(errors)
+
+        self.revisions.table.commit = commit
+        assert isinstance(self.propose(), InDoubt)
+
     def test_an_edit_in_doubt_that_was_overtaken_is_still_told_accepted(self):
         self.service.gate.faults = Faults(lose_next=9)
         doubt = self.propose()
