--- a/packages/core/src/kumquatway_core/platform/__init__.py
+++ b/packages/core/src/kumquatway_core/platform/__init__.py
@@ -4,7 +4,7 @@
 Clients of the platform's table service, object store and list of VMs.
 """
 
-from kumquatway_core.platform._channel import Channel, new_transport
+from kumquatway_core.platform._channel import Channel
 from kumquatway_core.platform._group import (
     Applied,
     Change,
@@ -64,5 +64,4 @@
     "VMKind",
     "VMList",
     "VMs",
-    "new_transport",
 ]
--- a/packages/core/src/kumquatway_core/platform/_channel.py
+++ b/packages/core/src/kumquatway_core/platform/_channel.py
@@ -5,8 +5,6 @@
 when they are old or in doubt.
 """
 
-import functools
-import ssl
 import time
 from collections.abc import Callable
 from http import HTTPStatus
@@ -16,6 +14,7 @@
 import msgspec
 
 from kumquatway_core.exceptions import AnswerLost, PlatformUnavailable
+from kumquatway_core.http import open_client
 from kumquatway_core.platform._messages import Refusal
 
 DEADLINE_SECONDS = 2.0
@@ -30,28 +29,11 @@
 Transports = Callable[[], httpx.AsyncBaseTransport]
 
 
-@functools.cache
-def _tls() -> ssl.SSLContext:
-    return ssl.create_default_context()
-
-
-def new_transport() -> httpx.AsyncBaseTransport:
-    """
-    Make a transport with an empty pool of connections.
-
-    :return: the transport.
-    """
-    limits = httpx.Limits(
-        max_connections=MAX_CONNECTIONS, keepalive_expiry=IDLE_SECONDS
-    )
-    return httpx.AsyncHTTPTransport(verify=_tls(), limits=limits)
-
-
 class _Pool:
     """One client with its calls in progress."""
 
-    def __init__(self, *, transport: httpx.AsyncBaseTransport, born: float):
-        self.client = httpx.AsyncClient(transport=transport, trust_env=False)
+    def __init__(self, *, client: httpx.AsyncClient, born: float):
+        self.client = client
         self.born = born
         self.calls = 0
         self.retired = False
@@ -62,7 +44,7 @@
     Sends calls to one service of the platform.
 
     :param addresses: base URLs, tried in turn while no byte has left.
-    :param transports: makes a transport for each new pool of connections.
+    :param transports: makes a transport for each new pool of connections, in tests.
     :param deadline: bound on a call, seconds.
     :param clock: a monotonic clock, seconds.
     """
@@ -71,7 +53,7 @@
         self,
         *,
         addresses: tuple[str, ...],
-        transports: Transports = new_transport,
+        transports: Transports | None = None,
         deadline: float = DEADLINE_SECONDS,
         clock: Callable[[], float] = time.monotonic,
     ):
@@ -134,9 +116,22 @@
         if self.pool is not None and now - self.pool.born > POOL_AGE_SECONDS:
             await self._retire(self.pool)
         if self.pool is None:
-            self.pool = _Pool(transport=self.transports(), born=now)
+            self.pool = _Pool(client=self._open_client(), born=now)
         return self.pool
 
+    def _open_client(self) -> httpx.AsyncClient:
+        limits = httpx.Limits(
+            max_connections=MAX_CONNECTIONS, keepalive_expiry=IDLE_SECONDS
+        )
+        transport = self.transports() if self.transports else None
+        return open_client(
+            "", timeout=self._timeout(), limits=limits, transport=transport
+        )
+
+    def _timeout(self) -> httpx.Timeout:
+        wait = self.deadline * CONNECT_SHARE
+        return httpx.Timeout(self.deadline, connect=wait, pool=wait)
+
     async def _retire(self, pool: _Pool) -> None:
         """Keep new calls off a pool; it closes with the last call on it."""
         pool.retired = True
@@ -169,12 +164,10 @@
     async def _send_to(
         self, pool: _Pool, method: str, url: str, body: bytes
     ) -> httpx.Response:
-        wait = self.deadline * CONNECT_SHARE
-        timeout = httpx.Timeout(self.deadline, connect=wait, pool=wait)
         headers = {"Content-Type": MEDIA_TYPE}
         try:
             response = await pool.client.request(
-                method, url, content=body, headers=headers, timeout=timeout
+                method, url, content=body, headers=headers
             )
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             raise PlatformUnavailable(f"{method} {url}: {error!r}") from error
--- a/packages/core/tests/test_platform.py
+++ b/packages/core/tests/test_platform.py
@@ -16,7 +16,6 @@
     Table,
     Transaction,
     VMList,
-    new_transport,
 )
 from kumquatway_core.platform._channel import POOL_AGE_SECONDS
 from kumquatway_core.wire import VMState
@@ -148,7 +147,7 @@
             port = listener.extra(anyio.abc.SocketAttribute.local_port)
             await listener.aclose()
             address = f"http://127.0.0.1:{port}"
-            channel = Channel(addresses=(address, address), transports=new_transport)
+            channel = Channel(addresses=(address, address))
             with pytest.raises(PlatformUnavailable):
                 await Table(channel=channel).commit(put(ABSENT))
 
