--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -12,12 +12,14 @@
 from kumquatway._metrics import EntryMetrics
 from kumquatway.admin import AdminContext, admin_app
 from kumquatway.api import Context, caller_app
-from kumquatway.calls import Calls
+from kumquatway.calls import Calls, Dispatcher
 from kumquatway.configuration import Configuration, check_text
 from kumquatway.membership import Member, Members, watch_agents, watch_list
+from kumquatway.protect import RetryBudget
 from kumquatway.routing import choose_replacement, choose_route
 from kumquatway.streams import Ask, Routes, Streams
 from kumquatway_core import Reason, Supervisor, Verdict, new_incarnation, not_run
+from kumquatway_core.claims import Claims
 from kumquatway_core.events import (
     Clock,
     Event,
@@ -28,7 +30,7 @@
 )
 from kumquatway_core.http import serve
 from kumquatway_core.mesh import Mesh, Peer, PeerState, Source
-from kumquatway_core.platform import Channel, Table, VMList
+from kumquatway_core.platform import Channel, Objects, Table, VMList
 from kumquatway_core.revisions import Revisions
 from kumquatway_core.settings import EntrySettings
 from kumquatway_core.text import Text
@@ -91,8 +93,19 @@
             emit=self.emit,
         )
         self.calls = Calls(entry=settings.mesh_address, mesh=self.mesh)
+        objects = Objects(channel=Channel(addresses=settings.platform.objects))
+        self.claims = Claims(table=table, objects=objects)
+        self.dispatcher = Dispatcher(
+            calls=self.calls,
+            claims=self.claims,
+            usable=self._usable,
+            background=self._background,
+            budget=RetryBudget(),
+        )
         self.vms = VMList(channel=Channel(addresses=(settings.platform.vms,)))
         self.supervisor = Supervisor(name=settings.name)
+        self.tasks = 0
+        self._group: anyio.abc.TaskGroup | None = None
         self._handlers: dict[type, Callable[[Message], object]] = {
             Pieces: self.streams.take_pieces,
             Trouble: self.streams.take_trouble,
@@ -105,6 +118,7 @@
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until told to leave or cancelled."""
         async with anyio.create_task_group() as group:
+            self._group = group
             await group.start(self.mesh.run)
             self._add_children()
             group.start_soon(self.supervisor.run)
@@ -152,9 +166,9 @@
         """
         Count what a shutdown has to wait for.
 
-        :return: streams and calls.
+        :return: streams, calls and their last writes.
         """
-        return len(self.streams.sessions) + len(self.calls.waiting)
+        return len(self.streams.sessions) + len(self.calls.waiting) + self.tasks
 
     def _add_children(self) -> None:
         settings = self.settings
@@ -162,8 +176,7 @@
             text=self.text,
             limits=settings.limits,
             streams=self.streams,
-            calls=self.calls,
-            members=self.members,
+            dispatcher=self.dispatcher,
             emit=self.emit,
             refusal=self.refusal,
         )
@@ -186,6 +199,7 @@
         self.supervisor.add("admin", lambda: serve(operators, settings.admin_address))
         self.supervisor.add("list", self._watch_list)
         self.supervisor.add("agents", self._watch_agents)
+        self.supervisor.add("claims", self.claims.run)
         self.supervisor.add("revisions", self.configuration.watch)
         self.supervisor.add("gossip", self.configuration.gossip)
         self.supervisor.add("copies", self.configuration.take_copies)
@@ -195,6 +209,19 @@
     async def _bootstrap(self) -> None:
         await self.configuration.bootstrap(self.source)
 
+    def _background(self, run: Callable, *args) -> None:
+        """Run a task that a shutdown waits for."""
+        self.tasks += 1
+        self._group.start_soon(self._run_task, run, *args)
+
+    async def _run_task(self, run: Callable, *args) -> None:
+        try:
+            await run(*args)
+        except Exception as error:
+            logger.opt(exception=error).error("a task failed: {}", error)
+        finally:
+            self.tasks -= 1
+
     def _peers(self) -> list[str]:
         listed = {vm.address for vm in self.members.entries.values()}
         return sorted((listed | set(self.settings.seeds)) - {self.mesh.address})
@@ -234,6 +261,7 @@
     def _on_peer_state(self, peer: Peer) -> None:
         if peer.state is PeerState.DOWN:
             self.streams.lose_address(peer.address, "the agent does not answer")
+            self.calls.lose_peer(peer.address)
 
     def _on_lost(self, peer: Peer, lost: list[Message]) -> None:
         self.calls.lose(lost)
--- a/packages/entry/src/kumquatway/api/_context.py
+++ b/packages/entry/src/kumquatway/api/_context.py
@@ -10,8 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from kumquatway.calls import Calls
-from kumquatway.membership import Members
+from kumquatway.calls import Dispatcher
 from kumquatway.streams import Streams
 from kumquatway_core import Verdict
 from kumquatway_core.events import Event
@@ -45,8 +44,7 @@
     text: Callable[[], Text]
     limits: LimitSettings
     streams: Streams
-    calls: Calls
-    members: Members
+    dispatcher: Dispatcher
     emit: Callable[[Event], object]
     refusal: Callable[[], Verdict | None]
     clock: Callable[[], float] = time.monotonic
--- a/packages/entry/src/kumquatway/api/_services.py
+++ b/packages/entry/src/kumquatway/api/_services.py
@@ -6,7 +6,6 @@
 
 from http import HTTPMethod
 
-import anyio
 from starlette.requests import Request
 from starlette.responses import Response
 
@@ -14,7 +13,6 @@
 from kumquatway.api._context import Caller, Context, find_caller, new_request_id
 from kumquatway.api._errors import REQUEST_ID, error_response
 from kumquatway.calls import Answer, ServiceAsk
-from kumquatway.routing import choose_upstream
 from kumquatway_core import HEADER, RAN, Reason, Verdict, not_run
 from kumquatway_core.events import RequestEnded, RequestStarted
 
@@ -34,8 +32,7 @@
 PRIVATE_HEADERS = frozenset(
     ("authorization", "connection", "host", "content-length", "transfer-encoding")
 )
-MAX_TRIES = 3
-RETRY_AFTER = 1.0  # seconds
+MAX_KEY = 255  # characters
 
 
 def service_handler(context: Context):
@@ -55,16 +52,17 @@
         ask = await _ask(context, request, name)
         if isinstance(ask, Verdict):
             return error_response(ask, name)
-        return await _run(context, caller, ask)
+        key = request.headers.get(IDEMPOTENCY_KEY, "")
+        return await _run(context, caller, ask, key)
 
     return call
 
 
-async def _run(context: Context, caller: Caller, ask: ServiceAsk) -> Response:
+async def _run(context: Context, caller: Caller, ask: ServiceAsk, key: str) -> Response:
     context.emit(
         RequestStarted(request=ask.request, account=caller.name, target=ask.service)
     )
-    result = await _try(context, ask)
+    result = await context.dispatcher.run(ask, caller.name, key)
     if isinstance(result, Verdict):
         verdict = result
         response = error_response(result, ask.request)
@@ -82,27 +80,6 @@
     return response
 
 
-async def _try(context: Context, ask: ServiceAsk) -> Answer | Verdict:
-    """Try upstreams, each other first, while a retry is safe."""
-    tried: set[str] = set()
-    verdict = not_run(Reason.NO_UPSTREAM, f"no upstream of {ask.service}", RETRY_AFTER)
-    for _ in range(MAX_TRIES):
-        member = choose_upstream(
-            members=context.members.live(), service=ask.service, avoid=tried
-        )
-        if member is None:
-            return verdict
-        tried.add(member.vm)
-        result = await context.calls.send(ask, member)
-        if isinstance(result, Answer):
-            return result
-        verdict = result
-        if not verdict.retry_is_safe(idempotent=ask.idempotent):
-            return verdict
-        await anyio.lowlevel.checkpoint()
-    return verdict
-
-
 async def _ask(context: Context, request: Request, name: str) -> ServiceAsk | Verdict:
     refusal = context.refusal()
     if refusal is not None:
@@ -111,6 +88,9 @@
     described = context.text().services.get(service)
     if described is None:
         return not_run(Reason.NOT_FOUND, f"no service {service!r}")
+    if len(request.headers.get(IDEMPOTENCY_KEY, "")) > MAX_KEY:
+        detail = f"{IDEMPOTENCY_KEY} has over {MAX_KEY} characters"
+        return not_run(Reason.BAD_REQUEST, detail)
     body = await read_body(request, context.limits.body_kib)
     if isinstance(body, Verdict):
         return body
--- a/packages/entry/src/kumquatway/calls/__init__.py
+++ b/packages/entry/src/kumquatway/calls/__init__.py
@@ -5,5 +5,6 @@
 """
 
 from kumquatway.calls._calls import Answer, Calls, ServiceAsk
+from kumquatway.calls._dispatch import Dispatcher
 
-__all__ = ["Answer", "Calls", "ServiceAsk"]
+__all__ = ["Answer", "Calls", "Dispatcher", "ServiceAsk"]
--- a/packages/entry/src/kumquatway/calls/_calls.py
+++ b/packages/entry/src/kumquatway/calls/_calls.py
@@ -17,11 +17,13 @@
     Reason,
     Verdict,
     may_have_run as doubt,
+    not_run,
 )
-from kumquatway_core.mesh import Mesh
+from kumquatway_core.mesh import Mesh, Parcel, Peer
 from kumquatway_core.wire import Call, CallReply, Message
 
 ID_BYTES = 8
+NO_CONNECTION = "no connection to the upstream's agent"
 RANS = {"ran": RAN, "not-run": NOT_RUN, "may-have-run": MAY_HAVE_RUN}
 
 
@@ -56,8 +58,11 @@
 class _Waiting:
     """A call that waits for its reply."""
 
-    def __init__(self, *, address: str):
+    def __init__(self, *, address: str, idempotent: bool):
         self.address = address
+        self.idempotent = idempotent
+        self.peer: Peer | None = None
+        self.parcel: Parcel | None = None
         self.done = anyio.Event()
         self.result: Answer | Verdict | None = None
 
@@ -89,7 +94,7 @@
         :return: its answer, or the verdict.
         """
         call = secrets.token_hex(ID_BYTES)
-        waiting = _Waiting(address=member.address)
+        waiting = _Waiting(address=member.address, idempotent=ask.idempotent)
         self.waiting[call] = waiting
         try:
             return await self._send(call, ask, member, waiting)
@@ -129,6 +134,24 @@
             if waiting.address == address:
                 waiting.settle(doubt(Reason.RESET, detail))
 
+    def lose_peer(self, address: str) -> None:
+        """
+        Take in that an agent does not answer.
+
+        A call that never left is settled as not run. One that left is given up
+        only if another upstream may run it too: the agent may come back with its
+        reply.
+
+        :param address: of the agent.
+        """
+        for waiting in self.waiting.values():
+            if waiting.address != address or waiting.parcel is None:
+                continue
+            if waiting.peer.withdraw(waiting.parcel):
+                waiting.settle(not_run(Reason.UNREACHABLE, NO_CONNECTION))
+            elif waiting.idempotent:
+                waiting.settle(doubt(Reason.SILENCE, "the agent does not answer"))
+
     async def _send(
         self, call: str, ask: ServiceAsk, member: Member, waiting: _Waiting
     ) -> Answer | Verdict:
@@ -149,13 +172,14 @@
         parcel = peer.send(message)
         if isinstance(parcel, Verdict):
             return parcel
+        waiting.peer = peer
+        waiting.parcel = parcel
         with anyio.move_on_after(ask.timeout):
             await waiting.done.wait()
         if waiting.result is not None:
             return waiting.result
         if peer.withdraw(parcel):
-            detail = "no connection to the upstream's agent"
-            return Verdict(ran=NOT_RUN, reason=Reason.UNREACHABLE, detail=detail)
+            return not_run(Reason.UNREACHABLE, NO_CONNECTION)
         return doubt(Reason.DEADLINE, "no answer within the bound")
 
 
