--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,5 @@
+"""
+benchmarks.
+
+Measurements over the ordinary processes and small stand-ins.
+"""
--- /dev/null
+++ b/benchmarks/recovery.py
@@ -0,0 +1,218 @@
+"""
+Recovery.
+
+Streams through four stages of mixed kinds while a middle stage fails.
+"""
+
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import anyio
+import httpx
+
+from benchmarks._load import Stream, complete, make_client
+from benchmarks._stats import percentile
+from benchmarks._text import make_source
+from kumquatway_fakes._spec import HoldingSpec
+from kumquatway_fakes.fleet import EngineVM, EntryVM, Fleet, FleetPlan
+
+MODEL = "bulletin"
+LAYERS = 32
+STAGES = 4
+STREAMS = 64
+PROMPT_TOKENS = 2000
+MAX_TOKENS = 400
+WARM_TOKENS = 8  # each stream has them before the fault
+TARGET_P99 = 1.0  # seconds
+TARGET_SHARE = 1 / 3  # of the baseline
+VICTIM_STAGE = 2
+# microseconds for a layer and for a layer and token, by stage; eightfold apart
+KINDS = ((400.0, 1.0), (800.0, 2.0), (1600.0, 4.0), (3200.0, 8.0))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Outcome:
+    """
+    One trial.
+
+    :param gaps: seconds from the fault to the next token, of each affected stream.
+    :param wrong: streams whose answer differs from the one computed alone.
+    """
+
+    fault: str
+    affected: int
+    gaps: tuple[float, ...]
+    wrong: int
+    failed: int
+    baseline: float
+
+    def line(self) -> str:
+        """
+        Write a row of the table.
+
+        :return: Markdown.
+        """
+        p50 = percentile(self.gaps, 0.5) if self.gaps else float("nan")
+        p99 = percentile(self.gaps, 0.99) if self.gaps else float("nan")
+        return (
+            f"| {self.fault} | {self.affected} | {p50:.3f} | {p99:.3f} | "
+            f"{self.baseline:.3f} | {p99 / self.baseline:.2f} | "
+            f"{self.wrong} | {self.failed} |"
+        )
+
+
+def make_plan(replicas: int = 2) -> FleetPlan:
+    """
+    Lay out chains of four kinds.
+
+    :param replicas: chains.
+    :return: the plan.
+    """
+    size = LAYERS // STAGES
+    engines = []
+    for replica in range(replicas):
+        for stage, (layer_us, token_us) in enumerate(KINDS):
+            holding = HoldingSpec(
+                model=MODEL, version="1", first=stage * size, end=(stage + 1) * size
+            )
+            engine = EngineVM(
+                name=f"vm-{replica}-{stage}",
+                holdings=(holding,),
+                layer_us=layer_us,
+                token_us=token_us,
+            )
+            engines.append(engine)
+    return FleetPlan(
+        source=make_source({MODEL: LAYERS}),
+        entries=(EntryVM(name="entry-0"),),
+        engines=tuple(engines),
+        engines_per_process=1,
+    )
+
+
+async def run_trial(fault: str, folder: Path) -> Outcome:
+    """
+    Run the streams once and break one stage.
+
+    :param fault: `kill`, `hang` or `engine-hang`.
+    :param folder: for settings and logs.
+    :return: what the callers saw.
+    """
+    fleet = Fleet(plan=make_plan(), folder=folder)
+    try:
+        await fleet.start()
+        async with make_client(fleet.caller_url("entry-0")) as http:
+            return await _measure(fault, fleet, http)
+    finally:
+        fleet.stop()
+
+
+async def _measure(fault: str, fleet: Fleet, http: httpx.AsyncClient) -> Outcome:
+    streams: list[Stream] = []
+    live: list[Stream] = []
+
+    async def one(index: int) -> None:
+        prompt = f"{index:04d}" + "x" * (PROMPT_TOKENS - 4)
+        stream = Stream(prompt=prompt, started=time.monotonic())
+        live.append(stream)
+        await complete(
+            http, model=MODEL, prompt=prompt, max_tokens=MAX_TOKENS, into=stream
+        )
+        streams.append(stream)
+
+    async with anyio.create_task_group() as group:
+        for index in range(STREAMS):
+            group.start_soon(one, index)
+        while len(live) < STREAMS or any(
+            len(stream.times) < WARM_TOKENS and not stream.error for stream in live
+        ):
+            await anyio.sleep(0.01)
+        victim = f"vm-0-{VICTIM_STAGE}"
+        at = time.monotonic()
+        await _break(fault, fleet, victim)
+        affected = [stream for stream in live if not stream.finish]
+    gaps = _gaps(affected, at)
+    wrong = sum(
+        not stream.right(layers=LAYERS, model=MODEL, max_tokens=MAX_TOKENS)
+        for stream in streams
+    )
+    failed = sum(bool(stream.error) for stream in streams)
+    baseline = await _baseline(http)
+    return Outcome(
+        fault=fault,
+        affected=len(gaps),
+        gaps=tuple(gaps),
+        wrong=wrong,
+        failed=failed,
+        baseline=baseline,
+    )
+
+
+def _gaps(streams: list[Stream], at: float) -> list[float]:
+    """
+    Find the seconds from the fault to the end of each stream's longest stall.
+
+    Tokens that had passed the broken stage still arrive after the fault, so the
+    first token after it does not show the recovery.
+    """
+    gaps = []
+    for stream in streams:
+        times = [at, *(when for when in stream.times if when > at)]
+        stalls = list(zip(times, times[1:], strict=False))
+        if not stalls:
+            continue
+        _, end = max(stalls, key=lambda stall: stall[1] - stall[0])
+        gaps.append(end - at)
+    return gaps
+
+
+async def _break(fault: str, fleet: Fleet, victim: str) -> None:
+    if fault == "kill":
+        fleet.kill(victim)
+    elif fault == "hang":
+        fleet.freeze(victim)
+    elif fault == "engine-hang":
+        async with httpx.AsyncClient(base_url=fleet.engine_url(victim)) as http:
+            await http.post("/faults", json={"hung": True})
+
+
+async def _baseline(http: httpx.AsyncClient) -> float:
+    """Time the first token of as many streams that begin anew at once."""
+    streams: list[Stream] = []
+
+    async def one(index: int) -> None:
+        prompt = f"b{index:03d}" + "y" * (PROMPT_TOKENS - 4)
+        found = await complete(http, model=MODEL, prompt=prompt, max_tokens=1)
+        streams.append(found)
+
+    async with anyio.create_task_group() as group:
+        for index in range(STREAMS):
+            group.start_soon(one, index)
+    return percentile([stream.times[0] - stream.started for stream in streams], 0.99)
+
+
+async def run(faults: tuple[str, ...]) -> None:
+    """
+    Run a trial of each fault and print the table.
+
+    :param faults: to provoke.
+    """
+    print("| fault | affected | p50 s | p99 s | baseline s | share | wrong | failed |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- |")
+    for fault in faults:
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = await run_trial(fault, Path(folder))
+        print(outcome.line(), flush=True)
+
+
+def main() -> None:
+    """Run the benchmark."""
+    faults = tuple(sys.argv[1:]) or ("kill", "hang", "engine-hang")
+    anyio.run(run, faults)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/fakes/src/kumquatway_fakes/_engine.py
+++ b/packages/fakes/src/kumquatway_fakes/_engine.py
@@ -79,7 +79,7 @@
 @dataclass(kw_only=True, slots=True)
 class EngineFaults:
     """
-    What is wrong with an engine now; changed at run time.
+    What is wrong with an engine now; changed at run time or by `POST /faults`.
 
     :param hung: calls are taken and never answered.
     :param slow: factor on the time of a step.
@@ -91,6 +91,20 @@
     refusing: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EngineCounts:
+    """
+    What an engine did, as `GET /counts` tells it.
+
+    :param slots: streams that it holds now.
+    """
+
+    steps: int
+    tokens: int
+    slots: int
+    busy_seconds: float
+
+
 class Engine:
     """
     The state of one engine.
@@ -372,8 +386,24 @@
         engine.take_in(await body(request, KVExport))
         return reply(True)
 
+    async def faults(request: Request) -> Response:
+        data = await request.body()
+        engine.faults = msgspec.json.decode(data, type=EngineFaults)
+        return Response(status_code=204)
+
+    async def counts(request: Request) -> Response:
+        found = EngineCounts(
+            steps=engine.steps,
+            tokens=engine.tokens,
+            slots=len(engine.slots),
+            busy_seconds=engine.busy_seconds,
+        )
+        return Response(msgspec.json.encode(found), media_type="application/json")
+
     return Starlette(
         routes=[
+            Route("/faults", faults, methods=["POST"]),
+            Route("/counts", counts, methods=["GET"]),
             Route("/step", step, methods=["POST"]),
             Route("/orders", orders, methods=["POST"]),
             Route("/cancel", cancel, methods=["POST"]),
--- a/packages/fakes/src/kumquatway_fakes/_service.py
+++ b/packages/fakes/src/kumquatway_fakes/_service.py
@@ -33,7 +33,7 @@
 @dataclass(kw_only=True, slots=True)
 class ServiceFaults:
     """
-    What is wrong with a service now; changed at run time.
+    What is wrong with a service now; changed at run time or by `POST /_faults`.
 
     :param seconds: that a call takes.
     :param silent: calls are run and never answered.
@@ -85,4 +85,20 @@
     :param service: its state.
     :return: an ASGI application.
     """
-    return Starlette(routes=[Route("/{path:path}", service.run, methods=METHODS)])
+
+    async def faults(request: Request) -> Response:
+        data = await request.body()
+        service.faults = msgspec.json.decode(data, type=ServiceFaults)
+        return Response(status_code=204)
+
+    async def executions(request: Request) -> Response:
+        found = msgspec.json.encode(service.executions)
+        return Response(found, media_type="application/json")
+
+    return Starlette(
+        routes=[
+            Route("/_faults", faults, methods=["POST"]),
+            Route("/_executions", executions, methods=["GET"]),
+            Route("/{path:path}", service.run, methods=METHODS),
+        ]
+    )
