--- a/packages/entry/src/kumquatway/timeline/_merge.py
+++ b/packages/entry/src/kumquatway/timeline/_merge.py
@@ -5,42 +5,18 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
 from kumquatway_core.events import KINDS, Record, matches
 from kumquatway_core.exceptions import ConfigurationError
 from kumquatway_core.toml import suggest
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Filter:
-    """
-    Which records are wanted.
-
-    :param kinds: kinds wanted, or none for all.
-    :param request: the request wanted, or "" for all.
-    :param vm: the VM wanted, or "" for all.
-    """
-
-    kinds: tuple[str, ...] = ()
-    request: str = ""
-    vm: str = ""
-
-    def check(self):
-        """
-        Refuse a kind that does not exist, which would find nothing.
-
-        :raises ConfigurationError: if there is one; the message has the nearest.
-        """
-        for kind in self.kinds:
-            if kind not in KINDS:
-                raise ConfigurationError(
-                    f"kind: got {kind!r}, expected {suggest(kind, KINDS)}"
-                )
-
-
 def merge(
-    journals: Iterable[Iterable[Record]], wanted: Filter | None = None
+    journals: Iterable[Iterable[Record]],
+    *,
+    kinds: tuple[str, ...] = (),
+    request: str = "",
+    vm: str = "",
 ) -> tuple[Record, ...]:
     """
     Merge records in the order of their hybrid logical clocks.
@@ -49,16 +25,25 @@
     wherever a message with the clock went from one to the other.
 
     :param journals: the records of each process.
-    :param wanted: which records to keep; all by default.
+    :param kinds: kinds wanted, or none for all.
+    :param request: the request wanted, or "" for all.
+    :param vm: the VM wanted, or "" for all.
     :return: the records, oldest first.
-    :raises ConfigurationError: if the filter names a kind that does not exist.
+    :raises ConfigurationError: if a kind does not exist; the message has the nearest.
     """
-    wanted = wanted or Filter()
-    wanted.check()
+    _check_kinds(kinds)
     found = {
         (record.clock, record.process, record.sequence): record
         for journal in journals
         for record in journal
-        if matches(record, kinds=wanted.kinds, request=wanted.request, vm=wanted.vm)
+        if matches(record, kinds=kinds, request=request, vm=vm)
     }
     return tuple(found[order] for order in sorted(found))
+
+
+def _check_kinds(kinds: tuple[str, ...]) -> None:
+    """Refuse a kind that does not exist, which would find nothing."""
+    for kind in kinds:
+        if kind not in KINDS:
+            expected = suggest(kind, KINDS)
+            raise ConfigurationError(f"kind: got {kind!r}, expected {expected}")
--- a/packages/entry/tests/test_timeline.py
+++ b/packages/entry/tests/test_timeline.py
@@ -6,7 +6,7 @@
 import pytest
 from rich.console import Console
 
-from kumquatway.timeline import Filter, draw, merge, table
+from kumquatway.timeline import draw, merge, table
 from kumquatway.timeline._lanes import MAX_DRAWN
 from kumquatway.timeline._marks import MARKS
 from kumquatway_core.events import (
@@ -45,7 +45,7 @@
 
     def records(self, **filters):
         journals = [self.agent.records, self.entry.records, self.entry.records]
-        return merge(journals, Filter(**filters))
+        return merge(journals, **filters)
 
 
 def kinds_of(records):
