--- /dev/null
+++ b/specs/__init__.py
@@ -0,0 +1,5 @@
+"""
+Specifications.
+
+Small models of the core protocols, explored exhaustively within stated bounds.
+"""
