--- /dev/null
+++ b/packages/entry/src/kumquatway/calls/__init__.py
@@ -0,0 +1,10 @@
+"""
+kumquatway.calls.
+
+The calls of plain services that are in flight at this entry.
+"""
+
+from kumquatway.calls._calls import Answer, Calls, ServiceAsk
+from kumquatway.calls._dispatch import Dispatcher
+
+__all__ = ["Answer", "Calls", "Dispatcher", "ServiceAsk"]
