Name where each modelled guard stands in code

Cause: a model proves nothing of the code unless each of its guards can be found there.

Conclusion: six guards have no code: SINGLE_SEND of claims, the agent's four of leases (no orders pass it yet), and SAMPLED_ALIKE of steps, which is assumed.

--- a/specs/_explore.py
+++ b/specs/_explore.py
@@ -85,18 +85,8 @@
     :return: what was found.
     """
     depths = {spec.initial: 0}
-    checks = {p.__name__: _on_fields(spec, p) for p in spec.invariants}
-    checks |= {p.__name__: _never(spec, p) for p in spec.goals}
-    protocol = Protocol(
-        name=spec.name,
-        candidate=False,
-        fields=spec.initial._fields,
-        initial=spec.initial,
-        transitions=_recorded(spec.transitions, depths),
-        invariants=checks,
-    )
     start = time.perf_counter()
-    result = check_safety(protocol, max_states=MAX_STATES)
+    result = _check(spec, _recorded(spec.transitions, depths))
     return Findings(
         states=result["reachable_states"],
         depth=max(depths.values()),
@@ -115,13 +105,24 @@
     :return: the steps of the run; empty if the invariant holds.
     """
     invariant = next(p for p in mutant.spec.invariants if p.__name__ == mutant.breaks)
-    narrowed = replace(
-        mutant.spec,
-        transitions=_until_broken(mutant.spec.transitions, invariant),
-        invariants=(invariant,),
-        goals=(),
+    narrowed = replace(mutant.spec, invariants=(invariant,), goals=())
+    transitions = _until_broken(mutant.spec.transitions, invariant)
+    result = _check(narrowed, transitions)
+    return _traces(result, narrowed.invariants).get(mutant.breaks, ())
+
+
+def _check(spec: Spec, transitions: Transitions) -> dict:
+    checks = {p.__name__: _on_fields(spec, p) for p in spec.invariants}
+    checks |= {p.__name__: _never(spec, p) for p in spec.goals}
+    protocol = Protocol(
+        name=spec.name,
+        candidate=False,
+        fields=spec.initial._fields,
+        initial=spec.initial,
+        transitions=transitions,
+        invariants=checks,
     )
-    return explore(narrowed).broken.get(mutant.breaks, ())
+    return check_safety(protocol, max_states=MAX_STATES)
 
 
 def _until_broken(transitions: Transitions, invariant: Predicate) -> Transitions:
--- a/specs/claims.py
+++ b/specs/claims.py
@@ -9,6 +9,9 @@
 failure of any of its operations, at any time. A message or a write in flight may
 stay there for ever, so loss and a pause of any length at either end are covered.
 Claims do not expire here.
+
+The guards stand in `kumquatway_core.claims`, `kumquatway.calls` and
+`kumquatway_agent.service`. The table GUARDS of docs/design/specs.md names each place.
 """
 
 import enum
--- a/specs/leases.py
+++ b/specs/leases.py
@@ -5,7 +5,7 @@
 
 Bounds: two holders; one restart of the agent; an order may stay in flight, and a holder
 or the agent may pause, for ever. Where a number is checked there is no time at all: a
-lease may change hands at any moment, and the old holder may act on; three changes.
+lease may change hands at any moment, the old holder may act on; numbers to three.
 
 Before a bare upstream: a lease of three ticks, clocks with an error of one tick over
 it, one change of hand, any number of ticks and renewals (only ages are kept, as far as
@@ -13,6 +13,9 @@
 one of the mutants takes it away.
 
 A contender takes over once it has seen the row unchanged for the whole lease.
+
+The guards stand in `kumquatway_core.leases`; agents are to hold those of `GUARDED`. The
+table GUARDS of docs/design/specs.md names each place.
 """
 
 import enum
--- a/specs/revisions.py
+++ b/specs/revisions.py
@@ -7,6 +7,9 @@
 with the first revision and one that is born with none. An outage of the store is a
 failure of any of its operations, at any time, before or after a write took effect. A
 write may land late. A peer's copy may be as old as the first revision.
+
+The guards stand in `kumquatway_core.revisions`. The table GUARDS of
+docs/design/specs.md names each place.
 """
 
 import enum
--- a/specs/steps.py
+++ b/specs/steps.py
@@ -12,6 +12,10 @@
 
 Accelerators of another kind may compute another token, so a token is named by the
 route that sampled it.
+
+The guards stand in `kumquatway_agent.stage._streams`, `_stage` and
+`kumquatway.streams._session`. The table GUARDS of docs/design/specs.md names each
+place.
 """
 
 import enum
