Doubt a connection by late acknowledgements; balance new streams by what is in flight

Cause: a killed or frozen middle stage was noticed by missing beats only, and the entry sent all streams to one chain between two load reports. Change: acknowledgements have an adaptive bound (as RFC 6298), a refused reconnect counts at once, and routing counts this entry's own streams.

--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -22,6 +22,7 @@
 MODEL = "bulletin"
 LAYERS = 32
 STAGES = 4
+REPLICAS = 4  # chains
 STREAMS = 64
 PROMPT_TOKENS = 2000
 MAX_TOKENS = 400
@@ -64,7 +65,7 @@
         )
 
 
-def make_plan(replicas: int = 2) -> FleetPlan:
+def make_plan(replicas: int = REPLICAS) -> FleetPlan:
     """
     Lay out chains of four kinds.
 
@@ -89,7 +90,7 @@
         source=make_source({MODEL: LAYERS}),
         entries=(EntryVM(name="entry-0"),),
         engines=tuple(engines),
-        engines_per_process=1,
+        engines_per_process=4,
     )
 
 
@@ -127,7 +128,8 @@
         for index in range(STREAMS):
             group.start_soon(one, index)
         while len(live) < STREAMS or any(
-            len(stream.times) < WARM_TOKENS and not stream.error for stream in live
+            len(stream.times) < WARM_TOKENS and not (stream.error or stream.finish)
+            for stream in live
         ):
             await anyio.sleep(0.01)
         victim = f"vm-0-{VICTIM_STAGE}"
--- a/packages/core/src/kumquatway_core/mesh/_beats.py
+++ b/packages/core/src/kumquatway_core/mesh/_beats.py
@@ -11,6 +11,10 @@
 SILENCE_FLOOR = 0.3  # seconds
 SILENCE_BEATS = 3  # beats that may be missing
 RTT_FACTOR = 4  # round trips added to the bound
+ACK_FLOOR = 0.25  # seconds
+GAIN = 0.125  # of the smoothed delay, as RFC 6298 has it
+DEVIATION_GAIN = 0.25
+DEVIATIONS = 4
 
 
 def beat_interval(peers: int) -> float:
@@ -35,3 +39,34 @@
     """
     missing = SILENCE_BEATS * interval
     return max(missing, SILENCE_FLOOR) + RTT_FACTOR * round_trip + lag
+
+
+class AckDelay:
+    """How long acknowledgements take, and how much that varies."""
+
+    def __init__(self):
+        self.mean = 0.0
+        self.deviation = 0.0
+
+    def add(self, sample: float) -> None:
+        """
+        Learn from an acknowledgement.
+
+        :param sample: seconds from the send to it.
+        """
+        if not self.mean:
+            self.mean = sample
+            self.deviation = sample / 2
+            return
+        error = sample - self.mean
+        self.mean += GAIN * error
+        self.deviation += DEVIATION_GAIN * (abs(error) - self.deviation)
+
+    def bound(self, lag: float) -> float:
+        """
+        Bound the wait for an acknowledgement.
+
+        :param lag: seconds by which this process itself ran late.
+        :return: seconds after which the connection is in doubt.
+        """
+        return max(ACK_FLOOR, self.mean + DEVIATIONS * self.deviation) + lag
--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -16,13 +16,15 @@
 
 from kumquatway_core import Reason, Verdict, not_run
 from kumquatway_core.exceptions import WireError
-from kumquatway_core.mesh._beats import beat_interval, silence_bound
+from kumquatway_core.mesh._beats import AckDelay, beat_interval, silence_bound
 from kumquatway_core.wire import Ack, Beat, BeatReply, Message, decode, encode
 
 WINDOW = 8 * 1024 * 1024  # bytes sent and not yet acknowledged
 OUTBOX_BOUND = 64 * 1024 * 1024  # bytes waiting for the window
-ANSWER_WAIT = 0.25  # seconds for the first answer on a new connection
+ANSWER_WAIT = 0.2  # seconds for the first answer on a new connection
+REFUSED_EVENTS = zmq.EVENT_CLOSED | zmq.EVENT_CONNECT_RETRIED
 MAX_ANSWER_WAIT = 2.0  # seconds
+GUARD_PAUSE = 0.05  # seconds
 RECONNECT_MS = 50
 SMOOTHING = 0.2
 UNSEQUENCED = 0
@@ -45,13 +47,14 @@
     :param sequence: its place among the messages to this peer.
     """
 
-    __slots__ = ("data", "left", "message", "sequence", "withdrawn")
+    __slots__ = ("data", "left", "message", "sent", "sequence", "withdrawn")
 
     def __init__(self, *, message: Message, sequence: int):
         self.message = message
         self.sequence = sequence
         self.data = encode(message)
         self.left = False
+        self.sent = 0.0
         self.withdrawn = False
 
 
@@ -104,7 +107,9 @@
         self._beat_sent: dict[int, float] = {}
         self._heard = 0.0
         self._lag = 0.0
+        self._ack_delay = AckDelay()
         self._wake = anyio.Event()
+        self._awaited = anyio.Event()
         self._broken = anyio.Event()
         self._scope = anyio.CancelScope()
 
@@ -178,14 +183,31 @@
         return socket
 
     async def _prove(self, socket: zmq.asyncio.Socket, wait: float) -> bool:
+        """Wait for the first answer, or for the address to refuse."""
         self._beat_sent.clear()
-        heard = self._heard
+        proved = False
         with anyio.move_on_after(wait + 2 * self.round_trip):
-            await self._send_beat(socket)
-            while self._heard == heard:
-                self._take(await socket.recv_multipart())
-            return True
-        return False
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._fail_if_refused, socket, group.cancel_scope)
+                proved = await self._first_answer(socket)
+                group.cancel_scope.cancel()
+        return proved
+
+    async def _first_answer(self, socket: zmq.asyncio.Socket) -> bool:
+        heard = self._heard
+        await self._send_beat(socket)
+        while self._heard == heard:
+            self._take(await socket.recv_multipart())
+        return True
+
+    async def _fail_if_refused(
+        self, socket: zmq.asyncio.Socket, scope: anyio.CancelScope
+    ) -> None:
+        if self.incarnation == 0:
+            # A process that was never there may be about to start.
+            return
+        await _next_event(socket, REFUSED_EVENTS)
+        scope.cancel()
 
     async def _serve(self, socket: zmq.asyncio.Socket) -> None:
         self._rewind()
@@ -195,6 +217,7 @@
             group.start_soon(self._pump, socket)
             group.start_soon(self._hear, socket)
             group.start_soon(self._watch, socket)
+            group.start_soon(self._guard)
             group.start_soon(self._beat, socket)
             await self._broken.wait()
             group.cancel_scope.cancel()
@@ -219,9 +242,11 @@
         if parcel.withdrawn:
             return
         parcel.left = True
+        parcel.sent = self.clock()
         self._unacked.append(parcel)
         self._unacked_bytes += len(parcel.data)
         head = parcel.sequence.to_bytes(SEQUENCE_BYTES, "big")
+        self._awaited.set()
         await socket.send_multipart([head, parcel.data])
 
     async def _hear(self, socket: zmq.asyncio.Socket) -> None:
@@ -266,7 +291,10 @@
         self.on_lost(self, lost)
 
     def _take_ack(self, ack: Ack) -> None:
-        self._heard = self.clock()
+        now = self.clock()
+        self._heard = now
+        if self._unacked and self._unacked[0].sequence <= ack.sequence:
+            self._ack_delay.add(now - self._unacked[0].sent)
         while self._unacked and self._unacked[0].sequence <= ack.sequence:
             parcel = self._unacked.popleft()
             self._unacked_bytes -= len(parcel.data)
@@ -274,12 +302,30 @@
 
     async def _watch(self, socket: zmq.asyncio.Socket) -> None:
         """Notice at once that the other end closed the connection."""
-        monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
-        try:
-            await monitor.recv_multipart()
-            self._broken.set()
-        finally:
-            socket.disable_monitor()
+        await _next_event(socket, zmq.EVENT_DISCONNECTED)
+        self._broken.set()
+
+    async def _guard(self) -> None:
+        """Doubt a connection on which messages stay without acknowledgement."""
+        while True:
+            if not self._unacked:
+                self._awaited = anyio.Event()
+                await self._awaited.wait()
+            oldest = self._unacked[0]
+            late = oldest.sent + self._ack_delay.bound(self._lag)
+            before = self.clock()
+            await anyio.sleep(max(late - before, 0))
+            overslept = self.clock() - max(late, before)
+            self._lag = max(overslept, self._lag / 2)
+            if overslept > ANSWER_WAIT:
+                # This process itself stood still; the answer may be waiting.
+                await anyio.sleep(ANSWER_WAIT)
+            waits = self._unacked and self._unacked[0] is oldest
+            if waits and self._heard < oldest.sent:
+                self._broken.set()
+                return
+            if waits:
+                await anyio.sleep(GUARD_PAUSE)
 
     async def _beat(self, socket: zmq.asyncio.Socket) -> None:
         while True:
@@ -306,3 +352,12 @@
             return
         self.state = state
         self.on_state(self)
+
+
+async def _next_event(socket: zmq.asyncio.Socket, events: int) -> None:
+    """Wait for one of some events of a socket's connection."""
+    monitor = socket.get_monitor_socket(events)
+    try:
+        await monitor.recv_multipart()
+    finally:
+        socket.disable_monitor()
--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -17,7 +17,7 @@
 from kumquatway.membership import Member, Members, watch_agents, watch_list
 from kumquatway.protect import RetryBudget
 from kumquatway.routing import choose_replacement, choose_route
-from kumquatway.streams import Ask, Routes, Streams
+from kumquatway.streams import Ask, InFlight, Routes, Streams
 from kumquatway_core import Reason, Supervisor, Verdict, new_incarnation, not_run
 from kumquatway_core.claims import Claims
 from kumquatway_core.events import (
@@ -77,10 +77,15 @@
             hlc=self.clock.tick,
             merge=self.clock.merge,
         )
+        self.in_flight = InFlight()
         self.members = Members(on_change=self._on_member)
         self.streams = Streams(
             entry=settings.mesh_address,
-            routes=Routes(route=self._route, replacement=self._replacement),
+            routes=Routes(
+                route=self._route,
+                replacement=self._replacement,
+                change=self.in_flight.change,
+            ),
             send=self.mesh.send,
             emit=self.emit,
         )
@@ -288,6 +293,7 @@
             model=ask.model,
             adapter=ask.adapter,
             avoid=avoid,
+            in_flight=self.in_flight.count,
         )
 
     def _replacement(
@@ -300,6 +306,7 @@
             adapter=ask.adapter,
             stage=stage,
             avoid=avoid,
+            in_flight=self.in_flight.count,
         )
 
     async def _finish(self) -> None:
--- a/packages/entry/src/kumquatway/routing/_route.py
+++ b/packages/entry/src/kumquatway/routing/_route.py
@@ -19,7 +19,17 @@
 SPREAD = 0.2  # random share of a cost, so that entries do not choose alike
 FAR = 0.002  # seconds between data centres
 
-Cost = Callable[[Member], float]
+InFlight = Callable[[str], int]
+
+
+def none_in_flight(vm: str) -> int:
+    """
+    Stand in for a count of streams.
+
+    :param vm: name of a VM.
+    :return: 0.
+    """
+    return 0
 
 
 def choose_route(
@@ -29,6 +39,7 @@
     model: Model,
     adapter: str = "",
     avoid: Collection[str] = (),
+    in_flight: InFlight = none_in_flight,
     jitter: Callable[[], float] = random.random,
 ) -> tuple[Stage, ...] | Verdict:
     """
@@ -39,6 +50,7 @@
     :param model: as the text describes it.
     :param adapter: that each stage must have, or "".
     :param avoid: names of VMs not to use.
+    :param in_flight: counts this entry's streams on a VM, by its name.
     :param jitter: draws from [0, 1).
     :return: the stages, or a verdict of `not_run`.
     """
@@ -46,7 +58,11 @@
     for member, holding in _holders(members, name, model.version, adapter):
         if member.vm not in avoid:
             by_first.setdefault(holding.first, []).append((member, holding))
-    route = _cheapest(by_first, model.layers, jitter)
+
+    def cost(member: Member) -> float:
+        return _cost(member, in_flight, jitter)
+
+    route = _cheapest(by_first, model.layers, cost)
     if route is None:
         detail = f"no chain of upstreams covers the layers of {name}"
         return not_run(Reason.NO_UPSTREAM, detail, RETRY_AFTER)
@@ -61,6 +77,7 @@
     adapter: str,
     stage: Stage,
     avoid: Collection[str],
+    in_flight: InFlight = none_in_flight,
     jitter: Callable[[], float] = random.random,
 ) -> Stage | None:
     """
@@ -80,7 +97,7 @@
     ]
     if not found:
         return None
-    member = min(found, key=lambda member: _cost(member, jitter))
+    member = min(found, key=lambda member: _cost(member, in_flight, jitter))
     return _stage(member, stage.first, stage.end)
 
 
@@ -125,7 +142,7 @@
 def _cheapest(
     by_first: dict[int, list[tuple[Member, Holding]]],
     layers: int,
-    jitter: Callable[[], float],
+    cost_of: Callable[[Member], float],
 ) -> tuple[Stage, ...] | None:
     """Search the cheapest chain, by Dijkstra over layer and VM."""
     order = itertools.count()
@@ -142,7 +159,7 @@
         done.add(here)
         for member, holding in by_first.get(layer, ()):
             if member.vm not in costs:
-                costs[member.vm] = _cost(member, jitter)
+                costs[member.vm] = cost_of(member)
             step = costs[member.vm] + _distance(last, member)
             stage = _stage(member, holding.first, holding.end)
             entry = (cost + step, next(order), holding.end, member, (*route, stage))
@@ -150,10 +167,11 @@
     return None
 
 
-def _cost(member: Member, jitter: Callable[[], float]) -> float:
+def _cost(member: Member, in_flight: InFlight, jitter: Callable[[], float]) -> float:
     load = member.status.load
     step = max(load.step_seconds, MIN_STEP)
-    queued = 1 + load.waiting + load.streams
+    # The report lags; what this entry itself sent meanwhile is known.
+    queued = 1 + load.waiting + max(load.streams, in_flight(member.vm))
     return step * queued * (1 + SPREAD * jitter())
 
 
--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -78,10 +78,12 @@
 
     :param route: chooses a chain that avoids some VMs.
     :param replacement: chooses another VM for a stage's layers.
+    :param change: learns of the route before and the route now.
     """
 
     route: Callable[[Ask, frozenset[str]], tuple[Stage, ...] | Verdict]
     replacement: Callable[[Ask, Stage, frozenset[str]], Stage | None]
+    change: Callable[[tuple[Stage, ...], tuple[Stage, ...]], None]
 
 
 class Session:
@@ -210,7 +212,7 @@
         cancel = Cancel(items=((self.ask.request, self.attempt),))
         for address in {stage.address for stage in self.route}:
             self.send(address, cancel)
-        self.route = ()
+        self._change_route(())
 
     def _expected(self) -> int:
         return self.next_position() + len(self._pieces)
@@ -311,7 +313,7 @@
                 return False
             route.append(found)
         self._leave(failed)
-        old, self.route = self.route, tuple(route)
+        old = self._change_route(tuple(route))
         self.epoch += 1
         self._announce(old)
         return True
@@ -352,7 +354,7 @@
             avoid = frozenset()
         self.attempt += 1
         self.epoch = 1
-        self.route = route
+        self._change_route(route)
         self._last_piece = self.clock()
         self.emit(
             RouteChosen(
@@ -373,6 +375,11 @@
         await anyio.sleep(NO_ROUTE_WAIT)
         return None
 
+    def _change_route(self, route: tuple[Stage, ...]) -> tuple[Stage, ...]:
+        old, self.route = self.route, route
+        self.routes.change(old, route)
+        return old
+
     def _feed(self, open: Open) -> None:
         """Send the prompt, and what was generated, to the first stage."""
         data = self.ask.prompt + open.known
