--- a/packages/entry/src/kumquatway/admission/_admission.py
+++ b/packages/entry/src/kumquatway/admission/_admission.py
@@ -25,6 +25,7 @@
 
 SWEEP_SECONDS = 0.05
 REBUILD_ENTRIES = 64
+RETURN_WAIT_SHARE = 0.8
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -188,14 +189,17 @@
     ) -> Verdict | None:
         if self.demand is not None:
             self.demand(ask.account, self._demand(ask, state))
+        draw = self.random()
         wait = max(
-            state.requests.promise(1.0, now), state.tokens.promise(ask.tokens(), now)
+            state.requests.promise(1.0, now, draw),
+            state.tokens.promise(ask.tokens(), now, draw),
         )
         if wait > 0:
-            return self._limited("the account's rate is used up", wait)
+            return refusal(Reason.LIMITED, "the account's rate is used up", wait)
         if state.running >= state.max_running():
             hold = self._pool(ask.target).mean_hold / state.max_running()
-            return self._limited("too many requests in progress", hold)
+            wait = hold * (1 + draw)
+            return refusal(Reason.LIMITED, "too many requests in progress", wait)
         return None
 
     def _check_pool(
@@ -242,7 +246,8 @@
                 "the deadline cannot be met", waiting, early, now, Reason.DEADLINE
             )
         if wait > MAX_WAIT_SECONDS[lane]:
-            early = wait - MAX_WAIT_SECONDS[lane]
+            # Some margin, so that a small error does not refuse it again.
+            early = wait - RETURN_WAIT_SHARE * MAX_WAIT_SECONDS[lane]
             return self._overloaded("the wait is too long", waiting, early, now)
         return None
 
@@ -331,9 +336,6 @@
         tokens = max(MIN_RATE_PER_SECOND, spec.tokens_per_second)
         return max(1.0 / requests, ask.tokens() / tokens)
 
-    def _limited(self, detail: str, wait: float) -> Verdict:
-        return refusal(Reason.LIMITED, detail, wait, self.random)
-
     def _late(self, waiting: Waiting, now: float) -> Verdict:
         wait = self._wait(waiting)
         detail = "the deadline cannot be met"
@@ -342,7 +344,8 @@
     def _wait(self, waiting: Waiting) -> float:
         account, share = waiting.ask.account, waiting.state.spec.share
         pool = waiting.pool
-        return pool.queue.ahead(waiting.lane, account, share) / pool.rate()
+        ahead = pool.queue.ahead(waiting.lane, account, share)
+        return (ahead + waiting.cost) / pool.rate()
 
     def _overloaded(
         self,
@@ -352,5 +355,5 @@
         now: float,
         reason: Reason = Reason.OVERLOADED,
     ) -> Verdict:
-        at = waiting.pool.promise(waiting.cost, wait, now)
-        return refusal(reason, detail, at, self.random)
+        at = waiting.pool.promise(waiting.cost, wait, now, self.random())
+        return refusal(reason, detail, at)
--- a/packages/entry/src/kumquatway/admission/_bucket.py
+++ b/packages/entry/src/kumquatway/admission/_bucket.py
@@ -7,6 +7,7 @@
 MIN_LEVEL = 1.0
 MIN_RATE_PER_SECOND = 1e-6
 ROUNDING = 1e-9
+JITTER_SHARE = 0.25
 
 
 class Bucket:
@@ -72,17 +73,19 @@
         """
         self.level = min(self.size, self.level + cost)
 
-    def promise(self, cost: float, now: float) -> float:
+    def promise(self, cost: float, now: float, draw: float) -> float:
         """
         Find when a refused request may pass, behind those already told.
 
         :param cost: tokens it would take.
         :param now: seconds of the injected clock.
+        :param draw: a number from 0 to 1, for jitter.
         :return: seconds from now.
         """
         if self.has(cost):
             return 0.0
         ready = now + (min(cost, self.size) - self.level) / self.rate
-        at = max(ready, self.horizon)
-        self.horizon = at + cost / self.rate
+        spacing = cost / self.rate
+        at = max(ready, self.horizon) + spacing * JITTER_SHARE * draw
+        self.horizon = at + spacing
         return at - now
--- a/packages/entry/src/kumquatway/admission/_capacity.py
+++ b/packages/entry/src/kumquatway/admission/_capacity.py
@@ -5,9 +5,9 @@
 """
 
 INTERVAL_SECONDS = 0.5
-TARGET_QUEUEING_SECONDS = 0.1
+TARGET_QUEUEING_SECONDS = 0.03
 INCREASE_SHARE = 0.05
-MAX_DECREASE_SHARE = 0.3
+MAX_DECREASE_SHARE = 0.1
 
 
 class Capacity:
--- a/packages/entry/src/kumquatway/admission/_classes.py
+++ b/packages/entry/src/kumquatway/admission/_classes.py
@@ -60,6 +60,14 @@
         self.finish = 0.0
         self.served = 0.0
 
+    def turn(self) -> float:
+        """
+        Give the virtual time at which the next service would end.
+
+        :return: the tag that the lanes are ordered by.
+        """
+        return self.finish + self.queue.mean_cost / self.weight
+
 
 class Classes:
     """Four fair queues that share service by the weights of their lanes."""
@@ -177,4 +185,4 @@
         oldest = min(waiting, key=lambda one: one.served)
         if now - oldest.served >= AGING_SECONDS:
             return oldest
-        return min(waiting, key=lambda one: one.finish)
+        return min(waiting, key=_Class.turn)
--- a/packages/entry/src/kumquatway/admission/_fair.py
+++ b/packages/entry/src/kumquatway/admission/_fair.py
@@ -9,6 +9,8 @@
 from typing import Generic, Protocol, TypeVar
 
 PRUNE_FLOWS = 64
+BANK_ITEMS = 8
+SMOOTHING = 1 / 64
 
 
 class Costed(Protocol):
@@ -47,6 +49,7 @@
         self.flows: dict[K, Flow[T]] = {}
         self.starts: list[tuple[float, int, Flow[T]]] = []
         self.now = 0.0
+        self.mean_cost = 0.0
         self.count = 0
         self.weight = 0.0
         self.pushes = 0
@@ -62,10 +65,11 @@
         """
         flow = self.flows.get(key)
         if flow is None:
-            flow = self.flows[key] = Flow(weight=weight, finish=self.now)
+            flow = self.flows[key] = Flow(weight=weight, finish=self._earliest())
         if not flow.items:
             flow.weight = weight
             self.weight += weight
+        self._learn(item.cost)
         flow.items.append(item)
         flow.backlog += item.cost
         self.count += 1
@@ -117,8 +121,9 @@
         """
         flow = self.flows.get(key)
         if flow is None:
-            return 0.0
-        lead = max(0.0, flow.finish - self.now) + flow.backlog / weight
+            flow = Flow(weight=weight, finish=self._earliest())
+        first = max(self._earliest(), flow.finish)
+        lead = max(0.0, first - self._base() + flow.backlog / weight)
         others = self.weight if flow.items else self.weight + weight
         return lead * others
 
@@ -130,8 +135,19 @@
         """
         return sum(flow.backlog for flow in self.flows.values())
 
+    def _earliest(self) -> float:
+        # A flow that used less than its share may catch up on some items.
+        return self.now - BANK_ITEMS * self.mean_cost
+
+    def _base(self) -> float:
+        return min(self.now, self.starts[0][0]) if self.starts else self.now
+
+    def _learn(self, cost: float) -> None:
+        part = max(SMOOTHING, 1 / (self.pushes + 1))
+        self.mean_cost += part * (cost - self.mean_cost)
+
     def _list(self, flow: Flow[T]) -> None:
-        start = max(self.now, flow.finish)
+        start = max(self._earliest(), flow.finish)
         self.pushes += 1
         flow.listed = True
         heapq.heappush(self.starts, (start, self.pushes, flow))
@@ -162,9 +178,11 @@
         if not self.count:
             # Without contention the past needs no memory.
             self.now = max(flow.finish for flow in self.flows.values())
+            self.now += BANK_ITEMS * self.mean_cost
+        earliest = self._earliest()
         self.flows = {
             key: flow
             for key, flow in self.flows.items()
-            if flow.items or flow.listed or flow.finish > self.now
+            if flow.items or flow.listed or flow.finish > earliest
         }
         self.prune_at = max(PRUNE_FLOWS, 2 * len(self.flows))
--- a/packages/entry/src/kumquatway/admission/_grants.py
+++ b/packages/entry/src/kumquatway/admission/_grants.py
@@ -5,14 +5,15 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
 GRANT_SECONDS = 4.0
 LEARN_SECONDS = 1.5
-FORGET_SECONDS = 10.0
 EVEN_PART = 0.05
+LOST_SECONDS = 60.0
+LOST_DEMAND = 0.01
 
 
 class DemandItem(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -49,6 +50,7 @@
     demand: float
     part: float
     stamp: float
+    lost: bool = False
 
 
 @dataclass(kw_only=True, slots=True)
@@ -95,13 +97,12 @@
     def sweep(self) -> None:
         """Forget the accounts that nobody asks for."""
         now = self.clock()
+        for ledger in self.ledgers.values():
+            self._expire(ledger, now)
         self.ledgers = {
             account: ledger
             for account, ledger in self.ledgers.items()
-            if any(
-                now - holder.stamp < FORGET_SECONDS
-                for holder in ledger.holders.values()
-            )
+            if ledger.holders
         }
 
     def _grant(self, entry: str, item: DemandItem, now: float) -> float:
@@ -110,7 +111,8 @@
             ledger = self.ledgers[item.account] = _Ledger()
         self._expire(ledger, now)
         others = [holder for name, holder in ledger.holders.items() if name != entry]
-        wanted = self._target(item.demand, others)
+        heard = [holder for holder in others if not holder.lost]
+        wanted = self._target(item.demand, heard)
         if now - self.changed < LEARN_SECONDS:
             # A new owner does not know yet what its predecessor granted.
             wanted = min(wanted, item.held)
@@ -127,8 +129,16 @@
         return demand / total * (1.0 - EVEN_PART) + EVEN_PART * even
 
     def _expire(self, ledger: _Ledger, now: float) -> None:
-        ledger.holders = {
-            name: holder
-            for name, holder in ledger.holders.items()
-            if now - holder.stamp < GRANT_SECONDS
-        }
+        kept = {}
+        for name, holder in ledger.holders.items():
+            age = now - holder.stamp
+            if age < GRANT_SECONDS:
+                kept[name] = holder
+            elif age < LOST_SECONDS and self._cut_off(name, holder):
+                kept[name] = replace(holder, part=1.0 / len(self.entries), lost=True)
+        ledger.holders = kept
+
+    def _cut_off(self, name: str, holder: _Holder) -> bool:
+        # An idle entry's demand fades before it stops to report; one that goes
+        # silent in use falls back to an even part, which must stay free for it.
+        return holder.demand > LOST_DEMAND and name in self.entries
--- a/packages/entry/src/kumquatway/admission/_pool.py
+++ b/packages/entry/src/kumquatway/admission/_pool.py
@@ -9,6 +9,7 @@
 
 SMOOTHING = 1 / 32
 STATUS_RESERVE_SHARE = 0.1
+JITTER_SHARE = 0.25
 
 
 class Pool:
@@ -83,15 +84,17 @@
             return 0.0
         return self.mean_hold * cost / self.mean_cost
 
-    def promise(self, cost: float, wait: float, now: float) -> float:
+    def promise(self, cost: float, wait: float, now: float, draw: float) -> float:
         """
         Space out refused requests by the pool's rate.
 
         :param cost: estimated cost of the refused request.
         :param wait: seconds until the queue would take one more.
         :param now: seconds of the injected clock.
+        :param draw: a number from 0 to 1, for jitter.
         :return: seconds from now.
         """
-        at = max(now + wait, self.horizon)
-        self.horizon = at + cost / self.rate()
+        spacing = cost / self.rate()
+        at = max(now + wait, self.horizon) + spacing * JITTER_SHARE * draw
+        self.horizon = at + spacing
         return at - now
--- a/packages/entry/src/kumquatway/protect/_breaker.py
+++ b/packages/entry/src/kumquatway/protect/_breaker.py
@@ -72,7 +72,8 @@
 
     def start(self) -> None:
         """Note that an attempt goes out; after an opening it is the one probe."""
-        if self.state is BreakerState.CLOSED:
+        # Attempts that a group's floor forces here are no probes.
+        if self.state is BreakerState.CLOSED or not self.allows():
             return
         # A probe whose end is never reported must not block the next for good.
         self.until = self.clock() + self._wait()
