--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -14,6 +14,7 @@
 import anyio
 import msgspec
 from benchmarks._admission_sim import (
+    PEAK_PER_SECOND,
     SLOTS,
     Outcome,
     Source,
@@ -27,6 +28,7 @@
 )
 
 from kumquatway.admission import Admission, Ask, Capacity, Demands, Grants, Split
+from kumquatway_core.text import Priority
 
 ACCOUNTS = (10, 1_000, 26_000)
 OFFERS = 20_000
@@ -66,6 +68,7 @@
     rows += _exchange()
     rows += _overload()
     rows += _rush()
+    rows += _classes()
     return rows
 
 
@@ -214,6 +217,26 @@
     return rows
 
 
+def _classes() -> list[Row]:
+    rows = []
+    for policy in ("fifo", "priority", "fair"):
+        urgent = account(priority=Priority.URGENT)
+        bulk = account(priority=Priority.BULK)
+        sources = [
+            Source(name="urgent", per_second=1.2 * PEAK_PER_SECOND, spec=urgent),
+            Source(name="bulk", per_second=0.2 * PEAK_PER_SECOND, spec=bulk),
+        ]
+        for source in sources:
+            source.priority = source.spec.priority
+        world = World(sources, policy=policy)
+        world.run(SECONDS)
+        for name, outcome in sorted(world.outcomes.items()):
+            part = outcome.good / outcome.offered
+            label = f"answered in time over offered, {policy}, {name}"
+            rows.append(Row(name=label, value=part, unit=""))
+    return rows
+
+
 def _due(name: str) -> float:
     return 10 - 9 * 0.75 if name == "large" else 0.75
 
