Test what mutants of admission and protection survived

Cause: of 29 mutants (a guard removed each) ten survived: charge given back on leaving the queue, settlement of the fair queue, a second close, the aging bound, an owner's learning time, the check at start, the second watch of a deadline, a ticket of a caller gone, an outlier's fresh record, the fading of a budget.

Changed: a test for each; the bulk request of the starvation test is now so large that its weight alone would not serve it in time.

--- a/packages/entry/tests/test_admission.py
+++ b/packages/entry/tests/test_admission.py
@@ -78,9 +78,20 @@
         assert bed.offer().reason is Reason.LIMITED
         ticket.close(served_tokens=0)
         ticket.close(served_tokens=0)
+        assert bed.admission.accounts.states["a"].running == 0
+        assert bed.admission.pools["m"].running == 0
         assert isinstance(bed.offer(), Ticket)
         assert bed.offer().reason is Reason.LIMITED
 
+    def test_a_request_that_leaves_the_queue_gets_its_charge_back(self):
+        bed = Bed(slots=1, accounts={"a": account(tokens_per_second=150.0)})
+        bed.offer(account="b")
+        waiting = bed.offer()
+        bucket = bed.admission.accounts.states["a"].tokens
+        assert bucket.level == 150.0
+        bed.admission.withdraw(waiting, [])
+        assert bucket.level == 300.0
+
     def test_requests_in_progress_are_bounded(self):
         bed = self.bed(max_concurrent=1)
         ticket = bed.offer()
@@ -189,6 +200,38 @@
         assert bed.woken[0].reason is Reason.DEADLINE
         assert bed.admission.accounts.states["b"].running == 0
 
+    def test_a_late_request_is_not_started(self):
+        bed = Bed(slots=1)
+        first = bed.offer()
+        bed.offer(account="b", deadline=1.0)
+        bed.clock.now = 1.1
+        first.close(150)
+        assert bed.woken[0].reason is Reason.DEADLINE
+        assert bed.admission.pools["m"].running == 0
+
+    def test_a_deadline_is_watched_until_the_end(self):
+        bed = Bed(slots=1)
+        first = bed.offer()
+        bed.clock.now = 1.0
+        first.close(150)
+        bed.offer()
+        bed.offer(account="b", deadline=3.1)
+        bed.admission.pools["m"].mean_hold = 0.1
+        bed.clock.now = 2.2
+        bed.admission.sweep()
+        assert not bed.woken
+        bed.clock.now = 3.1
+        bed.admission.sweep()
+        assert bed.woken[0].reason is Reason.DEADLINE
+
+    def test_a_ticket_for_a_caller_who_went_away_is_closed(self):
+        bed = Bed(slots=1)
+        first = bed.offer()
+        waiting = bed.offer()
+        first.close(150)
+        bed.admission.withdraw(waiting, bed.woken)
+        assert bed.admission.pools["m"].running == 0
+
     def test_clients_refused_in_overload_are_admitted_when_told(self):
         """Each comes back when told, while the queue drains at the same rate."""
         world = World([Source(name="a", per_second=1)], seed=5)
@@ -274,10 +317,24 @@
         got = [world.outcomes[n].served / share for n, (share, _) in specs.items()]
         assert jain(got) >= 0.99
 
+    def test_an_account_is_charged_what_it_used(self):
+        bed = Bed(slots=1)
+        running = bed.offer()
+        for _ in range(90):
+            bed.offer(account="little")
+            bed.offer(account="whole")
+        served = []
+        for _ in range(90):
+            running.close(50 if running.ask.account == "little" else 150)
+            running = bed.woken[-1]
+            served.append(running.ask.account)
+        # 50 prompt tokens cost a quarter of 100 prompt and 50 answer tokens.
+        assert 3.5 <= served.count("little") / served.count("whole") <= 4.5
+
     def test_bulk_is_not_starved_by_urgent_work(self):
         bed = Bed(slots=1, accounts={"b": account(priority=Priority.BULK)})
         running = bed.offer()
-        bed.offer(account="b", priority=Priority.BULK, answer_tokens=0)
+        bed.offer(account="b", priority=Priority.BULK, prompt_tokens=100_000)
         served = {}
         for step in range(200):
             bed.offer(priority=Priority.URGENT)
@@ -310,6 +367,33 @@
         assert limit == pytest.approx(world.engine.slots, rel=0.25)
 
 
+class TestCapacity:
+    """The bound on requests in progress."""
+
+    def feed(self, capacity, seconds, queueing, in_progress):
+        start = capacity.since
+        for step in range(1, round(seconds * 10) + 1):
+            capacity.used(in_progress(capacity))
+            capacity.observe(queueing(capacity, step), start + step * 0.1)
+
+    def test_it_finds_large_engines_soon(self):
+        capacity = Capacity(limit=64)
+        self.feed(capacity, 5.0, lambda *_: 0.0, lambda one: int(one.limit))
+        assert capacity.limit >= 320
+
+    def test_a_limit_out_of_use_stays(self):
+        capacity = Capacity(limit=64)
+        self.feed(capacity, 5.0, lambda *_: 0.0, lambda one: 10)
+        assert capacity.limit == 64
+
+    def test_a_standing_queue_lowers_it_to_the_floor_and_a_burst_does_not(self):
+        capacity = Capacity(limit=64, floor=8)
+        self.feed(capacity, 5.0, lambda _, step: step % 5 * 0.5, lambda one: 10)
+        assert capacity.limit == 64
+        self.feed(capacity, 30.0, lambda *_: 0.5, lambda one: int(one.limit))
+        assert capacity.limit == 8
+
+
 class AdmissionMachine(RuleBasedStateMachine):
     """Offers, ends, time and withdrawals in any order."""
 
--- a/packages/entry/tests/test_protect.py
+++ b/packages/entry/tests/test_protect.py
@@ -55,6 +55,15 @@
             taken += budget.take()
         assert taken == pytest.approx(10_000 * 0.1 + 100 * 1.0 + 10, rel=0.03)
 
+    def test_an_unused_balance_fades(self):
+        clock = Clock()
+        budget = RetryBudget(min_per_second=0.0, window=10.0, clock=clock)
+        for _ in range(100):
+            budget.request()
+        assert budget.take()
+        clock.now = 10.0
+        assert not budget.take()
+
     def test_a_quiet_entry_may_still_retry(self):
         clock = Clock()
         budget = RetryBudget(min_per_second=0.5, window=4.0, clock=clock)
@@ -146,6 +155,8 @@
         assert outliers.out() == {"u3"}
         clock.now = 7.0
         assert outliers.out() == frozenset()
+        self.feed(outliers, 1)
+        assert outliers.out() == frozenset()
 
     def test_never_more_than_the_share_is_out(self):
         outliers, _ = self.group()
--- a/packages/entry/tests/test_split.py
+++ b/packages/entry/tests/test_split.py
@@ -5,7 +5,7 @@
 import anyio
 import pytest
 
-from kumquatway.admission import Admission, Ask, Split, Ticket
+from kumquatway.admission import Admission, Ask, DemandItem, Demands, Split, Ticket
 from kumquatway.admission._split import OVERDRAFT, owner_of
 from kumquatway_core.text import Account
 
@@ -149,6 +149,16 @@
         allowed = sum(fleet.run(10.0, live))
         assert allowed / 10.0 / RATE <= 1.05
 
+    def test_an_owner_learns_before_it_grants_more(self):
+        fleet = Fleet()
+        owner = fleet.splits["entry-0"].owner
+        owner.follow(fleet.names)
+        item = DemandItem(account="a", demand=2.0, held=0.3)
+        demands = Demands(entry="entry-1", items=(item,))
+        assert owner.answer(demands).parts == (0.3,)
+        fleet.now = 2.0
+        assert owner.answer(demands).parts[0] > 0.9
+
     def test_an_account_that_nobody_reports_has_an_even_part(self):
         fleet = Fleet()
         assert fleet.splits["entry-0"].share("b") == OVERDRAFT / 4
