Add orders of the planner to the wire

Cause: the holder of the planner's lease tells agents what to load. Weighed: sending EngineOrder as it is; it has neither an id to answer to nor a bound on time. A relative timeout, since clocks of VMs differ. Changed: Order and OrderReply.

--- a/packages/core/src/kumquatway_core/wire/_messages.py
+++ b/packages/core/src/kumquatway_core/wire/_messages.py
@@ -287,6 +287,39 @@
     leave: bool
 
 
+class Order(_Message):
+    """
+    Tells an agent to have its engine load or unload a range; idempotent.
+
+    :param order: unique id of this try.
+    :param fence: fencing number of the lease under which it is given.
+    :param load: whether to load or unload.
+    :param timeout: seconds that the agent may spend on it.
+    """
+
+    order: str
+    vm: str
+    fence: int
+    load: bool
+    holding: Holding
+    timeout: float
+
+
+class OrderReply(_Message):
+    """
+    The end of an order.
+
+    :param done: the engine holds what the order asks for.
+    :param fence: the highest fencing number that the agent has seen.
+    """
+
+    order: str
+    vm: str
+    done: bool
+    fence: int
+    detail: str = ""
+
+
 class Beat(_Message):
     """
     A heartbeat, answered on the same connection.
@@ -318,6 +351,8 @@
     | Status
     | Subscribe
     | Drain
+    | Order
+    | OrderReply
     | Beat
     | BeatReply
 )
