--- a/packages/entry/src/kumquatway/placement/_flow.py
+++ b/packages/entry/src/kumquatway/placement/_flow.py
@@ -7,7 +7,7 @@
 data centre and range form one edge, so that the graph does not grow with the VMs.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
@@ -61,8 +61,7 @@
     :param text: the text in force.
     :return: tokens per second by model.
     """
-    flows = _flows(holdings, fleet, text, text.models)
-    return {name: sum(flow.total for flow in parts) for name, parts in flows.items()}
+    return bound_of(text.models, holdings, fleet, text)
 
 
 def bound_of(
@@ -156,9 +155,9 @@
         held = [(node, h) for node, h in pairs if h.version == version]
         flow = _version_flow(name, held, left, fleet, text)
         flows.append(flow)
+        kinds = {node.name: node.accelerator for node, _ in held}
         for (vm, span), tokens in flow.by_vm.items():
-            node = next(node for node, _ in held if node.name == vm)
-            speed = rate(text.accelerators[node.accelerator])
+            speed = rate(text.accelerators[kinds[vm]])
             left[vm] -= tokens * (span.end - span.first) / speed
     return flows
 
@@ -187,9 +186,11 @@
     model = text.models[name]
     port = fleet.links.within.bandwidth / model.activation_bytes
     edges: dict[_Range, _Edge] = defaultdict(_Edge)
+    ranges = Counter(node.name for node, _ in held)
     for node, holding in held:
         layers = holding.end - holding.first
         speed = rate(text.accelerators[node.accelerator]) / layers
+        speed /= ranges[node.name]
         capacity = min(speed * max(left[node.name], 0.0), port)
         span = _Range(node.data_centre, holding.first, holding.end)
         edges[span].vms[node.name] = capacity
--- a/packages/entry/src/kumquatway/placement/_plan.py
+++ b/packages/entry/src/kumquatway/placement/_plan.py
@@ -2,10 +2,21 @@
 Plan.
 
 Chooses what each VM holds, starting from what is loaded.
+
+Three layouts are compared: what is loaded, the same with single VMs moved, and a
+fresh one. The one with the fewest layers to load wins among those that come near
+enough to the fresh one; the fresh one must gain more, since it moves most.
 """
 
+from collections.abc import Iterator
+from statistics import median
+
+from kumquatway.placement._allot import is_shared
 from kumquatway.placement._flow import bound, flow_shares
-from kumquatway.placement._layout import fresh, matched, to_holdings
+from kumquatway.placement._layout import Layout, fresh, matched, to_holdings
+from kumquatway.placement._loaded import read_layout
+from kumquatway.placement._repair import repair, worth
+from kumquatway.placement._split import Cell
 from kumquatway.placement._types import Fleet, Holdings, Limits, Plan
 from kumquatway_core.text import Text
 
@@ -26,9 +37,57 @@
     :return: the plan.
     """
     current = fleet.holdings if current is None else current
-    vms = [node.name for node in fleet.nodes if node.live]
-    layout = matched(fresh(fleet, text), current)
-    return make_plan(to_holdings(layout, vms, text), current, fleet, text)
+    limits = limits or Limits()
+    ideal = fresh(fleet, text)
+    flows = bound(to_holdings(ideal, _live(fleet), text), fleet, text)
+    goals = _goals(ideal, flows, text)
+    for layout, loss in _cheaper(current, goals, fleet, text, limits):
+        holdings = to_holdings(layout, _live(fleet), text)
+        flows = bound(holdings, fleet, text)
+        if all(
+            _linked_worth(layout[name], flows[name]) >= (1 - loss) * goal
+            for name, goal in goals.items()
+        ):
+            return make_plan(holdings, current, fleet, text)
+    holdings = to_holdings(matched(ideal, current), _live(fleet), text)
+    return make_plan(holdings, current, fleet, text)
+
+
+def _live(fleet: Fleet) -> list[str]:
+    return [node.name for node in fleet.nodes if node.live]
+
+
+def _cheaper(
+    current: Holdings,
+    goals: dict[str, float],
+    fleet: Fleet,
+    text: Text,
+    limits: Limits,
+) -> Iterator[tuple[Layout, float]]:
+    """Make the layouts that load less, the least first, with the loss allowed."""
+    yield read_layout(current, fleet, text), limits.min_gain
+    if is_shared(fleet, text):
+        return
+    mended = read_layout(current, fleet, text)
+    yield repair(mended, goals, fleet, text, limits), limits.min_gain_of_all
+
+
+def _goals(ideal: Layout, flows: dict[str, float], text: Text) -> dict[str, float]:
+    """Cap what a fresh layout gives each model at the median by demand."""
+    worths = {name: _linked_worth(cells, flows[name]) for name, cells in ideal.items()}
+    level = median(
+        [worth / text.models[name].demand for name, worth in worths.items()] or [0.0]
+    )
+    return {
+        name: min(worth, level * text.models[name].demand)
+        for name, worth in worths.items()
+    }
+
+
+def _linked_worth(cells: list[Cell], flow: float) -> float:
+    """Value the flow that the links let through, less where a rack can end it."""
+    own = sum(cell.flow for cell in cells)
+    return flow * worth(cells) / own if own else 0.0
 
 
 def make_plan(holdings: Holdings, current: Holdings, fleet: Fleet, text: Text) -> Plan:
--- a/packages/entry/src/kumquatway/placement/_types.py
+++ b/packages/entry/src/kumquatway/placement/_types.py
@@ -4,6 +4,7 @@
 What the planner reads and what it answers.
 """
 
+import enum
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -133,6 +134,8 @@
     What a plan and its moves keep to.
 
     :param min_gain: the share of a model's flow below which nothing is moved.
+    :param min_gain_of_all: the share of a model's flow below which single VMs are
+        moved, but not the whole fleet.
     :param store_bytes: rate of the weight store, bytes per second.
     :param wave_seconds: the longest time the loads of one wave may take.
     :param floor: the share of the flow in force that stays in service while
@@ -140,6 +143,50 @@
     """
 
     min_gain: float = 0.05
+    min_gain_of_all: float = 0.15
     store_bytes: float = 4 * GIB
     wave_seconds: float = 60.0
     floor: float = 0.75
+
+
+class Action(enum.StrEnum):
+    """What a move does."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Move:
+    """One order to one VM; doing it again changes nothing."""
+
+    vm: str
+    action: Action
+    holding: Holding
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Wave:
+    """
+    Moves that may be made at once, after those of the waves before.
+
+    :param load_bytes: what they take from the weight store.
+    :param seconds: the time that the weight store needs for it.
+    """
+
+    moves: tuple[Move, ...]
+    load_bytes: float
+    seconds: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Schedule:
+    """
+    The moves from one state to another, in order.
+
+    :param waves: one after the other.
+    :param stalled: moves that no order allows without too great a loss of flow.
+    """
+
+    waves: tuple[Wave, ...]
+    stalled: tuple[Move, ...] = ()
