--- a/packages/entry/src/kumquatway/placement/_split.py
+++ b/packages/entry/src/kumquatway/placement/_split.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass, field
 
 BISECTIONS = 24
-STAGE_COST = 0.001
+STAGE_COST = 0.001  # layers for each stage
 HEADROOM_WORTH = 0.95
+SPREADS = ((2, 2), (1, 2), (1, 1))  # racks and VMs of a stage
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -78,29 +79,33 @@
         return min(self.layers, int(self.rate / flow + 1e-9))
 
 
-def split(model: str, layers: int, seats: list[Seat]) -> Cell | None:
+def split(
+    model: str,
+    layers: int,
+    seats: list[Seat],
+    spread: tuple[tuple[int, int], ...] = SPREADS,
+) -> Cell | None:
     """
     Divide the layers so that the flow is highest.
 
     A split that leaves half of each VM's memory free for the next version is
-    preferred where it costs little flow, and stages on two racks to stages on one.
+    preferred where it costs little flow.
 
     :param model: name of the model.
     :param layers: its number of layers.
     :param seats: the VMs of the cell.
+    :param spread: the least racks and VMs of a stage, the first that works.
     :return: the cell, or None where the VMs cannot hold the model.
     """
-    cells = []
-    for racks, vms in ((2, 2), (1, 2), (1, 1)):
+    for racks, vms in spread:
         full = _split(model, layers, seats, 1.0, racks, vms)
         if full is None:
             continue
         half = _split(model, layers, seats, 0.5, racks, vms)
         if half is not None and half.flow >= HEADROOM_WORTH * full.flow:
             return half
-        cells.append(full)
-        break
-    return cells[0] if cells else None
+        return full
+    return None
 
 
 def _split(
--- a/packages/entry/tests/test_placement.py
+++ b/packages/entry/tests/test_placement.py
@@ -5,6 +5,7 @@
 """
 
 from collections import defaultdict
+from dataclasses import replace
 
 from hypothesis import given, settings, strategies as st
 
@@ -132,3 +133,23 @@
             for lost in {key(node) for node in fleet.nodes}:
                 rest = without(fleet, lambda n, k=key, x=lost: k(n) == x, holdings)
                 assert min(bound(holdings, rest, text).values()) > 0
+
+    def test_vms_that_leave_get_no_layers(self):
+        text, fleet = make_text(), make_fleet()
+        nodes = tuple(replace(node, live=node.name != "vm000") for node in fleet.nodes)
+        result = plan(text, replace(fleet, nodes=nodes))
+        assert "vm000" not in result.holdings
+        assert result.unserved == ()
+
+    def test_a_model_too_large_is_named(self):
+        text = make_text(2, layers=80, layer_mib=1024)
+        text.models["m0"] = Model(layers=80, layer_mib=200_000)
+        result = plan(text, make_fleet())
+        assert result.unserved == ("m0",)
+        assert result.bounds["m1"] > 0
+
+    def test_slow_links_keep_pipelines_inside_data_centres(self):
+        text, fleet = make_text(1), make_fleet()
+        slow = replace(fleet, links=Links(across=Link(latency=0.03, bandwidth=1e6)))
+        fast = plan(text, fleet).bounds["m0"]
+        assert plan(text, slow).bounds["m0"] > 0.95 * fast
--- a/packages/entry/tests/test_placement_steps.py
+++ b/packages/entry/tests/test_placement_steps.py
@@ -9,6 +9,7 @@
 
 import anyio
 import pytest
+from hypothesis import given, settings, strategies as st
 
 from kumquatway.placement import (
     Action,
@@ -22,6 +23,7 @@
     render_plan,
     steps,
 )
+from kumquatway.placement._steps import flow_in_force
 from kumquatway_core import RAN, Reason, Verdict, not_run
 from kumquatway_core.exceptions import ConfigurationError
 
@@ -86,6 +88,40 @@
             assert bound(state, fleet, after)["m0"] >= floor * (1 - EPSILON)
         assert state == {vm: tuple(h) for vm, h in target.holdings.items()}
 
+    @settings(derandomize=True, deadline=None, max_examples=25)
+    @given(
+        count=st.integers(2, 30),
+        models=st.integers(1, 3),
+        lost=st.integers(0, 4),
+        layer_mib=st.sampled_from([128, 512, 1024]),
+        version=st.sampled_from(["1", "2"]),
+    )
+    def test_any_change_fits_the_memory_and_ends_at_its_plan(
+        self, count, models, lost, layer_mib, version
+    ):
+        before = make_text(models, 48, layer_mib)
+        after = make_text(models, 48, layer_mib, version)
+        state = plan(before, make_fleet(count)).holdings
+        fleet = without(make_fleet(count), lambda n: n.name < f"vm{lost:03}", state)
+        state = fleet.holdings
+        target, schedule = changed(after, fleet, state)
+        least = {
+            name: min(flow, target.bounds[name])
+            for name, flow in bound(state, fleet, after).items()
+        }
+        for wave in schedule.waves:
+            state = apply_moves(state, wave.moves)
+            check_memory(state, fleet, after)
+            views = flow_in_force(state, target.holdings, fleet, after, least)
+            assert any(
+                all(flows[name] >= 0.74 * flow for name, flow in least.items())
+                for flows in views
+            )
+        done = apply_moves(state, schedule.stalled)
+        assert {vm: set(held) for vm, held in done.items()} == {
+            vm: set(held) for vm, held in target.holdings.items()
+        }
+
     def test_a_roll_out_without_room_keeps_the_floor(self):
         fleet = make_fleet(24, kinds=("k1",))
         before, after = make_text(1, 64, 1024), make_text(1, 64, 1024, "2")
