--- a/packages/core/src/kumquatway_core/claims/_claims.py
+++ b/packages/core/src/kumquatway_core/claims/_claims.py
@@ -29,6 +29,7 @@
     State,
     decode_row,
     encode_row,
+    object_name,
     row_key,
 )
 from kumquatway_core.exceptions import PlatformError
@@ -253,7 +254,7 @@
 
     async def _store_object(self, claim: Claim, answer: Answer) -> str:
         """Store an answer beside its row; "" where it could not be stored."""
-        name = f"claims/{claim.place.key}/{claim.row.token}"
+        name = object_name(claim.row, claim.place.key)
         try:
             await self.objects.put(name, _encoder.encode(answer))
         except PlatformError:
--- a/packages/core/src/kumquatway_core/claims/_rows.py
+++ b/packages/core/src/kumquatway_core/claims/_rows.py
@@ -13,6 +13,9 @@
 
 TABLE = "claims"
 KEY_BYTES = 20
+OBJECT_PREFIX = "claims/"
+HOUR_SECONDS = 3600.0
+HOUR_DIGITS = 8
 
 
 class State(enum.StrEnum):
@@ -76,6 +79,30 @@
     return hashlib.blake2b(parts, digest_size=KEY_BYTES).hexdigest()
 
 
+def object_name(row: ClaimRow, place: str) -> str:
+    """
+    Name the object of a large answer; names are in the order of the claims' hours.
+
+    :param row: the claim.
+    :param place: the key of its row.
+    :return: the name.
+    """
+    hour = int(row.written // HOUR_SECONDS)
+    return f"{OBJECT_PREFIX}{hour:0{HOUR_DIGITS}}/{place}/{row.token}"
+
+
+def hour_end(name: str) -> float:
+    """
+    Tell when the hour of an object's claim ended.
+
+    :param name: the object's name.
+    :return: wall clock, seconds.
+    :raises ValueError: if the name is not of a claim.
+    """
+    hour = name.removeprefix(OBJECT_PREFIX).split("/")[0]
+    return (int(hour) + 1) * HOUR_SECONDS
+
+
 def encode_row(row: ClaimRow) -> bytes:
     """
     Encode a row.
--- a/packages/core/src/kumquatway_core/claims/_sweep.py
+++ b/packages/core/src/kumquatway_core/claims/_sweep.py
@@ -10,7 +10,7 @@
 import anyio
 from loguru import logger
 
-from kumquatway_core.claims._rows import TABLE, ClaimRow, decode_row
+from kumquatway_core.claims._rows import OBJECT_PREFIX, TABLE, decode_row, hour_end
 from kumquatway_core.exceptions import Conflict, PlatformError
 from kumquatway_core.leases import Lease
 from kumquatway_core.platform import (
@@ -67,7 +67,10 @@
 
     async def step(self) -> bool:
         """
-        Look at one page and delete what is expired on it.
+        Look at one page of rows and delete what is expired on it.
+
+        Large answers go with the last page of a pass, by the hour in their names, so
+        that those whose row never came to name them go too.
 
         :return: whether more pages follow in this pass.
         :raises PlatformError: if the store did not answer.
@@ -76,28 +79,33 @@
         await self._delete([row for row in rows if self._is_expired(row)])
         more = len(rows) == PAGE
         self.after = rows[-1].key if more else ""
+        if not more:
+            await self._delete_objects()
         return more
 
     def _is_expired(self, row: Row) -> bool:
         try:
-            age = self.clock() - decode_row(row.value).written
+            written = decode_row(row.value).written
         except PlatformError:
             return False  # of a later release; its own sweep deletes it
-        return age > RETENTION_SECONDS + SKEW_SECONDS
+        return self._is_past(written)
+
+    def _is_past(self, time: float) -> bool:
+        return self.clock() - time > RETENTION_SECONDS + SKEW_SECONDS
 
     async def _delete(self, rows: list[Row]) -> None:
         if not rows:
             return
-        for row in rows:
-            await self._delete_object(decode_row(row.value))
         try:
             await self.table.commit(_deletion(rows))
         except Conflict:
             logger.info("a claim changed under the sweep; the next pass sees it")
 
-    async def _delete_object(self, claim: ClaimRow) -> None:
-        if claim.stored:
-            await self.objects.delete(claim.stored)
+    async def _delete_objects(self) -> None:
+        for name in await self.objects.list(OBJECT_PREFIX, limit=PAGE):
+            if not self._is_past(hour_end(name)):
+                break
+            await self.objects.delete(name)
 
 
 def _deletion(rows: list[Row]) -> Transaction:
--- a/packages/core/src/kumquatway_core/leases/_lease.py
+++ b/packages/core/src/kumquatway_core/leases/_lease.py
@@ -24,6 +24,7 @@
 
 TABLE = "leases"
 DURATION_SECONDS = 10.0
+RENEW_SHARE = 0.5  # of the duration left, above which nothing is written
 DRIFT = 0.01  # share by which two monotonic clocks may run apart
 NEVER = float("-inf")
 
@@ -103,8 +104,12 @@
         """
         Acquire the lease or renew it; to be called a few times per duration.
 
+        While more than half of the duration is left, the store is not asked.
+
         :return: whether it is held now.
         """
+        if self.still_mine(self.duration * RENEW_SHARE):
+            return True
         with contextlib.suppress(PlatformError):  # it holds until it expires
             await self._try_hold()
         return self.still_mine()
--- a/packages/core/src/kumquatway_core/platform/_messages.py
+++ b/packages/core/src/kumquatway_core/platform/_messages.py
@@ -111,7 +111,7 @@
 
 
 class Names(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Names of objects, in order."""
+    """A page of names of objects, in order."""
 
     names: tuple[str, ...]
 
--- a/packages/core/src/kumquatway_core/platform/_objects.py
+++ b/packages/core/src/kumquatway_core/platform/_objects.py
@@ -5,7 +5,7 @@
 """
 
 from http import HTTPStatus
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 import msgspec
 
@@ -61,16 +61,20 @@
         response = await self.channel.repeat("DELETE", _path(name))
         _expect_ok(response.status_code)
 
-    async def list(self, prefix: str = "") -> tuple[str, ...]:
+    async def list(
+        self, prefix: str = "", after: str = "", limit: int = 100
+    ) -> tuple[str, ...]:
         """
-        List the names of objects.
+        List a page of the names of objects, in order.
 
         :param prefix: what each name begins with.
-        :return: the names, in order.
+        :param after: the last name of the page before, or "".
+        :param limit: the most names to return.
+        :return: the names.
         :raises PlatformError: if the store did not answer.
         """
-        path = f"/objects?prefix={quote(prefix, safe='')}"
-        response = await self.channel.repeat("GET", path)
+        query = urlencode({"prefix": prefix, "after": after, "limit": limit})
+        response = await self.channel.repeat("GET", f"/objects?{query}")
         _expect_ok(response.status_code)
         return decode(_names, response.content).names
 
--- a/packages/core/tests/test_claims.py
+++ b/packages/core/tests/test_claims.py
@@ -25,6 +25,7 @@
     _rows,
     _sweep,
 )
+from kumquatway_core.exceptions import PlatformUnavailable
 from kumquatway_core.leases import Lease
 from kumquatway_core.platform import (
     Channel,
@@ -344,6 +345,93 @@
 
         anyio.run(main)
 
+    def test_an_answer_whose_row_was_never_written_goes_by_its_hour(self):
+        platform = _Platform()
+        entry = platform.entry()
+        large = Answer(status=200, body=b"x" * (_claims.MAX_INLINE + 1))
+        lease = Lease(table=platform.table, name="sweep", holder="a")
+        sweep = Sweep(
+            table=platform.table,
+            objects=platform.objects,
+            lease=lease,
+            clock=lambda: platform.now,
+        )
+
+        async def main():
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(entry.group.run)
+                granted = await claim(entry, "1")
+                platform.service.gate.faults = Faults(down=True)
+                assert await entry.complete(granted.claim, large) is Kept.LATER
+                tasks.cancel_scope.cancel()
+            platform.service.gate.faults = Faults()
+            platform.now = RETENTION_SECONDS + _sweep.SKEW_SECONDS
+            await sweep.step()
+            assert len(platform.store.objects) == 1
+            platform.now += _rows.HOUR_SECONDS + 1
+            await sweep.step()
+            assert not platform.store.objects
+
+        anyio.run(main)
+
+    def test_the_holder_of_the_lease_sweeps_and_the_other_waits(self, monkeypatch):
+        monkeypatch.setattr(_sweep, "REST_SECONDS", 0.0)
+        platform = _Platform()
+        sweeps = [
+            Sweep(
+                table=platform.table,
+                objects=platform.objects,
+                lease=Lease(table=platform.table, name="sweep", holder=holder),
+                clock=lambda: platform.now,
+            )
+            for holder in ("a", "b")
+        ]
+        stepped = []
+
+        def record(sweep):
+            async def step():
+                stepped.append(sweep.lease.holder)
+                return False
+
+            sweep.step = step
+
+        async def main():
+            with anyio.fail_after(10):
+                async with anyio.create_task_group() as tasks:
+                    for sweep in sweeps:
+                        record(sweep)
+                        tasks.start_soon(sweep.run)
+                    while len(stepped) < 5:
+                        await anyio.sleep(0)
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+        assert len(set(stepped)) == 1
+
+    def test_a_sweep_survives_an_outage(self, monkeypatch):
+        monkeypatch.setattr(_sweep, "REST_SECONDS", 0.0)
+        platform = _Platform()
+        lease = Lease(table=platform.table, name="sweep", holder="a")
+        sweep = Sweep(table=platform.table, objects=platform.objects, lease=lease)
+
+        errors = iter((PlatformUnavailable("down"),))
+        stepped = anyio.Event()
+
+        async def step():
+            for error in errors:
+                raise error
+            stepped.set()
+
+        async def main():
+            sweep.step = step
+            with anyio.fail_after(10):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(sweep.run)
+                    await stepped.wait()
+                    tasks.cancel_scope.cancel()
+
+        anyio.run(main)
+
 
 class ClaimsMachine(RuleBasedStateMachine):
     """Three entries that claim, dispatch, die and are paused at any point."""
@@ -458,5 +546,5 @@
 
 TestClaimsMachine = ClaimsMachine.TestCase
 TestClaimsMachine.settings = settings(
-    max_examples=30, stateful_step_count=25, derandomize=True, deadline=None
+    max_examples=60, stateful_step_count=25, derandomize=True, deadline=None
 )
--- a/packages/core/tests/test_leases.py
+++ b/packages/core/tests/test_leases.py
@@ -2,11 +2,12 @@
 
 import asyncio
 
+import anyio
 import httpx
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from kumquatway_core.leases import Lease
+from kumquatway_core.leases import Fence, Lease, OlderNumber
 from kumquatway_core.leases._lease import DRIFT
 from kumquatway_core.platform import Channel, Table
 from kumquatway_fakes import Faults, TableService
@@ -95,6 +96,12 @@
         assert self.fleet.hold("a")
         assert self.a.expires == DURATION
 
+    def test_a_fresh_lease_costs_no_call(self):
+        self.fleet.hold("a")
+        writes = self.fleet.service.gate.counts["writes"]
+        assert self.fleet.hold("a")
+        assert self.fleet.service.gate.counts["writes"] == writes
+
     def test_an_outage_leaves_the_lease_until_it_expires(self):
         self.fleet.hold("a")
         self.fleet.service.gate.faults = Faults(down=True)
@@ -118,13 +125,41 @@
 
     def test_a_late_renewal_does_not_undo_a_release(self):
         self.fleet.hold("a")
+        self.fleet.now = 6.0
         self.fleet.service.gate.faults = Faults(late_next=1)
         self.fleet.hold("a")
         self.fleet.release("a")
+        assert self.fleet.service.gate.late
         self.fleet.service.gate.land()
         assert self.fleet.hold("b")
 
 
+class TestFence:
+    """The agent's guard of an upstream that ignores numbers."""
+
+    def test_an_older_order_waits_its_turn_and_is_refused(self):
+        fence = Fence()
+        given = []
+
+        def order(number):
+            async def give():
+                await anyio.sleep(0)
+                given.append(number)
+                return number
+
+            return give
+
+        async def run():
+            return await asyncio.gather(
+                fence.give(1, order(1)),
+                fence.give(2, order(2)),
+                fence.give(1, order(1)),
+            )
+
+        assert anyio.run(run) == [1, 2, OlderNumber(number=1, highest=2)]
+        assert given == [1, 2]
+
+
 class LeaseMachine(RuleBasedStateMachine):
     """Holders that pause, renew, release and lose answers in any order."""
 
@@ -182,5 +217,5 @@
 
 TestLeaseMachine = LeaseMachine.TestCase
 TestLeaseMachine.settings = settings(
-    max_examples=30, stateful_step_count=25, derandomize=True, deadline=None
+    max_examples=60, stateful_step_count=25, derandomize=True, deadline=None
 )
--- a/packages/core/tests/test_revisions.py
+++ b/packages/core/tests/test_revisions.py
@@ -268,5 +268,5 @@
 
 TestRevisionsMachine = RevisionsMachine.TestCase
 TestRevisionsMachine.settings = settings(
-    max_examples=25, stateful_step_count=25, derandomize=True, deadline=None
+    max_examples=60, stateful_step_count=25, derandomize=True, deadline=None
 )
--- a/packages/fakes/src/kumquatway_fakes/_objects.py
+++ b/packages/fakes/src/kumquatway_fakes/_objects.py
@@ -35,10 +35,16 @@
 
     async def _list(self, request: Request) -> Response:
         prefix = request.query_params.get("prefix", "")
+        after = request.query_params.get("after", "")
+        limit = int(request.query_params.get("limit", "100"))
 
         def effect() -> Response:
-            names = sorted(name for name in self.objects if name.startswith(prefix))
-            return reply(Names(names=tuple(names)))
+            names = sorted(
+                name
+                for name in self.objects
+                if name.startswith(prefix) and name > after
+            )
+            return reply(Names(names=tuple(names[:limit])))
 
         return await self.gate.read(effect)
 
