Make the lease's machine find a missing order bound; test two more guards

Cause: in a scratch copy the machine passed without the order bound and with falling numbers, the fence without its lock, and a claim took over one that had run. Weighed: more steps alone; a last act before expiry and both holders contending are rules now, and the store is down in a quarter of the draws, not in half. Changed: tests; release no longer asks whether the lease still holds, since the compare-and-swap on the own row decides. Conclusion: each of those removed guards now turns a test red.

--- a/packages/core/src/kumquatway_core/leases/_lease.py
+++ b/packages/core/src/kumquatway_core/leases/_lease.py
@@ -140,10 +140,7 @@
 
         :return: whether the table says so; if not, it lapses.
         """
-        was_mine = self.still_mine()
         self.expires = NEVER
-        if not was_mine:
-            return False
         try:
             row = await self._read()
             found = _decode(row)
--- a/packages/core/tests/test_claims.py
+++ b/packages/core/tests/test_claims.py
@@ -39,6 +39,7 @@
 
 ANSWER = Answer(status=200, body=b"seat 7")
 KEYS = ("k1", "k2")
+SELDOM = st.sampled_from((False, False, False, True))
 
 
 class _Platform:
@@ -259,6 +260,16 @@
 
         self.run(scenario)
 
+    def test_a_request_that_ran_is_not_taken_over_while_its_answer_waits(self):
+        async def scenario():
+            granted = await claim(self.a, "1")
+            self.set_faults(down=True)
+            await self.a.complete(granted.claim, ANSWER)
+            self.set_faults()
+            assert (await claim(self.a, "2")).verdict.ran is MAY_HAVE_RUN
+
+        self.run(scenario)
+
     def test_a_large_answer_lies_in_the_object_store(self):
         large = Answer(status=200, body=b"x" * (_claims.MAX_INLINE + 1))
 
@@ -527,7 +538,11 @@
     def replace_entry(self, which):
         self.entries[which] = self.start()
 
-    @rule(lost=st.integers(0, 4), late=st.integers(0, 4), down=st.booleans())
+    @rule(
+        lost=st.integers(0, 4),
+        late=st.integers(0, 4),
+        down=SELDOM,
+    )
     def set_faults(self, lost, late, down):
         self.platform.service.gate.faults = Faults(
             down=down, lose_next=lost, late_next=late
--- a/packages/core/tests/test_leases.py
+++ b/packages/core/tests/test_leases.py
@@ -16,7 +16,8 @@
 ORDER_BOUND = 3.0
 MARGIN = 1.0
 WAIT = DURATION * (1 + DRIFT) + ORDER_BOUND
-HOLDERS = ("a", "b", "c")
+HOLDERS = ("a", "b")
+SELDOM = st.sampled_from((False, False, False, True))
 
 
 class _Fleet:
@@ -143,7 +144,8 @@
 
         def order(number):
             async def give():
-                await anyio.sleep(0)
+                for _ in range(3 - number):
+                    await anyio.sleep(0)
                 given.append(number)
                 return number
 
@@ -183,11 +185,15 @@
         if self.fleet.now >= landed:
             self.fleet.release(holder)
 
-    @rule(seconds=st.sampled_from((0.5, 4.0, DURATION, WAIT + 0.1)))
+    @rule(seconds=st.sampled_from((1.5, WAIT + 0.1)))
     def pass_time(self, seconds):
         self.fleet.now += seconds
 
-    @rule(lost=st.integers(0, 2), late=st.integers(0, 2), down=st.booleans())
+    @rule(
+        lost=st.integers(0, 2),
+        late=st.integers(0, 2),
+        down=SELDOM,
+    )
     def set_faults(self, lost, late, down):
         self.fleet.service.gate.faults = Faults(
             down=down, lose_next=lost, late_next=late
@@ -197,6 +203,19 @@
     def land(self):
         self.fleet.service.gate.land()
 
+    @rule()
+    def contend(self):
+        for holder in HOLDERS:
+            self.fleet.hold(holder)
+            self.act(holder)
+
+    @rule()
+    def act_at_the_last_moment(self):
+        for holder, lease in self.fleet.leases.items():
+            if lease.still_mine():
+                self.fleet.now = max(self.fleet.now, lease.expires - 0.1)
+                self.act(holder)
+
     @rule(holder=st.sampled_from(HOLDERS))
     def act(self, holder):
         """An order of a holder comes after every order of earlier holders landed."""
@@ -217,5 +236,5 @@
 
 TestLeaseMachine = LeaseMachine.TestCase
 TestLeaseMachine.settings = settings(
-    max_examples=60, stateful_step_count=25, derandomize=True, deadline=None
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
 )
--- a/packages/core/tests/test_revisions.py
+++ b/packages/core/tests/test_revisions.py
@@ -23,6 +23,7 @@
 from kumquatway_fakes import Faults, TableService
 
 WRONG = "wrong"
+SELDOM = st.sampled_from((False, False, False, True))
 
 
 def check(text: str) -> tuple[str, ...]:
@@ -241,7 +242,11 @@
         if revision is not None:
             self.runner.run(self.replicas[taker].offer(revision))
 
-    @rule(lost=st.integers(0, 4), late=st.integers(0, 4), down=st.booleans())
+    @rule(
+        lost=st.integers(0, 4),
+        late=st.integers(0, 4),
+        down=SELDOM,
+    )
     def set_faults(self, lost, late, down):
         self.service.gate.faults = Faults(down=down, lose_next=lost, late_next=late)
 
