--- a/benchmarks/_load.py
+++ b/benchmarks/_load.py
@@ -24,6 +24,7 @@
     """
     One streamed answer as its caller saw it.
 
+    :param request: its id, from the answer's headers.
     :param times: monotonic seconds of each token.
     :param texts: of each token.
     :param finish: why it ended, or "" for an error.
@@ -32,6 +33,7 @@
 
     prompt: str
     started: float
+    request: str = ""
     times: list[float] = field(default_factory=list)
     texts: list[str] = field(default_factory=list)
     finish: str = ""
@@ -92,6 +94,7 @@
     stream = into or Stream(prompt=prompt, started=clock())
     try:
         async with http.stream("POST", "/v1/completions", json=body) as response:
+            stream.request = response.headers.get("X-Request-Id", "")
             if response.status_code != httpx.codes.OK:
                 stream.error = (await response.aread()).decode()
                 return stream
--- a/packages/core/src/kumquatway_core/mesh/_mesh.py
+++ b/packages/core/src/kumquatway_core/mesh/_mesh.py
@@ -132,6 +132,7 @@
             address=address,
             identity=f"{self.address}|{self.incarnation}",
             peers=lambda: len(self.peers),
+            hot_peers=self._count_hot,
             hlc=self.hlc,
             on_state=self.on_state,
             on_lost=self.on_lost,
@@ -142,6 +143,9 @@
             self._group.start_soon(peer.run)
         return peer
 
+    def _count_hot(self) -> int:
+        return sum(peer.is_hot() for peer in self.peers.values())
+
     async def _close_idle(self) -> None:
         while True:
             await anyio.sleep(IDLE_CHECK)
--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -17,7 +17,15 @@
 from kumquatway_core import Reason, Verdict, not_run
 from kumquatway_core.exceptions import WireError
 from kumquatway_core.mesh._beats import AckDelay, beat_interval, silence_bound
-from kumquatway_core.wire import Ack, Beat, BeatReply, Message, decode, encode
+from kumquatway_core.wire import (
+    Ack,
+    Beat,
+    BeatReply,
+    Message,
+    Steps,
+    decode,
+    encode,
+)
 
 WINDOW = 8 * 1024 * 1024  # bytes sent and not yet acknowledged
 OUTBOX_BOUND = 64 * 1024 * 1024  # bytes waiting for the window
@@ -25,6 +33,8 @@
 REFUSED_EVENTS = zmq.EVENT_CLOSED | zmq.EVENT_CONNECT_RETRIED
 MAX_ANSWER_WAIT = 2.0  # seconds
 GUARD_PAUSE = 0.05  # seconds
+HOT_FOR = 2.0  # seconds after a step
+COLD_INTERVAL = 0.5  # seconds
 RECONNECT_MS = 50
 SMOOTHING = 0.2
 UNSEQUENCED = 0
@@ -66,6 +76,7 @@
     :param address: `host:port` of the other end.
     :param identity: this process's address and incarnation.
     :param peers: tells the number of open connections of the process.
+    :param hot_peers: tells the number of those that streams depend on.
     :param hlc: reads the hybrid logical clock.
     :param on_state: called with the peer at each change of its state.
     :param on_lost: called with the peer and the messages that a new incarnation
@@ -79,6 +90,7 @@
         address: str,
         identity: str,
         peers: Callable[[], int],
+        hot_peers: Callable[[], int],
         hlc: Callable[[], int],
         on_state: Callable[["Peer"], None],
         on_lost: Callable[["Peer", list[Message]], None],
@@ -88,6 +100,7 @@
         self.address = address
         self.identity = identity
         self.peers = peers
+        self.hot_peers = hot_peers
         self.hlc = hlc
         self.on_state = on_state
         self.on_lost = on_lost
@@ -97,6 +110,7 @@
         self.connections = 0
         self.round_trip = 0.0
         self.last_used = clock()
+        self.last_step = float("-inf")
         self.closed = False
         self._outbox: deque[Parcel] = deque()
         self._outbox_bytes = 0
@@ -110,6 +124,7 @@
         self._ack_delay = AckDelay()
         self._wake = anyio.Event()
         self._awaited = anyio.Event()
+        self._heated = anyio.Event()
         self._broken = anyio.Event()
         self._scope = anyio.CancelScope()
 
@@ -127,6 +142,8 @@
         self._outbox.append(parcel)
         self._outbox_bytes += len(parcel.data)
         self.last_used = self.clock()
+        if isinstance(message, Steps):
+            self._heat()
         self._wake.set()
         return parcel
 
@@ -142,6 +159,14 @@
         parcel.withdrawn = True
         return True
 
+    def is_hot(self) -> bool:
+        """
+        Tell whether streams depend on this connection now.
+
+        :return: True if a step was sent within the last `HOT_FOR` seconds.
+        """
+        return self.clock() - self.last_step < HOT_FOR
+
     def backlog(self) -> int:
         """
         Tell how much waits for this peer.
@@ -327,11 +352,25 @@
             if waits:
                 await anyio.sleep(GUARD_PAUSE)
 
+    def _heat(self) -> None:
+        if not self.is_hot():
+            self._heated.set()
+        self.last_step = self.clock()
+
+    def _interval(self) -> float:
+        if self.is_hot():
+            return beat_interval(self.hot_peers())
+        return max(beat_interval(self.peers()), COLD_INTERVAL)
+
     async def _beat(self, socket: zmq.asyncio.Socket) -> None:
         while True:
-            interval = beat_interval(self.peers())
+            interval = self._interval()
             before = self.clock()
-            await anyio.sleep(interval)
+            self._heated = anyio.Event()
+            with anyio.move_on_after(interval):
+                await self._heated.wait()
+                await self._send_beat(socket)
+                continue
             now = self.clock()
             self._lag = max(now - before - interval, 0.0, self._lag / 2)
             bound = silence_bound(interval, self.round_trip, self._lag)
--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -31,8 +31,8 @@
 MAX_RECOVERIES = 16
 NO_ROUTE_WAIT = 0.1  # seconds between looks for a route
 FIRST_PIECE_BOUND = 30.0  # seconds of silence before the first token
-SILENCE_FLOOR = 2.0  # seconds
-SILENCE_FACTOR = 12  # of the usual time between tokens
+SILENCE_FLOOR = 10.0  # seconds; agents notice what fails long before
+SILENCE_FACTOR = 20  # of the usual time between tokens
 SMOOTHING = 0.2
 
 
--- a/packages/fakes/src/kumquatway_fakes/fleet/__init__.py
+++ b/packages/fakes/src/kumquatway_fakes/fleet/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from kumquatway_fakes.fleet._fleet import (
+    ADMIN_KEY,
     EngineVM,
     EntryVM,
     Fleet,
@@ -15,6 +16,7 @@
 from kumquatway_fakes.fleet._process import Process
 
 __all__ = [
+    "ADMIN_KEY",
     "EngineVM",
     "EntryVM",
     "Fleet",
