Give the exchange of VMs a module of its own and a cell its seats

Cause: slots stood as bare tuples, and the VMs of a cell were listed by the same nested loop in five places. Conclusion: no change of behaviour.

--- a/packages/entry/src/kumquatway/placement/_layout.py
+++ b/packages/entry/src/kumquatway/placement/_layout.py
@@ -4,12 +4,11 @@
 The cells of every model, and their likeness in holdings of VMs.
 """
 
-from collections import defaultdict
 from collections.abc import Iterable
 
 from kumquatway.placement._allot import allot, served, share
 from kumquatway.placement._split import Cell, Seat, split
-from kumquatway.placement._types import Fleet, Holdings
+from kumquatway.placement._types import Fleet
 from kumquatway_core.text import Text
 from kumquatway_core.wire import Holding
 
@@ -72,61 +71,3 @@
                 for seat in stage.seats:
                     held[seat.vm].append(holding)
     return {vm: tuple(holdings) for vm, holdings in held.items()}
-
-
-def matched(layout: Layout, current: Holdings) -> Layout:
-    """
-    Exchange VMs alike in kind and rack so that fewest ranges are loaded.
-
-    :param layout: changed in place.
-    :param current: what each VM has loaded, by VM.
-    :return: the layout.
-    """
-    slots: dict[tuple[str, str, str], list[tuple[str, int, int, Seat]]]
-    slots = defaultdict(list)
-    places = []
-    for model, cells in layout.items():
-        for cell in cells:
-            for stage in cell.stages:
-                for index, seat in enumerate(stage.seats):
-                    places.append((stage, index, model, seat))
-    if len({seat.vm for *_, seat in places}) < len(places):
-        return layout
-    for stage, index, model, seat in places:
-        group = (seat.data_centre, seat.rack, seat.kind)
-        slots[group].append((stage, index, model, seat))
-    for group in slots.values():
-        _match(group, current)
-    return layout
-
-
-def _match(group: list, current: Holdings) -> None:
-    """Give each slot a VM that holds its range, then the rest to the rest."""
-    names = {seat.vm for *_, seat in group}
-    ranges: dict[tuple[str, int, int], list[str]] = defaultdict(list)
-    for vm in sorted(names):
-        for holding in current.get(vm, ()):
-            ranges[holding.model, holding.first, holding.end].append(vm)
-    free = set(names)
-    empty = []
-    for stage, index, model, seat in group:
-        holders = [vm for vm in ranges[model, stage.first, stage.end] if vm in free]
-        if not holders:
-            empty.append((stage, index, seat))
-            continue
-        vm = seat.vm if seat.vm in holders else holders[0]
-        free.discard(vm)
-        stage.seats[index] = _renamed(seat, vm)
-    for (stage, index, seat), vm in zip(empty, sorted(free), strict=True):
-        stage.seats[index] = _renamed(seat, vm)
-
-
-def _renamed(seat: Seat, vm: str) -> Seat:
-    return Seat(
-        vm=vm,
-        data_centre=seat.data_centre,
-        rack=seat.rack,
-        kind=seat.kind,
-        rate=seat.rate,
-        layers=seat.layers,
-    )
--- a/packages/entry/src/kumquatway/placement/_loaded.py
+++ b/packages/entry/src/kumquatway/placement/_loaded.py
@@ -32,11 +32,9 @@
     taken: set[str] = set()
     layout: Layout = {}
     for name in served(text):
-        free = {} if shared else taken
-        layout[name] = cells = _read_model(name, set(free), current, fleet, text)
-        taken.update(
-            seat.vm for cell in cells for stage in cell.stages for seat in stage.seats
-        )
+        others = set() if shared else taken
+        layout[name] = cells = _read_model(name, others, current, fleet, text)
+        taken.update(seat.vm for cell in cells for seat in cell.seats)
     return layout
 
 
@@ -72,7 +70,7 @@
         if cell is None:
             break
         cells.append(cell)
-        used = {seat.vm for stage in cell.stages for seat in stage.seats}
+        used = {seat.vm for seat in cell.seats}
         for span in list(spans):
             left = [seat for seat in spans[span] if seat.vm not in used]
             spans[span] = left
--- a/packages/entry/src/kumquatway/placement/_plan.py
+++ b/packages/entry/src/kumquatway/placement/_plan.py
@@ -14,8 +14,9 @@
 
 from kumquatway.placement._allot import is_shared
 from kumquatway.placement._flow import bound, flow_shares
-from kumquatway.placement._layout import Layout, fresh, matched, to_holdings
+from kumquatway.placement._layout import Layout, fresh, to_holdings
 from kumquatway.placement._loaded import read_layout
+from kumquatway.placement._match import matched
 from kumquatway.placement._repair import repair, seat_free, split_again, worth
 from kumquatway.placement._split import Cell
 from kumquatway.placement._types import Fleet, Holdings, Limits, Plan
--- a/packages/entry/src/kumquatway/placement/_repair.py
+++ b/packages/entry/src/kumquatway/placement/_repair.py
@@ -77,10 +77,9 @@
     for name, cells in layout.items():
         layers = text.models[name].layers
         for index, cell in enumerate(cells):
-            seats = [seat for stage in cell.stages for seat in stage.seats]
-            if cell.flow >= BALANCED * sum(seat.rate for seat in seats) / layers:
+            if _balance(cell) >= BALANCED:
                 continue
-            again = split(name, layers, seats)
+            again = split(name, layers, cell.seats)
             if again is not None and again.flow > cell.flow:
                 cells[index] = again
     return layout
@@ -121,11 +120,7 @@
     :param text: the text in force.
     """
     seated = {
-        seat.vm
-        for cells in layout.values()
-        for cell in cells
-        for stage in cell.stages
-        for seat in stage.seats
+        seat.vm for cells in layout.values() for cell in cells for seat in cell.seats
     }
     for node in usable(fleet, text):
         if node.name in seated:
@@ -139,7 +134,7 @@
 
 
 def _places(cell: Cell) -> set[str]:
-    return {seat.data_centre for stage in cell.stages for seat in stage.seats}
+    return {seat.data_centre for seat in cell.seats}
 
 
 def _best_trade(
@@ -156,8 +151,7 @@
 
 def _balance(cell: Cell) -> float:
     layers = cell.stages[-1].end
-    speed = sum(seat.rate for stage in cell.stages for seat in stage.seats)
-    return cell.flow * layers / speed
+    return cell.flow * layers / sum(seat.rate for seat in cell.seats)
 
 
 def _trade_for(
--- a/packages/entry/src/kumquatway/placement/_split.py
+++ b/packages/entry/src/kumquatway/placement/_split.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass, field
 
 BISECTIONS = 24
+LEAST_FLOW = 1e-3  # share of the flow of stages of equal speed
+ROUNDING = 1e-9  # layers
 STAGE_COST = 0.001  # layers for each stage
 HEADROOM_WORTH = 0.95
 SPREADS = ((2, 2), (1, 2), (1, 1))  # racks and VMs of a stage
@@ -60,6 +62,11 @@
     model: str
     stages: list[Stage] = field(default_factory=list)
 
+    @property
+    def seats(self) -> list[Seat]:
+        """Its VMs."""
+        return [seat for stage in self.stages for seat in stage.seats]
+
     @property
     def flow(self) -> float:
         """Tokens per second."""
@@ -76,7 +83,7 @@
     layers: int
 
     def covers(self, flow: float) -> int:
-        return min(self.layers, int(self.rate / flow + 1e-9))
+        return min(self.layers, int(self.rate / flow + ROUNDING))
 
 
 def split(
@@ -114,11 +121,10 @@
     seats = _sorted(seats)
     runs = _runs(seats, room, racks, vms)
     most = sum(seat.rate for seat in seats) / layers
-    low, high = 0.0, most
-    best = _cut(runs, len(seats), most * 1e-3)
-    if sum(run.covers(most * 1e-3) for run in best) < layers:
+    low, high = most * LEAST_FLOW, most
+    best = _cut(runs, len(seats), low)
+    if sum(run.covers(low) for run in best) < layers:
         return None
-    low = most * 1e-3
     for _ in range(BISECTIONS):
         flow = (low + high) / 2
         cut = _cut(runs, len(seats), flow)
