Bound acknowledgements by size and rate; a link that carries beats and no data is down

Cause: the guard doubted a connection whatever was under way on it, and a link that lost most of its bandwidth would have been connected anew for ever.

--- a/packages/agent/src/kumquatway_agent/stage/_pace.py
+++ b/packages/agent/src/kumquatway_agent/stage/_pace.py
@@ -6,7 +6,7 @@
 
 SMOOTHING = 0.2
 UNKNOWN_BOUND = 10.0  # seconds, before any step of that size was seen
-FLOOR = 0.3  # seconds
+FLOOR = 0.25  # seconds
 FACTOR = 4.0  # a step may take so many times what it usually takes
 
 
--- a/packages/core/src/kumquatway_core/mesh/_beats.py
+++ b/packages/core/src/kumquatway_core/mesh/_beats.py
@@ -11,10 +11,14 @@
 SILENCE_FLOOR = 0.3  # seconds
 SILENCE_BEATS = 3  # beats that may be missing
 RTT_FACTOR = 4  # round trips added to the bound
-ACK_FLOOR = 0.25  # seconds
+ACK_FLOOR = 0.2  # seconds
 GAIN = 0.125  # of the smoothed delay, as RFC 6298 has it
 DEVIATION_GAIN = 0.25
 DEVIATIONS = 4
+MAX_DOUBLINGS = 6
+FIRST_RATE = 10e6  # bytes a second, until larger messages were acknowledged
+RATE_GAIN = 0.25
+BULK = 256 * 1024  # bytes; less tells of the delay, more of the rate
 
 
 def beat_interval(peers: int) -> float:
@@ -47,13 +51,20 @@
     def __init__(self):
         self.mean = 0.0
         self.deviation = 0.0
+        self.doubts = 0
+        self.rate = FIRST_RATE
 
-    def add(self, sample: float) -> None:
+    def add(self, sample: float, size: int) -> None:
         """
         Learn from an acknowledgement.
 
         :param sample: seconds from the send to it.
+        :param size: bytes that were under way with it.
         """
+        self.doubts = 0
+        if size > BULK:
+            self.rate += RATE_GAIN * (size / max(sample, 1e-3) - self.rate)
+            return
         if not self.mean:
             self.mean = sample
             self.deviation = sample / 2
@@ -62,11 +73,23 @@
         self.mean += GAIN * error
         self.deviation += DEVIATION_GAIN * (abs(error) - self.deviation)
 
-    def bound(self, lag: float) -> float:
+    def doubt(self) -> bool:
+        """
+        Learn that an acknowledgement did not come within the bound.
+
+        :return: True from the second time on: data does not get through.
+        """
+        self.doubts += 1
+        return self.doubts > 1
+
+    def bound(self, lag: float, size: int) -> float:
         """
-        Bound the wait for an acknowledgement.
+        Bound the wait for an acknowledgement; it doubles while none comes.
 
+        :param size: bytes that are under way.
         :param lag: seconds by which this process itself ran late.
         :return: seconds after which the connection is in doubt.
         """
-        return max(ACK_FLOOR, self.mean + DEVIATIONS * self.deviation) + lag
+        usual = max(ACK_FLOOR, self.mean + DEVIATIONS * self.deviation)
+        backoff = 2 ** min(max(self.doubts - 1, 0), MAX_DOUBLINGS)
+        return (usual + size / self.rate) * backoff + lag
--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -29,10 +29,9 @@
 
 WINDOW = 8 * 1024 * 1024  # bytes sent and not yet acknowledged
 OUTBOX_BOUND = 64 * 1024 * 1024  # bytes waiting for the window
-ANSWER_WAIT = 0.2  # seconds for the first answer on a new connection
+ANSWER_WAIT = 0.15  # seconds for the first answer on a new connection
 REFUSED_EVENTS = zmq.EVENT_CLOSED | zmq.EVENT_CONNECT_RETRIED
 MAX_ANSWER_WAIT = 2.0  # seconds
-GUARD_PAUSE = 0.05  # seconds
 HOT_FOR = 2.0  # seconds after a step
 COLD_INTERVAL = 0.5  # seconds
 RECONNECT_MS = 50
@@ -319,7 +318,8 @@
         now = self.clock()
         self._heard = now
         if self._unacked and self._unacked[0].sequence <= ack.sequence:
-            self._ack_delay.add(now - self._unacked[0].sent)
+            delay = now - self._unacked[0].sent
+            self._ack_delay.add(delay, self._unacked_bytes)
         while self._unacked and self._unacked[0].sequence <= ack.sequence:
             parcel = self._unacked.popleft()
             self._unacked_bytes -= len(parcel.data)
@@ -337,7 +337,7 @@
                 self._awaited = anyio.Event()
                 await self._awaited.wait()
             oldest = self._unacked[0]
-            late = oldest.sent + self._ack_delay.bound(self._lag)
+            late = oldest.sent + self._ack_delay.bound(self._lag, self._unacked_bytes)
             before = self.clock()
             await anyio.sleep(max(late - before, 0))
             overslept = self.clock() - max(late, before)
@@ -346,11 +346,12 @@
                 # This process itself stood still; the answer may be waiting.
                 await anyio.sleep(ANSWER_WAIT)
             waits = self._unacked and self._unacked[0] is oldest
-            if waits and self._heard < oldest.sent:
+            if waits:
+                if self._ack_delay.doubt():
+                    # Beats get through and data does not, or not in time.
+                    self._change(PeerState.DOWN)
                 self._broken.set()
                 return
-            if waits:
-                await anyio.sleep(GUARD_PAUSE)
 
     def _heat(self) -> None:
         if not self.is_hot():
