--- a/packages/agent/src/kumquatway_agent/_agent.py
+++ b/packages/agent/src/kumquatway_agent/_agent.py
@@ -61,6 +61,7 @@
         self.journal = Journal(process=settings.vm, clock=self.clock)
         self.mesh = Mesh(
             address=settings.mesh_address,
+            bind=settings.mesh_bind,
             incarnation=self.incarnation,
             handle=self._handle,
             on_state=self._on_peer_state,
--- a/packages/core/src/kumquatway_core/mesh/_mesh.py
+++ b/packages/core/src/kumquatway_core/mesh/_mesh.py
@@ -36,7 +36,8 @@
     """
     The messages of one process.
 
-    :param address: `host:port` to bind, which is also this process's name.
+    :param address: `host:port` where others reach this process; also its name.
+    :param bind: `host:port` to listen at, if that differs.
     :param incarnation: this life of the process; higher than any before.
     :param handle: called with each message, once and in order for each sender.
     :param on_state: called at each change of a peer's state.
@@ -51,6 +52,7 @@
         address: str,
         incarnation: int,
         handle: Handler,
+        bind: str | None = None,
         on_state: Callable[[Peer], None] = lambda peer: None,
         on_lost: Callable[[Peer, list[Message]], None] = lambda peer, lost: None,
         hlc: Callable[[], int] = no_clock,
@@ -58,6 +60,7 @@
         clock: Callable[[], float] = time.monotonic,
     ):
         self.address = address
+        self.bind = bind or address
         self.incarnation = incarnation
         self.on_state = on_state
         self.on_lost = on_lost
@@ -80,7 +83,7 @@
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled; started once the address is bound."""
-        self.socket.bind(f"tcp://{self.address}")
+        self.socket.bind(f"tcp://{self.bind}")
         try:
             async with anyio.create_task_group() as group:
                 self._group = group
--- a/packages/core/src/kumquatway_core/settings/_schema.py
+++ b/packages/core/src/kumquatway_core/settings/_schema.py
@@ -87,7 +87,8 @@
 
     :param name: of this process, on the time line and in logs.
     :param data_centre: where it runs.
-    :param mesh_address: where it listens to agents and entries.
+    :param mesh_address: where agents and entries reach it.
+    :param mesh_bind: where it listens to them if that differs, else "".
     :param caller_address: where it listens to callers.
     :param admin_address: where it listens to operators.
     :param platform: where the platform's services are.
@@ -110,6 +111,7 @@
     limits: LimitSettings = LimitSettings()
     log: LogSettings = LogSettings()
     text_file: str = ""
+    mesh_bind: Address = ""
     seeds: tuple[Address, ...] = ()
     shutdown_s: Seconds = 60.0
 
@@ -145,7 +147,8 @@
 
     :param vm: the VM that it runs on.
     :param data_centre: where it runs.
-    :param mesh_address: where it listens to entries and agents.
+    :param mesh_address: where entries and agents reach it.
+    :param mesh_bind: where it listens to them if that differs, else "".
     :param http_address: where it serves health and metrics.
     :param platform: where the platform's services are.
     :param rack: the rack of the VM, or "".
@@ -162,6 +165,7 @@
     mesh_address: Address
     http_address: Address
     platform: PlatformSettings
+    mesh_bind: Address = ""
     rack: str = ""
     accelerator: str = ""
     engine: EngineSettings | None = None
--- /dev/null
+++ b/packages/core/tests/test_mesh.py
@@ -0,0 +1,234 @@
+"""Tests of the mesh over real connections, with a link that fails."""
+
+import socket
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+import zmq.asyncio
+from hypothesis import given, settings, strategies as st
+
+from kumquatway_core import Verdict
+from kumquatway_core.exceptions import WireError
+from kumquatway_core.mesh import AckDelay, Mesh, PeerState, beat_interval
+from kumquatway_core.mesh._beats import ACK_FLOOR, BEAT_BUDGET, BEAT_BYTES
+from kumquatway_core.wire import Cancel, Steps, decode, encode
+from kumquatway_fakes import Relay
+
+TIMEOUT = 20.0  # seconds until a test gives up
+
+
+@pytest.fixture
+def anyio_backend():
+    return "asyncio"
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+def message(number: int) -> Cancel:
+    return Cancel(items=((f"request-{number}", number),))
+
+
+class Node:
+    """A mesh that writes down what it takes in."""
+
+    def __init__(self, *, address: str, incarnation: int = 1, bind: str | None = None):
+        self.taken: list = []
+        self.lost: list = []
+        self.states: list = []
+        self.mesh = Mesh(
+            address=address,
+            bind=bind,
+            incarnation=incarnation,
+            handle=lambda source, found: self.taken.append(found),
+            on_state=lambda peer: self.states.append(peer.state),
+            on_lost=lambda peer, lost: self.lost.extend(lost),
+        )
+
+
+async def until(condition) -> None:
+    with anyio.fail_after(TIMEOUT):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+@asynccontextmanager
+async def running(*nodes: Node, relay: Relay | None = None):
+    async with anyio.create_task_group() as group:
+        if relay is not None:
+            await group.start(relay.run)
+        for node in nodes:
+            await group.start(node.mesh.run)
+        yield group
+        group.cancel_scope.cancel()
+
+
+@pytest.mark.anyio
+class TestMesh:
+    """Messages arrive in order and once, across broken connections."""
+
+    async def test_messages_arrive_in_order(self):
+        near, far = Node(address=free_address()), Node(address=free_address())
+        sent = [message(number) for number in range(200)]
+        async with running(near, far):
+            for found in sent:
+                near.mesh.send(far.mesh.address, found)
+            await until(lambda: len(far.taken) >= len(sent))
+            assert far.taken == sent
+
+    async def test_silence_loses_and_doubles_nothing(self):
+        near, far, relay = through_relay()
+        async with running(near, far, relay=relay):
+            sent = []
+            for burst in range(3):
+                for number in range(20):
+                    sent.append(message(burst * 100 + number))
+                    near.mesh.send(far.mesh.address, sent[-1])
+                await until(lambda: len(far.taken) >= 1)
+                assert relay.silence() >= 1
+                sent.append(message(burst * 100 + 50))
+                near.mesh.send(far.mesh.address, sent[-1])
+                await until(lambda: len(far.taken) >= len(sent))
+            assert far.taken == sent
+            assert relay.accepted > 1
+
+    async def test_an_unused_silent_connection_is_noticed_too(self):
+        near, far, relay = through_relay()
+        async with running(near, far, relay=relay):
+            near.mesh.send(far.mesh.address, message(1))
+            await until(lambda: far.taken)
+            peer = near.mesh.peer(far.mesh.address)
+            await until(lambda: not peer.backlog())
+            before = peer.connections
+            relay.silence()
+            await until(lambda: peer.connections > before)
+
+    async def test_a_message_to_nobody_can_be_taken_back(self):
+        near = Node(address=free_address())
+        async with running(near):
+            peer = near.mesh.peer(free_address())
+            parcel = peer.send(message(1))
+            await until(lambda: peer.state is PeerState.DOWN)
+            assert peer.withdraw(parcel)
+
+    async def test_a_message_that_left_cannot_be_taken_back(self):
+        near, far = Node(address=free_address()), Node(address=free_address())
+        async with running(near, far):
+            peer = near.mesh.peer(far.mesh.address)
+            parcel = peer.send(message(1))
+            await until(lambda: far.taken)
+            assert not peer.withdraw(parcel)
+
+    async def test_a_restart_is_a_new_incarnation(self):
+        near = Node(address=free_address())
+        address = free_address()
+        first = Node(address=address, incarnation=1)
+        async with running(near):
+            async with running(first):
+                near.mesh.send(address, message(1))
+                await until(lambda: first.taken)
+            peer = near.mesh.peer(address)
+            await until(lambda: peer.state is PeerState.DOWN)
+            second = Node(address=address, incarnation=2)
+            async with running(second):
+                near.mesh.send(address, message(2))
+                await until(lambda: peer.incarnation == 2)
+                await until(lambda: message(2) in second.taken)
+                assert message(1) not in second.taken
+
+    async def test_a_narrow_link_is_down_and_its_data_arrives_once(self):
+        near, far, relay = through_relay()
+        big = Steps(items=())
+        async with running(near, far, relay=relay):
+            near.mesh.send(far.mesh.address, big)
+            await until(lambda: far.taken)
+            relay.faults.bytes_per_second = 2_000
+            sent = [Cancel(items=(("x" * 4_000, number),)) for number in range(3)]
+            for found in sent:
+                near.mesh.send(far.mesh.address, found)
+            await until(lambda: PeerState.DOWN in near.states)
+            relay.faults.bytes_per_second = 0
+            await until(lambda: len(far.taken) >= 4)
+            assert far.taken == [big, *sent]
+
+    async def test_garbage_ends_nothing(self):
+        near, far = Node(address=free_address()), Node(address=free_address())
+        async with running(near, far):
+            await send_garbage(far.mesh.address)
+            near.mesh.send(far.mesh.address, message(7))
+            await until(lambda: message(7) in far.taken)
+            assert far.mesh.inbox.refused >= 3
+
+    async def test_a_full_queue_refuses(self, monkeypatch):
+        monkeypatch.setattr("kumquatway_core.mesh._peer.OUTBOX_BOUND", 1000)
+        near = Node(address=free_address())
+        async with running(near):
+            peer = near.mesh.peer(free_address())
+            results = [peer.send(message(number)) for number in range(200)]
+            assert isinstance(results[-1], Verdict)
+            assert results[-1].header() == "not-run"
+
+
+def through_relay() -> tuple[Node, Node, Relay]:
+    shown, real = free_address(), free_address()
+    near = Node(address=free_address())
+    far = Node(address=shown, bind=real)
+    return near, far, Relay(listen=shown, target=real)
+
+
+async def send_garbage(address: str) -> None:
+    host, _, port = address.rpartition(":")
+    async with await anyio.connect_tcp(host, int(port)) as stream:
+        await stream.send(b"GET / HTTP/1.1\r\n\r\n" + bytes(range(256)))
+    context = zmq.asyncio.Context()
+    dealer = context.socket(zmq.DEALER)
+    dealer.setsockopt(zmq.IDENTITY, b"127.0.0.1:1|1|1")
+    dealer.connect(f"tcp://{address}")
+    await dealer.send_multipart([b"one frame"])
+    await dealer.send_multipart([bytes(8), b"\xff\xff"])
+    await dealer.send_multipart([bytes(8), b"\x91", b"three"])
+    await anyio.sleep(0.2)
+    context.destroy(linger=500)
+
+
+class TestBounds:
+    """How often connections are proved, and when they are in doubt."""
+
+    @given(peers=st.integers(1, 2000))
+    @settings(derandomize=True)
+    def test_beats_stay_in_their_budget(self, peers):
+        spent = peers * BEAT_BYTES / beat_interval(peers)
+        longest = BEAT_BYTES * peers / 2.0
+        assert spent <= max(BEAT_BUDGET, longest) * 1.001
+
+    def test_a_slow_link_is_not_in_doubt(self):
+        delay = AckDelay()
+        for _ in range(50):
+            delay.add(0.6, 100)
+        assert delay.bound(0.0, 100) > 0.6
+
+    def test_the_bound_doubles_until_an_acknowledgement(self):
+        delay = AckDelay()
+        delay.add(0.01, 100)
+        assert not delay.doubt()
+        assert delay.doubt()
+        assert delay.bound(0.0, 0) == 2 * ACK_FLOOR
+        delay.add(0.01, 100)
+        assert delay.bound(0.0, 0) == ACK_FLOOR
+
+
+class TestWire:
+    """Bytes that are no message are refused, whatever they are."""
+
+    @given(data=st.binary(max_size=200))
+    @settings(derandomize=True, max_examples=300)
+    def test_any_bytes_are_a_message_or_refused(self, data):
+        try:
+            found = decode(data)
+        except WireError:
+            return
+        assert decode(encode(found)) == found
--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -70,6 +70,7 @@
         self.leaving = anyio.Event()
         self.mesh = Mesh(
             address=settings.mesh_address,
+            bind=settings.mesh_bind,
             incarnation=self.incarnation,
             handle=self._handle,
             on_state=self._on_peer_state,
--- a/packages/fakes/src/kumquatway_fakes/__init__.py
+++ b/packages/fakes/src/kumquatway_fakes/__init__.py
@@ -8,6 +8,7 @@
 from kumquatway_fakes._faults import Faults, Gate
 from kumquatway_fakes._model import answer
 from kumquatway_fakes._objects import ObjectStore
+from kumquatway_fakes._relay import LinkFaults, Relay
 from kumquatway_fakes._service import PlainService, service_app
 from kumquatway_fakes._table import TableService
 from kumquatway_fakes._vms import VMListService
@@ -17,8 +18,10 @@
     "Engine",
     "Faults",
     "Gate",
+    "LinkFaults",
     "ObjectStore",
     "PlainService",
+    "Relay",
     "Speed",
     "TableService",
     "VMListService",
