Keep a connection's failure to itself, and watch each connection by one monitor

Cause: two monitors of sockets that got the same descriptor shared a name, and the error ended the process's mesh (test_a_restart_is_a_new_incarnation, red once in the whole suite, green alone). Ruled out: the restart itself. Change: a monitor of a name of its own for the life of a connection; a peer logs and connects anew after any failure; a refused address is tried with backoff and not at once again.

--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -17,6 +17,7 @@
 from kumquatway_core import Reason, Verdict, not_run
 from kumquatway_core.exceptions import WireError
 from kumquatway_core.mesh._beats import AckDelay, beat_interval, silence_bound
+from kumquatway_core.mesh._connection import CLOSED, REFUSED, Connection
 from kumquatway_core.wire import (
     Ack,
     Beat,
@@ -30,14 +31,11 @@
 WINDOW = 8 * 1024 * 1024  # bytes sent and not yet acknowledged
 OUTBOX_BOUND = 64 * 1024 * 1024  # bytes waiting for the window
 ANSWER_WAIT = 0.15  # seconds for the first answer on a new connection
-REFUSED_EVENTS = zmq.EVENT_CLOSED | zmq.EVENT_CONNECT_RETRIED
 MAX_ANSWER_WAIT = 2.0  # seconds
 HOT_FOR = 2.0  # seconds after a step
 COLD_INTERVAL = 0.5  # seconds
-RECONNECT_MS = 50
 SMOOTHING = 0.2
 UNSEQUENCED = 0
-SEQUENCE_BYTES = 8
 
 
 class PeerState(enum.StrEnum):
@@ -184,65 +182,74 @@
         wait = ANSWER_WAIT
         with self._scope:
             while True:
-                socket = self._connect()
-                try:
-                    proved = await self._prove(socket, wait)
-                    if proved:
-                        wait = ANSWER_WAIT
-                        await self._serve(socket)
-                    else:
-                        self._change(PeerState.DOWN)
-                        wait = min(wait * 2, MAX_ANSWER_WAIT)
-                finally:
-                    socket.close(linger=0)
-
-    def _connect(self) -> zmq.asyncio.Socket:
+                if await self._live_once(wait):
+                    wait = ANSWER_WAIT
+                    continue
+                self._change(PeerState.DOWN)
+                await anyio.sleep(wait)
+                wait = min(wait * 2, MAX_ANSWER_WAIT)
+
+    async def _live_once(self, wait: float) -> bool:
+        """
+        Use one connection until it breaks.
+
+        :return: whether it was ever proved.
+        """
         self.connections += 1
-        socket = self.context.socket(zmq.DEALER)
-        identity = f"{self.identity}|{self.connections}"
-        socket.setsockopt(zmq.IDENTITY, identity.encode())
-        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
-        socket.setsockopt(zmq.SNDHWM, 0)
-        socket.connect(f"tcp://{self.address}")
-        return socket
-
-    async def _prove(self, socket: zmq.asyncio.Socket, wait: float) -> bool:
+        connection = Connection(
+            context=self.context,
+            address=self.address,
+            identity=f"{self.identity}|{self.connections}",
+        )
+        try:
+            if not await self._prove(connection, wait):
+                return False
+            await self._serve(connection)
+            return True
+        except Exception as error:
+            # One connection's failure must not end the connections to others.
+            logger.opt(exception=error).error("a connection to {} failed", self.address)
+            return False
+        finally:
+            connection.close()
+
+    async def _prove(self, connection: Connection, wait: float) -> bool:
         """Wait for the first answer, or for the address to refuse."""
         self._beat_sent.clear()
         proved = False
         with anyio.move_on_after(wait + 2 * self.round_trip):
             async with anyio.create_task_group() as group:
-                group.start_soon(self._fail_if_refused, socket, group.cancel_scope)
-                proved = await self._first_answer(socket)
+                group.start_soon(self._fail_if_refused, connection, group.cancel_scope)
+                proved = await self._first_answer(connection)
                 group.cancel_scope.cancel()
         return proved
 
-    async def _first_answer(self, socket: zmq.asyncio.Socket) -> bool:
+    async def _first_answer(self, connection: Connection) -> bool:
         heard = self._heard
-        await self._send_beat(socket)
+        await self._send_beat(connection)
         while self._heard == heard:
-            self._take(await socket.recv_multipart())
+            self._take(await connection.receive())
         return True
 
     async def _fail_if_refused(
-        self, socket: zmq.asyncio.Socket, scope: anyio.CancelScope
+        self, connection: Connection, scope: anyio.CancelScope
     ) -> None:
         if self.incarnation == 0:
             # A process that was never there may be about to start.
             return
-        await _next_event(socket, REFUSED_EVENTS)
+        await connection.happens(REFUSED)
         scope.cancel()
 
-    async def _serve(self, socket: zmq.asyncio.Socket) -> None:
+    async def _serve(self, connection: Connection) -> None:
         self._rewind()
         self._broken = anyio.Event()
         self._change(PeerState.UP)
         async with anyio.create_task_group() as group:
-            group.start_soon(self._pump, socket)
-            group.start_soon(self._hear, socket)
-            group.start_soon(self._watch, socket)
+            group.start_soon(self._pump, connection)
+            group.start_soon(self._hear, connection)
+            group.start_soon(self._watch, connection)
             group.start_soon(self._guard)
-            group.start_soon(self._beat, socket)
+            group.start_soon(self._beat, connection)
             await self._broken.wait()
             group.cancel_scope.cancel()
 
@@ -254,14 +261,14 @@
             self._outbox.appendleft(parcel)
             self._outbox_bytes += len(parcel.data)
 
-    async def _pump(self, socket: zmq.asyncio.Socket) -> None:
+    async def _pump(self, connection: Connection) -> None:
         while True:
             while self._outbox and self._unacked_bytes < WINDOW:
-                await self._send_parcel(socket, self._outbox.popleft())
+                await self._send_parcel(connection, self._outbox.popleft())
             self._wake = anyio.Event()
             await self._wake.wait()
 
-    async def _send_parcel(self, socket: zmq.asyncio.Socket, parcel: Parcel) -> None:
+    async def _send_parcel(self, connection: Connection, parcel: Parcel) -> None:
         self._outbox_bytes -= len(parcel.data)
         if parcel.withdrawn:
             return
@@ -269,17 +276,16 @@
         parcel.sent = self.clock()
         self._unacked.append(parcel)
         self._unacked_bytes += len(parcel.data)
-        head = parcel.sequence.to_bytes(SEQUENCE_BYTES, "big")
         self._awaited.set()
-        await socket.send_multipart([head, parcel.data])
+        await connection.send(parcel.sequence, parcel.data)
 
-    async def _hear(self, socket: zmq.asyncio.Socket) -> None:
+    async def _hear(self, connection: Connection) -> None:
         while True:
-            self._take(await socket.recv_multipart())
+            self._take(await connection.receive())
 
-    def _take(self, frames: list[bytes]) -> None:
+    def _take(self, data: bytes) -> None:
         try:
-            message = decode(frames[-1])
+            message = decode(data)
         except WireError as error:
             logger.warning("a bad answer from {}: {}", self.address, error)
             return
@@ -325,9 +331,9 @@
             self._unacked_bytes -= len(parcel.data)
         self._wake.set()
 
-    async def _watch(self, socket: zmq.asyncio.Socket) -> None:
+    async def _watch(self, connection: Connection) -> None:
         """Notice at once that the other end closed the connection."""
-        await _next_event(socket, zmq.EVENT_DISCONNECTED)
+        await connection.happens(CLOSED)
         self._broken.set()
 
     async def _guard(self) -> None:
@@ -363,14 +369,14 @@
             return beat_interval(self.hot_peers())
         return max(beat_interval(self.peers()), COLD_INTERVAL)
 
-    async def _beat(self, socket: zmq.asyncio.Socket) -> None:
+    async def _beat(self, connection: Connection) -> None:
         while True:
             interval = self._interval()
             before = self.clock()
             self._heated = anyio.Event()
             with anyio.move_on_after(interval):
                 await self._heated.wait()
-                await self._send_beat(socket)
+                await self._send_beat(connection)
                 continue
             now = self.clock()
             self._lag = max(now - before - interval, 0.0, self._lag / 2)
@@ -378,26 +384,19 @@
             if now - self._heard > bound:
                 self._broken.set()
                 return
-            await self._send_beat(socket)
+            await self._send_beat(connection)
 
-    async def _send_beat(self, socket: zmq.asyncio.Socket) -> None:
+    async def _send_beat(self, connection: Connection) -> None:
         self._beats += 1
         self._beat_sent[self._beats] = self.clock()
         beat = Beat(clock=self.hlc(), sequence=self._beats)
-        head = UNSEQUENCED.to_bytes(SEQUENCE_BYTES, "big")
-        await socket.send_multipart([head, encode(beat)])
+        await connection.send(UNSEQUENCED, encode(beat))
 
     def _change(self, state: PeerState) -> None:
         if state is self.state:
             return
         self.state = state
-        self.on_state(self)
-
-
-async def _next_event(socket: zmq.asyncio.Socket, events: int) -> None:
-    """Wait for one of some events of a socket's connection."""
-    monitor = socket.get_monitor_socket(events)
-    try:
-        await monitor.recv_multipart()
-    finally:
-        socket.disable_monitor()
+        try:
+            self.on_state(self)
+        except Exception as error:
+            logger.opt(exception=error).error("a change of {} is lost", self.address)
--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -155,6 +155,15 @@
             await until(lambda: len(far.taken) >= 4)
             assert far.taken == [big, *sent]
 
+    async def test_a_failing_connection_leaves_the_others_alone(self):
+        near, far = Node(address=free_address()), Node(address=free_address())
+        async with running(near, far):
+            broken = near.mesh.peer(free_address())
+            broken.on_state = None
+            near.mesh.send(far.mesh.address, message(1))
+            await until(lambda: far.taken)
+            await until(lambda: broken.connections > 1)
+
     async def test_garbage_ends_nothing(self):
         near, far = Node(address=free_address()), Node(address=free_address())
         async with running(near, far):
