Let the API refuse headers over their bound before the parser does

Cause: the parser answers 431 without a body or verdict, and only for headers that arrive in more than one read: 17 KiB in one read passed a bound of 16 KiB. Weighed: leaving the bound to the parser alone; a bound in the API alone, which lets a slow sender of endless headers fill memory. Changed: the parser's bound is 4 times the API's.

--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -47,6 +47,8 @@
 )
 
 KIB = 1024  # bytes
+# The API refuses headers over their bound in its own shape; the parser ends the rest.
+HEADER_SLACK = 4
 DRAIN_CHECK = 0.05  # seconds
 RETRY_AFTER = 1.0  # seconds
 NO_TEXT = Text(name="none")
@@ -189,7 +191,7 @@
             send=self.mesh.send,
             refusal=self.refusal,
         )
-        header_bytes = settings.limits.header_kib * KIB
+        header_bytes = settings.limits.header_kib * KIB * HEADER_SLACK
         callers = caller_app(context)
         operators = admin_app(admin)
         self.supervisor.add(
