Harden the caller API: one guard, errors in one shape, bounds that hold

Cause: 404, 405, redirects, failures of handlers and too large headers answered without the API's shape; a refused upload was reset before its answer arrived; the depth check looped over bytes in Python; a caller's key was looked for in each account; a stream never told its verdict when all went well; a caller that stopped reading held its engines; images in messages were dropped without a word. Weighed for a stream's verdict: an SSE comment, an event after [DONE], which the official client never reads; a field of the last chunk, taken. Callers are indexed once for each revision. A caller that went away is may-have-run, no longer not-run.

--- a/packages/entry/src/kumquatway/api/_context.py
+++ b/packages/entry/src/kumquatway/api/_context.py
@@ -5,10 +5,9 @@
 """
 
 import hashlib
-import secrets
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from kumquatway.calls import Dispatcher
 from kumquatway.streams import Streams
@@ -17,7 +16,7 @@
 from kumquatway_core.settings import LimitSettings
 from kumquatway_core.text import Account, Text
 
-ID_BYTES = 8
+WRITE_SECONDS = 30.0  # that a caller may take to read what was sent
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -32,6 +31,37 @@
     account: Account
 
 
+class Callers:
+    """The client accounts by their keys; made anew for each revision of the text."""
+
+    def __init__(self):
+        self.text: Text | None = None
+        self.by_key: dict[str, Caller] = {}
+
+    def find(self, text: Text, authorization: str) -> Caller | None:
+        """
+        Find the client account of a bearer key.
+
+        :param text: in force.
+        :param authorization: the request's header.
+        :return: None if no account has the key.
+        """
+        scheme, _, key = authorization.partition(" ")
+        if scheme.lower() != "bearer" or not key:
+            return None
+        if text is not self.text:
+            self._read(text)
+        return self.by_key.get(hashlib.sha256(key.strip().encode()).hexdigest())
+
+    def _read(self, text: Text) -> None:
+        self.by_key = {
+            key: Caller(name=name, account=account)
+            for name, account in text.accounts.items()
+            for key in account.keys
+        }
+        self.text = text
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Context:
     """
@@ -39,6 +69,7 @@
 
     :param text: reads the text in force.
     :param refusal: tells why no request is taken now, or None.
+    :param write_seconds: bound on one write to a caller.
     """
 
     text: Callable[[], Text]
@@ -48,30 +79,14 @@
     emit: Callable[[Event], object]
     refusal: Callable[[], Verdict | None]
     clock: Callable[[], float] = time.monotonic
+    write_seconds: float = WRITE_SECONDS
+    callers: Callers = field(default_factory=Callers)
 
+    def find_caller(self, authorization: str) -> Caller | None:
+        """
+        Find who asks.
 
-def new_request_id() -> str:
-    """
-    Name a request.
-
-    :return: 16 hexadecimal digits.
-    """
-    return secrets.token_hex(ID_BYTES)
-
-
-def find_caller(text: Text, authorization: str) -> Caller | None:
-    """
-    Find the client account of a bearer key.
-
-    :param text: in force.
-    :param authorization: the request's header.
-    :return: None if no account has the key.
-    """
-    scheme, _, key = authorization.partition(" ")
-    if scheme.lower() != "bearer" or not key:
-        return None
-    digest = hashlib.sha256(key.strip().encode()).hexdigest()
-    for name, account in text.accounts.items():
-        if digest in account.keys:
-            return Caller(name=name, account=account)
-    return None
+        :param authorization: the request's header.
+        :return: None if no account of the text in force has the key.
+        """
+        return self.callers.find(self.text(), authorization)
--- a/packages/entry/src/kumquatway/api/_generate.py
+++ b/packages/entry/src/kumquatway/api/_generate.py
@@ -10,12 +10,9 @@
 
 import anyio
 import msgspec
+from loguru import logger
 
-from kumquatway.api._errors import (
-    REQUEST_ID,
-    error_document,
-    error_headers,
-)
+from kumquatway.api._errors import error_document, error_headers
 from kumquatway.api._schema import (
     AnswerMessage,
     ChatChoice,
@@ -27,14 +24,19 @@
 )
 from kumquatway.api._stops import StopFilter
 from kumquatway.streams import Ask, Session, Streams
-from kumquatway_core import HEADER, RAN, Reason, Verdict, not_run
+from kumquatway_core import HEADER, RAN, Reason, Verdict, may_have_run
 from kumquatway_core.events import Event, RequestEnded
+from kumquatway_core.exceptions import KumquatwayError
 from kumquatway_core.wire import Piece
 
 SSE_DONE = b"data: [DONE]\n\n"
 STOP = "stop"
 
 
+class SlowCaller(KumquatwayError):
+    """The caller stopped reading its answer."""
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Form:
     """
@@ -103,6 +105,7 @@
     :param usage: whether a stream ends with its counts.
     :param stops: strings that end the answer.
     :param emit: writes down an event.
+    :param write_seconds: bound on one write to the caller.
     :param on_end: called with the generated tokens at the end, in any case.
     """
 
@@ -117,6 +120,7 @@
         usage: bool,
         stops: tuple[str, ...],
         emit: Callable[[Event], object],
+        write_seconds: float,
         on_end: Callable[[int], None] = lambda tokens: None,
     ):
         self.streams = streams
@@ -126,11 +130,12 @@
         self.stream = stream
         self.usage = usage
         self.emit = emit
+        self.write_seconds = write_seconds
         self.on_end = on_end
         self.filter = StopFilter(stops=stops)
         self.created = int(time.time())
         self.tokens = 0
-        self.verdict = not_run(Reason.CANCELLED, "the caller went away")
+        self.verdict = may_have_run(Reason.CANCELLED, "the caller went away")
 
     async def __call__(self, scope, receive, send) -> None:
         """Answer; a caller that goes away cancels the request."""
@@ -138,16 +143,34 @@
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(_cancel_on_disconnect, receive, group.cancel_scope)
-                if self.stream:
-                    await self._send_stream(session, send)
-                else:
-                    await self._send_whole(session, send)
+                await self._answer(session, self._bounded(send))
                 group.cancel_scope.cancel()
+        except* SlowCaller:
+            logger.info("the caller read nothing for {} s", self.write_seconds)
         finally:
             self.streams.close(session)
             self.on_end(self.tokens)
             self._emit_end()
 
+    async def _answer(self, session: Session, send) -> None:
+        if self.stream:
+            await self._send_stream(session, send)
+        else:
+            await self._send_whole(session, send)
+
+    def _bounded(self, send):
+        """Give up a caller that stops reading."""
+
+        async def bounded(message) -> None:
+            with anyio.move_on_after(self.write_seconds) as scope:
+                await send(message)
+            if scope.cancelled_caught:
+                detail = f"the caller read nothing for {self.write_seconds:g} s"
+                self.verdict = may_have_run(Reason.CANCELLED, detail)
+                raise SlowCaller(detail)
+
+        return bounded
+
     async def _parts(self, session: Session) -> AsyncIterator[Said | Verdict]:
         """Turn tokens into text, up to a stop string."""
         async for piece in session.run():
@@ -182,7 +205,7 @@
             finish = part.finish
         choice = self.form.whole("".join(texts), finish)
         document = self._document(self.form.whole_object, choice, self._usage())
-        headers = {HEADER: self.verdict.header(), REQUEST_ID: self.ask.request}
+        headers = {HEADER: self.verdict.header()}
         body = msgspec.json.encode(document)
         await _start(send, 200, "application/json", headers)
         await send({"type": "http.response.body", "body": body})
@@ -201,7 +224,7 @@
         await self._finish_stream(send)
 
     async def _start_stream(self, send) -> None:
-        headers = {REQUEST_ID: self.ask.request, "Cache-Control": "no-store"}
+        headers = {"Cache-Control": "no-store"}
         await _start(send, 200, "text/event-stream", headers)
         if self.form.first is not None:
             await self._send_chunk(self.form.first(), send)
@@ -210,10 +233,11 @@
         if part.text:
             await self._send_chunk(self.form.piece(part.text, None), send)
         if part.finish:
-            await self._send_chunk(self.form.piece("", part.finish), send)
+            last = self.form.piece("", part.finish)
+            await self._send_chunk(last, send, verdict=self.verdict.header())
 
-    async def _send_chunk(self, choice, send) -> None:
-        document = self._document(self.form.chunk_object, choice, None)
+    async def _send_chunk(self, choice, send, verdict=msgspec.UNSET) -> None:
+        document = self._document(self.form.chunk_object, choice, None, verdict)
         await _send_event(send, msgspec.json.encode(document))
 
     async def _finish_stream(self, send) -> None:
@@ -224,7 +248,7 @@
         await send({"type": "http.response.body", "body": trailer + SSE_DONE})
 
     async def _send_error(self, verdict: Verdict, send) -> None:
-        headers = error_headers(verdict, self.ask.request)
+        headers = error_headers(verdict)
         await _start(send, verdict.status(), "application/json", headers)
         body = error_document(verdict)
         await send({"type": "http.response.body", "body": body})
@@ -236,7 +260,9 @@
         await _send_event(send, error_document(verdict))
         await self._finish_stream(send)
 
-    def _document(self, kind: str, choice, usage: Usage | None) -> Document:
+    def _document(
+        self, kind: str, choice, usage: Usage | None, verdict=msgspec.UNSET
+    ) -> Document:
         return Document(
             id=self.form.prefix + self.ask.request,
             object=kind,
@@ -244,6 +270,7 @@
             model=self.model,
             choices=[] if choice is None else [choice],
             usage=usage,
+            kumquatway_verdict=verdict,
         )
 
     def _usage(self) -> Usage:
--- a/packages/entry/src/kumquatway/api/_models.py
+++ b/packages/entry/src/kumquatway/api/_models.py
@@ -9,9 +9,10 @@
 from starlette.responses import Response
 
 from kumquatway.api._body import check_depth, read_body
-from kumquatway.api._context import Caller, Context, find_caller, new_request_id
+from kumquatway.api._context import Caller, Context
 from kumquatway.api._errors import bad_request, error_response
 from kumquatway.api._generate import CHAT, COMPLETION, Form, Generated
+from kumquatway.api._guard import request_id
 from kumquatway.api._prompt import chat_prompt, encode_prompt
 from kumquatway.api._schema import (
     MAX_STOPS,
@@ -22,7 +23,7 @@
     ModelList,
 )
 from kumquatway.streams import Ask
-from kumquatway_core import Reason, Verdict, not_run
+from kumquatway_core import HEADER, RAN, Reason, Verdict, not_run
 from kumquatway_core.events import Refused, RequestStarted
 from kumquatway_core.text import Priority
 
@@ -30,6 +31,8 @@
 DEFAULT_TIMEOUT = 300.0  # seconds
 PRIORITIES = {Priority.URGENT: 0, Priority.NORMAL: 1, Priority.BULK: 2}
 SEED_BOUND = 2**63
+UNKNOWN_KEY = not_run(Reason.UNAUTHORIZED, "unknown key")
+ANSWERED = Verdict(ran=RAN)
 
 
 def model_handlers(context: Context):
@@ -37,7 +40,7 @@
     Make the handlers.
 
     :param context: of the entry.
-    :return: handlers of chat, completions and the list of models.
+    :return: handlers of chat, completions, the list of models and one model.
     """
 
     async def chat(request: Request):
@@ -47,14 +50,26 @@
         return await _handle(context, request, CompletionRequest, COMPLETION)
 
     async def models(request: Request) -> Response:
-        text = context.text()
-        if find_caller(text, request.headers.get("authorization", "")) is None:
-            return error_response(not_run(Reason.UNAUTHORIZED, "unknown key"))
-        entries = [ModelEntry(id=name) for name in _names(text)]
-        body = msgspec.json.encode(ModelList(data=entries))
-        return Response(body, media_type="application/json")
+        if context.find_caller(request.headers.get("authorization", "")) is None:
+            return error_response(UNKNOWN_KEY)
+        entries = [ModelEntry(id=name) for name in _names(context.text())]
+        return _json(ModelList(data=entries))
 
-    return chat, complete, models
+    async def model(request: Request) -> Response:
+        if context.find_caller(request.headers.get("authorization", "")) is None:
+            return error_response(UNKNOWN_KEY)
+        name = request.path_params["model"]
+        if name not in _names(context.text()):
+            return error_response(not_run(Reason.NOT_FOUND, f"no model {name!r}"))
+        return _json(ModelEntry(id=name))
+
+    return chat, complete, models, model
+
+
+def _json(document: msgspec.Struct) -> Response:
+    body = msgspec.json.encode(document)
+    headers = {HEADER: ANSWERED.header()}
+    return Response(body, headers=headers, media_type="application/json")
 
 
 def _names(text) -> list[str]:
@@ -66,10 +81,10 @@
 
 
 async def _handle(context: Context, request: Request, kind, form: Form):
-    name = new_request_id()
-    caller = find_caller(context.text(), request.headers.get("authorization", ""))
+    name = request_id(request)
+    caller = context.find_caller(request.headers.get("authorization", ""))
     if caller is None:
-        return _refuse(context, name, not_run(Reason.UNAUTHORIZED, "unknown key"))
+        return _refuse(context, name, UNKNOWN_KEY)
     body = await _read(context, request, kind)
     if isinstance(body, Verdict):
         return _refuse(context, name, body, caller.name)
@@ -88,13 +103,14 @@
         usage=options is not None and options.include_usage,
         stops=body.stops(),
         emit=context.emit,
+        write_seconds=context.write_seconds,
     )
 
 
 def _refuse(context: Context, name: str, verdict: Verdict, account: str = ""):
     reason = verdict.reason.value
     context.emit(Refused(request=name, reason=reason, account=account))
-    return error_response(verdict, name)
+    return error_response(verdict)
 
 
 async def _read(context: Context, request: Request, kind) -> GenerateRequest | Verdict:
@@ -145,6 +161,8 @@
     if isinstance(body, ChatRequest):
         if not body.messages:
             return bad_request("messages is empty")
+        if any(message.has_media() for message in body.messages):
+            return bad_request("messages may hold text only")
         return chat_prompt(body.messages)
     if isinstance(body.prompt, str):
         return body.prompt
--- a/packages/entry/src/kumquatway/api/_schema.py
+++ b/packages/entry/src/kumquatway/api/_schema.py
@@ -4,9 +4,15 @@
 The bodies of chat and completion requests, and of their answers.
 """
 
+from typing import Literal
+
 import msgspec
 
 MAX_STOPS = 4
+TEXT_PART = "text"
+
+
+Role = Literal["system", "developer", "user", "assistant", "tool", "function"]
 
 
 class Part(msgspec.Struct, frozen=True, kw_only=True):
@@ -19,7 +25,7 @@
 class ChatMessage(msgspec.Struct, frozen=True, kw_only=True):
     """One message of a conversation."""
 
-    role: str
+    role: Role
     content: str | list[Part] | None = None
 
     def words(self) -> str:
@@ -32,6 +38,16 @@
             return self.content
         return "".join(part.text for part in self.content or ())
 
+    def has_media(self) -> bool:
+        """
+        Tell whether a part is no text.
+
+        :return: True for a part such as an image.
+        """
+        if isinstance(self.content, str):
+            return False
+        return any(part.type != TEXT_PART for part in self.content or ())
+
 
 class StreamOptions(msgspec.Struct, frozen=True, kw_only=True):
     """
@@ -133,7 +149,11 @@
 
 
 class Document(msgspec.Struct, frozen=True, kw_only=True):
-    """An answer, or a chunk of one."""
+    """
+    An answer, or a chunk of one.
+
+    :param kumquatway_verdict: in the last chunk with a choice of a stream.
+    """
 
     id: str
     object: str
@@ -141,6 +161,7 @@
     model: str
     choices: list[ChatChoice] | list[TextChoice] | list[ChunkChoice]
     usage: Usage | None = None
+    kumquatway_verdict: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class ModelEntry(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/entry/src/kumquatway/api/_services.py
+++ b/packages/entry/src/kumquatway/api/_services.py
@@ -10,11 +10,12 @@
 from starlette.responses import Response
 
 from kumquatway.api._body import read_body
-from kumquatway.api._context import Caller, Context, find_caller, new_request_id
-from kumquatway.api._errors import REQUEST_ID, error_response
+from kumquatway.api._context import Caller, Context
+from kumquatway.api._errors import error_response
+from kumquatway.api._guard import request_id
 from kumquatway.calls import Answer, ServiceAsk
 from kumquatway_core import HEADER, RAN, Reason, Verdict, not_run
-from kumquatway_core.events import RequestEnded, RequestStarted
+from kumquatway_core.events import Refused, RequestEnded, RequestStarted
 
 IDEMPOTENT = "kumquatway-idempotent"
 IDEMPOTENCY_KEY = "idempotency-key"
@@ -44,20 +45,26 @@
     """
 
     async def call(request: Request) -> Response:
-        name = new_request_id()
-        text = context.text()
-        caller = find_caller(text, request.headers.get("authorization", ""))
+        name = request_id(request)
+        caller = context.find_caller(request.headers.get("authorization", ""))
         if caller is None:
-            return error_response(not_run(Reason.UNAUTHORIZED, "unknown key"), name)
+            verdict = not_run(Reason.UNAUTHORIZED, "unknown key")
+            return _refuse(context, name, verdict)
         ask = await _ask(context, request, name)
         if isinstance(ask, Verdict):
-            return error_response(ask, name)
+            return _refuse(context, name, ask, caller.name)
         key = request.headers.get(IDEMPOTENCY_KEY, "")
         return await _run(context, caller, ask, key)
 
     return call
 
 
+def _refuse(context: Context, name: str, verdict: Verdict, account: str = ""):
+    reason = verdict.reason.value
+    context.emit(Refused(request=name, reason=reason, account=account))
+    return error_response(verdict)
+
+
 async def _run(context: Context, caller: Caller, ask: ServiceAsk, key: str) -> Response:
     context.emit(
         RequestStarted(request=ask.request, account=caller.name, target=ask.service)
@@ -65,10 +72,10 @@
     result = await context.dispatcher.run(ask, caller.name, key)
     if isinstance(result, Verdict):
         verdict = result
-        response = error_response(result, ask.request)
+        response = error_response(result)
     else:
         verdict = Verdict(ran=RAN)
-        response = _response(result, ask.request)
+        response = _response(result)
     context.emit(
         RequestEnded(
             request=ask.request,
@@ -132,10 +139,9 @@
     )
 
 
-def _response(answer: Answer, name: str) -> Response:
+def _response(answer: Answer) -> Response:
     response = Response(answer.body, status_code=answer.status)
     for key, value in answer.headers:
         response.headers[key] = value
     response.headers[HEADER] = "ran"
-    response.headers[REQUEST_ID] = name
     return response
