--- a/packages/entry/src/kumquatway/_cli/_client.py
+++ b/packages/entry/src/kumquatway/_cli/_client.py
@@ -4,12 +4,15 @@
 Calls the admin API of an entry.
 """
 
+from typing import TypeVar
+from urllib.parse import quote
+
 import httpx
 import msgspec
 
 from kumquatway.admin import EditView, StatusView
 from kumquatway_core.events import Page, Record, decode
-from kumquatway_core.exceptions import KumquatwayError
+from kumquatway_core.exceptions import KumquatwayError, WireError
 
 ADMIN_VARIABLE = "KUMQUATWAY_ADMIN"
 ADMIN_KEY_VARIABLE = "KUMQUATWAY_ADMIN_KEY"
@@ -18,6 +21,8 @@
 TIMEOUT = 10.0  # seconds
 EDIT_STATUSES = (200, 412, 422, 503, 504)
 
+View = TypeVar("View", StatusView, EditView)
+
 
 class AdminFailure(KumquatwayError):
     """The admin listener could not be reached or refused the call."""
@@ -25,17 +30,22 @@
 
 class AdminClient:
     """
-    The admin API of one entry.
+    The admin API of one entry, or the open pages of an agent.
 
-    :param url: base URL of its admin listener.
-    :param key: the operator's bearer key.
+    :param url: base URL of its listener.
+    :param key: the operator's bearer key, "" where none is asked for.
+    :raises AdminFailure: if the URL or the key has a wrong form.
     """
 
-    def __init__(self, *, url: str, key: str):
-        headers = {"Authorization": f"Bearer {key}"}
-        self.http = httpx.Client(
-            base_url=url, headers=headers, timeout=TIMEOUT, trust_env=False
-        )
+    def __init__(self, *, url: str, key: str = ""):
+        # An empty key would make a header that no client sends.
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        try:
+            self.http = httpx.Client(
+                base_url=url, headers=headers, timeout=TIMEOUT, trust_env=False
+            )
+        except (httpx.InvalidURL, UnicodeError) as error:
+            raise AdminFailure(f"{url!r}, or the key: {error}") from error
 
     def status(self) -> StatusView:
         """
@@ -44,7 +54,7 @@
         :return: the VMs as the entry sees them.
         :raises AdminFailure: if the call failed.
         """
-        return msgspec.json.decode(self._get("/admin/status"), type=StatusView)
+        return _decode(self._get("/admin/status"), StatusView)
 
     def revision(self) -> int:
         """
@@ -54,7 +64,10 @@
         :raises AdminFailure: if the call failed.
         """
         answer = self._call("GET", "/admin/text")
-        return int(answer.headers["ETag"].strip('"'))
+        number = answer.headers.get("ETag", "").strip('"')
+        if not number.isdecimal():
+            raise AdminFailure(f"{self.http.base_url}: no revision in the answer")
+        return int(number)
 
     def replace(self, source: str, revision: int, author: str) -> EditView:
         """
@@ -76,7 +89,7 @@
             content=source.encode(),
             headers=headers,
         )
-        return msgspec.json.decode(answer.content, type=EditView)
+        return _decode(answer.content, EditView)
 
     def drain(self, vm: str, undo: bool) -> None:
         """
@@ -86,7 +99,7 @@
         :raises AdminFailure: if the call failed.
         """
         method = "DELETE" if undo else "POST"
-        self._call(method, f"/admin/drain/{vm}", allowed=(202,))
+        self._call(method, f"/admin/drain/{quote(vm, safe='')}", allowed=(202,))
 
     def events(self, path: str, since: int) -> Page:
         """
@@ -97,7 +110,11 @@
         :return: the page.
         :raises AdminFailure: if the call failed.
         """
-        return decode(self._get(f"{path}?since={since}"))
+        data = self._get(f"{path}?since={since}")
+        try:
+            return decode(data)
+        except WireError as error:
+            raise AdminFailure(f"{self.http.base_url}: {error}") from error
 
     def close(self) -> None:
         """Close the connection."""
@@ -111,7 +128,7 @@
     ) -> httpx.Response:
         try:
             answer = self.http.request(method, path, **options)
-        except httpx.HTTPError as error:
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
             raise AdminFailure(f"{self.http.base_url}: {error}") from error
         if answer.status_code not in allowed:
             raise AdminFailure(
@@ -120,6 +137,13 @@
         return answer
 
 
+def _decode(data: bytes, kind: type[View]) -> View:
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise AdminFailure(f"not an answer of the admin API: {error}") from error
+
+
 def read_journal(client: AdminClient, path: str) -> list[Record]:
     """
     Read all events of a process.
--- a/packages/entry/src/kumquatway/_cli/_commands.py
+++ b/packages/entry/src/kumquatway/_cli/_commands.py
@@ -204,7 +204,7 @@
 
 
 def _read_agent(address: str) -> list[Record]:
-    client = AdminClient(url=f"http://{address}", key="")
+    client = AdminClient(url=f"http://{address}")
     try:
         return read_journal(client, AGENT_EVENTS)
     except AdminFailure as error:
--- a/packages/entry/src/kumquatway/_cli/_main.py
+++ b/packages/entry/src/kumquatway/_cli/_main.py
@@ -175,10 +175,14 @@
     command: cappa.Subcommands[Serve | Check | Apply | Status | Drain | Timeline | Demo]
 
 
-def main() -> None:
-    """Run the command line."""
+def main(argv: list[str] | None = None) -> None:
+    """
+    Run the command line.
+
+    :param argv: the arguments; those of the process by default.
+    """
     try:
-        cappa.invoke(Kumquatway)
+        cappa.invoke(Kumquatway, argv=argv)
     except ConfigurationError as error:
         print(error, file=sys.stderr)
         sys.exit(BAD_INPUT)
