Call a peer down whose address is none

Cause: a message may name the address of its sender (RevisionSeen, Status). One that is no address raised in the peer's task and ended the whole process: a single garbage message to the mesh port of an entry or an agent was enough. Weighed: a check of each message's addresses, in each handler; here it holds for all. Changed: the peer is down, and is closed as any idle one.

--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -185,6 +185,9 @@
         with self._scope:
             while True:
                 socket = self._connect()
+                if socket is None:
+                    self._change(PeerState.DOWN)
+                    await anyio.sleep_forever()
                 try:
                     proved = await self._prove(socket, wait)
                     if proved:
@@ -196,14 +199,20 @@
                 finally:
                     socket.close(linger=0)
 
-    def _connect(self) -> zmq.asyncio.Socket:
+    def _connect(self) -> zmq.asyncio.Socket | None:
+        """Open a connection; None for an address, told by a peer, that is none."""
         self.connections += 1
         socket = self.context.socket(zmq.DEALER)
         identity = f"{self.identity}|{self.connections}"
         socket.setsockopt(zmq.IDENTITY, identity.encode())
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.SNDHWM, 0)
-        socket.connect(f"tcp://{self.address}")
+        try:
+            socket.connect(f"tcp://{self.address}")
+        except zmq.ZMQError as error:
+            logger.warning("{!r} is no address: {}", self.address, error)
+            socket.close(linger=0)
+            return None
         return socket
 
     async def _prove(self, socket: zmq.asyncio.Socket, wait: float) -> bool:
