--- a/packages/entry/src/kumquatway/_cli/_commands.py
+++ b/packages/entry/src/kumquatway/_cli/_commands.py
@@ -23,12 +23,13 @@
 )
 from kumquatway._entry import Entry
 from kumquatway.admin import EditView, StatusView
+from kumquatway.placement import plan as make_plan, plan_view, read_vms, render_plan
 from kumquatway.timeline import draw as draw_lanes, merge, table
 from kumquatway_core.events import Record
 from kumquatway_core.exceptions import ConfigurationError
 from kumquatway_core.logs import configure
 from kumquatway_core.settings import EntrySettings, read_entry
-from kumquatway_core.text import check as check_text
+from kumquatway_core.text import check as check_text, parse
 
 OUT = Console()
 ACCEPTED = "accepted"
@@ -179,6 +180,29 @@
         OUT.print(table(records))
 
 
+def plan(path: Path, *, vms: Path, as_json: bool) -> int:
+    """
+    Show which VM would hold what, and the bound, without acting.
+
+    :param path: of the text.
+    :param vms: file that lists the VMs and their links, TOML.
+    :param as_json: print JSON.
+    :return: exit code, 1 if a model cannot be served.
+    :raises ConfigurationError: if the text or the list is wrong.
+    """
+    text = parse(_read_file(path), str(path))
+    fleet = read_vms(vms)
+    found = make_plan(text, fleet)
+    if as_json:
+        print(msgspec.json.encode(plan_view(found, fleet, text)).decode())
+    else:
+        for shown in render_plan(found, fleet, text):
+            OUT.print(shown)
+    for model in found.unserved:
+        print(f"the VMs cannot serve {model}", file=sys.stderr)
+    return 1 if found.unserved else 0
+
+
 def demo(*, text: str, port: int) -> None:
     """
     Run a whole deployment in this process.
--- a/packages/entry/src/kumquatway/_cli/_main.py
+++ b/packages/entry/src/kumquatway/_cli/_main.py
@@ -152,6 +152,20 @@
         )
 
 
+@cappa.command(help="Show which VM would hold what, without acting.")
+@dataclass
+class Plan:
+    """The options of `plan`."""
+
+    text: Annotated[Path, cappa.Arg(help="The text, TOML.")]
+    vms: Annotated[Path, cappa.Arg(long=True, help="The list of VMs, TOML.")]
+    json: Json = False
+
+    def __call__(self):
+        """Run the command."""
+        sys.exit(_commands.plan(self.text, vms=self.vms, as_json=self.json))
+
+
 @cappa.command(help="Run a whole deployment over stand-ins in this process.")
 @dataclass
 class Demo:
@@ -172,7 +186,9 @@
 class Kumquatway:
     """The subcommands."""
 
-    command: cappa.Subcommands[Serve | Check | Apply | Status | Drain | Timeline | Demo]
+    command: cappa.Subcommands[
+        Serve | Check | Apply | Status | Drain | Timeline | Plan | Demo
+    ]
 
 
 def main(argv: list[str] | None = None) -> None:
--- a/packages/entry/tests/test_cli.py
+++ b/packages/entry/tests/test_cli.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+from pathlib import Path
 
 import anyio
 import msgspec
@@ -17,6 +18,7 @@
 from kumquatway_core.events import KINDS
 
 KEY = "operator-key"
+EXAMPLES = Path(__file__).parents[3] / "examples"
 WAIT = 20  # seconds
 SOURCE = f"""
 name = "test"
@@ -205,6 +207,32 @@
         assert "entry-0" in shown.out
 
 
+class TestPlan:
+    """`kumquatway plan` shows a plan and its bound."""
+
+    @pytest.mark.parametrize("name", ["maes", "vinoteca"])
+    async def test_the_examples(self, name, capsys):
+        files = EXAMPLES / f"{name}.toml", "--vms", EXAMPLES / f"{name}-vms.toml"
+        assert exit_code("plan", *files, "--json") == 0
+        view = json.loads(capsys.readouterr().out)
+        assert len(view["vms"]) == 40
+        assert all(model["bound"] > 0 for model in view["models"])
+        assert exit_code("plan", *files) == 0
+        assert view["models"][0]["model"] in capsys.readouterr().out
+
+    async def test_too_few_vms(self, tmp_path, capsys):
+        vms = tmp_path / "vms.toml"
+        vms.write_text("[[vms]]\nname='a'\ndata_centre='eupen'\naccelerator='kind-e'\n")
+        assert exit_code("plan", EXAMPLES / "maes.toml", "--vms", vms) == 1
+        assert "cannot serve bulletin" in capsys.readouterr().err
+
+    async def test_a_wrong_list(self, tmp_path, capsys):
+        vms = tmp_path / "vms.toml"
+        vms.write_text("[[vms]]\nname = 3\n")
+        assert exit_code("plan", EXAMPLES / "maes.toml", "--vms", vms) == 2
+        assert "data_centre" in capsys.readouterr().err
+
+
 class TestServe:
     """`kumquatway serve` refuses bad settings."""
 
