--- a/packages/core/src/kumquatway_core/mesh/_connection.py
+++ b/packages/core/src/kumquatway_core/mesh/_connection.py
@@ -25,6 +25,7 @@
     :param context: of pyzmq.
     :param address: `host:port` of the other end.
     :param identity: unique among the connections to that end.
+    :raises zmq.ZMQError: if the address is none.
     """
 
     def __init__(self, *, context: zmq.asyncio.Context, address: str, identity: str):
@@ -37,7 +38,11 @@
         self.socket.monitor(name, CLOSED | REFUSED)
         self.events = context.socket(zmq.PAIR)
         self.events.connect(name)
-        self.socket.connect(f"tcp://{address}")
+        try:
+            self.socket.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            self.close()
+            raise
 
     async def send(self, sequence: int, data: bytes) -> None:
         """
--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -196,11 +196,9 @@
         :return: whether it was ever proved.
         """
         self.connections += 1
-        connection = Connection(
-            context=self.context,
-            address=self.address,
-            identity=f"{self.identity}|{self.connections}",
-        )
+        connection = self._connect()
+        if connection is None:
+            return False
         try:
             if not await self._prove(connection, wait):
                 return False
@@ -213,6 +211,18 @@
         finally:
             connection.close()
 
+    def _connect(self) -> Connection | None:
+        """Open a connection; None for an address, told by a peer, that is none."""
+        try:
+            return Connection(
+                context=self.context,
+                address=self.address,
+                identity=f"{self.identity}|{self.connections}",
+            )
+        except zmq.ZMQError as error:
+            logger.warning("{!r} is no address: {}", self.address, error)
+            return None
+
     async def _prove(self, connection: Connection, wait: float) -> bool:
         """Wait for the first answer, or for the address to refuse."""
         self._beat_sent.clear()
--- a/packages/entry/src/kumquatway/_cli/_main.py
+++ b/packages/entry/src/kumquatway/_cli/_main.py
@@ -152,6 +152,20 @@
         )
 
 
+@cappa.command(help="Show which VM would hold what, without acting.")
+@dataclass
+class Plan:
+    """The options of `plan`."""
+
+    text: Annotated[Path, cappa.Arg(help="The text, TOML.")]
+    vms: Annotated[Path, cappa.Arg(long=True, help="The list of VMs, TOML.")]
+    json: Json = False
+
+    def __call__(self):
+        """Run the command."""
+        sys.exit(_commands.plan(self.text, vms=self.vms, as_json=self.json))
+
+
 @cappa.command(help="Run a whole deployment over stand-ins in this process.")
 @dataclass
 class Demo:
@@ -172,13 +186,19 @@
 class Kumquatway:
     """The subcommands."""
 
-    command: cappa.Subcommands[Serve | Check | Apply | Status | Drain | Timeline | Demo]
+    command: cappa.Subcommands[
+        Serve | Check | Apply | Status | Drain | Timeline | Plan | Demo
+    ]
+
 
+def main(argv: list[str] | None = None) -> None:
+    """
+    Run the command line.
 
-def main() -> None:
-    """Run the command line."""
+    :param argv: the arguments; those of the process by default.
+    """
     try:
-        cappa.invoke(Kumquatway)
+        cappa.invoke(Kumquatway, argv=argv)
     except ConfigurationError as error:
         print(error, file=sys.stderr)
         sys.exit(BAD_INPUT)
