Count how often a parcel was sent

Cause: a refusal by an agent proves not-run only for a call that was sent once; Peer._rewind sends again over a new connection, and nobody could tell.

Weighed: never to send a call that is not idempotent again. Ruled out: after a short break of a connection each such call would wait for its deadline and end as may-have-run, although the receiver drops repeats and its answer is there. A count costs one integer; `left` follows from it.

--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -45,15 +45,24 @@
     :param sequence: its place among the messages to this peer.
     """
 
-    __slots__ = ("data", "left", "message", "sequence", "withdrawn")
+    __slots__ = ("data", "message", "sends", "sequence", "withdrawn")
 
     def __init__(self, *, message: Message, sequence: int):
         self.message = message
         self.sequence = sequence
         self.data = encode(message)
-        self.left = False
+        self.sends = 0
         self.withdrawn = False
 
+    @property
+    def left(self) -> bool:
+        """
+        Tell whether a byte of it may have left this process.
+
+        :return: False before it is first sent.
+        """
+        return self.sends > 0
+
 
 class Peer:
     """
@@ -218,7 +227,7 @@
         self._outbox_bytes -= len(parcel.data)
         if parcel.withdrawn:
             return
-        parcel.left = True
+        parcel.sends += 1
         self._unacked.append(parcel)
         self._unacked_bytes += len(parcel.data)
         head = parcel.sequence.to_bytes(SEQUENCE_BYTES, "big")
