Doubt a refusal of a call that was sent more than once

Cause: a call that was sent again over a new connection may have run in the agent's life before; the new life refuses it as meant for another incarnation, the entry took that for not-run and gave the claim up.

Also: an URL that httpx refuses (InvalidURL, which is no ValueError) ended the agent, since it left the call's task. The request is now built before anything is sent, and no exception leaves a call without its reply.

--- a/packages/agent/src/kumquatway_agent/service/_caller.py
+++ b/packages/agent/src/kumquatway_agent/service/_caller.py
@@ -96,17 +96,22 @@
 
     async def _run(self, call: Call) -> CallReply:
         http = self.kept if call.idempotent else self.fresh
+        request = _build(http, call)
+        if isinstance(request, Verdict):
+            return _failed(call, request)
         try:
             with anyio.fail_after(call.timeout):
-                return await _request(http, call)
+                return _reply(call, await http.send(request))
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             verdict = not_run(Reason.UNREACHABLE, repr(error))
         except (TimeoutError, httpx.TimeoutException):
             verdict = may_have_run(Reason.SILENCE, "the service did not answer")
         except httpx.HTTPError as error:
             verdict = may_have_run(Reason.RESET, repr(error))
-        except ValueError as error:
-            verdict = not_run(Reason.BAD_REQUEST, str(error))
+        except Exception as error:
+            # Bytes may have left; no call may end the agent or lose its reply.
+            logger.opt(exception=error).error("call {} failed: {}", call.call, error)
+            verdict = may_have_run(Reason.INTERNAL, repr(error))
         logger.info("call {} of {} failed: {}", call.call, call.request, verdict)
         return _failed(call, verdict)
 
@@ -116,10 +121,17 @@
     return open_client(url, timeout=timeout, limits=limits, transport=transport)
 
 
-async def _request(http: httpx.AsyncClient, call: Call) -> CallReply:
-    answer = await http.request(
-        call.method, call.path, content=call.body, headers=list(call.headers)
-    )
+def _build(http: httpx.AsyncClient, call: Call) -> httpx.Request | Verdict:
+    """Make the request, while no byte can have left."""
+    try:
+        return http.build_request(
+            call.method, call.path, content=call.body, headers=list(call.headers)
+        )
+    except (ValueError, TypeError, httpx.InvalidURL) as error:
+        return not_run(Reason.BAD_REQUEST, str(error))
+
+
+def _reply(call: Call, answer: httpx.Response) -> CallReply:
     if len(answer.content) > MAX_BODY:
         verdict = Verdict(ran=RAN, reason=Reason.TOO_LARGE, detail="a large answer")
         return _failed(call, verdict)
--- a/packages/entry/src/kumquatway/calls/_calls.py
+++ b/packages/entry/src/kumquatway/calls/_calls.py
@@ -5,7 +5,7 @@
 """
 
 import secrets
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import anyio
 
@@ -66,6 +66,9 @@
         self.done = anyio.Event()
         self.result: Answer | Verdict | None = None
 
+    def sent_again(self) -> bool:
+        return self.parcel is not None and self.parcel.sends > 1
+
     def settle(self, result: Answer | Verdict) -> None:
         if self.result is None:
             self.result = result
@@ -110,7 +113,10 @@
         waiting = self.waiting.get(reply.call)
         if waiting is None:
             return
-        waiting.settle(_result(reply))
+        result = _result(reply)
+        if isinstance(result, Verdict) and waiting.sent_again():
+            result = _doubted(result)
+        waiting.settle(result)
 
     def lose(self, lost: list[Message]) -> None:
         """
@@ -183,6 +189,14 @@
         return doubt(Reason.DEADLINE, "no answer within the bound")
 
 
+def _doubted(verdict: Verdict) -> Verdict:
+    # The copy that was refused may not be the only one that arrived: an agent
+    # that restarted between two copies knows nothing of the first.
+    if verdict.ran is not NOT_RUN:
+        return verdict
+    return replace(verdict, ran=MAY_HAVE_RUN, retry_after=None)
+
+
 def _result(reply: CallReply) -> Answer | Verdict:
     if reply.status:
         return Answer(status=reply.status, headers=reply.headers, body=reply.body)
