--- a/packages/core/src/kumquatway_core/wire/_messages.py
+++ b/packages/core/src/kumquatway_core/wire/_messages.py
@@ -287,28 +287,6 @@
     leave: bool
 
 
-class RevisionSeen(_Message):
-    """
-    Tells a peer which revision of the text is in force here.
-
-    :param address: of the sender, for a copy if the peer has a higher one.
-    """
-
-    address: str
-    number: int
-
-
-class RevisionCopy(_Message):
-    """
-    A revision of the text for a peer that has an older one.
-
-    :param data: the encoded revision.
-    """
-
-    number: int
-    data: bytes
-
-
 class Order(_Message):
     """
     Tells an agent to have its engine load or unload a range; idempotent.
@@ -342,6 +320,28 @@
     detail: str = ""
 
 
+class RevisionSeen(_Message):
+    """
+    Tells a peer which revision of the text is in force here.
+
+    :param address: of the sender, for a copy if the peer has a higher one.
+    """
+
+    address: str
+    number: int
+
+
+class RevisionCopy(_Message):
+    """
+    A revision of the text for a peer that has an older one.
+
+    :param data: the encoded revision.
+    """
+
+    number: int
+    data: bytes
+
+
 class Beat(_Message):
     """
     A heartbeat, answered on the same connection.
@@ -373,10 +373,10 @@
     | Status
     | Subscribe
     | Drain
-    | RevisionSeen
-    | RevisionCopy
     | Order
     | OrderReply
+    | RevisionSeen
+    | RevisionCopy
     | Beat
     | BeatReply
 )
