--- a/packages/core/src/kumquatway_core/engine/__init__.py
+++ b/packages/core/src/kumquatway_core/engine/__init__.py
@@ -7,6 +7,7 @@
 from kumquatway_core.engine._client import EngineClient, EngineFailure
 from kumquatway_core.engine._messages import (
     ALL_STREAMS,
+    NO_SLOT,
     EngineLoad,
     EngineOrder,
     EngineOrderReply,
@@ -20,6 +21,7 @@
 
 __all__ = [
     "ALL_STREAMS",
+    "NO_SLOT",
     "EngineClient",
     "EngineFailure",
     "EngineLoad",
--- a/packages/core/src/kumquatway_core/engine/_client.py
+++ b/packages/core/src/kumquatway_core/engine/_client.py
@@ -71,14 +71,17 @@
         """
         return await self._post("/step", request, StepReply, timeout)
 
-    async def order(self, order: EngineOrder) -> EngineOrderReply | EngineFailure:
+    async def order(
+        self, order: EngineOrder, timeout: float = ORDER_TIMEOUT
+    ) -> EngineOrderReply | EngineFailure:
         """
         Give an order.
 
         :param order: what to load or unload.
+        :param timeout: seconds until no answer is expected any more.
         :return: the engine's answer, or the failure.
         """
-        return await self._post("/orders", order, EngineOrderReply, ORDER_TIMEOUT)
+        return await self._post("/orders", order, EngineOrderReply, timeout)
 
     async def state(self) -> EngineState | EngineFailure:
         """
--- a/packages/core/src/kumquatway_core/engine/_messages.py
+++ b/packages/core/src/kumquatway_core/engine/_messages.py
@@ -9,6 +9,7 @@
 from kumquatway_core.wire import Holding
 
 ALL_STREAMS = "*"  # in a cancel: every stream of the engine
+NO_SLOT = "no free slot"  # in an output: the engine is full, and not broken
 
 
 class _Body(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/core/src/kumquatway_core/leases/_lease.py
+++ b/packages/core/src/kumquatway_core/leases/_lease.py
@@ -23,6 +23,7 @@
 )
 
 TABLE = "leases"
+PLANNER = "planner"  # name of the lease under which engines get orders
 DURATION_SECONDS = 10.0
 RENEW_SHARE = 0.5  # of the duration left, above which nothing is written
 DRIFT = 0.01  # share by which two monotonic clocks may run apart
@@ -197,6 +198,19 @@
         await self.table.commit(Transaction(expectations=(place,), puts=(put,)))
 
 
+async def read_lease(table: Table, name: str) -> LeaseRow | None:
+    """
+    Read a lease without taking part in it.
+
+    :param table: the table service.
+    :param name: of the duty.
+    :return: the row, or None if nobody ever held it.
+    :raises PlatformError: if the table service did not answer, or not with a lease.
+    """
+    rows = await table.read((Key(table=TABLE, key=name),))
+    return _decode(rows[0] if rows else None)
+
+
 def _next_number(found: LeaseRow | None, holder: str) -> int:
     if found is None:
         return 1
