Carry out the planner's orders in the agent, one at a time and by number

Orders uses core's Fence. A new life reads the planner's lease (name PLANNER) before its first order and refuses while the store is down; then it waits for the lease's order bound from its own start, since an order of the life before may still be at the engine; so it does after an order without an answer. A bound of 0 (every engine checks) costs no wait. A number is noted on arrival, so that an older order that waits is not given. An unload first hides the layers from entries, waits for the streams that need them within the order's time, and refuses new ones just before it.

Weighed: to tell checking engines by the number in their state. Ruled out: a fresh one shows 0 like one that ignores it; the lease's bound says it for all.

Calls and orders run in tasks whose failure does not end the agent.

--- a/packages/agent/src/kumquatway_agent/_agent.py
+++ b/packages/agent/src/kumquatway_agent/_agent.py
@@ -4,7 +4,7 @@
 The process beside one upstream: its children and how messages reach them.
 """
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 from loguru import logger
@@ -14,6 +14,7 @@
 from kumquatway_agent._reap import keep_reaping
 from kumquatway_agent._status import StatusBoard
 from kumquatway_agent._watch import watch_engine
+from kumquatway_agent.orders import Orders, in_use
 from kumquatway_agent.service import ServiceCaller
 from kumquatway_agent.stage import StageRunner, Streams
 from kumquatway_core import Supervisor, Verdict, new_incarnation
@@ -27,14 +28,18 @@
 )
 from kumquatway_core.events import Clock, DrainChanged, Journal, ProcessStarted
 from kumquatway_core.http import serve
+from kumquatway_core.leases import PLANNER, read_lease
 from kumquatway_core.mesh import Mesh, Peer, PeerState, Source
+from kumquatway_core.platform import Channel, Table
 from kumquatway_core.settings import AgentSettings
 from kumquatway_core.wire import (
     Call,
     Cancel,
     Drain,
+    Holding,
     Load,
     Message,
+    Order,
     Splice,
     Status,
     Steps,
@@ -74,6 +79,7 @@
         self.board = StatusBoard(
             status=self._first_status(), load=self._load, send=self.mesh.send
         )
+        self.orders = self._orders()
         self.supervisor = Supervisor(name=settings.vm)
         self.leaving = anyio.Event()
         self._freed: list[str] = []
@@ -114,6 +120,8 @@
             self.stage.streams.accepting = not leave
         if self.caller is not None:
             self.caller.accepting = not leave
+        if self.orders is not None:
+            self.orders.accepting = not leave
         self.board.change(state=state)
         self.journal.emit(DrainChanged(vm=self.settings.vm, state=state))
 
@@ -121,11 +129,12 @@
         """
         Count what a shutdown has to wait for.
 
-        :return: streams and calls.
+        :return: streams, calls and orders.
         """
         streams = len(self.stage.streams.streams) if self.stage else 0
         calls = len(self.caller.running) if self.caller else 0
-        return streams + calls
+        orders = self.orders.waiting if self.orders else 0
+        return streams + calls + orders
 
     def _engine(self) -> EngineClient | None:
         found = self.settings.engine
@@ -147,6 +156,19 @@
             on_sick=self._on_sick,
         )
 
+    def _orders(self) -> Orders | None:
+        if self.engine is None:
+            return None
+        table = Table(channel=Channel(addresses=self.settings.platform.tables))
+        return Orders(
+            vm=self.settings.vm,
+            give=self.engine.order,
+            read=lambda: read_lease(table, PLANNER),
+            in_use=self._in_use,
+            closing=self.stage.streams.closing,
+            refresh=self._refresh,
+        )
+
     def _caller(self) -> ServiceCaller | None:
         found = self.settings.service
         if found is None:
@@ -206,6 +228,9 @@
         return handlers
 
     def _handle(self, source: Source, message: Message) -> None:
+        if isinstance(message, Order) and self.orders is not None:
+            self._start(self._carry_out, source.address, message)
+            return
         handler = self._routes.get(type(message))
         if handler is None:
             logger.warning(
@@ -224,7 +249,31 @@
 
     def _take_call(self, call: Call) -> None:
         self.metrics.calls.inc({})
-        self._group.start_soon(self.caller.take, call)
+        self._start(self.caller.take, call)
+
+    def _start(self, run: Callable[..., Awaitable[None]], *args) -> None:
+        """Start a task whose failure does not end the agent."""
+        self._group.start_soon(self._guard, run, *args)
+
+    async def _guard(self, run: Callable[..., Awaitable[None]], *args) -> None:
+        try:
+            await run(*args)
+        except Exception as error:
+            logger.opt(exception=error).error("a task failed: {}", error)
+
+    async def _carry_out(self, address: str, order: Order) -> None:
+        self.mesh.send(address, await self.orders.take(order))
+
+    def _in_use(self, holding: Holding) -> bool:
+        streams = self.stage.streams.streams.values()
+        stages = [(stream.open, stream.here()) for stream in streams]
+        others = tuple(o for o in self.board.status.holdings if o != holding)
+        return in_use(holding, stages, others)
+
+    async def _refresh(self) -> None:
+        state = await self.engine.state()
+        if isinstance(state, EngineState):
+            self._on_state(state)
 
     def _take_drain(self, drain: Drain) -> None:
         if drain.vm == self.settings.vm:
@@ -264,7 +313,9 @@
         )
 
     def _on_state(self, state: EngineState) -> None:
-        changes = {"holdings": state.holdings}
+        hidden = self.orders.hidden
+        shown = tuple(held for held in state.holdings if held not in hidden)
+        changes = {"holdings": shown}
         if self.board.state() is VMState.SICK:
             changes["state"] = VMState.LIVE
         self.board.change(**changes)
--- a/packages/agent/src/kumquatway_agent/stage/_streams.py
+++ b/packages/agent/src/kumquatway_agent/stage/_streams.py
@@ -9,9 +9,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from kumquatway_agent.orders import covers_stage
 from kumquatway_agent.stage._retained import Output, Retained
 from kumquatway_core import Reason
-from kumquatway_core.wire import Open, Stage, StepItem
+from kumquatway_core.wire import Holding, Open, Stage, StepItem
 
 MAX_TOMBSTONES = 20_000
 MIB = 1024 * 1024
@@ -154,6 +155,7 @@
         self.retained_bytes = 0
         self.dropped = 0
         self.accepting = True
+        self.closing: set[Holding] = set()
 
     def take(self, item: StepItem) -> Work | Output | Refusal | None:
         """
@@ -241,6 +243,8 @@
             return Refusal(reason=Reason.REFUSED, detail="layers missing or doubled")
         if not self.accepting:
             return Refusal(reason=Reason.SHUTTING_DOWN, detail="leaving")
+        if any(covers_stage(held, open, here) for held in self.closing):
+            return Refusal(reason=Reason.REFUSED, detail="the layers are unloaded")
         if len(self.streams) >= self.max_streams:
             return Refusal(reason=Reason.OVERLOADED, detail="too many streams")
         return None
--- a/packages/core/src/kumquatway_core/leases/__init__.py
+++ b/packages/core/src/kumquatway_core/leases/__init__.py
@@ -10,7 +10,17 @@
     PLANNER,
     Lease,
     LeaseRow,
+    boot_clock,
     read_lease,
 )
 
-__all__ = ["DURATION_SECONDS", "Fence", "Lease", "LeaseRow", "OlderNumber"]
+__all__ = [
+    "DURATION_SECONDS",
+    "PLANNER",
+    "Fence",
+    "Lease",
+    "LeaseRow",
+    "OlderNumber",
+    "boot_clock",
+    "read_lease",
+]
