Test that an unload in wait gives way to a newer holder

The test passed with the check after the wait taken away, since the newer number came before the older order's turn; now it comes while the unload waits.

--- a/packages/agent/tests/test_orders.py
+++ b/packages/agent/tests/test_orders.py
@@ -198,9 +198,11 @@
 
     async def test_an_unload_gives_way_to_a_newer_holder(self):
         rig = Rig()
-        rig.used = 3
+        rig.used = 50
         async with anyio.create_task_group() as group:
             group.start_soon(lambda: rig.take(5, load=False, holding=HIGH))
+            while not rig.orders.hidden:
+                await anyio.lowlevel.checkpoint()
             group.start_soon(lambda: rig.take(6))
         assert [number for number, _ in rig.given] == [6]
 
