Let a long prompt not stall decodes; tell a full engine from a broken one

Cause: steps of one priority went first come, first served, so a token waited behind every chunk of a long prompt that came before it.

Decodes now go first in each engine step; chunks of prompts fill it up to 512 tokens while streams decode, to 2048 otherwise.

An engine without a free slot gives OVERLOADED for its one stream. Items without data for each position are refused, since they failed the step of every stream with them; a reply of the wrong length fails its batch and not the stage. After a failed step the engine's pooled connections are left behind. A route of one stage passes its tokens on in memory.

--- a/packages/agent/src/kumquatway_agent/_agent.py
+++ b/packages/agent/src/kumquatway_agent/_agent.py
@@ -151,7 +151,7 @@
         return StageRunner(
             streams=streams,
             step=self._step,
-            send=self.mesh.send,
+            send=self._send,
             free=self._free,
             on_sick=self._on_sick,
         )
@@ -247,6 +247,12 @@
         if self.stage is not None:
             self.stage.lose_next_hop(peer.address)
 
+    def _send(self, address: str, message: Message) -> object:
+        """Send a message; a route of one stage passes its tokens on in memory."""
+        if address == self.mesh.address and isinstance(message, Steps):
+            return self.stage.take_steps(message)
+        return self.mesh.send(address, message)
+
     def _take_call(self, call: Call) -> None:
         self.metrics.calls.inc({})
         self._start(self.caller.take, call)
@@ -284,7 +290,11 @@
     ) -> StepReply | EngineFailure:
         self.metrics.steps.inc({})
         self.metrics.tokens.add({}, sum(item.count for item in request.items))
-        return await self.engine.step(request, timeout)
+        reply = await self.engine.step(request, timeout)
+        if isinstance(reply, EngineFailure):
+            # Other pooled connections may be as silent as this one.
+            await self.engine.renew()
+        return reply
 
     def _free(self, names: tuple[str, ...]) -> None:
         self._freed.extend(names)
--- a/packages/agent/src/kumquatway_agent/stage/_batcher.py
+++ b/packages/agent/src/kumquatway_agent/stage/_batcher.py
@@ -4,8 +4,6 @@
 Gathers the steps that wait into one engine step at a time.
 """
 
-import heapq
-import itertools
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -13,8 +11,9 @@
 import anyio
 
 from kumquatway_agent.stage._pace import Pace
+from kumquatway_agent.stage._queue import Queue
 from kumquatway_agent.stage._streams import Work
-from kumquatway_core import Verdict
+from kumquatway_core import Reason, Verdict, may_have_run
 from kumquatway_core.engine import (
     EngineFailure,
     StepInput,
@@ -25,6 +24,8 @@
 from kumquatway_core.wire import Load
 
 TOKEN_BUDGET = 2048  # tokens in one engine step
+MIXED_BUDGET = 512  # tokens in one while streams decode, whose next token waits
+DECODE_MEMORY = 1.0  # seconds since a decode for which streams count as decoding
 SMOOTHING = 0.2
 
 Step = Callable[[StepRequest, float], Awaitable[StepReply | EngineFailure]]
@@ -58,6 +59,7 @@
         on_batch_done: Callable[[], None],
         on_failure: Callable[[list[Work], Verdict], None],
         token_budget: int = TOKEN_BUDGET,
+        mixed_budget: int = MIXED_BUDGET,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.step = step
@@ -65,13 +67,14 @@
         self.on_batch_done = on_batch_done
         self.on_failure = on_failure
         self.token_budget = token_budget
+        self.mixed_budget = mixed_budget
         self.clock = clock
         self.pace = Pace()
-        self.queues: dict[Group, list[tuple[int, int, Work]]] = {}
+        self.queues: dict[Group, Queue] = {}
         self.waiting = 0
         self.step_seconds = 0.0
         self.tokens_per_second = 0.0
-        self._order = itertools.count()
+        self._last_decode = float("-inf")
         self._wake = anyio.Event()
 
     def add(self, work: Work) -> None:
@@ -85,8 +88,7 @@
         group = Group(
             model=open.model, version=open.version, first=here.first, end=here.end
         )
-        queue = self.queues.setdefault(group, [])
-        heapq.heappush(queue, (open.priority, next(self._order), work))
+        self.queues.setdefault(group, Queue()).add(work)
         self.waiting += 1
         self._wake.set()
 
@@ -117,23 +119,33 @@
 
     def _oldest(self) -> Group:
         """Choose the group whose first step is most urgent, then oldest."""
-        return min(self.queues, key=lambda group: self.queues[group][0][:2])
+        return min(self.queues, key=lambda group: self.queues[group].rank())
 
     def _take(self, group: Group) -> list[Work]:
+        """Take decodes, which cost little, and fill up with chunks of prompts."""
         queue = self.queues[group]
+        batch = self._fill(queue.pop_decode, self.token_budget)
+        if batch:
+            self._last_decode = self.clock()
+        batch += self._fill(queue.pop_prefill, self._prefill_budget() - len(batch))
+        if queue.is_empty():
+            del self.queues[group]
+        return batch
+
+    def _fill(self, pop: Callable[[], Work | None], budget: int) -> list[Work]:
         batch: list[Work] = []
         tokens = 0
-        while queue and tokens < self.token_budget:
-            _, _, work = heapq.heappop(queue)
+        while tokens < budget and (work := pop()) is not None:
             self.waiting -= 1
-            if work.stream.closed:
-                continue
-            batch.append(work)
-            tokens += work.count
-        if not queue:
-            del self.queues[group]
+            if not work.stream.closed:
+                batch.append(work)
+                tokens += work.count
         return batch
 
+    def _prefill_budget(self) -> int:
+        decoding = self.clock() - self._last_decode < DECODE_MEMORY
+        return self.mixed_budget if decoding else self.token_budget
+
     async def _run_step(self, group: Group, batch: list[Work]) -> None:
         tokens = sum(work.count for work in batch)
         request = StepRequest(
@@ -149,6 +161,10 @@
         if isinstance(reply, EngineFailure):
             self.on_failure(batch, reply.verdict)
             return
+        if len(reply.items) != len(batch):
+            detail = f"the engine answered {len(reply.items)} of {len(batch)} items"
+            self.on_failure(batch, may_have_run(Reason.UPSTREAM_ERROR, detail))
+            return
         self._learn(tokens, seconds)
         for work, output in zip(batch, reply.items, strict=True):
             self.on_output(work, output)
--- a/packages/agent/src/kumquatway_agent/stage/_stage.py
+++ b/packages/agent/src/kumquatway_agent/stage/_stage.py
@@ -13,7 +13,7 @@
 from kumquatway_agent.stage._retained import Output
 from kumquatway_agent.stage._streams import Key, Refusal, Stream, Streams, Work
 from kumquatway_core import Reason, Verdict
-from kumquatway_core.engine import StepOutput
+from kumquatway_core.engine import NO_SLOT, StepOutput
 from kumquatway_core.wire import (
     Cancel,
     Load,
@@ -167,8 +167,8 @@
         if stream.closed:
             return
         if output.error:
-            open = stream.open
-            self._trouble(open, stream.stage, Reason.UPSTREAM_ERROR, output.error)
+            reason = _reason(output.error)
+            self._trouble(stream.open, stream.stage, reason, output.error)
             self.drop([stream.key()])
             return
         stream.done = work.position + work.count
@@ -270,6 +270,11 @@
     return chunks
 
 
+def _reason(error: str) -> Reason:
+    """Tell an engine that is full from one that is broken."""
+    return Reason.OVERLOADED if error == NO_SLOT else Reason.UPSTREAM_ERROR
+
+
 def _known_token(open: Open, position: int) -> int | None:
     """Find the token at a position that the caller already has."""
     start = (position - open.prompt_tokens) * TOKEN_BYTES
--- a/packages/agent/src/kumquatway_agent/stage/_streams.py
+++ b/packages/agent/src/kumquatway_agent/stage/_streams.py
@@ -18,6 +18,7 @@
 MIB = 1024 * 1024
 RETAINED_BOUND = 64 * MIB
 MAX_STREAMS = 4096
+TOKEN_BYTES = 4
 
 Key = tuple[str, int]
 
@@ -274,7 +275,7 @@
         return last
 
     def _accept(self, stream: Stream, item: StepItem) -> Work | Refusal:
-        if item.count < 1 or len(item.data) % item.count:
+        if not _is_whole(item):
             return Refusal(reason=Reason.REFUSED, detail="data of a wrong size")
         skip = stream.queued - item.position
         width = len(item.data) // item.count
@@ -298,6 +299,13 @@
             self.retained_bytes -= stream.retained.evict()
 
 
+def _is_whole(item: StepItem) -> bool:
+    """Check that there are data for each position, tokens for the first layer."""
+    if item.count < 1 or not item.data or len(item.data) % item.count:
+        return False
+    return item.layer > 0 or len(item.data) == item.count * TOKEN_BYTES
+
+
 def covers(route: tuple[Stage, ...]) -> bool:
     """
     Check that a route runs each layer once, in order.
--- a/packages/fakes/src/kumquatway_fakes/_engine.py
+++ b/packages/fakes/src/kumquatway_fakes/_engine.py
@@ -18,6 +18,7 @@
 
 from kumquatway_core.engine import (
     ALL_STREAMS,
+    NO_SLOT,
     EngineLoad,
     EngineOrder,
     EngineOrderReply,
@@ -35,7 +36,6 @@
 BLOCK = 64  # tokens in a block of the prefix cache
 MICROSECONDS = 1e-6  # seconds
 NO_STREAM = "unknown stream"
-NO_SLOT = "no free slot"
 NO_LAYERS = "layers not loaded"
 
 
