--- a/packages/agent/src/kumquatway_agent/stage/_streams.py
+++ b/packages/agent/src/kumquatway_agent/stage/_streams.py
@@ -9,14 +9,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from kumquatway_agent.orders import covers_stage
 from kumquatway_agent.stage._retained import Output, Retained
 from kumquatway_core import Reason
-from kumquatway_core.wire import Open, Stage, StepItem
+from kumquatway_core.wire import Holding, Open, Stage, StepItem
 
 MAX_TOMBSTONES = 20_000
 MIB = 1024 * 1024
 RETAINED_BOUND = 64 * MIB
 MAX_STREAMS = 4096
+TOKEN_BYTES = 4
 
 Key = tuple[str, int]
 
@@ -154,6 +156,7 @@
         self.retained_bytes = 0
         self.dropped = 0
         self.accepting = True
+        self.closing: set[Holding] = set()
 
     def take(self, item: StepItem) -> Work | Output | Refusal | None:
         """
@@ -241,6 +244,8 @@
             return Refusal(reason=Reason.REFUSED, detail="layers missing or doubled")
         if not self.accepting:
             return Refusal(reason=Reason.SHUTTING_DOWN, detail="leaving")
+        if any(covers_stage(held, open, here) for held in self.closing):
+            return Refusal(reason=Reason.REFUSED, detail="the layers are unloaded")
         if len(self.streams) >= self.max_streams:
             return Refusal(reason=Reason.OVERLOADED, detail="too many streams")
         return None
@@ -270,7 +275,7 @@
         return last
 
     def _accept(self, stream: Stream, item: StepItem) -> Work | Refusal:
-        if item.count < 1 or len(item.data) % item.count:
+        if not _is_whole(item):
             return Refusal(reason=Reason.REFUSED, detail="data of a wrong size")
         skip = stream.queued - item.position
         width = len(item.data) // item.count
@@ -294,6 +299,13 @@
             self.retained_bytes -= stream.retained.evict()
 
 
+def _is_whole(item: StepItem) -> bool:
+    """Check that there are data for each position, tokens for the first layer."""
+    if item.count < 1 or not item.data or len(item.data) % item.count:
+        return False
+    return item.layer > 0 or len(item.data) == item.count * TOKEN_BYTES
+
+
 def covers(route: tuple[Stage, ...]) -> bool:
     """
     Check that a route runs each layer once, in order.
