--- a/packages/entry/tests/test_api.py
+++ b/packages/entry/tests/test_api.py
@@ -356,7 +356,11 @@
         events = []
         streams = Streams(
             entry="e",
-            routes=Routes(route=one_stage, replacement=lambda *_: None),
+            routes=Routes(
+                route=one_stage,
+                replacement=lambda *_: None,
+                change=lambda *_: None,
+            ),
             send=lambda address, message: events.append(message),
             emit=events.append,
         )
