Gather admission, its split and its exchange for an entry

Cause: admission stood beside the path of requests, and its split had no way to the other entries. Admission.admit takes how to wait, so that a caller that goes away leaves the queue.

--- a/packages/core/src/kumquatway_core/wire/_messages.py
+++ b/packages/core/src/kumquatway_core/wire/_messages.py
@@ -320,6 +320,45 @@
     detail: str = ""
 
 
+class DemandItem(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    What one entry asks for of one client account.
+
+    :param account: its name.
+    :param demand: smoothed demand, 1 is the account's configured rate.
+    :param held: the part of the rate that the entry may use now.
+    """
+
+    account: str
+    demand: float
+    held: float
+
+
+class Demands(_Message):
+    """
+    What one entry asks for of the accounts of one owner.
+
+    :param entry: address of the asker.
+    :param round: given back with the answer.
+    """
+
+    entry: str
+    items: tuple[DemandItem, ...]
+    round: int = 0
+
+
+class Grants(_Message):
+    """
+    The parts of the accounts' rates, in the order of the items asked for.
+
+    :param parts: 0 to 1 each.
+    :param round: of the demands.
+    """
+
+    parts: tuple[float, ...]
+    round: int = 0
+
+
 class RevisionSeen(_Message):
     """
     Tells a peer which revision of the text is in force here.
@@ -375,6 +414,8 @@
     | Drain
     | Order
     | OrderReply
+    | Demands
+    | Grants
     | RevisionSeen
     | RevisionCopy
     | Beat
--- a/packages/entry/src/kumquatway/admission/__init__.py
+++ b/packages/entry/src/kumquatway/admission/__init__.py
@@ -7,9 +7,12 @@
 from kumquatway.admission._admission import Admission, Limits
 from kumquatway.admission._ask import Ask, Kind
 from kumquatway.admission._capacity import Capacity
-from kumquatway.admission._grants import DemandItem, Demands, Grants
+from kumquatway.admission._entry import EntryAdmission
+from kumquatway.admission._exchange import Exchange
+from kumquatway.admission._queueing import Queueing
 from kumquatway.admission._split import Split
 from kumquatway.admission._ticket import Ticket, Waiting
+from kumquatway_core.wire import DemandItem, Demands, Grants
 
 __all__ = [
     "Admission",
@@ -17,9 +20,12 @@
     "Capacity",
     "DemandItem",
     "Demands",
+    "EntryAdmission",
+    "Exchange",
     "Grants",
     "Kind",
     "Limits",
+    "Queueing",
     "Split",
     "Ticket",
     "Waiting",
--- a/packages/entry/src/kumquatway/admission/_admission.py
+++ b/packages/entry/src/kumquatway/admission/_admission.py
@@ -26,6 +26,9 @@
 SWEEP_SECONDS = 0.05
 REBUILD_ENTRIES = 64
 RETURN_WAIT_SHARE = 0.5
+CALLER_GONE = not_run(Reason.CANCELLED, "the caller went away")
+
+Wait = Callable[[anyio.Event], Awaitable[bool]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -41,6 +44,17 @@
     per_account: int = 500
 
 
+async def wait_for(event: anyio.Event) -> bool:
+    """
+    Wait for an event, whatever the caller does.
+
+    :param event: set once there is an outcome.
+    :return: True.
+    """
+    await event.wait()
+    return True
+
+
 def whole_share(name: str) -> float:
     """
     Give an entry that stands alone the whole of each limit.
@@ -96,11 +110,12 @@
         self.latest: list[tuple[float, int, Waiting]] = []
         self.offers = 0
 
-    async def admit(self, ask: Ask) -> Ticket | Verdict:
+    async def admit(self, ask: Ask, wait: Wait = wait_for) -> Ticket | Verdict:
         """
         Wait until a request may start; a refusal is returned as soon as it is known.
 
         :param ask: the request.
+        :param wait: waits for an event; False if the caller went away meanwhile.
         :return: a ticket to close, or a verdict `NOT_RUN` with `retry_after`.
         """
         event = anyio.Event()
@@ -113,12 +128,13 @@
         offered = self.offer(ask, wake)
         if not isinstance(offered, Waiting):
             return offered
+        stays = False
         try:
-            await event.wait()
-        except anyio.get_cancelled_exc_class():
-            self.withdraw(offered, outcomes)
-            raise
-        return outcomes[0]
+            stays = await wait(event)
+        finally:
+            if not stays:
+                self.withdraw(offered, outcomes)
+        return outcomes[0] if stays else CALLER_GONE
 
     def offer(
         self, ask: Ask, wake: Callable[[Ticket | Verdict], None]
--- a/packages/entry/src/kumquatway/admission/_grants.py
+++ b/packages/entry/src/kumquatway/admission/_grants.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
-import msgspec
+from kumquatway_core.wire import DemandItem, Demands, Grants
 
 GRANT_SECONDS = 4.0
 LEARN_SECONDS = 1.5
@@ -16,33 +16,6 @@
 LOST_DEMAND = 0.01
 
 
-class DemandItem(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """
-    What one entry asks for of one account.
-
-    :param account: name of the client account.
-    :param demand: smoothed demand, 1 is the account's configured rate.
-    :param held: the part of the rate that it may use now.
-    """
-
-    account: str
-    demand: float
-    held: float
-
-
-class Demands(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """What one entry asks for of the accounts of one owner."""
-
-    entry: str
-    items: tuple[DemandItem, ...]
-
-
-class Grants(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """The parts of the accounts' rates, in the order of the items asked for."""
-
-    parts: tuple[float, ...]
-
-
 @dataclass(kw_only=True, slots=True)
 class _Holder:
     """One entry's last word on an account."""
@@ -82,7 +55,7 @@
         """
         now = self.clock()
         parts = [self._grant(demands.entry, item, now) for item in demands.items]
-        return Grants(parts=tuple(parts))
+        return Grants(parts=tuple(parts), round=demands.round)
 
     def follow(self, entries: tuple[str, ...]) -> None:
         """
--- a/packages/entry/src/kumquatway/admission/_split.py
+++ b/packages/entry/src/kumquatway/admission/_split.py
@@ -13,13 +13,8 @@
 import anyio
 
 from kumquatway.admission._demand import Demand
-from kumquatway.admission._grants import (
-    GRANT_SECONDS,
-    DemandItem,
-    Demands,
-    Grants,
-    Owner,
-)
+from kumquatway.admission._grants import GRANT_SECONDS, Owner
+from kumquatway_core.wire import DemandItem, Demands, Grants
 
 PERIOD_SECONDS = 1.0
 MAX_ITEMS = 512
@@ -57,8 +52,8 @@
     """
     This entry's parts of the accounts' limits.
 
-    :param entry: this entry's name.
-    :param entries: gives the names of the live entries, this one among them.
+    :param entry: this entry's address.
+    :param entries: gives the addresses of the live entries, this one among them.
     :param exchange: sends demands to an owner; None if it is silent.
     :param clock: gives the time, seconds.
     """
--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -86,6 +86,15 @@
     change: Callable[[tuple[Stage, ...], tuple[Stage, ...]], None]
 
 
+def ignore_first(session: "Session", seconds: float) -> None:
+    """
+    Stand in for who wants to know of first tokens.
+
+    :param session: of the stream.
+    :param seconds: from sending the prompt.
+    """
+
+
 class Session:
     """
     One request in flight.
@@ -95,6 +104,7 @@
     :param routes: chooses upstreams.
     :param send: sends a message to an address.
     :param emit: writes down an event.
+    :param on_first: told the seconds to the first token, if nothing failed before.
     """
 
     def __init__(
@@ -105,6 +115,7 @@
         routes: Routes,
         send: Callable[[str, Message], object],
         emit: Callable[[Event], object],
+        on_first: Callable[["Session", float], None] = ignore_first,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.ask = ask
@@ -112,6 +123,7 @@
         self.routes = routes
         self.send = send
         self.emit = emit
+        self.on_first = on_first
         self.clock = clock
         self.attempt = 0
         self.epoch = 0
@@ -222,6 +234,8 @@
         gap = now - self._last_piece
         if self.tokens:
             self.usual_gap += SMOOTHING * (gap - self.usual_gap)
+        elif not self.recoveries:
+            self.on_first(self, gap)
         self._last_piece = now
         self.tokens.append(piece.token)
         if self._means:
--- a/packages/entry/src/kumquatway/streams/_streams.py
+++ b/packages/entry/src/kumquatway/streams/_streams.py
@@ -4,12 +4,15 @@
 Brings messages and failures to the sessions that they are about.
 """
 
+import itertools
 from collections.abc import Callable
 
-from kumquatway.streams._session import Ask, Routes, Session
+from kumquatway.streams._session import Ask, Routes, Session, ignore_first
 from kumquatway_core.events import Event
 from kumquatway_core.wire import Message, Pieces, Trouble
 
+GAP_SAMPLE = 15  # streams
+
 
 class Streams:
     """
@@ -19,6 +22,7 @@
     :param routes: chooses upstreams.
     :param send: sends a message to an address.
     :param emit: writes down an event.
+    :param on_first: told the seconds to the first token of each stream.
     """
 
     def __init__(
@@ -28,11 +32,13 @@
         routes: Routes,
         send: Callable[[str, Message], object],
         emit: Callable[[Event], object],
+        on_first: Callable[[Session, float], None] = ignore_first,
     ):
         self.entry = entry
         self.routes = routes
         self.send = send
         self.emit = emit
+        self.on_first = on_first
         self.sessions: dict[str, Session] = {}
         self.unknown = 0
 
@@ -49,6 +55,7 @@
             routes=self.routes,
             send=self.send,
             emit=self.emit,
+            on_first=self.on_first,
         )
         self.sessions[ask.request] = session
         return session
@@ -62,6 +69,17 @@
         self.sessions.pop(session.ask.request, None)
         session.close()
 
+    def usual_gap(self, name: str) -> float:
+        """
+        Tell the usual time between tokens of some streams of a model.
+
+        :param name: of the model.
+        :return: seconds, the middle of a sample; 0 if none has two tokens.
+        """
+        gaps = (s.usual_gap for s in self.sessions.values() if s.ask.name == name)
+        sample = sorted(itertools.islice(filter(None, gaps), GAP_SAMPLE))
+        return sample[len(sample) // 2] if sample else 0.0
+
     def take_pieces(self, pieces: Pieces) -> None:
         """
         Take in tokens.
