Admit requests to models and services in the ordinary path

Cause: nothing asked admission, so that no limit of the text held. Weighed: reading the caller's disconnect for every request (a task group each), or only for those that wait, which is taken: an admission at once costs nothing more. Plain services report no wait and get a fixed capacity. Conclusion: limits, queues and deadlines hold for callers.

--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -11,13 +11,14 @@
 
 from kumquatway._metrics import EntryMetrics
 from kumquatway.admin import AdminContext, admin_app
+from kumquatway.admission import EntryAdmission
 from kumquatway.api import Context, caller_app
 from kumquatway.calls import Calls, Dispatcher
 from kumquatway.configuration import Configuration, check_text
 from kumquatway.membership import Member, Members, watch_agents, watch_list
 from kumquatway.protect import RetryBudget
 from kumquatway.routing import choose_replacement, choose_route
-from kumquatway.streams import Ask, InFlight, Routes, Streams
+from kumquatway.streams import Ask, InFlight, Routes, Session, Streams
 from kumquatway_core import Reason, Supervisor, Verdict, new_incarnation, not_run
 from kumquatway_core.claims import Claims
 from kumquatway_core.events import (
@@ -36,6 +37,8 @@
 from kumquatway_core.text import Text
 from kumquatway_core.wire import (
     CallReply,
+    Demands,
+    Grants,
     Message,
     Pieces,
     RevisionCopy,
@@ -50,6 +53,7 @@
 # The API refuses headers over their bound in its own shape; the parser ends the rest.
 HEADER_SLACK = 4
 DRAIN_CHECK = 0.05  # seconds
+QUEUES_INTERVAL = 1.0  # seconds
 RETRY_AFTER = 1.0  # seconds
 NO_TEXT = Text(name="none")
 
@@ -90,6 +94,13 @@
             ),
             send=self.mesh.send,
             emit=self.emit,
+            on_first=self._on_first,
+        )
+        self.admission = EntryAdmission(
+            address=settings.mesh_address,
+            text=self.text,
+            entries=self._entries,
+            send=self.mesh.send,
         )
         table = Table(channel=Channel(addresses=settings.platform.tables))
         self.configuration = Configuration(
@@ -118,6 +129,8 @@
             Trouble: self.streams.take_trouble,
             Status: self._take_status,
             CallReply: self.calls.take_reply,
+            Demands: self.admission.take_demands,
+            Grants: self.admission.take_grants,
             RevisionSeen: self.configuration.take_seen,
             RevisionCopy: self.configuration.take_copy,
         }
@@ -186,6 +199,7 @@
             dispatcher=self.dispatcher,
             emit=self.emit,
             refusal=self.refusal,
+            admission=self.admission.admission,
         )
         admin = AdminContext(
             keys=frozenset(settings.admin_keys),
@@ -206,6 +220,9 @@
         self.supervisor.add("admin", lambda: serve(operators, settings.admin_address))
         self.supervisor.add("list", self._watch_list)
         self.supervisor.add("agents", self._watch_agents)
+        self.supervisor.add("admission", self.admission.admission.run)
+        self.supervisor.add("split", self.admission.split.run)
+        self.supervisor.add("queues", self._show_queues)
         self.supervisor.add("claims", self.claims.run)
         self.supervisor.add("revisions", self.configuration.watch)
         self.supervisor.add("gossip", self.configuration.gossip)
@@ -233,6 +250,21 @@
         listed = {vm.address for vm in self.members.entries.values()}
         return sorted((listed | set(self.settings.seeds)) - {self.mesh.address})
 
+    def _entries(self) -> tuple[str, ...]:
+        listed = self.members.entries.values()
+        live = {vm.address for vm in listed if vm.state is VMState.LIVE}
+        return tuple(sorted(live | {self.mesh.address}))
+
+    def _on_first(self, session: Session, seconds: float) -> None:
+        ask = session.ask
+        gap = self.streams.usual_gap(ask.name)
+        self.admission.observe_first(ask.name, ask.prompt_tokens(), seconds, gap)
+
+    async def _show_queues(self) -> None:
+        while True:
+            self.metrics.show_queues(self.admission.queued())
+            await anyio.sleep(QUEUES_INTERVAL)
+
     async def _watch_list(self) -> None:
         await watch_list(members=self.members, read=self.vms.read)
 
--- a/packages/entry/src/kumquatway/api/_context.py
+++ b/packages/entry/src/kumquatway/api/_context.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from kumquatway.admission import Admission
 from kumquatway.calls import Dispatcher
 from kumquatway.streams import Streams
 from kumquatway_core import Verdict
@@ -78,6 +79,7 @@
     dispatcher: Dispatcher
     emit: Callable[[Event], object]
     refusal: Callable[[], Verdict | None]
+    admission: Admission
     clock: Callable[[], float] = time.monotonic
     write_seconds: float = WRITE_SECONDS
     callers: Callers = field(default_factory=Callers)
--- a/packages/entry/src/kumquatway/api/_models.py
+++ b/packages/entry/src/kumquatway/api/_models.py
@@ -8,6 +8,7 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
+from kumquatway.api._admit import admit, ask_of_stream, bounded, charge_at_end
 from kumquatway.api._body import check_depth, read_body
 from kumquatway.api._context import Caller, Context
 from kumquatway.api._errors import bad_request, error_response
@@ -89,12 +90,17 @@
     if isinstance(body, Verdict):
         return _refuse(context, name, body, caller.name)
     ask = _ask(context, name, caller, body)
+    if not isinstance(ask, Verdict):
+        ask = bounded(context, request, ask)
     if isinstance(ask, Verdict):
         return _refuse(context, name, ask, caller.name)
+    ticket = await admit(context.admission, request, ask_of_stream(caller, ask))
+    if isinstance(ticket, Verdict):
+        return _refuse(context, name, ticket, caller.name)
     started = RequestStarted(request=name, account=caller.name, target=ask.name)
     context.emit(started)
     options = body.stream_options
-    return Generated(
+    generated = Generated(
         streams=context.streams,
         ask=ask,
         form=form,
@@ -105,6 +111,7 @@
         emit=context.emit,
         write_seconds=context.write_seconds,
     )
+    return charge_at_end(generated, ticket)
 
 
 def _refuse(context: Context, name: str, verdict: Verdict, account: str = ""):
--- a/packages/entry/src/kumquatway/api/_services.py
+++ b/packages/entry/src/kumquatway/api/_services.py
@@ -4,11 +4,13 @@
 The handler of calls to plain services.
 """
 
+from dataclasses import replace
 from http import HTTPMethod
 
 from starlette.requests import Request
 from starlette.responses import Response
 
+from kumquatway.api._admit import admit, ask_of_call, read_deadline
 from kumquatway.api._body import read_body
 from kumquatway.api._context import Caller, Context
 from kumquatway.api._errors import error_response
@@ -34,6 +36,7 @@
     ("authorization", "connection", "host", "content-length", "transfer-encoding")
 )
 MAX_KEY = 255  # characters
+MIN_TIMEOUT = 0.001  # seconds
 
 
 def service_handler(context: Context):
@@ -53,12 +56,27 @@
         ask = await _ask(context, request, name)
         if isinstance(ask, Verdict):
             return _refuse(context, name, ask, caller.name)
-        key = request.headers.get(IDEMPOTENCY_KEY, "")
-        return await _run(context, caller, ask, key)
+        return await _admit(context, request, caller, ask)
 
     return call
 
 
+async def _admit(
+    context: Context, request: Request, caller: Caller, ask: ServiceAsk
+) -> Response:
+    deadline = context.clock() + ask.timeout
+    wanted = ask_of_call(caller, ask, deadline)
+    ticket = await admit(context.admission, request, wanted)
+    if isinstance(ticket, Verdict):
+        return _refuse(context, ask.request, ticket, caller.name)
+    try:
+        ask = replace(ask, timeout=max(deadline - context.clock(), MIN_TIMEOUT))
+        key = request.headers.get(IDEMPOTENCY_KEY, "")
+        return await _run(context, caller, ask, key)
+    finally:
+        ticket.close()
+
+
 def _refuse(context: Context, name: str, verdict: Verdict, account: str = ""):
     reason = verdict.reason.value
     context.emit(Refused(request=name, reason=reason, account=account))
@@ -104,6 +122,9 @@
     idempotent = _idempotent(request)
     if isinstance(idempotent, Verdict):
         return idempotent
+    seconds = read_deadline(request, described.timeout)
+    if isinstance(seconds, Verdict):
+        return seconds
     return ServiceAsk(
         request=name,
         service=service,
@@ -111,7 +132,7 @@
         path=_path(request),
         headers=_headers(request),
         body=body,
-        timeout=described.timeout,
+        timeout=min(seconds, described.timeout),
         idempotent=idempotent,
     )
 
