--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -17,14 +17,23 @@
 from kumquatway_core import Reason, Verdict, not_run
 from kumquatway_core.exceptions import WireError
 from kumquatway_core.mesh._beats import AckDelay, beat_interval, silence_bound
-from kumquatway_core.wire import Ack, Beat, BeatReply, Message, decode, encode
+from kumquatway_core.wire import (
+    Ack,
+    Beat,
+    BeatReply,
+    Message,
+    Steps,
+    decode,
+    encode,
+)
 
 WINDOW = 8 * 1024 * 1024  # bytes sent and not yet acknowledged
 OUTBOX_BOUND = 64 * 1024 * 1024  # bytes waiting for the window
-ANSWER_WAIT = 0.2  # seconds for the first answer on a new connection
+ANSWER_WAIT = 0.15  # seconds for the first answer on a new connection
 REFUSED_EVENTS = zmq.EVENT_CLOSED | zmq.EVENT_CONNECT_RETRIED
 MAX_ANSWER_WAIT = 2.0  # seconds
-GUARD_PAUSE = 0.05  # seconds
+HOT_FOR = 2.0  # seconds after a step
+COLD_INTERVAL = 0.5  # seconds
 RECONNECT_MS = 50
 SMOOTHING = 0.2
 UNSEQUENCED = 0
@@ -66,6 +75,7 @@
     :param address: `host:port` of the other end.
     :param identity: this process's address and incarnation.
     :param peers: tells the number of open connections of the process.
+    :param hot_peers: tells the number of those that streams depend on.
     :param hlc: reads the hybrid logical clock.
     :param on_state: called with the peer at each change of its state.
     :param on_lost: called with the peer and the messages that a new incarnation
@@ -79,6 +89,7 @@
         address: str,
         identity: str,
         peers: Callable[[], int],
+        hot_peers: Callable[[], int],
         hlc: Callable[[], int],
         on_state: Callable[["Peer"], None],
         on_lost: Callable[["Peer", list[Message]], None],
@@ -88,6 +99,7 @@
         self.address = address
         self.identity = identity
         self.peers = peers
+        self.hot_peers = hot_peers
         self.hlc = hlc
         self.on_state = on_state
         self.on_lost = on_lost
@@ -97,6 +109,7 @@
         self.connections = 0
         self.round_trip = 0.0
         self.last_used = clock()
+        self.last_step = float("-inf")
         self.closed = False
         self._outbox: deque[Parcel] = deque()
         self._outbox_bytes = 0
@@ -110,6 +123,7 @@
         self._ack_delay = AckDelay()
         self._wake = anyio.Event()
         self._awaited = anyio.Event()
+        self._heated = anyio.Event()
         self._broken = anyio.Event()
         self._scope = anyio.CancelScope()
 
@@ -127,6 +141,8 @@
         self._outbox.append(parcel)
         self._outbox_bytes += len(parcel.data)
         self.last_used = self.clock()
+        if isinstance(message, Steps):
+            self._heat()
         self._wake.set()
         return parcel
 
@@ -142,6 +158,14 @@
         parcel.withdrawn = True
         return True
 
+    def is_hot(self) -> bool:
+        """
+        Tell whether streams depend on this connection now.
+
+        :return: True if a step was sent within the last `HOT_FOR` seconds.
+        """
+        return self.clock() - self.last_step < HOT_FOR
+
     def backlog(self) -> int:
         """
         Tell how much waits for this peer.
@@ -294,7 +318,8 @@
         now = self.clock()
         self._heard = now
         if self._unacked and self._unacked[0].sequence <= ack.sequence:
-            self._ack_delay.add(now - self._unacked[0].sent)
+            delay = now - self._unacked[0].sent
+            self._ack_delay.add(delay, self._unacked_bytes)
         while self._unacked and self._unacked[0].sequence <= ack.sequence:
             parcel = self._unacked.popleft()
             self._unacked_bytes -= len(parcel.data)
@@ -312,7 +337,7 @@
                 self._awaited = anyio.Event()
                 await self._awaited.wait()
             oldest = self._unacked[0]
-            late = oldest.sent + self._ack_delay.bound(self._lag)
+            late = oldest.sent + self._ack_delay.bound(self._lag, self._unacked_bytes)
             before = self.clock()
             await anyio.sleep(max(late - before, 0))
             overslept = self.clock() - max(late, before)
@@ -321,17 +346,32 @@
                 # This process itself stood still; the answer may be waiting.
                 await anyio.sleep(ANSWER_WAIT)
             waits = self._unacked and self._unacked[0] is oldest
-            if waits and self._heard < oldest.sent:
+            if waits:
+                if self._ack_delay.doubt():
+                    # Beats get through and data does not, or not in time.
+                    self._change(PeerState.DOWN)
                 self._broken.set()
                 return
-            if waits:
-                await anyio.sleep(GUARD_PAUSE)
+
+    def _heat(self) -> None:
+        if not self.is_hot():
+            self._heated.set()
+        self.last_step = self.clock()
+
+    def _interval(self) -> float:
+        if self.is_hot():
+            return beat_interval(self.hot_peers())
+        return max(beat_interval(self.peers()), COLD_INTERVAL)
 
     async def _beat(self, socket: zmq.asyncio.Socket) -> None:
         while True:
-            interval = beat_interval(self.peers())
+            interval = self._interval()
             before = self.clock()
-            await anyio.sleep(interval)
+            self._heated = anyio.Event()
+            with anyio.move_on_after(interval):
+                await self._heated.wait()
+                await self._send_beat(socket)
+                continue
             now = self.clock()
             self._lag = max(now - before - interval, 0.0, self._lag / 2)
             bound = silence_bound(interval, self.round_trip, self._lag)
