--- a/benchmarks/admission.py
+++ b/benchmarks/admission.py
@@ -13,6 +13,7 @@
 
 import anyio
 import msgspec
+
 from benchmarks._admission_sim import (
     PEAK_PER_SECOND,
     SLOTS,
@@ -26,7 +27,6 @@
     quantile,
     rush,
 )
-
 from kumquatway.admission import Admission, Ask, Capacity, Demands, Grants, Split
 from kumquatway_core.text import Priority
 
