--- a/benchmarks/_bare.py
+++ b/benchmarks/_bare.py
@@ -4,15 +4,18 @@
 What the libraries alone cost for one hop and one piece of a stream.
 """
 
+import sys
 import time
+from pathlib import Path
 
 import anyio
 import httpx
 import zmq
 import zmq.asyncio
+from loguru import logger
 
 from kumquatway_core.http import serve
-from kumquatway_fakes.fleet import free_address
+from kumquatway_fakes.fleet import Process, free_address
 
 HOPS = 10_000
 PIECES = 10_000
@@ -48,22 +51,26 @@
     await inbox.recv_multipart()
 
 
-async def piece_seconds() -> tuple[float, float]:
+async def piece_seconds(folder: Path) -> tuple[float, float]:
     """
-    Stream pieces through hypercorn to one reader, in a thread of its own.
+    Stream pieces through hypercorn, in a process of its own, to one reader.
 
+    :param folder: for the log of the process.
     :return: processor seconds of a piece, at both ends and at the server alone.
     """
     address = free_address()
-    async with anyio.create_task_group() as group:
-        group.start_soon(serve, _stream, address)
-        await anyio.to_thread.run_sync(anyio.run, _read, address)
-        both, server = time.process_time(), time.thread_time()
-        pieces = await anyio.to_thread.run_sync(anyio.run, _read, address)
-        both = (time.process_time() - both) / pieces
-        server = (time.thread_time() - server) / pieces
-        group.cancel_scope.cancel()
-    return both, server
+    arguments = ["-m", "benchmarks._bare", address]
+    process = Process(name="bare", arguments=arguments, log=folder / "bare.log")
+    process.start()
+    try:
+        await _read(address)
+        server, reader = process.cpu_seconds(), time.process_time()
+        pieces = await _read(address)
+        server = (process.cpu_seconds() - server) / pieces
+        reader = (time.process_time() - reader) / pieces
+    finally:
+        process.stop()
+    return server + reader, server
 
 
 async def _read(address: str) -> int:
@@ -93,3 +100,13 @@
         await anyio.sleep(0)
         await send({"type": "http.response.body", "body": PIECE, "more_body": True})
     await send({"type": "http.response.body", "body": b""})
+
+
+def main() -> None:
+    """Stream pieces at the address that the command line names."""
+    logger.remove()
+    anyio.run(serve, _stream, sys.argv[1])
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/tokens.py
+++ b/benchmarks/tokens.py
@@ -296,7 +296,8 @@
 
     :param report: takes lines of Markdown.
     """
-    piece, server = await piece_seconds()
+    with tempfile.TemporaryDirectory() as folder:
+        piece, server = await piece_seconds(Path(folder))
     bare = Bare(hop=await hop_seconds(), piece=piece, server=server)
     report(
         f"Bare hop {bare.hop * MS:.3f} ms, bare piece {bare.piece * MS:.3f} ms with "
