--- a/packages/fakes/src/kumquatway_fakes/_faults.py
+++ b/packages/fakes/src/kumquatway_fakes/_faults.py
@@ -121,11 +121,17 @@
 
     def routes(self) -> list[Route]:
         """
-        Make the route that sets the faults.
+        Make the routes that set the faults and tell the counts of calls.
 
         :return: the routes to add to an application.
         """
-        return [Route("/faults", self._set, methods=["POST"])]
+        return [
+            Route("/faults", self._set, methods=["POST"]),
+            Route("/counts", self._count, methods=["GET"]),
+        ]
+
+    async def _count(self, request: Request) -> Response:
+        return JSONResponse(self.counts)
 
     async def _set(self, request: Request) -> Response:
         try:
