Compare the token a step was made from with the one the last stage sampled

Change: steps and pieces carry what they were made from; a mismatch is refused and becomes a new attempt. Weighed: a new attempt at each loss of a last stage (prefills all stages); truncating live KV caches (engines need not rewind). The engine's client calls its transport without httpx's client around it.

--- a/packages/agent/src/kumquatway_agent/stage/_retained.py
+++ b/packages/agent/src/kumquatway_agent/stage/_retained.py
@@ -6,6 +6,8 @@
 
 from dataclasses import dataclass
 
+from kumquatway_core.wire import NO_TOKEN
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Output:
@@ -14,11 +16,13 @@
 
     :param position: the first.
     :param count: how many.
+    :param sampled: the token of the only position, or `NO_TOKEN`.
     """
 
     position: int
     count: int
     data: bytes
+    sampled: int = NO_TOKEN
 
 
 class Retained:
--- a/packages/agent/src/kumquatway_agent/stage/_stage.py
+++ b/packages/agent/src/kumquatway_agent/stage/_stage.py
@@ -175,7 +175,12 @@
         if stream.is_last():
             self._sampled(stream, output)
             return
-        kept = Output(position=work.position, count=work.count, data=output.data)
+        kept = Output(
+            position=work.position,
+            count=work.count,
+            data=output.data,
+            sampled=work.sampled,
+        )
         self.streams.add_output(stream, kept)
         self._pass_on(stream, kept)
 
@@ -195,12 +200,13 @@
                 token=token,
                 text=output.text,
                 finish=finish,
+                epoch=open.epoch,
             )
             self.outgoing.add_piece(open.entry, piece)
             if finish:
                 return
         data = token.to_bytes(TOKEN_BYTES, "little")
-        kept = Output(position=position, count=1, data=data)
+        kept = Output(position=position, count=1, data=data, sampled=token)
         stream.retained.outputs = [kept]
         self._pass_on(stream, kept)
 
@@ -232,6 +238,7 @@
             epoch=stream.open.epoch,
             open=stream.open if opening else None,
             replay=replay,
+            sampled=output.sampled,
         )
 
     def _on_failure(self, works: list[Work], verdict: Verdict) -> None:
--- a/packages/agent/src/kumquatway_agent/stage/_streams.py
+++ b/packages/agent/src/kumquatway_agent/stage/_streams.py
@@ -12,7 +12,7 @@
 from kumquatway_agent.orders import covers_stage
 from kumquatway_agent.stage._retained import Output, Retained
 from kumquatway_core import Reason
-from kumquatway_core.wire import Holding, Open, Stage, StepItem
+from kumquatway_core.wire import NO_TOKEN, Holding, Open, Stage, StepItem
 
 MAX_TOMBSTONES = 20_000
 MIB = 1024 * 1024
@@ -44,12 +44,14 @@
     :param stream: whose step it is.
     :param position: the first position.
     :param count: how many.
+    :param sampled: the token of the only position, or `NO_TOKEN`.
     """
 
     stream: "Stream"
     position: int
     count: int
     data: bytes
+    sampled: int = NO_TOKEN
 
 
 class Stream:
@@ -94,6 +96,21 @@
         """
         return self.open.route[self.stage]
 
+    def differs(self, item: StepItem) -> bool:
+        """
+        Compare the token that a step was made from with the one sampled here.
+
+        A last stage that replaced another may sample differently; what was made
+        from the other's token must not be answered as if from its own.
+
+        :param item: a step for this stage.
+        :return: True if this stage sampled another token for that position.
+        """
+        last = self.retained.last()
+        if not self.is_last() or last is None or item.sampled == NO_TOKEN:
+            return False
+        return last.position == item.position and last.sampled != item.sampled
+
     def is_last(self) -> bool:
         """
         Tell whether this stage samples.
@@ -277,6 +294,9 @@
     def _accept(self, stream: Stream, item: StepItem) -> Work | Refusal:
         if not _is_whole(item):
             return Refusal(reason=Reason.REFUSED, detail="data of a wrong size")
+        if stream.differs(item):
+            detail = "another token was sampled for this position"
+            return Refusal(reason=Reason.REFUSED, detail=detail)
         skip = stream.queued - item.position
         width = len(item.data) // item.count
         work = Work(
@@ -284,6 +304,7 @@
             position=stream.queued,
             count=item.count - skip,
             data=item.data[skip * width :],
+            sampled=item.sampled,
         )
         stream.queued = item.position + item.count
         return work
--- a/packages/core/src/kumquatway_core/engine/_client.py
+++ b/packages/core/src/kumquatway_core/engine/_client.py
@@ -18,7 +18,7 @@
     StepReply,
     StepRequest,
 )
-from kumquatway_core.http import open_client
+from kumquatway_core.http import open_transport
 
 CONNECT_TIMEOUT = 1.0  # seconds
 CALL_TIMEOUT = 5.0  # seconds
@@ -51,13 +51,12 @@
         self.transport = transport
         self.http = self._open()
 
-    def _open(self) -> httpx.AsyncClient:
-        return open_client(
-            self.url,
-            transport=self.transport,
-            timeout=httpx.Timeout(CALL_TIMEOUT, connect=CONNECT_TIMEOUT),
-            limits=httpx.Limits(keepalive_expiry=KEEPALIVE),
-        )
+    def _open(self) -> httpx.AsyncBaseTransport:
+        # The transport alone: a client's cookies, redirects and authentication
+        # cost as much processor time as the call itself, many times a second.
+        if self.transport is not None:
+            return self.transport
+        return open_transport(httpx.Limits(keepalive_expiry=KEEPALIVE))
 
     async def step(
         self, request: StepRequest, timeout: float
@@ -136,19 +135,14 @@
 
     async def _call(self, method, path, data, kind, timeout):
         try:
-            answer = await self.http.request(
-                method,
-                path,
-                content=data,
-                headers={"Content-Type": MEDIA_TYPE},
-                timeout=httpx.Timeout(timeout, connect=CONNECT_TIMEOUT),
-            )
+            answer = await self._send(method, path, data, timeout)
             if answer.status_code != httpx.codes.OK:
+                await answer.aclose()
                 detail = f"the engine answered {answer.status_code}"
                 return EngineFailure(
                     verdict=may_have_run(Reason.UPSTREAM_ERROR, detail)
                 )
-            return msgspec.msgpack.decode(answer.content, type=kind)
+            return msgspec.msgpack.decode(await answer.aread(), type=kind)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             verdict = not_run(Reason.UNREACHABLE, f"the engine: {error!r}")
         except httpx.TimeoutException as error:
@@ -158,3 +152,16 @@
         except msgspec.MsgspecError as error:
             verdict = may_have_run(Reason.UPSTREAM_ERROR, f"the engine: {error}")
         return EngineFailure(verdict=verdict)
+
+    async def _send(
+        self, method: str, path: str, data: bytes, timeout: float
+    ) -> httpx.Response:
+        limits = httpx.Timeout(timeout, connect=CONNECT_TIMEOUT)
+        request = httpx.Request(
+            method,
+            self.url + path,
+            headers={"Content-Type": MEDIA_TYPE},
+            content=data,
+            extensions={"timeout": limits.as_dict()},
+        )
+        return await self.http.handle_async_request(request)
--- a/packages/core/src/kumquatway_core/http/__init__.py
+++ b/packages/core/src/kumquatway_core/http/__init__.py
@@ -4,8 +4,14 @@
 What the HTTP listeners of both processes share.
 """
 
-from kumquatway_core.http._client import open_client
+from kumquatway_core.http._client import open_client, open_transport
 from kumquatway_core.http._responses import events_response, metrics_response
 from kumquatway_core.http._serve import serve
 
-__all__ = ["events_response", "metrics_response", "open_client", "serve"]
+__all__ = [
+    "events_response",
+    "metrics_response",
+    "open_client",
+    "open_transport",
+    "serve",
+]
--- a/packages/core/src/kumquatway_core/http/_client.py
+++ b/packages/core/src/kumquatway_core/http/_client.py
@@ -39,3 +39,13 @@
         verify=_tls(),
         trust_env=False,
     )
+
+
+def open_transport(limits: httpx.Limits) -> httpx.AsyncBaseTransport:
+    """
+    Open a pool of connections without a client's conveniences.
+
+    :param limits: of the pool.
+    :return: the transport; the caller closes it.
+    """
+    return httpx.AsyncHTTPTransport(verify=_tls(), limits=limits, trust_env=False)
--- a/packages/core/src/kumquatway_core/wire/__init__.py
+++ b/packages/core/src/kumquatway_core/wire/__init__.py
@@ -6,6 +6,7 @@
 
 from kumquatway_core.wire._codec import decode, encode
 from kumquatway_core.wire._messages import (
+    NO_TOKEN,
     Ack,
     Beat,
     BeatReply,
@@ -37,6 +38,7 @@
 )
 
 __all__ = [
+    "NO_TOKEN",
     "Ack",
     "Beat",
     "BeatReply",
--- a/packages/core/src/kumquatway_core/wire/_messages.py
+++ b/packages/core/src/kumquatway_core/wire/_messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+NO_TOKEN = -1
+
 
 class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
     """What every message has: a tag and a compact array form."""
@@ -88,6 +90,8 @@
     :param open: sent with the first step of a stream on a stage.
     :param epoch: the route's epoch that the sender knows; an older one is refused.
     :param replay: the data was retained and is sent again after a failure.
+    :param sampled: the token at `position` if `count` is 1 and it was sampled, else
+        `NO_TOKEN`; the last stage compares it with what it sampled itself.
     """
 
     request: str
@@ -100,6 +104,7 @@
     epoch: int = 1
     open: Open | None = None
     replay: bool = False
+    sampled: int = NO_TOKEN
 
 
 class Steps(_Message):
@@ -128,6 +133,7 @@
     :param token: token id.
     :param text: its text.
     :param finish: "" or why the stream ended: `stop` or `length`.
+    :param epoch: the route's epoch that the sampling stage knows.
     """
 
     request: str
@@ -136,6 +142,7 @@
     token: int
     text: str
     finish: str = ""
+    epoch: int = 1
 
 
 class Pieces(_Message):
--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -127,6 +127,7 @@
         self.clock = clock
         self.attempt = 0
         self.epoch = 0
+        self.sampling_epoch = 0
         self.route: tuple[Stage, ...] = ()
         self.tokens: list[int] = []
         self.recoveries = 0
@@ -153,7 +154,8 @@
 
         :param piece: as received.
         """
-        if piece.attempt != self.attempt or piece.position < self._expected():
+        late = piece.attempt != self.attempt or piece.epoch < self.sampling_epoch
+        if late or piece.position < self._expected():
             self.dropped += 1
             return
         if piece.position > self._expected():
@@ -329,6 +331,9 @@
         self._leave(failed)
         old = self._change_route(tuple(route))
         self.epoch += 1
+        if old[-1] != route[-1]:
+            # What the replaced last stage may still sample is not this answer's.
+            self.sampling_epoch = self.epoch
         self._announce(old)
         return True
 
@@ -368,6 +373,7 @@
             avoid = frozenset()
         self.attempt += 1
         self.epoch = 1
+        self.sampling_epoch = 1
         self._change_route(route)
         self._last_piece = self.clock()
         self.emit(
