--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -134,6 +134,7 @@
         self.dropped = 0
         self.usual_gap = 0.0
         self._last_piece = clock()
+        self._left: set[str] = set()
         self._failed: dict[str, Verdict] = {}
         self._failed_at = 0.0
         self._means = ""
@@ -329,6 +330,7 @@
                 return False
             route.append(found)
         self._leave(failed)
+        self._left |= failed
         old = self._change_route(tuple(route))
         self.epoch += 1
         if old[-1] != route[-1]:
@@ -338,7 +340,8 @@
         return True
 
     def _avoid(self, failed: frozenset[str]) -> frozenset[str]:
-        return failed | {stage.vm for stage in self.route}
+        # A VM that this attempt left refuses its later steps as cancelled.
+        return failed | self._left | {stage.vm for stage in self.route}
 
     def _leave(self, failed: frozenset[str]) -> None:
         cancel = Cancel(items=((self.ask.request, self.attempt),))
@@ -372,6 +375,7 @@
                 return verdict
             avoid = frozenset()
         self.attempt += 1
+        self._left = set()
         self.epoch = 1
         self.sampling_epoch = 1
         self._change_route(route)
