--- a/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
+++ b/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
@@ -4,8 +4,10 @@
 Writes the settings of a deployment and runs its processes.
 """
 
+import contextlib
 import hashlib
 import json
+import random
 import signal
 import socket
 from dataclasses import dataclass, field
@@ -30,6 +32,10 @@
 READY_TIMEOUT = 60.0  # seconds
 READY_POLL = 0.05  # seconds
 PLATFORM = "platform"
+# Below the ports that the system gives to outgoing connections: one of those may be
+# in use again by the time that its process listens.
+FIRST_PORT = 10_000
+END_PORT = 32_000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -365,9 +371,11 @@
 
     :return: `host:port`.
     """
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return f"{HOST}:{probe.getsockname()[1]}"
+    while True:
+        port = random.randrange(FIRST_PORT, END_PORT)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            return f"{HOST}:{port}"
 
 
 async def _knows(http: httpx.AsyncClient, headers: dict, upstreams: int) -> bool:
