--- a/packages/core/src/kumquatway_core/wire/__init__.py
+++ b/packages/core/src/kumquatway_core/wire/__init__.py
@@ -6,13 +6,17 @@
 
 from kumquatway_core.wire._codec import decode, encode
 from kumquatway_core.wire._messages import (
+    NO_TOKEN,
     Ack,
     Beat,
     BeatReply,
     Call,
     CallReply,
     Cancel,
+    DemandItem,
+    Demands,
     Drain,
+    Grants,
     Holding,
     Load,
     Message,
@@ -34,13 +38,17 @@
 )
 
 __all__ = [
+    "NO_TOKEN",
     "Ack",
     "Beat",
     "BeatReply",
     "Call",
     "CallReply",
     "Cancel",
+    "DemandItem",
+    "Demands",
     "Drain",
+    "Grants",
     "Holding",
     "Load",
     "Message",
