--- a/packages/entry/src/kumquatway/admin/_app.py
+++ b/packages/entry/src/kumquatway/admin/_app.py
@@ -4,6 +4,7 @@
 The listener of operators.
 """
 
+from loguru import logger
 from starlette.applications import Starlette
 from starlette.requests import Request
 from starlette.responses import PlainTextResponse, Response
@@ -43,7 +44,7 @@
     def route(path: str, handler, method: str = "GET") -> Route:
         return Route(path, guarded(context, handler), methods=[method])
 
-    return Starlette(
+    app = Starlette(
         routes=[
             Route("/healthz", healthz),
             Route("/readyz", readyz),
@@ -56,5 +57,20 @@
             route("/admin/events", events),
             route("/admin/drain/{vm}", drain, "POST"),
             route("/admin/drain/{vm}", drain, "DELETE"),
-        ]
+        ],
+        exception_handlers={Exception: answer_failure},
     )
+    app.router.redirect_slashes = False
+    return app
+
+
+async def answer_failure(request: Request, error: Exception) -> Response:
+    """
+    Answer for a handler that failed, and say so in the log.
+
+    :param request: of an operator.
+    :param error: what the handler raised.
+    :return: the response.
+    """
+    logger.opt(exception=error).error("a handler failed: {}", error)
+    return PlainTextResponse("the entry failed", status_code=500)
--- a/packages/entry/src/kumquatway/admin/_status.py
+++ b/packages/entry/src/kumquatway/admin/_status.py
@@ -10,6 +10,7 @@
 
 from kumquatway.admin._context import AdminContext
 from kumquatway.membership import Member
+from kumquatway_core import Verdict
 from kumquatway_core.wire import Drain, Status
 
 
@@ -65,7 +66,9 @@
         if member is None:
             return PlainTextResponse(f"no VM {vm}", status_code=404)
         leave = request.method == "POST"
-        context.send(member.address, Drain(vm=vm, leave=leave))
+        sent = context.send(member.address, Drain(vm=vm, leave=leave))
+        if isinstance(sent, Verdict):
+            return PlainTextResponse(sent.detail, status_code=503)
         return PlainTextResponse("accepted", status_code=202)
 
     return status, drain
--- a/packages/entry/src/kumquatway/admin/_text.py
+++ b/packages/entry/src/kumquatway/admin/_text.py
@@ -4,16 +4,24 @@
 The handlers that read and replace the text, and read its audit trail.
 """
 
+import re
+from collections.abc import Awaitable, Callable
+
+import anyio
 import msgspec
-from starlette.requests import Request
+from loguru import logger
+from starlette.background import BackgroundTask
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import PlainTextResponse, Response
 
 from kumquatway.admin._context import AdminContext, operator
+from kumquatway.configuration import Configuration
 from kumquatway_core.exceptions import PlatformError
 from kumquatway_core.revisions import (
     Accepted,
     AuditRecord,
     Edit,
+    InDoubt,
     Invalid,
     NotStored,
     RacedEdit,
@@ -22,6 +30,13 @@
 MAX_TEXT = 64 * 1024 * 1024  # bytes
 RETRY_AFTER = "2"  # seconds
 NO_REVISION = '"0"'
+AUDIT_PAGE = 100  # records
+RESOLVE_TRIES = 600
+RESOLVE_PAUSE = 0.5  # seconds
+ANY = "*"
+
+_TAG = re.compile(r'"(\d{1,18})"')
+_NUMBER = re.compile(r"\d{1,18}", re.ASCII)
 
 
 class EditView(msgspec.Struct, frozen=True, kw_only=True):
@@ -42,9 +57,14 @@
 
 
 class AuditView(msgspec.Struct, frozen=True, kw_only=True):
-    """The answer of `GET /admin/audit`."""
+    """
+    The answer of `GET /admin/audit`.
+
+    :param next: the revision to ask after for the next page.
+    """
 
     records: tuple[AuditRecord, ...]
+    next: int
 
 
 def text_handlers(context: AdminContext):
@@ -64,34 +84,98 @@
         return Response(revision.text, media_type="application/toml", headers=headers)
 
     async def replace_text(request: Request) -> Response:
-        expected = _expected(request)
-        if expected is None:
-            return PlainTextResponse("If-Match names the revision", status_code=428)
-        body = await request.body()
-        if len(body) > MAX_TEXT:
-            return PlainTextResponse("the text is too large", status_code=413)
-        source = body.decode(errors="replace")
+        expected = _expected(request, configuration.number())
+        if isinstance(expected, Response):
+            return expected
+        source = await _read_source(request)
+        if isinstance(source, Response):
+            return source
         edit = await configuration.propose(source, expected, operator(request))
-        return _edit_response(edit, expected)
+        response = _edit_response(edit, expected)
+        if isinstance(edit, InDoubt):
+            response.background = BackgroundTask(resolve, configuration, edit)
+        return response
 
     async def read_audit(request: Request) -> Response:
-        after = request.query_params.get("after", "0")
-        if not after.isdecimal():
-            return PlainTextResponse("after is a revision", status_code=400)
+        after = _number(request, "after", 0)
+        limit = _number(request, "limit", AUDIT_PAGE)
+        if after is None or not limit:
+            detail = "after is a revision, limit a number above 0"
+            return PlainTextResponse(detail, status_code=400)
         try:
-            records = await configuration.revisions.audit(int(after))
+            records = await configuration.revisions.audit(after, min(limit, AUDIT_PAGE))
         except PlatformError as error:
             headers = {"Retry-After": RETRY_AFTER}
             return PlainTextResponse(str(error), status_code=503, headers=headers)
-        body = msgspec.json.encode(AuditView(records=records))
+        last = records[-1].head.number if records else after
+        body = msgspec.json.encode(AuditView(records=records, next=last))
         return Response(body, media_type="application/json")
 
     return read_text, replace_text, read_audit
 
 
-def _expected(request: Request) -> int | None:
-    tag = request.headers.get("if-match", "").strip().removeprefix("W/").strip('"')
-    return int(tag) if tag.isdecimal() else None
+async def resolve(
+    configuration: Configuration,
+    doubt: InDoubt,
+    pause: Callable[[float], Awaitable[None]] = anyio.sleep,
+) -> None:
+    """
+    Find out what became of an edit, while the store is down again and again.
+
+    :param configuration: of the entry.
+    :param doubt: the edit.
+    :param pause: waits for a number of seconds.
+    """
+    number = doubt.revision.number
+    for _ in range(RESOLVE_TRIES):
+        await pause(RESOLVE_PAUSE)
+        edit = await configuration.revisions.resolve(doubt)
+        if not isinstance(edit, InDoubt):
+            outcome = type(edit).__name__
+            logger.info("the edit in doubt, revision {}: {}", number, outcome)
+            configuration.replica.notify(number)
+            return
+    logger.error("what became of revision {} is not known", number)
+
+
+def _expected(request: Request, in_force: int) -> int | Response:
+    """Read the revision that an edit was made from; `*` is the one in force here."""
+    header = request.headers.get("if-match", "").strip()
+    if not header:
+        return PlainTextResponse("If-Match names the revision", status_code=428)
+    if header == ANY:
+        if in_force:
+            return in_force
+        return PlainTextResponse("no revision is in force", status_code=412)
+    tags = [_TAG.fullmatch(tag.strip()) for tag in header.split(",")]
+    if not all(tags):
+        detail = 'If-Match is a revision in quotes, such as "17", or *'
+        return PlainTextResponse(detail, status_code=400)
+    numbers = [int(tag[1]) for tag in tags]
+    return in_force if in_force in numbers else numbers[0]
+
+
+async def _read_source(request: Request) -> str | Response:
+    chunks = []
+    size = 0
+    try:
+        async for chunk in request.stream():
+            size += len(chunk)
+            if size > MAX_TEXT:
+                return PlainTextResponse("the text is too large", status_code=413)
+            chunks.append(chunk)
+        return b"".join(chunks).decode()
+    except UnicodeDecodeError as error:
+        return PlainTextResponse(f"the text is no UTF-8: {error}", status_code=400)
+    except ClientDisconnect:
+        return PlainTextResponse("the text did not arrive", status_code=400)
+
+
+def _number(request: Request, name: str, default: int) -> int | None:
+    given = request.query_params.get(name)
+    if given is None:
+        return default
+    return int(given) if _NUMBER.fullmatch(given) else None
 
 
 def _edit_response(edit: Edit, expected: int) -> Response:
@@ -124,5 +208,5 @@
         view = EditView(outcome="not-stored", expected=expected, detail=edit.detail)
         return 503, view
     number = edit.revision.number
-    detail = f"revision {number} may be in force; read the text to find out"
+    detail = f"revision {number} may be in force; this entry finds out, see the audit"
     return 504, EditView(outcome="in-doubt", expected=expected, detail=detail)
