Connect within the guard of one connection's failure

Cause: a connection to an address that is none, which a message may name, raised in the constructor, outside the guard, and ended the process. Changed: the constructor makes the sockets, open connects.

--- a/packages/core/src/kumquatway_core/mesh/_connection.py
+++ b/packages/core/src/kumquatway_core/mesh/_connection.py
@@ -37,7 +37,15 @@
         self.socket.monitor(name, CLOSED | REFUSED)
         self.events = context.socket(zmq.PAIR)
         self.events.connect(name)
-        self.socket.connect(f"tcp://{address}")
+        self.address = address
+
+    def open(self) -> None:
+        """
+        Begin to connect.
+
+        :raises zmq.ZMQError: if the address, which a peer may have told, is none.
+        """
+        self.socket.connect(f"tcp://{self.address}")
 
     async def send(self, sequence: int, data: bytes) -> None:
         """
--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -202,6 +202,7 @@
             identity=f"{self.identity}|{self.connections}",
         )
         try:
+            connection.open()
             if not await self._prove(connection, wait):
                 return False
             await self._serve(connection)
