Free connections whose other end is gone or reads nothing

Cause: hypercorn holds the descriptor and three tasks of a connection that its caller closed until the keep-alive of 30 s ends, and the connection of a caller that stops reading until that caller's process ends; a stuck one also held up the end of the listener. Weighed: a shorter keep-alive (the balancer would meet closed connections); an own server (no further protocols); a class over hypercorn's connection that stops its idle timer at the end of reading and lets the kernel bound unread bytes, taken. Hypercorn takes no class of connections, so its module's name is set.

--- a/packages/core/src/kumquatway_core/http/_serve.py
+++ b/packages/core/src/kumquatway_core/http/_serve.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from kumquatway_core.exceptions import ProcessError
+from kumquatway_core.http._connection import use_connections
 
 MAX_HEADER_BYTES = 16 * 1024
 KEEP_ALIVE = 30.0  # seconds
@@ -39,6 +40,7 @@
     config.keep_alive_timeout = KEEP_ALIVE
     config.graceful_timeout = grace
     config.include_server_header = False
+    use_connections()
     stopped = anyio.Event()
     logger.debug("listening for HTTP at {}", address)
     async with anyio.create_task_group() as group:
