Parse each text once and off the loop; resolve edits in doubt

Cause: a revision was checked and parsed up to three times, the last on the event loop, where 26,000 accounts take 2.3 s; an edit in doubt stayed so; a revision heard of from a peer made every entry read the whole text from the store. Weighed: a process for parsing (a process starts no other process); a thread holds the interpreter for short turns only. Resolving in the request's task: it ends with the caller. Changed: Parser keeps the last two texts read; Configuration takes it and resolves doubts in a child; a peer's copy alone answers a higher number that was heard of.

--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -14,7 +14,7 @@
 from kumquatway.admission import EntryAdmission
 from kumquatway.api import Context, caller_app
 from kumquatway.calls import Calls, Dispatcher
-from kumquatway.configuration import Configuration, check_text
+from kumquatway.configuration import Configuration, Parser
 from kumquatway.membership import Member, Members, watch_agents, watch_list
 from kumquatway.protect import RetryBudget
 from kumquatway.routing import choose_replacement, choose_route
@@ -103,8 +103,10 @@
             send=self.mesh.send,
         )
         table = Table(channel=Channel(addresses=settings.platform.tables))
+        parser = Parser()
         self.configuration = Configuration(
-            revisions=Revisions(table=table, check=check_text),
+            revisions=Revisions(table=table, check=parser.check),
+            parser=parser,
             address=settings.mesh_address,
             peers=self._peers,
             send=self.mesh.send,
@@ -227,6 +229,7 @@
         self.supervisor.add("revisions", self.configuration.watch)
         self.supervisor.add("gossip", self.configuration.gossip)
         self.supervisor.add("copies", self.configuration.take_copies)
+        self.supervisor.add("doubts", self.configuration.resolve_doubts)
         if self.source:
             self.supervisor.add("bootstrap", self._bootstrap)
 
--- a/packages/entry/src/kumquatway/configuration/_configuration.py
+++ b/packages/entry/src/kumquatway/configuration/_configuration.py
@@ -11,33 +11,32 @@
 import msgspec
 from loguru import logger
 
+from kumquatway.configuration._parser import Parser
 from kumquatway_core.events import ConfigurationChanged, Event
-from kumquatway_core.revisions import Accepted, Edit, Replica, Revision, Revisions
-from kumquatway_core.text import Text, check, parse
+from kumquatway_core.revisions import (
+    Accepted,
+    Edit,
+    InDoubt,
+    Replica,
+    Revision,
+    Revisions,
+)
+from kumquatway_core.text import Text
 from kumquatway_core.wire import Message, RevisionCopy, RevisionSeen
 
-NAME = "text"
 FANOUT = 3  # peers told at a time
 GOSSIP_INTERVAL = 1.0  # seconds
 BOOTSTRAP = "bootstrap"  # the author of a first text from a file
 BOOTSTRAP_RETRY = 0.5  # seconds
-
-
-def check_text(source: str) -> tuple[str, ...]:
-    """
-    Check a text whole.
-
-    :param source: TOML.
-    :return: one line for each problem.
-    """
-    return tuple(str(problem) for problem in check(source, NAME))
+RESOLVE_RETRY = 1.0  # seconds
 
 
 class Configuration:
     """
     The configuration of one entry.
 
-    :param revisions: the store.
+    :param revisions: the store, with the parser's check.
+    :param parser: reads texts.
     :param address: of this entry.
     :param peers: lists the addresses of other entries.
     :param send: sends a message to an address.
@@ -48,21 +47,25 @@
         self,
         *,
         revisions: Revisions,
+        parser: Parser,
         address: str,
         peers: Callable[[], list[str]],
         send: Callable[[str, Message], object],
         emit: Callable[[Event], object],
     ):
         self.revisions = revisions
+        self.parser = parser
         self.address = address
         self.peers = peers
         self.send = send
         self.emit = emit
-        self.replica = Replica(check=check_text, apply=self._apply)
+        self.replica = Replica(check=parser.check, apply=self._apply)
         self.text: Text | None = None
         self.copies: dict[int, Revision] = {}
-        self._source = "store"
+        self._sources: dict[int, str] = {}
         self._offered = anyio.Event()
+        self.doubts: list[InDoubt] = []
+        self._doubted = anyio.Event()
 
     def number(self) -> int:
         """
@@ -118,8 +121,24 @@
         edit = await self.revisions.propose(source, expected, author)
         if isinstance(edit, Accepted):
             await self._offer(edit.revision, "admin")
+        elif isinstance(edit, InDoubt):
+            self.doubts.append(edit)
+            self._doubted.set()
         return edit
 
+    async def resolve_doubts(self, retry: float = RESOLVE_RETRY) -> None:
+        """
+        Find out what became of edits in doubt, until cancelled.
+
+        :param retry: between tries, seconds.
+        """
+        while True:
+            await self._doubted.wait()
+            self._doubted = anyio.Event()
+            while self.doubts:
+                await self._resolve(self.doubts[0])
+                await anyio.sleep(retry if self.doubts else 0)
+
     def tell_peers(self) -> None:
         """Tell some peers which revision is in force."""
         peers = self.peers()
@@ -134,7 +153,8 @@
         :param seen: as received.
         """
         if seen.number > self.number():
-            self.replica.notify(seen.number)
+            # Its answer is a copy; to read the store as well would cost each entry
+            # a read of the whole text at each change.
             message = RevisionSeen(address=self.address, number=self.number())
             self.send(seen.address, message)
         elif seen.number < self.number():
@@ -158,14 +178,24 @@
         self.copies[revision.number] = revision
         self._offered.set()
 
+    async def _resolve(self, doubt: InDoubt) -> None:
+        edit = await self.revisions.resolve(doubt)
+        if isinstance(edit, InDoubt):
+            return
+        self.doubts.remove(doubt)
+        logger.info("revision {} in doubt: {}", doubt.revision.number, type(edit))
+        if isinstance(edit, Accepted):
+            await self._offer(edit.revision, "admin")
+
     async def _offer(self, revision: Revision, source: str) -> None:
-        self._source = source
+        self._sources[revision.number] = source
         if await self.replica.offer(revision):
             self.tell_peers()
-        self._source = "store"
+        self._sources.pop(revision.number, None)
 
     async def _apply(self, revision: Revision) -> None:
-        self.text = parse(revision.text, NAME)
-        event = ConfigurationChanged(revision=revision.number, source=self._source)
+        self.text = await self.parser.text(revision.text)
+        source = self._sources.get(revision.number, "store")
+        event = ConfigurationChanged(revision=revision.number, source=source)
         self.emit(event)
-        logger.info("revision {} is in force, from {}", revision.number, self._source)
+        logger.info("revision {} is in force, from {}", revision.number, source)
