Subscribe to agents once, probe a few, use a subset

Cause: each entry asked every agent for its status every 0.5 s: entries x servers, 3,000 questions a second for an entry before 1,500 servers; a new VM waited for the next round; a VM that the list calls leaving took new work after its agent restarted, and was leaving for good if the platform took that back. Weighed: gossip of statuses between entries (a copy of what agents say anyway, older); unsubscribing from agents out of the subset (their changes of holdings are rare and needed when ranges move), so the subset decides who is used, probed and kept connected; probes for each request (18 requests a second would take 36), bounded to 10. Changed: Watcher subscribes at the first sight, after a restart and after a silence, repeats it after 60 s in use and 300 s else, and probes two of the upstreams in use for each request; Subset takes 24 of each range or service by hash of entry and VM; leaving is kept until the list speaks of a later life, or says live for 60 s. Conclusion: a state machine over Members with lagging, stale and empty lists, and news out of order; mutants without the order, the latch and the guard of empty lists fail.

--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -15,7 +15,7 @@
 from kumquatway.api import Context, caller_app
 from kumquatway.calls import Calls, Dispatcher
 from kumquatway.configuration import Configuration, Parser
-from kumquatway.membership import Member, Members, watch_agents, watch_list
+from kumquatway.membership import Member, Members, Subset, Watcher, watch_list
 from kumquatway.protect import RetryBudget
 from kumquatway.routing import choose_replacement, choose_route
 from kumquatway.streams import Ask, InFlight, Routes, Session, Streams
@@ -85,7 +85,19 @@
             merge=self.clock.merge,
         )
         self.in_flight = InFlight()
-        self.members = Members(on_change=self._on_member)
+        self.members = Members(on_change=self._on_member, on_join=self._on_join)
+        self.subset = Subset(
+            entry=settings.mesh_address,
+            members=self.members,
+            is_down=self.mesh.is_down,
+            on_new=self._on_new,
+        )
+        self.watcher = Watcher(
+            members=self.members,
+            subset=self.subset,
+            send=self.mesh.send,
+            address=settings.mesh_address,
+        )
         self.streams = Streams(
             entry=settings.mesh_address,
             routes=Routes(
@@ -222,7 +234,7 @@
         )
         self.supervisor.add("admin", lambda: serve(operators, settings.admin_address))
         self.supervisor.add("list", self._watch_list)
-        self.supervisor.add("agents", self._watch_agents)
+        self.supervisor.add("agents", self.watcher.run)
         self.supervisor.add("admission", self.admission.admission.run)
         self.supervisor.add("split", self.admission.split.run)
         self.supervisor.add("queues", self._show_queues)
@@ -272,13 +284,6 @@
     async def _watch_list(self) -> None:
         await watch_list(members=self.members, read=self.vms.read)
 
-    async def _watch_agents(self) -> None:
-        await watch_agents(
-            members=self.members,
-            send=self.mesh.send,
-            address=self.settings.mesh_address,
-        )
-
     def _handle(self, source: Source, message: Message) -> None:
         handler = self._handlers.get(type(message))
         if handler is None:
@@ -302,13 +307,24 @@
         self.calls.lose_address(address, detail)
 
     def _on_peer_state(self, peer: Peer) -> None:
+        self.subset.stale = True
+        if peer.state is PeerState.UP:
+            self.watcher.regain(peer.address)
         if peer.state is PeerState.DOWN:
+            self.watcher.lose(peer.address)
             self.streams.lose_address(peer.address, "the agent does not answer")
             self.calls.lose_peer(peer.address)
 
     def _on_lost(self, peer: Peer, lost: list[Message]) -> None:
         self.calls.lose(lost)
         self.streams.lose_address(peer.address, "the agent restarted")
+        self.watcher.renew(peer.address)
+
+    def _on_join(self, member: Member) -> None:
+        self.watcher.join(member)
+
+    def _on_new(self, member: Member) -> None:
+        self.watcher.subscribe(member)
 
     def _on_member(self, member: Member) -> None:
         incarnation = member.status.incarnation if member.status else 0
@@ -318,11 +334,8 @@
         self.emit(event)
 
     def _usable(self) -> list[Member]:
-        return [
-            member
-            for member in self.members.live()
-            if not self.mesh.is_down(member.address)
-        ]
+        self.watcher.count_request()
+        return self.subset.usable()
 
     def _route(self, ask: Ask, avoid: frozenset[str]) -> tuple[Stage, ...] | Verdict:
         return choose_route(
--- a/packages/entry/src/kumquatway/membership/_members.py
+++ b/packages/entry/src/kumquatway/membership/_members.py
@@ -4,8 +4,9 @@
 This entry's replica of the membership, joined from three sources.
 
 The platform's list names VMs, late. Each agent tells its own status. Requests and
-heartbeats show which addresses answer. A VM that any source calls leaving leaves;
-one that only the list forgets stays while its agent is heard.
+heartbeats show which addresses answer. A VM that any source calls leaving leaves, until
+that source speaks of a later life of it; one that only the list forgets stays while its
+agent is heard.
 """
 
 import time
@@ -15,7 +16,8 @@
 from kumquatway_core.platform import VM, VMKind
 from kumquatway_core.wire import Status, VMState
 
-FORGET_AFTER = 60.0  # seconds without the list and without the agent
+FORGET_AFTER = 900.0  # seconds without the list and without the agent
+LIST_SETTLES = 60.0  # seconds after which a list that says live again is believed
 
 
 @dataclass(kw_only=True, slots=True)
@@ -27,7 +29,10 @@
     :param address: where its agent listens.
     :param status: the newest status of its newest incarnation, or None.
     :param listed: the platform lists it.
-    :param list_leaving: the platform calls it leaving.
+    :param listed_address: where the platform says that its agent listens, or "".
+    :param list_leaving: the platform called it leaving.
+    :param left: the incarnation that was known when it began to say so.
+    :param listed_live: monotonic seconds since when it says live again, or None.
     :param heard: monotonic seconds of the last sign of it.
     """
 
@@ -35,9 +40,20 @@
     address: str
     status: Status | None = None
     listed: bool = False
+    listed_address: str = ""
     list_leaving: bool = False
+    left: int = 0
+    listed_live: float | None = None
     heard: float = 0.0
 
+    def incarnation(self) -> int:
+        """
+        Tell the life of the agent that is known.
+
+        :return: its number, 0 before the first status.
+        """
+        return self.status.incarnation if self.status else 0
+
     def state(self) -> VMState:
         """
         Join the sources.
@@ -55,6 +71,7 @@
 
     :param on_change: called with a member whose state, incarnation or holdings
         changed.
+    :param on_join: called with a member that is new, or listed at a new address.
     :param clock: monotonic seconds.
     """
 
@@ -62,9 +79,11 @@
         self,
         *,
         on_change: Callable[[Member], None] = lambda member: None,
+        on_join: Callable[[Member], None] = lambda member: None,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.on_change = on_change
+        self.on_join = on_join
         self.clock = clock
         self.by_vm: dict[str, Member] = {}
         self.entries: dict[str, VM] = {}
@@ -97,6 +116,7 @@
         if member is None:
             member = Member(vm=status.vm, address=status.address)
             self.by_vm[status.vm] = member
+            self.on_join(member)
         known = member.status
         if known is not None and _order(status) < _order(known):
             return False
@@ -104,8 +124,6 @@
         member.address = status.address
         member.heard = self.clock()
         if known is None or _order(status) > _order(known):
-            if known is not None and status.incarnation > known.incarnation:
-                member.list_leaving = False
             self._changed(member)
         return True
 
@@ -139,11 +157,29 @@
             member = Member(vm=vm.name, address=vm.address, heard=self.clock())
             self.by_vm[vm.name] = member
         member.listed = True
-        leaving = vm.state is VMState.LEAVING
-        if leaving and not member.list_leaving:
-            member.list_leaving = True
+        if vm.address != member.listed_address:
+            member.listed_address = vm.address
+            self.on_join(member)
+        self._take_leaving(member, vm.state is VMState.LEAVING)
+
+    def _take_leaving(self, member: Member, leaving: bool) -> None:
+        """Take leaving at once, and live only of a later life: the list lags."""
+        if leaving:
+            member.listed_live = None
+        elif member.list_leaving and not self._is_back(member):
+            return
+        if leaving != member.list_leaving:
+            member.list_leaving = leaving
+            member.left = member.incarnation()
             self._changed(member)
 
+    def _is_back(self, member: Member) -> bool:
+        now = self.clock()
+        if member.listed_live is None:
+            member.listed_live = now
+        settled = now - member.listed_live >= LIST_SETTLES
+        return settled or member.incarnation() > member.left
+
     def _forget(self) -> None:
         """Forget VMs that neither the list nor their agent speaks of."""
         now = self.clock()
