--- a/packages/core/src/kumquatway_core/settings/_schema.py
+++ b/packages/core/src/kumquatway_core/settings/_schema.py
@@ -96,6 +96,7 @@
     :param limits: bounds on requests.
     :param log: the log.
     :param text_file: a text to start with when the store holds none, or "".
+    :param planner: whether this entry may plan the placement.
     :param seeds: mesh addresses of other entries, for a start while the platform
         does not answer.
     :param shutdown_s: the bound on a graceful shutdown, seconds.
@@ -112,6 +113,7 @@
     log: LogSettings = LogSettings()
     text_file: str = ""
     mesh_bind: Address = ""
+    planner: bool = True
     seeds: tuple[Address, ...] = ()
     shutdown_s: Seconds = 60.0
 
--- a/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
+++ b/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
@@ -272,6 +272,7 @@
             "admin_address": self.addresses.of(entry.name, "admin"),
             "admin_keys": [hashlib.sha256(ADMIN_KEY.encode()).hexdigest()],
             "text_file": str(text),
+            "planner": False,  # the fleet's own plan says what each engine holds
             "seeds": [
                 self.addresses.of(other.name, "mesh")
                 for other in self.plan.entries
