--- a/packages/entry/src/kumquatway/_demo/_deployment.py
+++ b/packages/entry/src/kumquatway/_demo/_deployment.py
@@ -62,6 +62,7 @@
     What a deployment consists of.
 
     :param services: upstreams of each plain service, by name.
+    :param planned: the engines start empty, and an entry plans what they hold.
     :param admin_key: digest of the operators' bearer key.
     """
 
@@ -70,6 +71,7 @@
     services: dict[str, int]
     admin_key: str
     caller_address: str = ""
+    planned: bool = False
 
 
 class Deployment:
@@ -160,7 +162,7 @@
                 for stage, holding in enumerate(_split(pipeline, model)):
                     name = self.vm_name(pipeline.model, replica, stage)
                     engine = Engine(
-                        holdings=(holding,),
+                        holdings=() if self.layout.planned else (holding,),
                         speed=pipeline.speed,
                         layer_mib=model.layer_mib,
                     )
@@ -231,6 +233,7 @@
             admin_address=free_address(),
             platform=self.platform,
             admin_keys=(self.layout.admin_key,),
+            planner=self.layout.planned,
             shutdown_s=SHUTDOWN,
         )
         self.vms.put(
--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -15,12 +15,13 @@
 from kumquatway.api import Context, caller_app
 from kumquatway.calls import Calls, Dispatcher
 from kumquatway.configuration import Configuration, Parser
+from kumquatway.duties import ORDER_BOUND, Duty, Orders, Planner
 from kumquatway.membership import Member, Members, Subset, Watcher, watch_list
 from kumquatway.protect import RetryBudget
 from kumquatway.routing import choose_replacement, choose_route
 from kumquatway.streams import Ask, InFlight, Routes, Session, Streams
 from kumquatway_core import Reason, Supervisor, Verdict, new_incarnation, not_run
-from kumquatway_core.claims import Claims
+from kumquatway_core.claims import Claims, Sweep
 from kumquatway_core.events import (
     Clock,
     Event,
@@ -30,6 +31,7 @@
     ProcessStopped,
 )
 from kumquatway_core.http import serve
+from kumquatway_core.leases import PLANNER, Lease
 from kumquatway_core.mesh import Mesh, Peer, PeerState, Source
 from kumquatway_core.platform import Channel, Objects, Table, VMList
 from kumquatway_core.revisions import Revisions
@@ -40,6 +42,7 @@
     Demands,
     Grants,
     Message,
+    OrderReply,
     Pieces,
     RevisionCopy,
     RevisionSeen,
@@ -54,6 +57,8 @@
 HEADER_SLACK = 4
 DRAIN_CHECK = 0.05  # seconds
 QUEUES_INTERVAL = 1.0  # seconds
+STOP_PLANNING = 2.0  # seconds
+SWEEP = "claims-sweep"  # name of the lease
 RETRY_AFTER = 1.0  # seconds
 NO_TEXT = Text(name="none")
 
@@ -135,6 +140,17 @@
             background=self._background,
             budget=RetryBudget(),
         )
+        self.orders = Orders(find=self._find_address, send=self.mesh.send)
+        self.planner = Planner(
+            duty=self._duty(self._lease(table, PLANNER, ORDER_BOUND)),
+            orders=self.orders,
+            members=self.members,
+            is_down=self.mesh.is_down,
+            text=lambda: self.configuration.text,
+        )
+        lease = self._lease(table, SWEEP)
+        self.sweep_duty = self._duty(lease)
+        self.sweep = Sweep(table=table, objects=objects, lease=lease)
         self.vms = VMList(channel=Channel(addresses=(settings.platform.vms,)))
         self.supervisor = Supervisor(name=settings.name)
         self.tasks = 0
@@ -146,6 +162,7 @@
             CallReply: self.calls.take_reply,
             Demands: self.admission.take_demands,
             Grants: self.admission.take_grants,
+            OrderReply: self.orders.take,
             RevisionSeen: self.configuration.take_seen,
             RevisionCopy: self.configuration.take_copy,
         }
@@ -239,6 +256,11 @@
         self.supervisor.add("split", self.admission.split.run)
         self.supervisor.add("queues", self._show_queues)
         self.supervisor.add("claims", self.claims.run)
+        self.supervisor.add("sweep-lease", self.sweep_duty.run)
+        self.supervisor.add("sweep", self._sweep)
+        if settings.planner:
+            self.supervisor.add("planner-lease", self.planner.duty.run)
+            self.supervisor.add("planner", self.planner.placer.run)
         self.supervisor.add("revisions", self.configuration.watch)
         self.supervisor.add("gossip", self.configuration.gossip)
         self.supervisor.add("copies", self.configuration.take_copies)
@@ -246,6 +268,25 @@
         if self.source:
             self.supervisor.add("bootstrap", self._bootstrap)
 
+    def _lease(self, table: Table, name: str, order_bound: float = 0.0) -> Lease:
+        holder = f"{self.settings.mesh_address}/{self.incarnation}"
+        return Lease(table=table, name=name, holder=holder, order_bound=order_bound)
+
+    def _duty(self, lease: Lease) -> Duty:
+        return Duty(
+            lease=lease,
+            address=self.settings.mesh_address,
+            entries=self._entries,
+            emit=self.emit,
+        )
+
+    def _find_address(self, vm: str) -> str | None:
+        member = self.members.by_vm.get(vm)
+        return member.address if member else None
+
+    async def _sweep(self) -> None:
+        await self.sweep_duty.run_while_held(self.sweep.run)
+
     async def _bootstrap(self) -> None:
         await self.configuration.bootstrap(self.source)
 
@@ -364,5 +405,6 @@
         with anyio.move_on_after(self.settings.shutdown_s):
             while self.in_progress():
                 await anyio.sleep(DRAIN_CHECK)
+        await self.planner.stop(STOP_PLANNING)
         self.emit(ProcessStopped())
         logger.info("the entry ends; {} left in progress", self.in_progress())
