--- a/benchmarks/at_most_once.py
+++ b/benchmarks/at_most_once.py
@@ -43,6 +43,7 @@
 NOT_RUN = "not-run"
 MAY_HAVE_RUN = "may-have-run"
 NO_ANSWER = "no-answer"
+NO_VERDICT = "an answer without a verdict:"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -59,7 +60,7 @@
     name: str
     verdict: str
     status: int = 0
-    detail: str = ""
+    reason: str = ""
     own: bool = True
 
 
@@ -93,6 +94,7 @@
     lost: list[str] = field(default_factory=list)
     untrue: list[str] = field(default_factory=list)
     mixed: list[str] = field(default_factory=list)
+    silent: list[str] = field(default_factory=list)
 
     def all(self) -> list[str]:
         """
@@ -100,7 +102,7 @@
 
         :return: lines.
         """
-        return [*self.doubled, *self.lost, *self.untrue, *self.mixed]
+        return [*self.doubled, *self.lost, *self.untrue, *self.mixed, *self.silent]
 
 
 def make_plan() -> FleetPlan:
@@ -191,20 +193,31 @@
                 timeout=CALLER_TIMEOUT,
             )
         except httpx.ConnectError as error:
-            return Try(entry=entry, name=name, verdict=NOT_RUN, detail=repr(error))
+            return Try(
+                entry=entry, name=name, verdict=NOT_RUN, reason=type(error).__name__
+            )
         except httpx.HTTPError as error:
-            return Try(entry=entry, name=name, verdict=NO_ANSWER, detail=repr(error))
+            return Try(
+                entry=entry, name=name, verdict=NO_ANSWER, reason=type(error).__name__
+            )
         verdict = answer.headers.get(VERDICT, NO_ANSWER)
         return Try(
             entry=entry,
             name=name,
             verdict=verdict,
             status=answer.status_code,
-            detail=answer.text[:200],
+            reason="" if verdict == RAN else _reason(answer),
             own=verdict != RAN or answer.json()["body"] == name,
         )
 
 
+def _reason(answer: httpx.Response) -> str:
+    if VERDICT not in answer.headers:
+        return f"{NO_VERDICT} {answer.status_code} {answer.text[:80]}"
+    error = answer.json()["error"]
+    return f"{error['code']}: {error['message']}"
+
+
 def judge(bookings: list[Booking], executions: Counter[str]) -> Findings:
     """
     Compare what callers were told with what ran.
@@ -234,6 +247,8 @@
         findings.untrue.append(line)
     if not all(found.own for found in tries):
         findings.mixed.append(line)
+    if any(found.reason.startswith(NO_VERDICT) for found in tries):
+        findings.silent.append(line)
 
 
 async def read_executions(fleet: Fleet) -> Counter[str]:
@@ -313,6 +328,7 @@
         "`ran` without an execution": len(findings.lost),
         "`not-run` with an execution": len(findings.untrue),
         "answers of another request": len(findings.mixed),
+        "requests with an answer without a verdict": len(findings.silent),
         "share refused at the end": f"{last[NOT_RUN] / count:.1%}",
         "share in doubt at the end": (
             f"{(last[MAY_HAVE_RUN] + last[NO_ANSWER]) / count:.1%}"
@@ -324,10 +340,23 @@
     print("| | |\n| --- | --- |")
     for name, value in rows.items():
         print(f"| {name} | {value} |")
+    _print_reasons(bookings)
     for line in findings.all():
         print(f"\nVIOLATION {line}")
 
 
+def _print_reasons(bookings: list[Booking]) -> None:
+    reasons = Counter(
+        (found.verdict, found.reason.split("127.")[0])
+        for booking in bookings
+        for found in booking.tries
+        if found.reason
+    )
+    print("\n| verdict | reason | tries |\n| --- | --- | --- |")
+    for (verdict, reason), count in reasons.most_common():
+        print(f"| {verdict} | {reason} | {count} |")
+
+
 def main() -> None:
     """Run: `[REQUESTS [SEED [SECONDS]]]`; exit code 1 for a violation."""
     numbers = [float(value) for value in sys.argv[1:]]
