--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -17,18 +17,25 @@
 from kumquatway_core import Reason, Verdict, not_run
 from kumquatway_core.exceptions import WireError
 from kumquatway_core.mesh._beats import AckDelay, beat_interval, silence_bound
-from kumquatway_core.wire import Ack, Beat, BeatReply, Message, decode, encode
+from kumquatway_core.mesh._connection import CLOSED, REFUSED, Connection
+from kumquatway_core.wire import (
+    Ack,
+    Beat,
+    BeatReply,
+    Message,
+    Steps,
+    decode,
+    encode,
+)
 
 WINDOW = 8 * 1024 * 1024  # bytes sent and not yet acknowledged
 OUTBOX_BOUND = 64 * 1024 * 1024  # bytes waiting for the window
-ANSWER_WAIT = 0.2  # seconds for the first answer on a new connection
-REFUSED_EVENTS = zmq.EVENT_CLOSED | zmq.EVENT_CONNECT_RETRIED
+ANSWER_WAIT = 0.15  # seconds for the first answer on a new connection
 MAX_ANSWER_WAIT = 2.0  # seconds
-GUARD_PAUSE = 0.05  # seconds
-RECONNECT_MS = 50
+HOT_FOR = 2.0  # seconds after a step
+COLD_INTERVAL = 0.5  # seconds
 SMOOTHING = 0.2
 UNSEQUENCED = 0
-SEQUENCE_BYTES = 8
 
 
 class PeerState(enum.StrEnum):
@@ -47,16 +54,25 @@
     :param sequence: its place among the messages to this peer.
     """
 
-    __slots__ = ("data", "left", "message", "sent", "sequence", "withdrawn")
+    __slots__ = ("data", "message", "sends", "sent", "sequence", "withdrawn")
 
     def __init__(self, *, message: Message, sequence: int):
         self.message = message
         self.sequence = sequence
         self.data = encode(message)
-        self.left = False
+        self.sends = 0
         self.sent = 0.0
         self.withdrawn = False
 
+    @property
+    def left(self) -> bool:
+        """
+        Tell whether a byte of it may have left this process.
+
+        :return: False before it is first sent.
+        """
+        return self.sends > 0
+
 
 class Peer:
     """
@@ -66,6 +82,7 @@
     :param address: `host:port` of the other end.
     :param identity: this process's address and incarnation.
     :param peers: tells the number of open connections of the process.
+    :param hot_peers: tells the number of those that streams depend on.
     :param hlc: reads the hybrid logical clock.
     :param on_state: called with the peer at each change of its state.
     :param on_lost: called with the peer and the messages that a new incarnation
@@ -79,6 +96,7 @@
         address: str,
         identity: str,
         peers: Callable[[], int],
+        hot_peers: Callable[[], int],
         hlc: Callable[[], int],
         on_state: Callable[["Peer"], None],
         on_lost: Callable[["Peer", list[Message]], None],
@@ -88,6 +106,7 @@
         self.address = address
         self.identity = identity
         self.peers = peers
+        self.hot_peers = hot_peers
         self.hlc = hlc
         self.on_state = on_state
         self.on_lost = on_lost
@@ -97,6 +116,7 @@
         self.connections = 0
         self.round_trip = 0.0
         self.last_used = clock()
+        self.last_step = float("-inf")
         self.closed = False
         self._outbox: deque[Parcel] = deque()
         self._outbox_bytes = 0
@@ -110,6 +130,7 @@
         self._ack_delay = AckDelay()
         self._wake = anyio.Event()
         self._awaited = anyio.Event()
+        self._heated = anyio.Event()
         self._broken = anyio.Event()
         self._scope = anyio.CancelScope()
 
@@ -127,6 +148,8 @@
         self._outbox.append(parcel)
         self._outbox_bytes += len(parcel.data)
         self.last_used = self.clock()
+        if isinstance(message, Steps):
+            self._heat()
         self._wake.set()
         return parcel
 
@@ -142,6 +165,14 @@
         parcel.withdrawn = True
         return True
 
+    def is_hot(self) -> bool:
+        """
+        Tell whether streams depend on this connection now.
+
+        :return: True if a step was sent within the last `HOT_FOR` seconds.
+        """
+        return self.clock() - self.last_step < HOT_FOR
+
     def backlog(self) -> int:
         """
         Tell how much waits for this peer.
@@ -160,65 +191,84 @@
         wait = ANSWER_WAIT
         with self._scope:
             while True:
-                socket = self._connect()
-                try:
-                    proved = await self._prove(socket, wait)
-                    if proved:
-                        wait = ANSWER_WAIT
-                        await self._serve(socket)
-                    else:
-                        self._change(PeerState.DOWN)
-                        wait = min(wait * 2, MAX_ANSWER_WAIT)
-                finally:
-                    socket.close(linger=0)
-
-    def _connect(self) -> zmq.asyncio.Socket:
+                if await self._live_once(wait):
+                    wait = ANSWER_WAIT
+                    continue
+                self._change(PeerState.DOWN)
+                await anyio.sleep(wait)
+                wait = min(wait * 2, MAX_ANSWER_WAIT)
+
+    async def _live_once(self, wait: float) -> bool:
+        """
+        Use one connection until it breaks.
+
+        :return: whether it was ever proved.
+        """
         self.connections += 1
-        socket = self.context.socket(zmq.DEALER)
-        identity = f"{self.identity}|{self.connections}"
-        socket.setsockopt(zmq.IDENTITY, identity.encode())
-        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
-        socket.setsockopt(zmq.SNDHWM, 0)
-        socket.connect(f"tcp://{self.address}")
-        return socket
-
-    async def _prove(self, socket: zmq.asyncio.Socket, wait: float) -> bool:
+        connection = self._connect()
+        if connection is None:
+            return False
+        try:
+            if not await self._prove(connection, wait):
+                return False
+            await self._serve(connection)
+            return True
+        except Exception as error:
+            # One connection's failure must not end the connections to others.
+            logger.opt(exception=error).error("a connection to {} failed", self.address)
+            return False
+        finally:
+            connection.close()
+
+    def _connect(self) -> Connection | None:
+        """Open a connection; None for an address, told by a peer, that is none."""
+        try:
+            return Connection(
+                context=self.context,
+                address=self.address,
+                identity=f"{self.identity}|{self.connections}",
+            )
+        except zmq.ZMQError as error:
+            logger.warning("{!r} is no address: {}", self.address, error)
+            return None
+
+    async def _prove(self, connection: Connection, wait: float) -> bool:
         """Wait for the first answer, or for the address to refuse."""
         self._beat_sent.clear()
         proved = False
         with anyio.move_on_after(wait + 2 * self.round_trip):
             async with anyio.create_task_group() as group:
-                group.start_soon(self._fail_if_refused, socket, group.cancel_scope)
-                proved = await self._first_answer(socket)
+                group.start_soon(self._fail_if_refused, connection, group.cancel_scope)
+                proved = await self._first_answer(connection)
                 group.cancel_scope.cancel()
         return proved
 
-    async def _first_answer(self, socket: zmq.asyncio.Socket) -> bool:
+    async def _first_answer(self, connection: Connection) -> bool:
         heard = self._heard
-        await self._send_beat(socket)
+        await self._send_beat(connection)
         while self._heard == heard:
-            self._take(await socket.recv_multipart())
+            self._take(await connection.receive())
         return True
 
     async def _fail_if_refused(
-        self, socket: zmq.asyncio.Socket, scope: anyio.CancelScope
+        self, connection: Connection, scope: anyio.CancelScope
     ) -> None:
         if self.incarnation == 0:
             # A process that was never there may be about to start.
             return
-        await _next_event(socket, REFUSED_EVENTS)
+        await connection.happens(REFUSED)
         scope.cancel()
 
-    async def _serve(self, socket: zmq.asyncio.Socket) -> None:
+    async def _serve(self, connection: Connection) -> None:
         self._rewind()
         self._broken = anyio.Event()
         self._change(PeerState.UP)
         async with anyio.create_task_group() as group:
-            group.start_soon(self._pump, socket)
-            group.start_soon(self._hear, socket)
-            group.start_soon(self._watch, socket)
+            group.start_soon(self._pump, connection)
+            group.start_soon(self._hear, connection)
+            group.start_soon(self._watch, connection)
             group.start_soon(self._guard)
-            group.start_soon(self._beat, socket)
+            group.start_soon(self._beat, connection)
             await self._broken.wait()
             group.cancel_scope.cancel()
 
@@ -230,32 +280,31 @@
             self._outbox.appendleft(parcel)
             self._outbox_bytes += len(parcel.data)
 
-    async def _pump(self, socket: zmq.asyncio.Socket) -> None:
+    async def _pump(self, connection: Connection) -> None:
         while True:
             while self._outbox and self._unacked_bytes < WINDOW:
-                await self._send_parcel(socket, self._outbox.popleft())
+                await self._send_parcel(connection, self._outbox.popleft())
             self._wake = anyio.Event()
             await self._wake.wait()
 
-    async def _send_parcel(self, socket: zmq.asyncio.Socket, parcel: Parcel) -> None:
+    async def _send_parcel(self, connection: Connection, parcel: Parcel) -> None:
         self._outbox_bytes -= len(parcel.data)
         if parcel.withdrawn:
             return
-        parcel.left = True
+        parcel.sends += 1
         parcel.sent = self.clock()
         self._unacked.append(parcel)
         self._unacked_bytes += len(parcel.data)
-        head = parcel.sequence.to_bytes(SEQUENCE_BYTES, "big")
         self._awaited.set()
-        await socket.send_multipart([head, parcel.data])
+        await connection.send(parcel.sequence, parcel.data)
 
-    async def _hear(self, socket: zmq.asyncio.Socket) -> None:
+    async def _hear(self, connection: Connection) -> None:
         while True:
-            self._take(await socket.recv_multipart())
+            self._take(await connection.receive())
 
-    def _take(self, frames: list[bytes]) -> None:
+    def _take(self, data: bytes) -> None:
         try:
-            message = decode(frames[-1])
+            message = decode(data)
         except WireError as error:
             logger.warning("a bad answer from {}: {}", self.address, error)
             return
@@ -294,15 +343,16 @@
         now = self.clock()
         self._heard = now
         if self._unacked and self._unacked[0].sequence <= ack.sequence:
-            self._ack_delay.add(now - self._unacked[0].sent)
+            delay = now - self._unacked[0].sent
+            self._ack_delay.add(delay, self._unacked_bytes)
         while self._unacked and self._unacked[0].sequence <= ack.sequence:
             parcel = self._unacked.popleft()
             self._unacked_bytes -= len(parcel.data)
         self._wake.set()
 
-    async def _watch(self, socket: zmq.asyncio.Socket) -> None:
+    async def _watch(self, connection: Connection) -> None:
         """Notice at once that the other end closed the connection."""
-        await _next_event(socket, zmq.EVENT_DISCONNECTED)
+        await connection.happens(CLOSED)
         self._broken.set()
 
     async def _guard(self) -> None:
@@ -312,7 +362,7 @@
                 self._awaited = anyio.Event()
                 await self._awaited.wait()
             oldest = self._unacked[0]
-            late = oldest.sent + self._ack_delay.bound(self._lag)
+            late = oldest.sent + self._ack_delay.bound(self._lag, self._unacked_bytes)
             before = self.clock()
             await anyio.sleep(max(late - before, 0))
             overslept = self.clock() - max(late, before)
@@ -321,43 +371,51 @@
                 # This process itself stood still; the answer may be waiting.
                 await anyio.sleep(ANSWER_WAIT)
             waits = self._unacked and self._unacked[0] is oldest
-            if waits and self._heard < oldest.sent:
+            if waits:
+                if self._ack_delay.doubt():
+                    # Beats get through and data does not, or not in time.
+                    self._change(PeerState.DOWN)
                 self._broken.set()
                 return
-            if waits:
-                await anyio.sleep(GUARD_PAUSE)
 
-    async def _beat(self, socket: zmq.asyncio.Socket) -> None:
+    def _heat(self) -> None:
+        if not self.is_hot():
+            self._heated.set()
+        self.last_step = self.clock()
+
+    def _interval(self) -> float:
+        if self.is_hot():
+            return beat_interval(self.hot_peers())
+        return max(beat_interval(self.peers()), COLD_INTERVAL)
+
+    async def _beat(self, connection: Connection) -> None:
         while True:
-            interval = beat_interval(self.peers())
+            interval = self._interval()
             before = self.clock()
-            await anyio.sleep(interval)
+            self._heated = anyio.Event()
+            with anyio.move_on_after(interval):
+                await self._heated.wait()
+                await self._send_beat(connection)
+                continue
             now = self.clock()
             self._lag = max(now - before - interval, 0.0, self._lag / 2)
             bound = silence_bound(interval, self.round_trip, self._lag)
             if now - self._heard > bound:
                 self._broken.set()
                 return
-            await self._send_beat(socket)
+            await self._send_beat(connection)
 
-    async def _send_beat(self, socket: zmq.asyncio.Socket) -> None:
+    async def _send_beat(self, connection: Connection) -> None:
         self._beats += 1
         self._beat_sent[self._beats] = self.clock()
         beat = Beat(clock=self.hlc(), sequence=self._beats)
-        head = UNSEQUENCED.to_bytes(SEQUENCE_BYTES, "big")
-        await socket.send_multipart([head, encode(beat)])
+        await connection.send(UNSEQUENCED, encode(beat))
 
     def _change(self, state: PeerState) -> None:
         if state is self.state:
             return
         self.state = state
-        self.on_state(self)
-
-
-async def _next_event(socket: zmq.asyncio.Socket, events: int) -> None:
-    """Wait for one of some events of a socket's connection."""
-    monitor = socket.get_monitor_socket(events)
-    try:
-        await monitor.recv_multipart()
-    finally:
-        socket.disable_monitor()
+        try:
+            self.on_state(self)
+        except Exception as error:
+            logger.opt(exception=error).error("a change of {} is lost", self.address)
--- a/packages/entry/src/kumquatway/api/_services.py
+++ b/packages/entry/src/kumquatway/api/_services.py
@@ -4,17 +4,20 @@
 The handler of calls to plain services.
 """
 
+from dataclasses import replace
 from http import HTTPMethod
 
 from starlette.requests import Request
 from starlette.responses import Response
 
+from kumquatway.api._admit import admit, ask_of_call, read_deadline
 from kumquatway.api._body import read_body
-from kumquatway.api._context import Caller, Context, find_caller, new_request_id
-from kumquatway.api._errors import REQUEST_ID, error_response
+from kumquatway.api._context import Caller, Context
+from kumquatway.api._errors import error_response
+from kumquatway.api._guard import request_id
 from kumquatway.calls import Answer, ServiceAsk
 from kumquatway_core import HEADER, RAN, Reason, Verdict, not_run
-from kumquatway_core.events import RequestEnded, RequestStarted
+from kumquatway_core.events import Refused, RequestEnded, RequestStarted
 
 IDEMPOTENT = "kumquatway-idempotent"
 IDEMPOTENCY_KEY = "idempotency-key"
@@ -33,6 +36,7 @@
     ("authorization", "connection", "host", "content-length", "transfer-encoding")
 )
 MAX_KEY = 255  # characters
+MIN_TIMEOUT = 0.001  # seconds
 
 
 def service_handler(context: Context):
@@ -44,18 +48,39 @@
     """
 
     async def call(request: Request) -> Response:
-        name = new_request_id()
-        text = context.text()
-        caller = find_caller(text, request.headers.get("authorization", ""))
+        name = request_id(request)
+        caller = context.find_caller(request.headers.get("authorization", ""))
         if caller is None:
-            return error_response(not_run(Reason.UNAUTHORIZED, "unknown key"), name)
+            verdict = not_run(Reason.UNAUTHORIZED, "unknown key")
+            return _refuse(context, name, verdict)
         ask = await _ask(context, request, name)
         if isinstance(ask, Verdict):
-            return error_response(ask, name)
+            return _refuse(context, name, ask, caller.name)
+        return await _admit(context, request, caller, ask)
+
+    return call
+
+
+async def _admit(
+    context: Context, request: Request, caller: Caller, ask: ServiceAsk
+) -> Response:
+    deadline = context.clock() + ask.timeout
+    wanted = ask_of_call(caller, ask, deadline)
+    ticket = await admit(context.admission, request, wanted)
+    if isinstance(ticket, Verdict):
+        return _refuse(context, ask.request, ticket, caller.name)
+    try:
+        ask = replace(ask, timeout=max(deadline - context.clock(), MIN_TIMEOUT))
         key = request.headers.get(IDEMPOTENCY_KEY, "")
         return await _run(context, caller, ask, key)
+    finally:
+        ticket.close()
 
-    return call
+
+def _refuse(context: Context, name: str, verdict: Verdict, account: str = ""):
+    reason = verdict.reason.value
+    context.emit(Refused(request=name, reason=reason, account=account))
+    return error_response(verdict)
 
 
 async def _run(context: Context, caller: Caller, ask: ServiceAsk, key: str) -> Response:
@@ -65,10 +90,10 @@
     result = await context.dispatcher.run(ask, caller.name, key)
     if isinstance(result, Verdict):
         verdict = result
-        response = error_response(result, ask.request)
+        response = error_response(result)
     else:
         verdict = Verdict(ran=RAN)
-        response = _response(result, ask.request)
+        response = _response(result)
     context.emit(
         RequestEnded(
             request=ask.request,
@@ -97,6 +122,9 @@
     idempotent = _idempotent(request)
     if isinstance(idempotent, Verdict):
         return idempotent
+    seconds = read_deadline(request, described.timeout)
+    if isinstance(seconds, Verdict):
+        return seconds
     return ServiceAsk(
         request=name,
         service=service,
@@ -104,7 +132,7 @@
         path=_path(request),
         headers=_headers(request),
         body=body,
-        timeout=described.timeout,
+        timeout=min(seconds, described.timeout),
         idempotent=idempotent,
     )
 
@@ -132,10 +160,9 @@
     )
 
 
-def _response(answer: Answer, name: str) -> Response:
+def _response(answer: Answer) -> Response:
     response = Response(answer.body, status_code=answer.status)
     for key, value in answer.headers:
         response.headers[key] = value
     response.headers[HEADER] = "ran"
-    response.headers[REQUEST_ID] = name
     return response
