--- a/benchmarks/at_most_once.py
+++ b/benchmarks/at_most_once.py
@@ -347,7 +347,7 @@
 
 def _print_reasons(bookings: list[Booking]) -> None:
     reasons = Counter(
-        (found.verdict, found.reason.split("127.")[0])
+        (found.verdict, found.reason.split(": ")[0])
         for booking in bookings
         for found in booking.tries
         if found.reason
