--- a/packages/core/src/kumquatway_core/mesh/_connection.py
+++ b/packages/core/src/kumquatway_core/mesh/_connection.py
@@ -10,6 +10,8 @@
 import zmq.asyncio
 from zmq.utils.monitor import parse_monitor_message
 
+from kumquatway_core.mesh._traffic import Traffic
+
 RECONNECT_MS = 50
 SEQUENCE_BYTES = 8
 CLOSED = zmq.EVENT_DISCONNECTED
@@ -25,10 +27,19 @@
     :param context: of pyzmq.
     :param address: `host:port` of the other end.
     :param identity: unique among the connections to that end.
+    :param traffic: counts the messages.
     :raises zmq.ZMQError: if the address is none.
     """
 
-    def __init__(self, *, context: zmq.asyncio.Context, address: str, identity: str):
+    def __init__(
+        self,
+        *,
+        context: zmq.asyncio.Context,
+        address: str,
+        identity: str,
+        traffic: Traffic | None = None,
+    ):
+        self.traffic = traffic or Traffic()
         self.socket = context.socket(zmq.DEALER)
         self.socket.setsockopt(zmq.IDENTITY, identity.encode())
         self.socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
@@ -52,7 +63,9 @@
         :param data: encoded.
         """
         head = sequence.to_bytes(SEQUENCE_BYTES, "big")
-        await self.socket.send_multipart([head, data])
+        frames = [head, data]
+        self.traffic.add_sent(frames)
+        await self.socket.send_multipart(frames)
 
     async def receive(self) -> bytes:
         """
@@ -61,6 +74,7 @@
         :return: encoded.
         """
         frames = await self.socket.recv_multipart()
+        self.traffic.add_received(frames)
         return frames[-1]
 
     async def happens(self, events: int) -> None:
--- a/packages/core/src/kumquatway_core/mesh/_inbox.py
+++ b/packages/core/src/kumquatway_core/mesh/_inbox.py
@@ -14,6 +14,7 @@
 from loguru import logger
 
 from kumquatway_core.exceptions import WireError
+from kumquatway_core.mesh._traffic import Traffic
 from kumquatway_core.wire import Ack, Beat, BeatReply, Message, decode, encode
 
 ACK_INTERVAL = 0.05  # seconds
@@ -49,6 +50,7 @@
     :param handle: called with each source and message, once and in order.
     :param hlc: reads the hybrid logical clock.
     :param merge: takes in the clock of a sender.
+    :param traffic: counts the messages.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         hlc: Callable[[], int],
         merge: Callable[[int], None],
         clock: Callable[[], float] = time.monotonic,
+        traffic: Traffic | None = None,
     ):
+        self.traffic = traffic or Traffic()
         self.socket = socket
         self.incarnation = incarnation
         self.handle = handle
@@ -77,6 +81,7 @@
             group.start_soon(self._ack_often)
             while True:
                 frames = await self.socket.recv_multipart()
+                self.traffic.add_received(frames[1:])
                 await self._take(frames)
 
     async def _take(self, frames: list[bytes]) -> None:
@@ -156,4 +161,6 @@
 
     async def _send(self, source: Source, message: Message) -> None:
         head = (0).to_bytes(SEQUENCE_BYTES, "big")
-        await self.socket.send_multipart([source.identity, head, encode(message)])
+        frames = [head, encode(message)]
+        self.traffic.add_sent(frames)
+        await self.socket.send_multipart([source.identity, *frames])
--- a/packages/core/src/kumquatway_core/mesh/_mesh.py
+++ b/packages/core/src/kumquatway_core/mesh/_mesh.py
@@ -15,6 +15,7 @@
 from kumquatway_core import Verdict
 from kumquatway_core.mesh._inbox import Inbox, Source
 from kumquatway_core.mesh._peer import Parcel, Peer, PeerState
+from kumquatway_core.mesh._traffic import Traffic
 from kumquatway_core.wire import Message
 
 IDLE_BOUND = 120.0  # seconds without use after which a peer is closed
@@ -68,6 +69,7 @@
         self.merge = merge
         self.clock = clock
         self.peers: dict[str, Peer] = {}
+        self.traffic = Traffic()
         self.context = zmq.asyncio.Context()
         self.socket = self.context.socket(zmq.ROUTER)
         self.socket.setsockopt(zmq.SNDHWM, 0)
@@ -78,6 +80,7 @@
             hlc=hlc,
             merge=merge,
             clock=clock,
+            traffic=self.traffic,
         )
         self._group: anyio.abc.TaskGroup | None = None
 
@@ -140,6 +143,7 @@
             on_state=self.on_state,
             on_lost=self.on_lost,
             clock=self.clock,
+            traffic=self.traffic,
         )
         self.peers[address] = peer
         if self._group is not None:
--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -18,6 +18,7 @@
 from kumquatway_core.exceptions import WireError
 from kumquatway_core.mesh._beats import AckDelay, beat_interval, silence_bound
 from kumquatway_core.mesh._connection import CLOSED, REFUSED, Connection
+from kumquatway_core.mesh._traffic import Traffic
 from kumquatway_core.wire import (
     Ack,
     Beat,
@@ -87,6 +88,7 @@
     :param on_state: called with the peer at each change of its state.
     :param on_lost: called with the peer and the messages that a new incarnation
         of the other end will never see.
+    :param traffic: counts the messages.
     """
 
     def __init__(
@@ -101,7 +103,9 @@
         on_state: Callable[["Peer"], None],
         on_lost: Callable[["Peer", list[Message]], None],
         clock: Callable[[], float] = time.monotonic,
+        traffic: Traffic | None = None,
     ):
+        self.traffic = traffic or Traffic()
         self.context = context
         self.address = address
         self.identity = identity
@@ -227,6 +231,7 @@
                 context=self.context,
                 address=self.address,
                 identity=f"{self.identity}|{self.connections}",
+                traffic=self.traffic,
             )
         except zmq.ZMQError as error:
             logger.warning("{!r} is no address: {}", self.address, error)
--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -79,6 +79,10 @@
                 near.mesh.send(far.mesh.address, found)
             await until(lambda: len(far.taken) >= len(sent))
             assert far.taken == sent
+            size = sum(len(encode(found)) for found in sent)
+            assert near.mesh.traffic.sent >= len(sent)
+            assert near.mesh.traffic.sent_bytes > size
+            assert far.mesh.traffic.received_bytes > size
 
     async def test_silence_loses_and_doubles_nothing(self):
         near, far, relay = through_relay()
