Let steps name the tokens they follow from; replay whatever a new hop lacks

Change: a stage compares its next hop with the one that has its outputs, and replays to a new one; a repeat is answered by all that followed; steps carry a digest over the generated tokens, compared at each stage and by the entry. Ruled out: resending on a timer (hides the order that loses a step).

--- a/packages/agent/src/kumquatway_agent/stage/_retained.py
+++ b/packages/agent/src/kumquatway_agent/stage/_retained.py
@@ -6,8 +6,6 @@
 
 from dataclasses import dataclass
 
-from kumquatway_core.wire import NO_TOKEN
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Output:
@@ -16,17 +14,15 @@
 
     :param position: the first.
     :param count: how many.
-    :param sampled: the token of the only position, or `NO_TOKEN`.
     """
 
     position: int
     count: int
     data: bytes
-    sampled: int = NO_TOKEN
 
 
 class Retained:
-    """What one stream passed on, from position 0 without a gap."""
+    """What one stream passed on, without a gap."""
 
     def __init__(self):
         self.outputs: list[Output] = []
@@ -62,11 +58,26 @@
         """
         if not self.whole or not self.outputs:
             return None
-        data = b"".join(output.data for output in self.outputs)
-        count = sum(output.count for output in self.outputs)
-        joined = Output(position=0, count=count, data=data)
-        self.outputs = [joined]
-        return joined
+        self.outputs = [_join(self.outputs)]
+        return self.outputs[0]
+
+    def since(self, position: int) -> Output | None:
+        """
+        Find the outputs from a position on.
+
+        :param position: the first one wanted.
+        :return: as much of them as is kept; None if none is.
+        """
+        found = [
+            output
+            for output in self.outputs
+            if output.position + output.count > position
+        ]
+        if not found:
+            return None
+        joined = _join(found)
+        skip = max(position - joined.position, 0)
+        return _without(joined, skip)
 
     def evict(self) -> int:
         """
@@ -83,7 +94,25 @@
         return before - self.bytes
 
 
-def _last_position(output: Output) -> Output:
+def _join(outputs: list[Output]) -> Output:
+    if len(outputs) == 1:
+        return outputs[0]
+    data = b"".join(output.data for output in outputs)
+    count = sum(output.count for output in outputs)
+    return Output(position=outputs[0].position, count=count, data=data)
+
+
+def _without(output: Output, skip: int) -> Output:
+    """Leave out the first positions."""
+    if not skip:
+        return output
     width = len(output.data) // output.count
-    end = output.position + output.count
-    return Output(position=end - 1, count=1, data=output.data[-width:])
+    return Output(
+        position=output.position + skip,
+        count=output.count - skip,
+        data=output.data[skip * width :],
+    )
+
+
+def _last_position(output: Output) -> Output:
+    return _without(output, output.count - 1)
--- a/packages/agent/src/kumquatway_agent/stage/_stage.py
+++ b/packages/agent/src/kumquatway_agent/stage/_stage.py
@@ -105,12 +105,9 @@
             detail = "unknown stream"
             self._trouble(open, splice.stage, Reason.REFUSED, detail)
             return
-        if open.epoch <= stream.open.epoch:
-            return
-        before = stream.next_hop()
-        stream.open = open
-        replaced = before != stream.next_hop()
-        if replaced and not stream.is_last():
+        if open.epoch > stream.open.epoch:
+            stream.open = open
+        if stream.lost_next_hop():
             self._replay(stream)
             self.outgoing.flush()
 
@@ -179,7 +176,6 @@
             position=work.position,
             count=work.count,
             data=output.data,
-            sampled=work.sampled,
         )
         self.streams.add_output(stream, kept)
         self._pass_on(stream, kept)
@@ -200,33 +196,42 @@
                 token=token,
                 text=output.text,
                 finish=finish,
-                epoch=open.epoch,
+                chain=stream.chain_before(position),
             )
             self.outgoing.add_piece(open.entry, piece)
             if finish:
                 return
         data = token.to_bytes(TOKEN_BYTES, "little")
-        kept = Output(position=position, count=1, data=data, sampled=token)
-        stream.retained.outputs = [kept]
+        kept = Output(position=position, count=1, data=data)
+        self.streams.add_output(stream, kept)
         self._pass_on(stream, kept)
 
     def _pass_on(self, stream: Stream, output: Output) -> None:
-        item = self._item(stream, output)
-        self.outgoing.add_step(stream.next_hop().address, item)
+        if stream.lost_next_hop():
+            self._replay(stream)
+            return
+        self._forward(stream, self._item(stream, output))
+
+    def _forward(self, stream: Stream, item: StepItem) -> None:
+        stream.sent_to = stream.next_hop()
+        self.outgoing.add_step(stream.sent_to.address, item)
 
     def _replay(self, stream: Stream) -> None:
-        if not stream.done:
-            return
+        """Send all that was passed on before to a stage that has none of it."""
         whole = stream.retained.joined()
+        if whole is None and stream.is_last():
+            # The entry feeds a new first stage; a repeat brings the tokens back.
+            stream.sent_to = stream.next_hop()
+            return
         if whole is None:
             detail = "the activations are not retained"
             self._trouble(stream.open, stream.stage, Reason.REFUSED, detail)
             return
-        item = self._item(stream, whole, replay=True)
-        self.outgoing.add_step(stream.next_hop().address, item)
+        self._forward(stream, self._item(stream, whole, replay=True))
 
     def _item(self, stream: Stream, output: Output, replay: bool = False) -> StepItem:
         opening = output.position == 0 and not stream.is_last()
+        chains = stream.chains_of(output.position, output.count)
         return StepItem(
             request=stream.open.request,
             attempt=stream.open.attempt,
@@ -238,7 +243,7 @@
             epoch=stream.open.epoch,
             open=stream.open if opening else None,
             replay=replay,
-            sampled=output.sampled,
+            chains=b"" if stream.is_last() else chains,
         )
 
     def _on_failure(self, works: list[Work], verdict: Verdict) -> None:
--- a/packages/agent/src/kumquatway_agent/stage/_streams.py
+++ b/packages/agent/src/kumquatway_agent/stage/_streams.py
@@ -12,7 +12,15 @@
 from kumquatway_agent.orders import covers_stage
 from kumquatway_agent.stage._retained import Output, Retained
 from kumquatway_core import Reason
-from kumquatway_core.wire import NO_TOKEN, Holding, Open, Stage, StepItem
+from kumquatway_core.wire import (
+    CHAIN_BYTES,
+    EMPTY,
+    Holding,
+    Open,
+    Stage,
+    StepItem,
+    extend_all,
+)
 
 MAX_TOMBSTONES = 20_000
 MIB = 1024 * 1024
@@ -44,14 +52,12 @@
     :param stream: whose step it is.
     :param position: the first position.
     :param count: how many.
-    :param sampled: the token of the only position, or `NO_TOKEN`.
     """
 
     stream: "Stream"
     position: int
     count: int
     data: bytes
-    sampled: int = NO_TOKEN
 
 
 class Stream:
@@ -66,6 +72,8 @@
         self.open = open
         self.stage = stage
         self.heard_epoch = open.epoch
+        self.sent_to: Stage | None = None
+        self.chains = bytearray()
         self.queued = 0
         self.done = 0
         self.retained = Retained()
@@ -96,20 +104,52 @@
         """
         return self.open.route[self.stage]
 
-    def differs(self, item: StepItem) -> bool:
+    def chain_before(self, position: int) -> int:
         """
-        Compare the token that a step was made from with the one sampled here.
+        Find the digest over the generated tokens before a position.
 
-        A last stage that replaced another may sample differently; what was made
-        from the other's token must not be answered as if from its own.
+        :param position: at most one past the last that was queued.
+        :return: `EMPTY` up to the first generated position.
+        """
+        index = position - self.open.prompt_tokens
+        if index <= 0:
+            return EMPTY
+        found = self.chains[(index - 1) * CHAIN_BYTES : index * CHAIN_BYTES]
+        return int.from_bytes(found, "little")
+
+    def chains_of(self, position: int, count: int) -> bytes:
+        """
+        Find the digests of positions that were queued.
+
+        :param position: the first.
+        :param count: how many; those of the prompt have none.
+        :return: one for each generated position.
+        """
+        first = max(position - self.open.prompt_tokens, 0)
+        end = max(position + count - self.open.prompt_tokens, 0)
+        return bytes(self.chains[first * CHAIN_BYTES : end * CHAIN_BYTES])
+
+    def follow(self, item: StepItem) -> bool:
+        """
+        Compare the tokens that a step was made from with those run here.
 
-        :param item: a step for this stage.
-        :return: True if this stage sampled another token for that position.
+        :param item: a step for this stage, not past the next position.
+        :return: False if they differ; else their digests are taken in.
         """
-        last = self.retained.last()
-        if not self.is_last() or last is None or item.sampled == NO_TOKEN:
+        first = max(item.position - self.open.prompt_tokens, 0) * CHAIN_BYTES
+        found = self._chains_in(item)
+        known = self.chains[first : first + len(found)]
+        if known != found[: len(known)]:
             return False
-        return last.position == item.position and last.sampled != item.sampled
+        self.chains += found[len(known) :]
+        return True
+
+    def _chains_in(self, item: StepItem) -> bytes:
+        if item.layer:
+            return item.chains
+        skip = max(self.open.prompt_tokens - item.position, 0)
+        before = self.chain_before(item.position + skip)
+        return extend_all(before, item.data[skip * TOKEN_BYTES :])
 
     def is_last(self) -> bool:
         """
@@ -127,6 +167,14 @@
         """
         return self.open.route[(self.stage + 1) % len(self.open.route)]
 
+    def lost_next_hop(self) -> bool:
+        """
+        Tell whether the next hop is another than that which has the outputs.
+
+        :return: False before the first output.
+        """
+        return self.sent_to is not None and self.sent_to != self.next_hop()
+
     def next_index(self) -> int:
         """
         Find the index of the next hop.
@@ -280,23 +328,24 @@
         end = item.position + item.count
         if item.position > stream.queued:
             return Refusal(reason=Reason.REFUSED, detail="not the next position")
+        if not _is_whole(stream, item):
+            return Refusal(reason=Reason.REFUSED, detail="data of a wrong size")
+        if not stream.follow(item):
+            return Refusal(reason=Reason.DIVERGED, detail="made from other tokens")
         if end <= stream.queued:
             return self._repeat(stream, end)
         return self._accept(stream, item)
 
     def _repeat(self, stream: Stream, end: int) -> Output | None:
+        """Pass on again what follows from a repeat, if that has been run."""
         self.dropped += 1
-        last = stream.retained.last()
-        if last is None or end != stream.done:
+        if end > stream.done:
             return None
-        return last
+        # Tokens of the last stage stand one position after what they follow from.
+        first = end if stream.is_last() else end - 1
+        return stream.retained.since(first)
 
-    def _accept(self, stream: Stream, item: StepItem) -> Work | Refusal:
-        if not _is_whole(item):
-            return Refusal(reason=Reason.REFUSED, detail="data of a wrong size")
-        if stream.differs(item):
-            detail = "another token was sampled for this position"
-            return Refusal(reason=Reason.REFUSED, detail=detail)
+    def _accept(self, stream: Stream, item: StepItem) -> Work:
         skip = stream.queued - item.position
         width = len(item.data) // item.count
         work = Work(
@@ -304,7 +353,6 @@
             position=stream.queued,
             count=item.count - skip,
             data=item.data[skip * width :],
-            sampled=item.sampled,
         )
         stream.queued = item.position + item.count
         return work
@@ -320,11 +368,15 @@
             self.retained_bytes -= stream.retained.evict()
 
 
-def _is_whole(item: StepItem) -> bool:
-    """Check that there are data for each position, tokens for the first layer."""
+def _is_whole(stream: Stream, item: StepItem) -> bool:
+    """Check that there are data for each position, and digests where they belong."""
     if item.count < 1 or not item.data or len(item.data) % item.count:
         return False
-    return item.layer > 0 or len(item.data) == item.count * TOKEN_BYTES
+    if not item.layer:
+        return len(item.data) == item.count * TOKEN_BYTES
+    generated = item.position + item.count - stream.open.prompt_tokens
+    expected = min(max(generated, 0), item.count)
+    return len(item.chains) == expected * CHAIN_BYTES
 
 
 def covers(route: tuple[Stage, ...]) -> bool:
--- a/packages/core/src/kumquatway_core/_verdict.py
+++ b/packages/core/src/kumquatway_core/_verdict.py
@@ -37,6 +37,7 @@
     NO_UPSTREAM = "no_upstream"
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
+    DIVERGED = "diverged"
     SILENCE = "silence"
     RESET = "reset"
     UPSTREAM_ERROR = "upstream_error"
@@ -61,6 +62,7 @@
     Reason.NO_UPSTREAM: 503,
     Reason.UNREACHABLE: 503,
     Reason.REFUSED: 503,
+    Reason.DIVERGED: 502,
     Reason.SILENCE: 504,
     Reason.RESET: 502,
     Reason.UPSTREAM_ERROR: 502,
--- a/packages/core/src/kumquatway_core/wire/__init__.py
+++ b/packages/core/src/kumquatway_core/wire/__init__.py
@@ -4,9 +4,9 @@
 The messages between processes, and their codec.
 """
 
+from kumquatway_core.wire._chain import CHAIN_BYTES, EMPTY, extend, extend_all
 from kumquatway_core.wire._codec import decode, encode
 from kumquatway_core.wire._messages import (
-    NO_TOKEN,
     Ack,
     Beat,
     BeatReply,
@@ -38,7 +38,8 @@
 )
 
 __all__ = [
-    "NO_TOKEN",
+    "CHAIN_BYTES",
+    "EMPTY",
     "Ack",
     "Beat",
     "BeatReply",
@@ -69,4 +70,6 @@
     "VMState",
     "decode",
     "encode",
+    "extend",
+    "extend_all",
 ]
--- a/packages/core/src/kumquatway_core/wire/_messages.py
+++ b/packages/core/src/kumquatway_core/wire/_messages.py
@@ -9,8 +9,6 @@
 
 import msgspec
 
-NO_TOKEN = -1
-
 
 class _Message(msgspec.Struct, frozen=True, kw_only=True, tag=True, array_like=True):
     """What every message has: a tag and a compact array form."""
@@ -90,8 +88,8 @@
     :param open: sent with the first step of a stream on a stage.
     :param epoch: the route's epoch that the sender knows; an older one is refused.
     :param replay: the data was retained and is sent again after a failure.
-    :param sampled: the token at `position` if `count` is 1 and it was sampled, else
-        `NO_TOKEN`; the last stage compares it with what it sampled itself.
+    :param chains: the digest over the generated tokens up to each generated
+        position in `data` (little-endian u32); none for layer 0, whose data tell.
     """
 
     request: str
@@ -104,7 +102,7 @@
     epoch: int = 1
     open: Open | None = None
     replay: bool = False
-    sampled: int = NO_TOKEN
+    chains: bytes = b""
 
 
 class Steps(_Message):
@@ -133,7 +131,7 @@
     :param token: token id.
     :param text: its text.
     :param finish: "" or why the stream ended: `stop` or `length`.
-    :param epoch: the route's epoch that the sampling stage knows.
+    :param chain: the digest over the generated tokens that it follows from.
     """
 
     request: str
@@ -142,7 +140,7 @@
     token: int
     text: str
     finish: str = ""
-    epoch: int = 1
+    chain: int = 0
 
 
 class Pieces(_Message):
--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -16,6 +16,7 @@
 from kumquatway_core.events import Event, RouteChosen, StageFailed, StreamRecovered
 from kumquatway_core.text import Model
 from kumquatway_core.wire import (
+    EMPTY,
     Cancel,
     Message,
     Open,
@@ -25,6 +26,7 @@
     StepItem,
     Steps,
     Trouble,
+    extend,
 )
 
 TOKEN_BYTES = 4
@@ -127,7 +129,7 @@
         self.clock = clock
         self.attempt = 0
         self.epoch = 0
-        self.sampling_epoch = 0
+        self.chain = EMPTY
         self.route: tuple[Stage, ...] = ()
         self.tokens: list[int] = []
         self.recoveries = 0
@@ -155,13 +157,16 @@
 
         :param piece: as received.
         """
-        late = piece.attempt != self.attempt or piece.epoch < self.sampling_epoch
-        if late or piece.position < self._expected():
+        if piece.attempt != self.attempt or piece.position < self._expected():
             self.dropped += 1
             return
         if piece.position > self._expected():
             self._fail_all(f"position {self._expected()} was lost")
             return
+        if piece.chain != self.chain:
+            self._fail_all(f"position {piece.position} follows from other tokens")
+            return
+        self.chain = extend(self.chain, piece.token)
         self._pieces.append(piece)
         self._wake.set()
 
@@ -178,6 +183,10 @@
         if self.route[trouble.stage].vm != trouble.vm:
             return
         reason = Reason(trouble.reason)
+        if reason is Reason.DIVERGED:
+            # No stage is broken, but their KV caches hold other tokens.
+            self._fail_all(trouble.detail)
+            return
         self._fail(trouble.vm, may_have_run(reason, trouble.detail))
 
     def lose_address(self, address: str, detail: str) -> None:
@@ -333,9 +342,6 @@
         self._left |= failed
         old = self._change_route(tuple(route))
         self.epoch += 1
-        if old[-1] != route[-1]:
-            # What the replaced last stage may still sample is not this answer's.
-            self.sampling_epoch = self.epoch
         self._announce(old)
         return True
 
@@ -377,7 +383,6 @@
         self.attempt += 1
         self._left = set()
         self.epoch = 1
-        self.sampling_epoch = 1
         self._change_route(route)
         self._last_piece = self.clock()
         self.emit(
--- a/tests/test_stream_machine.py
+++ b/tests/test_stream_machine.py
@@ -262,6 +262,18 @@
         self.faults += 1
         self.do(self.world.session.lose_address, vm, "a false alarm")
 
+    @precondition(lambda self: self.faults < MAX_FAULTS and self.world.session.route)
+    @rule(kept=st.integers(0, STAGES - 1))
+    def suspect_others(self, kept):
+        """Take all VMs of the route but one for dead at once."""
+        vms = [stage.vm for stage in self.world.session.route]
+        self.faults += 1
+        self.do(self.lose_all, [vm for vm in vms if vm != vms[kept]])
+
+    def lose_all(self, vms) -> None:
+        for vm in vms:
+            self.world.session.lose_address(vm, "a false alarm")
+
     def finish(self) -> None:
         while self.unnoticed:
             self.notice()
