--- a/packages/entry/tests/test_api.py
+++ b/packages/entry/tests/test_api.py
@@ -258,13 +258,13 @@
         check_error(await http.post("/v1/chat/completions", json=body), 400)
 
     async def test_no_route_says_when_to_retry(self, deployment, http):
-        members = deployment.entries[0].members
-        saved, members.live = members.live, list
+        entry = deployment.entries[0]
+        saved, entry._usable = entry._usable, list
         try:
             body = {"model": "bulletin", "prompt": "a", "stream": True}
             response = await http.post("/v1/completions", json=body)
         finally:
-            members.live = saved
+            entry._usable = saved
         check_error(response, 503)
         assert int(response.headers["Retry-After"]) >= 1
 
