--- a/packages/entry/src/kumquatway/api/_app.py
+++ b/packages/entry/src/kumquatway/api/_app.py
@@ -14,6 +14,7 @@
 from kumquatway.api._context import Context
 from kumquatway.api._errors import routing_error
 from kumquatway.api._guard import Guard
+from kumquatway.api._memory import Memory
 from kumquatway.api._models import model_handlers
 from kumquatway.api._services import service_handler
 
@@ -48,7 +49,10 @@
             Route("/v1/models/{model}", model, methods=["GET"]),
             Route("/services/{service}/{path:path}", call, methods=METHODS),
         ],
-        middleware=[Middleware(Guard, header_kib=context.limits.header_kib)],
+        middleware=[
+            Middleware(Guard, header_kib=context.limits.header_kib),
+            Middleware(Memory, bound=context.memory, body_kib=context.limits.body_kib),
+        ],
         exception_handlers={HTTPException: routing_error},
     )
     # A redirect would answer without a verdict.
--- a/packages/entry/src/kumquatway/api/_context.py
+++ b/packages/entry/src/kumquatway/api/_context.py
@@ -11,6 +11,7 @@
 
 from kumquatway.admission import Admission
 from kumquatway.calls import Dispatcher
+from kumquatway.protect import MemoryBound
 from kumquatway.streams import Streams
 from kumquatway_core import Verdict
 from kumquatway_core.events import Event
@@ -80,6 +81,7 @@
     emit: Callable[[Event], object]
     refusal: Callable[[], Verdict | None]
     admission: Admission
+    memory: MemoryBound
     clock: Callable[[], float] = time.monotonic
     write_seconds: float = WRITE_SECONDS
     callers: Callers = field(default_factory=Callers)
