Take failing upstreams out, and ease new ones in

Cause: breakers, outliers and the slow start stood beside the path. Weighed: the time to the first token as a sign of a slow engine: it is the same for all stages of a route and follows the prompt, so that it would eject at random; only failures count for engines, failures and time for plain services. Changed: Groups keeps the outliers of each range and service, with its floor; GuardedCalls notes how calls end; routes divide a VM's cost by its weight, which Newcomers ramps up from a new life's start; what the entry met in its own first 20 s has its full weight.

--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -13,11 +13,11 @@
 from kumquatway.admin import AdminContext, admin_app
 from kumquatway.admission import EntryAdmission
 from kumquatway.api import Context, caller_app
-from kumquatway.calls import Calls, Dispatcher
+from kumquatway.calls import Calls, Dispatcher, GuardedCalls
 from kumquatway.configuration import Configuration, Parser
 from kumquatway.duties import ORDER_BOUND, Duty, Orders, Planner
 from kumquatway.membership import Member, Members, Subset, Watcher, watch_list
-from kumquatway.protect import RetryBudget
+from kumquatway.protect import Groups, MemoryBound, Newcomers, RetryBudget
 from kumquatway.routing import choose_replacement, choose_route
 from kumquatway.streams import Ask, InFlight, Routes, Session, Streams
 from kumquatway_core import Reason, Supervisor, Verdict, new_incarnation, not_run
@@ -29,6 +29,8 @@
     MembershipChanged,
     ProcessStarted,
     ProcessStopped,
+    RouteChosen,
+    StageFailed,
 )
 from kumquatway_core.http import serve
 from kumquatway_core.leases import PLANNER, Lease
@@ -57,9 +59,11 @@
 HEADER_SLACK = 4
 DRAIN_CHECK = 0.05  # seconds
 QUEUES_INTERVAL = 1.0  # seconds
+MEMORY = 512 * 1024 * KIB  # bytes of requests in progress
 STOP_PLANNING = 2.0  # seconds
 SWEEP = "claims-sweep"  # name of the lease
 RETRY_AFTER = 1.0  # seconds
+STAGE_FAULTS = frozenset((Reason.UNREACHABLE, Reason.RESET, Reason.UPSTREAM_ERROR))
 NO_TEXT = Text(name="none")
 
 
@@ -91,11 +95,15 @@
         )
         self.in_flight = InFlight()
         self.members = Members(on_change=self._on_member, on_join=self._on_join)
+        self.groups = Groups()
+        self.newcomers = Newcomers()
+        self.memory = MemoryBound(limit=MEMORY)
         self.subset = Subset(
             entry=settings.mesh_address,
             members=self.members,
             is_down=self.mesh.is_down,
             on_new=self._on_new,
+            on_groups=self.groups.keep,
         )
         self.watcher = Watcher(
             members=self.members,
@@ -134,7 +142,7 @@
         objects = Objects(channel=Channel(addresses=settings.platform.objects))
         self.claims = Claims(table=table, objects=objects)
         self.dispatcher = Dispatcher(
-            calls=self.calls,
+            calls=GuardedCalls(calls=self.calls, groups=self.groups),
             claims=self.claims,
             usable=self._usable,
             background=self._background,
@@ -193,6 +201,11 @@
         """
         self.journal.emit(event)
         self.metrics.count(event)
+        if isinstance(event, RouteChosen):
+            for vm in event.vms:
+                self.groups.start(vm)
+        elif isinstance(event, StageFailed) and event.reason in STAGE_FAULTS:
+            self.groups.end(event.vm, well=False)
 
     def refusal(self) -> Verdict | None:
         """
@@ -232,6 +245,7 @@
             emit=self.emit,
             refusal=self.refusal,
             admission=self.admission.admission,
+            memory=self.memory,
         )
         admin = AdminContext(
             keys=frozenset(settings.admin_keys),
@@ -314,6 +328,8 @@
 
     def _on_first(self, session: Session, seconds: float) -> None:
         ask = session.ask
+        for stage in session.route:
+            self.groups.end(stage.vm, well=True)
         gap = self.streams.usual_gap(ask.name)
         self.admission.observe_first(ask.name, ask.prompt_tokens(), seconds, gap)
 
@@ -365,18 +381,25 @@
         self.watcher.join(member)
 
     def _on_new(self, member: Member) -> None:
+        self.newcomers.see(member.vm, member.incarnation())
         self.watcher.subscribe(member)
 
     def _on_member(self, member: Member) -> None:
         incarnation = member.status.incarnation if member.status else 0
         gone = member.vm not in self.members.by_vm
         state = "gone" if gone else member.state().value
+        if gone:
+            self.newcomers.forget(member.vm)
+        elif member.state() is VMState.LIVE:
+            self.newcomers.see(member.vm, incarnation)
         event = MembershipChanged(vm=member.vm, state=state, incarnation=incarnation)
         self.emit(event)
 
     def _usable(self) -> list[Member]:
         self.watcher.count_request()
-        return self.subset.usable()
+        usable = self.subset.usable()
+        out = self.groups.out()
+        return [member for member in usable if member.vm not in out]
 
     def _route(self, ask: Ask, avoid: frozenset[str]) -> tuple[Stage, ...] | Verdict:
         return choose_route(
@@ -386,6 +409,7 @@
             adapter=ask.adapter,
             avoid=avoid,
             in_flight=self.in_flight.count,
+            weight=self.newcomers.weight,
         )
 
     def _replacement(
@@ -399,6 +423,7 @@
             stage=stage,
             avoid=avoid,
             in_flight=self.in_flight.count,
+            weight=self.newcomers.weight,
         )
 
     async def _finish(self) -> None:
--- a/packages/entry/src/kumquatway/membership/_subset.py
+++ b/packages/entry/src/kumquatway/membership/_subset.py
@@ -5,7 +5,7 @@
 """
 
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterator, Mapping
 
 import xxhash
 
@@ -26,6 +26,7 @@
     :param members: the replica.
     :param is_down: tells whether an address is known not to answer.
     :param on_new: called with each member that comes into use.
+    :param on_groups: called with the names in each group once they are chosen.
     :param size: upstreams of one group.
     """
 
@@ -36,14 +37,17 @@
         members: Members,
         is_down: Callable[[str], bool],
         on_new: Callable[[Member], None] = lambda member: None,
+        on_groups: Callable[[Mapping], None] = lambda groups: None,
         size: int = SUBSET,
     ):
         self.entry = entry
         self.members = members
         self.is_down = is_down
         self.on_new = on_new
+        self.on_groups = on_groups
         self.size = size
         self.chosen: dict[str, Member] = {}
+        self.groups: dict[Group, tuple[str, ...]] = {}
         self.stale = True
         self.version = 0
 
@@ -62,27 +66,30 @@
         self.version = self.members.version
         before = self.chosen
         self.chosen = {}
-        for group in self._groups():
-            for member in sorted(group, key=self._rank)[: self.size]:
-                self.chosen[member.vm] = member
+        self.groups = {}
+        for name, group in self._groups().items():
+            used = sorted(group, key=self._rank)[: self.size]
+            self.groups[name] = tuple(member.vm for member in used)
+            self.chosen.update((member.vm, member) for member in used)
+        self.on_groups(self.groups)
         for vm, member in self.chosen.items():
             if vm not in before:
                 self.on_new(member)
 
-    def _groups(self) -> Iterable[list[Member]]:
+    def _groups(self) -> dict[Group, list[Member]]:
         groups: dict[Group, list[Member]] = defaultdict(list)
         for member in self.members.live():
             if self.is_down(member.address):
                 continue
             for group in _groups_of(member):
                 groups[group].append(member)
-        return groups.values()
+        return groups
 
     def _rank(self, member: Member) -> int:
         return xxhash.xxh64_intdigest(f"{self.entry}/{member.vm}".encode())
 
 
-def _groups_of(member: Member) -> Iterable[Group]:
+def _groups_of(member: Member) -> Iterator[Group]:
     status = member.status
     if status.service:
         yield status.service, "", 0, 0
--- a/packages/entry/src/kumquatway/routing/_route.py
+++ b/packages/entry/src/kumquatway/routing/_route.py
@@ -20,6 +20,7 @@
 FAR = 0.002  # seconds between data centres
 
 InFlight = Callable[[str], int]
+Weight = Callable[[str], float]
 
 
 def none_in_flight(vm: str) -> int:
@@ -32,6 +33,16 @@
     return 0
 
 
+def full_weight(vm: str) -> float:
+    """
+    Stand in for the weight of an upstream.
+
+    :param vm: name of a VM.
+    :return: 1.
+    """
+    return 1.0
+
+
 def choose_route(
     *,
     members: Iterable[Member],
@@ -40,6 +51,7 @@
     adapter: str = "",
     avoid: Collection[str] = (),
     in_flight: InFlight = none_in_flight,
+    weight: Weight = full_weight,
     jitter: Callable[[], float] = random.random,
 ) -> tuple[Stage, ...] | Verdict:
     """
@@ -51,6 +63,7 @@
     :param adapter: that each stage must have, or "".
     :param avoid: names of VMs not to use.
     :param in_flight: counts this entry's streams on a VM, by its name.
+    :param weight: of a VM by its name, up to 1; its cost is divided by it.
     :param jitter: draws from [0, 1).
     :return: the stages, or a verdict of `not_run`.
     """
@@ -60,7 +73,7 @@
             by_first.setdefault(holding.first, []).append((member, holding))
 
     def cost(member: Member) -> float:
-        return _cost(member, in_flight, jitter)
+        return _cost(member, in_flight, jitter) / weight(member.vm)
 
     route = _cheapest(by_first, model.layers, cost)
     if route is None:
@@ -78,6 +91,7 @@
     stage: Stage,
     avoid: Collection[str],
     in_flight: InFlight = none_in_flight,
+    weight: Weight = full_weight,
     jitter: Callable[[], float] = random.random,
 ) -> Stage | None:
     """
@@ -97,7 +111,11 @@
     ]
     if not found:
         return None
-    member = min(found, key=lambda member: _cost(member, in_flight, jitter))
+
+    def cost(member: Member) -> float:
+        return _cost(member, in_flight, jitter) / weight(member.vm)
+
+    member = min(found, key=cost)
     return _stage(member, stage.first, stage.end)
 
 
