--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -127,12 +127,14 @@
         self.clock = clock
         self.attempt = 0
         self.epoch = 0
+        self.sampling_epoch = 0
         self.route: tuple[Stage, ...] = ()
         self.tokens: list[int] = []
         self.recoveries = 0
         self.dropped = 0
         self.usual_gap = 0.0
         self._last_piece = clock()
+        self._left: set[str] = set()
         self._failed: dict[str, Verdict] = {}
         self._failed_at = 0.0
         self._means = ""
@@ -153,7 +155,8 @@
 
         :param piece: as received.
         """
-        if piece.attempt != self.attempt or piece.position < self._expected():
+        late = piece.attempt != self.attempt or piece.epoch < self.sampling_epoch
+        if late or piece.position < self._expected():
             self.dropped += 1
             return
         if piece.position > self._expected():
@@ -327,13 +330,18 @@
                 return False
             route.append(found)
         self._leave(failed)
+        self._left |= failed
         old = self._change_route(tuple(route))
         self.epoch += 1
+        if old[-1] != route[-1]:
+            # What the replaced last stage may still sample is not this answer's.
+            self.sampling_epoch = self.epoch
         self._announce(old)
         return True
 
     def _avoid(self, failed: frozenset[str]) -> frozenset[str]:
-        return failed | {stage.vm for stage in self.route}
+        # A VM that this attempt left refuses its later steps as cancelled.
+        return failed | self._left | {stage.vm for stage in self.route}
 
     def _leave(self, failed: frozenset[str]) -> None:
         cancel = Cancel(items=((self.ask.request, self.attempt),))
@@ -367,7 +375,9 @@
                 return verdict
             avoid = frozenset()
         self.attempt += 1
+        self._left = set()
         self.epoch = 1
+        self.sampling_epoch = 1
         self._change_route(route)
         self._last_piece = self.clock()
         self.emit(
