--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -8,7 +8,7 @@
 import sys
 
 SHORT = ("tokens", "config", "at_most_once")
-LONG = ("control", "recovery", "admission", "planner")
+LONG = ("control", "members", "recovery", "admission", "planner")
 
 
 def run(name: str) -> None:
