--- a/packages/entry/src/kumquatway/admission/_admission.py
+++ b/packages/entry/src/kumquatway/admission/_admission.py
@@ -228,9 +228,8 @@
         pool = self._pool(ask.target)
         lane = lane_of(ask, state.spec.priority)
         cost = ask.cost()
-        hold = pool.hold(cost)
-        if now + hold > ask.deadline:
-            return not_run(Reason.DEADLINE, "the deadline is too near to run at all")
+        if now >= ask.deadline:
+            return not_run(Reason.DEADLINE, "the deadline has passed")
         waiting = Waiting(
             ask=ask, cost=cost, state=state, pool=pool, lane=lane, wake=wake
         )
@@ -238,6 +237,11 @@
             self._enqueue(waiting, now)
             pool.queue.pop(now, status_only=lane is Lane.STATUS)
             return self._start(waiting)
+        # The time that requests take is a guess, learned from those admitted: it
+        # refuses only where there is no room, or it would never be mended.
+        hold = pool.hold(cost)
+        if now + hold > ask.deadline:
+            return not_run(Reason.DEADLINE, "the deadline is too near to run at all")
         refused = self._check_queue(waiting, hold, now)
         if refused is not None:
             return refused
--- a/packages/entry/tests/test_admission.py
+++ b/packages/entry/tests/test_admission.py
@@ -185,6 +185,15 @@
         assert late.reason is Reason.DEADLINE
         assert late.ran is NOT_RUN
 
+    def test_a_slow_request_does_not_bar_those_after_it_from_free_room(self):
+        bed = Bed(slots=1)
+        first = bed.offer(deadline=2.0)
+        bed.clock.now = 5.0
+        first.close(150)
+        again = bed.offer(deadline=7.0)
+        assert isinstance(again, Ticket)
+        assert bed.offer(deadline=bed.clock.now).reason is Reason.DEADLINE
+
     def test_a_waiting_request_is_refused_once_it_is_too_late(self):
         bed = Bed(slots=1)
         first = bed.offer()
