Admit a request to an idle pool whatever the estimate of its time

Cause: one call that stalled to its deadline taught the pool that calls take that long; from then on each was refused as too near its deadline, so none ran and the estimate never changed: a service with one upstream stayed refused for good after a pause of 2 s (seen by tests/test_processes.py, 30 s of refusals after the agent went on).

An idle pool now takes one request, which corrects the estimate. Weighed: to leave out what timed out from the estimate; ruled out, since then a slow pool looks quick.

The test of the paused agent repeats what is said not to have run, since an entry does not use an agent before its connection is proved anew.

--- a/packages/entry/src/kumquatway/admission/_admission.py
+++ b/packages/entry/src/kumquatway/admission/_admission.py
@@ -229,7 +229,9 @@
         lane = lane_of(ask, state.spec.priority)
         cost = ask.cost()
         hold = pool.hold(cost)
-        if now + hold > ask.deadline:
+        # An idle pool takes one all the same: the estimate may be that of a stall,
+        # and only a request that runs can correct it.
+        if pool.running and now + hold > ask.deadline:
             return not_run(Reason.DEADLINE, "the deadline is too near to run at all")
         waiting = Waiting(
             ask=ask, cost=cost, state=state, pool=pool, lane=lane, wake=wake
--- a/packages/entry/tests/test_admission.py
+++ b/packages/entry/tests/test_admission.py
@@ -209,6 +209,17 @@
         assert bed.woken[0].reason is Reason.DEADLINE
         assert bed.admission.pools["m"].running == 0
 
+    def test_one_stall_does_not_refuse_each_deadline_for_ever(self):
+        bed = Bed(slots=2)
+        stalled = bed.offer()
+        bed.clock.now = 9.0
+        stalled.close(served_tokens=150)
+        ticket = bed.offer(deadline=10.0)
+        assert isinstance(ticket, Ticket)
+        assert bed.offer(deadline=10.0).reason is Reason.DEADLINE
+        bed.clock.now = 9.1
+        ticket.close(served_tokens=150)
+
     def test_a_deadline_is_watched_until_the_end(self):
         bed = Bed(slots=1)
         first = bed.offer()
