End an agent only when its replies have left; hand long streams over before

Cause: an agent asked to end stopped as soon as nothing ran, which could be before the reply of the last call had left: a cut of a call that had run. It now waits until what it sent was acknowledged by each peer that answers.

Streams that are not over in three quarters of the shutdown's bound are reported to their entries as shutting_down, while the agent can still be cancelled: the entry replaces the stage (replay or prefill) and no caller waits for a dead connection.

Weighed: KV export from the leaving agent to the new one. Not built: it needs the entry's choice of the replacement to reach the old agent, and a stream between two stages stopped at one position; docs/design/agent.md has the messages that it takes.

--- a/packages/agent/src/kumquatway_agent/_agent.py
+++ b/packages/agent/src/kumquatway_agent/_agent.py
@@ -26,7 +26,13 @@
     StepReply,
     StepRequest,
 )
-from kumquatway_core.events import Clock, DrainChanged, Journal, ProcessStarted
+from kumquatway_core.events import (
+    Clock,
+    DrainChanged,
+    Journal,
+    ProcessStarted,
+    ProcessStopped,
+)
 from kumquatway_core.http import serve
 from kumquatway_core.leases import PLANNER, read_lease
 from kumquatway_core.mesh import Mesh, Peer, PeerState, Source
@@ -49,6 +55,7 @@
 
 MIB = 1024 * 1024  # bytes
 DRAIN_CHECK = 0.05  # seconds
+HANDOVER_SHARE = 0.25  # of the shutdown's bound, kept for handing streams over
 
 
 class Agent:
@@ -340,8 +347,22 @@
         return self.board.state() is VMState.LIVE
 
     async def _finish(self) -> None:
-        with anyio.move_on_after(self.settings.shutdown_s):
-            while self.in_progress():
-                await anyio.sleep(DRAIN_CHECK)
+        bound = self.settings.shutdown_s
+        with anyio.move_on_after(bound * (1 - HANDOVER_SHARE)):
+            await self._wait_until_idle()
+        if self.stage is not None:
+            self.stage.hand_over()
+        with anyio.move_on_after(bound * HANDOVER_SHARE):
+            await self._wait_until_idle()
+        self.journal.emit(ProcessStopped())
         left = self.in_progress()
         logger.info("agent of {} ends; {} left in progress", self.settings.vm, left)
+
+    async def _wait_until_idle(self) -> None:
+        while self.in_progress() or self._has_unsent():
+            await anyio.sleep(DRAIN_CHECK)
+
+    def _has_unsent(self) -> bool:
+        """Tell whether a reply may be lost by an end now."""
+        peers = self.mesh.peers.values()
+        return any(peer.backlog() for peer in peers if peer.state is not PeerState.DOWN)
--- a/packages/agent/src/kumquatway_agent/stage/_stage.py
+++ b/packages/agent/src/kumquatway_agent/stage/_stage.py
@@ -124,6 +124,13 @@
             index = stream.next_index()
             self._trouble(stream.open, index, Reason.UNREACHABLE, detail)
 
+    def hand_over(self) -> None:
+        """Tell the entries to replace this stage, while it can still be cancelled."""
+        for stream in list(self.streams.streams.values()):
+            detail = "the VM is leaving"
+            open = stream.open
+            self._trouble(open, stream.stage, Reason.SHUTTING_DOWN, detail)
+
     def drop(self, keys: list[Key]) -> None:
         """
         Forget streams and free their slots.
--- a/packages/agent/tests/test_agent.py
+++ b/packages/agent/tests/test_agent.py
@@ -10,6 +10,7 @@
 
 from kumquatway_agent import Agent
 from kumquatway_agent._reap import ENTRY_SILENCE, reap
+from kumquatway_core import Reason
 from kumquatway_core.engine import EngineState
 from kumquatway_core.http import serve
 from kumquatway_core.leases import PLANNER, LeaseRow
@@ -32,10 +33,11 @@
     StepItem,
     Steps,
     Subscribe,
+    Trouble,
     VMState,
     encode,
 )
-from kumquatway_fakes import Engine, TableService, answer, engine_app
+from kumquatway_fakes import Engine, Speed, TableService, answer, engine_app
 from kumquatway_fakes.fleet import free_address
 
 pytestmark = pytest.mark.anyio
@@ -72,6 +74,7 @@
             platform=platform,
             accelerator="any",
             engine=EngineSettings(url=f"http://{engine}"),
+            shutdown_s=4.0,
         )
         self.agent = Agent(settings=settings)
         self.address = settings.mesh_address
@@ -98,6 +101,9 @@
     def replies(self) -> list[OrderReply]:
         return [m for m in self.got if isinstance(m, OrderReply)]
 
+    def troubles(self) -> list[Trouble]:
+        return [m for m in self.got if isinstance(m, Trouble)]
+
     def status(self) -> Status:
         return next(m for m in reversed(self.got) if isinstance(m, Status))
 
@@ -266,6 +272,20 @@
 
         await with_rig(use)
 
+    async def test_a_stream_that_is_too_long_is_handed_over_before_the_end(self):
+        async def use(rig: Rig):
+            rig.engine.speed = Speed(layer_us=1e6)
+            rig.open_stream("r1")
+            await rig.until(lambda: rig.agent.stage.streams.streams)
+            rig.agent.leave()
+            await rig.until(lambda: rig.troubles())
+            (trouble,) = rig.troubles()
+            assert trouble.reason == Reason.SHUTTING_DOWN
+            rig.send(Cancel(items=(("r1", 1),)))
+            await rig.until(lambda: rig.agent._group is None)
+
+        await with_rig(use)
+
     async def test_an_order_changes_what_entries_hear(self):
         async def use(rig: Rig):
             row = LeaseRow(holder="a", number=3, duration=10.0, order_bound=0.0)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -232,7 +232,9 @@
 class TestCalls:
     """A call that may not run twice does not, whatever happens to a process."""
 
-    async def test_an_entry_is_killed_between_claim_and_answer(self, fleet):
+    async def test_an_entry_is_killed_and_an_agent_ended_with_a_call_in_hand(
+        self, fleet
+    ):
         first, second = (Caller(fleet=fleet, entry=f"entry-{n}") for n in range(2))
         await set_faults(fleet, {"seconds": 1.5})
         async with anyio.create_task_group() as group:
@@ -247,6 +249,7 @@
         await second.book("k1")
         assert second.verdict() == "may-have-run"
         assert await second.executions() == 1
+        await end_agent_with_a_call(fleet, second)
 
     async def test_an_agent_is_paused_with_a_call_in_hand(self, fleet):
         first, second = (Caller(fleet=fleet, entry=f"entry-{n}") for n in range(2))
@@ -265,6 +268,20 @@
         assert keys.count("k2") == keys.count("k3") == 1
 
 
+async def end_agent_with_a_call(fleet: Fleet, caller: Caller) -> None:
+    """Ask an agent to end while it has a call in hand; the caller gets its answer."""
+    async with anyio.create_task_group() as group:
+        group.start_soon(caller.book, "k2")
+
+        async def ran() -> bool:
+            return await caller.executions() == 2
+
+        await until(ran)
+        fleet.terminate("desk-0")
+    assert caller.verdict() == "ran"
+    assert await anyio.to_thread.run_sync(fleet.processes["desk-0"].wait) == 0
+
+
 async def set_faults(fleet: Fleet, faults: dict) -> None:
     async with httpx.AsyncClient(base_url=fleet.service_url("desk-0")) as http:
         await http.post("/_faults", json=faults)
