--- a/packages/agent/src/kumquatway_agent/stage/_batcher.py
+++ b/packages/agent/src/kumquatway_agent/stage/_batcher.py
@@ -24,7 +24,7 @@
 from kumquatway_core.wire import Load
 
 TOKEN_BUDGET = 2048  # tokens in one engine step
-MIXED_BUDGET = 512  # tokens in one while streams decode, whose next token waits
+MIXED_BUDGET = 1024  # tokens in one while streams decode, whose next token waits
 DECODE_MEMORY = 1.0  # seconds since a decode for which streams count as decoding
 SMOOTHING = 0.2
 
