Have the stand-in publish cache events late and with gaps, and an older load

GET /cache/events?since=N gives what is at least the lag old; lost events show as gaps in the sequence. The state's load is that of the lag ago, with its age.

--- a/packages/fakes/src/kumquatway_fakes/_engine.py
+++ b/packages/fakes/src/kumquatway_fakes/_engine.py
@@ -31,6 +31,7 @@
 )
 from kumquatway_core.wire import Holding
 from kumquatway_fakes import _model
+from kumquatway_fakes._reports import Reports
 
 MEDIA_TYPE = "application/msgpack"
 BLOCK = 64  # tokens in a block of the prefix cache
@@ -117,6 +118,7 @@
     :param load_seconds: to load one layer.
     :param checks_fencing: refuses an order with an older number.
     :param cache_blocks: blocks in its prefix cache.
+    :param reports: what it tells of its cache and load, and how late.
     """
 
     def __init__(
@@ -130,6 +132,7 @@
         load_seconds: float = 0.0,
         checks_fencing: bool = False,
         cache_blocks: int = 4096,
+        reports: Reports | None = None,
     ):
         self.holdings = list(holdings)
         self.speed = speed or Speed()
@@ -139,6 +142,7 @@
         self.load_seconds = load_seconds
         self.checks_fencing = checks_fencing
         self.cache_blocks = cache_blocks
+        self.reports = reports or Reports()
         self.faults = EngineFaults()
         self.slots: dict[str, Slot] = {}
         self.blocks: OrderedDict[tuple, None] = OrderedDict()
@@ -185,7 +189,7 @@
         )
         return EngineState(
             holdings=tuple(self.holdings),
-            load=load,
+            load=self.reports.load(load),
             memory_mib=self.memory_mib,
             fence=self.fence if self.checks_fencing else 0,
         )
@@ -337,10 +341,13 @@
         return cached
 
     def _remember(self, key: tuple) -> None:
+        if key not in self.blocks:
+            self.reports.add_event(hash(key), stored=True)
         self.blocks[key] = None
         self.blocks.move_to_end(key)
         while len(self.blocks) > self.cache_blocks:
-            self.blocks.popitem(last=False)
+            gone, _ = self.blocks.popitem(last=False)
+            self.reports.add_event(hash(gone), stored=False)
 
 
 def engine_app(engine: Engine) -> Starlette:
@@ -391,6 +398,11 @@
         engine.faults = msgspec.json.decode(data, type=EngineFaults)
         return Response(status_code=204)
 
+    async def cache_events(request: Request) -> Response:
+        since = int(request.query_params.get("since", 0))
+        found = msgspec.json.encode(engine.reports.events_since(since))
+        return Response(found, media_type="application/json")
+
     async def counts(request: Request) -> Response:
         found = EngineCounts(
             steps=engine.steps,
@@ -403,6 +415,7 @@
     return Starlette(
         routes=[
             Route("/faults", faults, methods=["POST"]),
+            Route("/cache/events", cache_events, methods=["GET"]),
             Route("/counts", counts, methods=["GET"]),
             Route("/step", step, methods=["POST"]),
             Route("/orders", orders, methods=["POST"]),
