--- a/benchmarks/recovery.py
+++ b/benchmarks/recovery.py
@@ -22,6 +22,7 @@
     decode,
     milliseconds,
 )
+from kumquatway_fakes import Relay
 from kumquatway_fakes._spec import HoldingSpec
 from kumquatway_fakes.fleet import ADMIN_KEY, EngineVM, EntryVM, Fleet, FleetPlan
 
@@ -31,11 +32,15 @@
 REPLICAS = 4  # chains
 STREAMS = 64
 PROMPT_TOKENS = 2000
+FAULTS = ("kill", "hang", "engine-hang", "link", "link-silent")
 MAX_TOKENS = 400
 WARM_TOKENS = 8  # each stream has them before the fault
 TARGET_P99 = 1.0  # seconds
 TARGET_SHARE = 1 / 3  # of the baseline
-VICTIM_STAGE = 2
+VICTIM = "vm-0-2"  # its links lead through a relay
+LINK_DELAY = 0.0005  # seconds, one way
+LINK_RATE = 10e6  # bytes a second
+DEGRADATION = 100
 # microseconds for a layer and for a layer and token, by stage; eightfold apart
 KINDS = ((400.0, 1.0), (800.0, 2.0), (1600.0, 4.0), (3200.0, 8.0))
 
@@ -105,6 +110,7 @@
                 holdings=(holding,),
                 layer_us=layer_us,
                 token_us=token_us,
+                relayed=f"vm-{replica}-{stage}" == VICTIM,
             )
             engines.append(engine)
     return FleetPlan(
@@ -119,20 +125,32 @@
     """
     Run the streams once and break one stage.
 
-    :param fault: `kill`, `hang` or `engine-hang`.
+    :param fault: one of `FAULTS`.
     :param folder: for settings and logs.
     :return: what the callers saw.
     """
     fleet = Fleet(plan=make_plan(), folder=folder)
+    relay = Relay(
+        listen=fleet.addresses.of(VICTIM, "mesh"),
+        target=fleet.addresses.of(VICTIM, "bind"),
+    )
+    relay.faults.delay = LINK_DELAY
+    relay.faults.bytes_per_second = LINK_RATE
     try:
-        await fleet.start()
-        async with make_client(fleet.caller_url("entry-0")) as http:
-            return await _measure(fault, fleet, http)
+        async with anyio.create_task_group() as group:
+            await group.start(relay.run)
+            await fleet.start()
+            async with make_client(fleet.caller_url("entry-0")) as http:
+                outcome = await _measure(fault, fleet, http, relay)
+            group.cancel_scope.cancel()
     finally:
         fleet.stop()
+    return outcome
 
 
-async def _measure(fault: str, fleet: Fleet, http: httpx.AsyncClient) -> Outcome:
+async def _measure(
+    fault: str, fleet: Fleet, http: httpx.AsyncClient, relay: Relay
+) -> Outcome:
     streams: list[Stream] = []
     live: list[Stream] = []
 
@@ -153,13 +171,13 @@
             for stream in live
         ):
             await anyio.sleep(0.01)
-        victim = f"vm-0-{VICTIM_STAGE}"
         at = time.monotonic()
         wall = time.time()
-        await _break(fault, fleet, victim)
+        await _break(fault, fleet, relay)
     causes = await _read_causes(fleet, wall)
     _print_causes(causes)
-    affected = [stream for stream in live if stream.request in causes.requests]
+    noticed = [stream for stream in live if stream.request in causes.requests]
+    affected = noticed or [stream for stream in live if len(stream.times) > WARM_TOKENS]
     gaps = _gaps(affected, at)
     wrong = sum(
         not stream.right(layers=LAYERS, model=MODEL, max_tokens=MAX_TOKENS)
@@ -195,13 +213,18 @@
     return gaps
 
 
-async def _break(fault: str, fleet: Fleet, victim: str) -> None:
+async def _break(fault: str, fleet: Fleet, relay: Relay) -> None:
     if fault == "kill":
-        fleet.kill(victim)
+        fleet.kill(VICTIM)
     elif fault == "hang":
-        fleet.freeze(victim)
+        fleet.freeze(VICTIM)
+    elif fault == "link":
+        relay.faults.delay = LINK_DELAY * DEGRADATION
+        relay.faults.bytes_per_second = LINK_RATE / DEGRADATION
+    elif fault == "link-silent":
+        relay.silence()
     elif fault == "engine-hang":
-        async with httpx.AsyncClient(base_url=fleet.engine_url(victim)) as http:
+        async with httpx.AsyncClient(base_url=fleet.engine_url(VICTIM)) as http:
             await http.post("/faults", json={"hung": True})
 
 
@@ -259,7 +282,7 @@
 
 def main() -> None:
     """Run the benchmark."""
-    faults = tuple(sys.argv[1:]) or ("kill", "hang", "engine-hang")
+    faults = tuple(sys.argv[1:]) or FAULTS
     anyio.run(run, faults)
 
 
--- a/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
+++ b/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
@@ -45,6 +45,8 @@
 
     :param name: of the VM.
     :param retained_mib: bound on the agent's retained activations, MiB.
+    :param relayed: others reach the agent through a relay, which the owner of the
+        fleet runs from `mesh` to `bind`.
     """
 
     name: str
@@ -55,6 +57,7 @@
     token_us: float = 0.0
     slots: int = 1024
     retained_mib: int = 64
+    relayed: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -308,7 +311,9 @@
         return path
 
     def _engine_settings(self, vm: EngineVM) -> dict:
+        bind = self.addresses.of(vm.name, "bind") if vm.relayed else ""
         return self._agent_settings(vm.name, vm.data_centre) | {
+            "mesh_bind": bind or self.addresses.of(vm.name, "mesh"),
             "accelerator": vm.accelerator,
             "retained_mib": vm.retained_mib,
             "engine": {"url": self.engine_url(vm.name)},
