Pass each header of a service's answer once, and no header of a connection

Cause: of several Set-Cookie headers the last was left, Date stood twice, and the caller's Accept-Encoding went to the service: the agent cannot undo each encoding, and takes Content-Encoding away. Changed: answers keep repeated headers, calls lose those of the connection. The test of a missing route no longer takes the members away, which since the subset of members left the next test without upstreams; and a test's stream checks its status.

--- a/packages/entry/src/kumquatway/api/_services.py
+++ b/packages/entry/src/kumquatway/api/_services.py
@@ -32,9 +32,28 @@
         HTTPMethod.TRACE,
     )
 )
-PRIVATE_HEADERS = frozenset(
-    ("authorization", "connection", "host", "content-length", "transfer-encoding")
+# RFC 9110, section 7.6.1
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
 )
+# The agent asks for the encodings that it can undo.
+PRIVATE_HEADERS = HOP_HEADERS | {
+    "accept-encoding",
+    "authorization",
+    "content-length",
+    "expect",
+    "host",
+}
+OWN_HEADERS = HOP_HEADERS | {"content-length", "date", HEADER.lower()}
 MAX_KEY = 255  # characters
 MIN_TIMEOUT = 0.001  # seconds
 
@@ -163,6 +182,7 @@
 def _response(answer: Answer) -> Response:
     response = Response(answer.body, status_code=answer.status)
     for key, value in answer.headers:
-        response.headers[key] = value
-    response.headers[HEADER] = "ran"
+        if key.lower() not in OWN_HEADERS:
+            response.headers.append(key, value)
+    response.headers[HEADER] = Verdict(ran=RAN).header()
     return response
--- a/packages/entry/tests/test_api.py
+++ b/packages/entry/tests/test_api.py
@@ -1,6 +1,7 @@
 """Tests of the caller API over a whole deployment."""
 
 import hashlib
+from dataclasses import replace
 
 import anyio
 import httpx
@@ -12,8 +13,10 @@
 from kumquatway.api._body import check_depth, read_body
 from kumquatway.api._context import Callers
 from kumquatway.api._generate import COMPLETION, Generated
+from kumquatway.api._services import _response as to_response
+from kumquatway.calls import Answer
 from kumquatway.streams import Ask, Routes, Streams
-from kumquatway_core import Reason
+from kumquatway_core import Reason, not_run
 from kumquatway_core.events import RequestEnded
 from kumquatway_core.text import Model, parse
 from kumquatway_core.wire import Piece, Stage
@@ -117,6 +120,7 @@
 
 async def post_forever(http: httpx.AsyncClient, body: dict) -> None:
     async with http.stream("POST", "/v1/completions", json=body) as response:
+        assert response.status_code == 200, await response.aread()
         async for _ in response.aiter_bytes():
             pass
 
@@ -257,14 +261,12 @@
         body = {"model": "bulletin", "messages": [message]}
         check_error(await http.post("/v1/chat/completions", json=body), 400)
 
-    async def test_no_route_says_when_to_retry(self, deployment, http):
-        members = deployment.entries[0].members
-        saved, members.live = members.live, list
-        try:
-            body = {"model": "bulletin", "prompt": "a", "stream": True}
-            response = await http.post("/v1/completions", json=body)
-        finally:
-            members.live = saved
+    async def test_no_route_says_when_to_retry(self, deployment, http, monkeypatch):
+        routes = deployment.entries[0].streams.routes
+        none = replace(routes, route=lambda *_: not_run(Reason.NO_UPSTREAM))
+        monkeypatch.setattr(deployment.entries[0].streams, "routes", none)
+        body = {"model": "bulletin", "prompt": "a", "stream": True}
+        response = await http.post("/v1/completions", json=body)
         check_error(response, 503)
         assert int(response.headers["Retry-After"]) >= 1
 
@@ -327,6 +329,42 @@
         assert callers.find(other, f"Bearer {KEY}").name == "hosts"
 
 
+class TestServices:
+    """Calls and answers of services pass, without what belongs to a connection."""
+
+    async def test_headers_of_an_answer(self):
+        headers = (
+            ("set-cookie", "a=1"),
+            ("Set-Cookie", "b=2"),
+            ("Date", "then"),
+            ("kumquatway-verdict", "not-run"),
+            ("content-type", "text/a"),
+        )
+        response = to_response(Answer(status=201, headers=headers, body=b"ab"))
+        assert response.headers.getlist("set-cookie") == ["a=1", "b=2"]
+        assert response.headers.getlist("kumquatway-verdict") == ["ran"]
+        assert response.headers["content-type"] == "text/a"
+        assert "date" not in response.headers
+
+    async def test_a_call_keeps_its_method_query_and_body(self, deployment, http):
+        service = deployment.services["desk-0"]
+        response = await http.patch(
+            "/services/desk/a%20b/c?d=%26", content=b"\xff", headers={"TE": "trailers"}
+        )
+        assert response.status_code == 200
+        assert response.headers.get_list("date") == [response.headers["date"]]
+        assert service.executions[-1].path == "/a b/c"
+        assert service.executions[-1].method == "PATCH"
+        head = await http.head("/services/desk/a")
+        assert head.headers["Kumquatway-Verdict"] == "ran"
+
+    async def test_what_is_idempotent(self, http):
+        wrong = {"Kumquatway-Idempotent": "perhaps"}
+        check_error(await http.post("/services/desk/a", headers=wrong), 400)
+        long = {"Idempotency-Key": "k" * 256}
+        check_error(await http.post("/services/desk/a", headers=long), 400)
+
+
 class TestVanishedCaller:
     """A caller that goes away or stops reading frees the engines."""
 
