Keep failed calls out of the time that a request is expected to take

Cause: after one call that ended at its timeout the expected time was that timeout, and every call after it was refused as too late, for good: an agent paused with a call in hand took its service away (found by the test with a paused agent). Weighed: no early refusal for calls (a caller's short deadline would then wait in vain); letting one pass at a time only (calls after an outage would be refused while it runs). Changed: only requests that got an answer tell how long one takes; with nothing in progress one always passes, so that a wrong estimate mends itself.

--- a/packages/entry/src/kumquatway/admission/_admission.py
+++ b/packages/entry/src/kumquatway/admission/_admission.py
@@ -229,7 +229,8 @@
         lane = lane_of(ask, state.spec.priority)
         cost = ask.cost()
         hold = pool.hold(cost)
-        if now + hold > ask.deadline:
+        # With nothing in progress one goes: else a wrong estimate would never mend.
+        if now + (hold if pool.running else 0.0) > ask.deadline:
             return not_run(Reason.DEADLINE, "the deadline is too near to run at all")
         waiting = Waiting(
             ask=ask, cost=cost, state=state, pool=pool, lane=lane, wake=wake
--- a/packages/entry/src/kumquatway/admission/_pool.py
+++ b/packages/entry/src/kumquatway/admission/_pool.py
@@ -56,19 +56,17 @@
         self.running += 1
         self.capacity.used(self.running)
 
-    def leave(self, cost: float, hold: float, now: float) -> None:
+    def leave(self, cost: float, hold: float | None, now: float) -> None:
         """
         Count a request that ended.
 
         :param cost: its estimated cost.
-        :param hold: seconds from start to end.
+        :param hold: seconds from start to end, None if that says nothing.
         :param now: seconds of the injected clock.
         """
         self.running -= 1
-        self.finished += 1
-        part = max(SMOOTHING, 1 / self.finished)
-        self.mean_cost += part * (cost - self.mean_cost)
-        self.mean_hold += part * (hold - self.mean_hold)
+        if hold is not None:
+            self._note_hold(cost, hold)
         self._note_drain(cost, now)
 
     def rate(self) -> float:
@@ -110,6 +108,12 @@
         self.horizon = at + spacing
         return at - now
 
+    def _note_hold(self, cost: float, hold: float) -> None:
+        self.finished += 1
+        part = max(SMOOTHING, 1 / self.finished)
+        self.mean_cost += part * (cost - self.mean_cost)
+        self.mean_hold += part * (hold - self.mean_hold)
+
     def _note_drain(self, cost: float, now: float) -> None:
         if not self.queue.count:
             self.drain_cost = self.drain_time = 0.0
--- a/packages/entry/src/kumquatway/admission/_ticket.py
+++ b/packages/entry/src/kumquatway/admission/_ticket.py
@@ -48,11 +48,12 @@
         self.after = after
         self.closed = False
 
-    def close(self, served_tokens: int = 0) -> None:
+    def close(self, served_tokens: int = 0, *, well: bool = True) -> None:
         """
         Settle the charge and let the next request start; later calls do nothing.
 
         :param served_tokens: prompt and answer tokens that were run.
+        :param well: False if it got no answer; its time then says nothing.
         """
         if self.closed:
             return
@@ -64,7 +65,7 @@
         difference = ask.served_cost(served_tokens) - cost
         self.pool.queue.settle(self.lane, ask.account, difference)
         now = self.clock()
-        self.pool.leave(cost, now - self.started, now)
+        self.pool.leave(cost, now - self.started if well else None, now)
         self.after(self.pool)
 
 
--- a/packages/entry/src/kumquatway/api/_admit.py
+++ b/packages/entry/src/kumquatway/api/_admit.py
@@ -17,7 +17,7 @@
 from kumquatway.api._generate import Generated
 from kumquatway.calls import ServiceAsk
 from kumquatway.streams import Ask as StreamAsk
-from kumquatway_core import NOT_RUN, Verdict
+from kumquatway_core import NOT_RUN, RAN, Verdict
 
 DEADLINE = "kumquatway-deadline-s"
 MAX_DEADLINE = 3600.0  # seconds
@@ -114,7 +114,8 @@
     def close(tokens: int) -> None:
         idle = generated.verdict.ran is NOT_RUN and not tokens
         prompt = generated.ask.prompt_tokens()
-        ticket.close(0 if idle else prompt + tokens)
+        well = generated.verdict.ran is RAN
+        ticket.close(0 if idle else prompt + tokens, well=well)
 
     generated.on_end = close
     return generated
--- a/packages/entry/src/kumquatway/api/_services.py
+++ b/packages/entry/src/kumquatway/api/_services.py
@@ -36,6 +36,7 @@
     ("authorization", "connection", "host", "content-length", "transfer-encoding")
 )
 MAX_KEY = 255  # characters
+SERVER_ERROR = 500
 MIN_TIMEOUT = 0.001  # seconds
 
 
@@ -69,12 +70,15 @@
     ticket = await admit(context.admission, request, wanted)
     if isinstance(ticket, Verdict):
         return _refuse(context, ask.request, ticket, caller.name)
+    well = False
     try:
         ask = replace(ask, timeout=max(deadline - context.clock(), MIN_TIMEOUT))
         key = request.headers.get(IDEMPOTENCY_KEY, "")
-        return await _run(context, caller, ask, key)
+        response = await _run(context, caller, ask, key)
+        well = response.status_code < SERVER_ERROR
+        return response
     finally:
-        ticket.close()
+        ticket.close(well=well)
 
 
 def _refuse(context: Context, name: str, verdict: Verdict, account: str = ""):
--- a/packages/entry/tests/test_admission_path.py
+++ b/packages/entry/tests/test_admission_path.py
@@ -7,8 +7,9 @@
 import pytest
 
 from kumquatway._demo import Deployment, Layout, Pipeline
-from kumquatway.admission import Queueing
+from kumquatway.admission import Admission, Ask, Kind, Queueing, Ticket
 from kumquatway.admission._queueing import WINDOW_SECONDS
+from kumquatway_core import Reason
 from kumquatway_core.events import Refused
 from kumquatway_core.revisions import Accepted
 from kumquatway_fakes import Speed
@@ -221,6 +222,33 @@
 class TestDeadline:
     """The header that bounds how long a caller waits."""
 
+    async def test_a_call_that_failed_late_does_not_refuse_the_next(self, entry):
+        now = 0.0
+        admission = Admission(
+            lookup=entry.text().accounts.get, clock=lambda: now, random=lambda: 0.5
+        )
+
+        def offer():
+            ask = Ask(
+                account="guests",
+                target="desk",
+                kind=Kind.SERVICE_CALL,
+                deadline=now + 30.0,
+            )
+            return admission.offer(ask, print)
+
+        failed = offer()
+        now += 31.0
+        failed.close(well=False)
+        first, second = offer(), offer()
+        assert isinstance(first, Ticket) and isinstance(second, Ticket)
+        now += 100.0
+        first.close()
+        second.close()
+        third = offer()
+        assert isinstance(third, Ticket)
+        assert offer().reason is Reason.DEADLINE
+
     async def test_one_that_passes_in_the_queue_was_not_run(self, entry, http):
         with Full(entry, "bulletin"):
             late = await complete(http, **{"Kumquatway-Deadline-S": "0.2"})
