--- a/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
+++ b/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
@@ -32,10 +32,9 @@
 READY_TIMEOUT = 60.0  # seconds
 READY_POLL = 0.05  # seconds
 PLATFORM = "platform"
-PORTS = (12_000, 32_000)
 
-_ports = random.Random()
 _given: set[int] = set()
+
 # Below the ports that the system gives to outgoing connections: one of those may be
 # in use again by the time that its process listens.
 FIRST_PORT = 10_000
@@ -374,27 +373,18 @@
     """
     Find an address that nobody listens at, and that was not found before.
 
-    It lies below the ports that the system gives to outgoing connections, which
-    would take it before its process listens.
-
     :return: `host:port`.
     """
     while True:
-        port = _ports.randrange(*PORTS)
-        if port not in _given and _is_free(port):
+        port = random.randrange(FIRST_PORT, END_PORT)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind((HOST, port))
+            if port in _given:
+                continue
             _given.add(port)
             return f"{HOST}:{port}"
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as probe:
-        try:
-            probe.bind((HOST, port))
-        except OSError:
-            return False
-    return True
-
-
 async def _knows(http: httpx.AsyncClient, headers: dict, upstreams: int) -> bool:
     try:
         answer = await http.get("/admin/status", headers=headers)
