--- a/benchmarks/members.py
+++ b/benchmarks/members.py
@@ -14,6 +14,8 @@
 import msgspec
 
 from benchmarks._stats import Line, fit_line, load_average
+from kumquatway.admin import StatusView
+from kumquatway.admin._status import view_member
 from kumquatway.membership import Members, Subset
 from kumquatway.routing import choose_route
 from kumquatway_core.platform import VM, VMs
@@ -38,6 +40,7 @@
     :param chosen: seconds to choose the subset anew after a change.
     :param routed: seconds to choose a route.
     :param list_bytes: of the list on the wire.
+    :param view_bytes: of the whole status as operators read it.
     :param memory: bytes that members and subset hold.
     :param subset: members in use.
     """
@@ -47,6 +50,7 @@
     chosen: float
     routed: float
     list_bytes: int
+    view_bytes: int
     memory: int
     subset: int
 
@@ -139,11 +143,18 @@
         chosen=_median_seconds(choose),
         routed=_median_seconds(route),
         list_bytes=len(data),
+        view_bytes=_view_bytes(members),
         memory=memory,
         subset=len(usable),
     )
 
 
+def _view_bytes(members: Members) -> int:
+    views = tuple(view_member(found) for found in members.by_vm.values())
+    view = StatusView(process="entry-0", revision=1, ready=True, members=views)
+    return len(msgspec.json.encode(view))
+
+
 def _median_seconds(run: Callable[[], None]) -> float:
     seconds = []
     for _ in range(ROUNDS):
@@ -157,18 +168,23 @@
     """Measure all sizes and print the table."""
     rows = [measure(count) for count in SIZES]
     print(f"{load_average()}\n")
-    print("| VMs | list, ms | subset, ms | route, ms | list, B | memory, B | in use |")
-    print("| --- |" + " --- |" * 6)
+    print(
+        "| VMs | list, ms | subset, ms | route, ms | list, B | status, B | memory, B "
+        "| in use |"
+    )
+    print("| --- |" + " --- |" * 7)
     for row in rows:
         print(
             f"| {row.vms} | {row.listed * MS:.2f} | {row.chosen * MS:.2f} | "
-            f"{row.routed * MS:.2f} | {row.list_bytes} | {row.memory} | {row.subset} |"
+            f"{row.routed * MS:.2f} | {row.list_bytes} | "
+            f"{row.view_bytes} | {row.memory} | {row.subset} |"
         )
     print("\n| | slope for a VM | at none | fit |\n| --- | --- | --- | --- |")
     _print_line("list, us", _fit(rows, lambda row: row.listed * 1e6))
     _print_line("subset, us", _fit(rows, lambda row: row.chosen * 1e6))
     _print_line("route, us", _fit(rows, lambda row: row.routed * 1e6))
     _print_line("list, B", _fit(rows, lambda row: row.list_bytes))
+    _print_line("status, B", _fit(rows, lambda row: row.view_bytes))
     _print_line("memory, B", _fit(rows, lambda row: row.memory))
 
 
