--- a/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
+++ b/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
@@ -32,6 +32,9 @@
 READY_TIMEOUT = 60.0  # seconds
 READY_POLL = 0.05  # seconds
 PLATFORM = "platform"
+
+_given: set[int] = set()
+
 # Below the ports that the system gives to outgoing connections: one of those may be
 # in use again by the time that its process listens.
 FIRST_PORT = 10_000
@@ -373,7 +376,7 @@
 
 def free_address() -> str:
     """
-    Find an address that nobody listens at.
+    Find an address that nobody listens at, and that was not found before.
 
     :return: `host:port`.
     """
@@ -381,6 +384,9 @@
         port = random.randrange(FIRST_PORT, END_PORT)
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind((HOST, port))
+            if port in _given:
+                continue
+            _given.add(port)
             return f"{HOST}:{port}"
 
 
