Count on after an idle connection was closed

Cause: a connection unused for 120 s is closed, and the next message to its address opened a new peer that counted from 1. The other end took each message up to its old count for a repeat, dropped and acknowledged it: steps, pieces and calls after a quiet time got lost without a trace. A new peer now goes on where the last one ended, with its sequence and with its connections' names.

The test failed before (messages 3 to 5 of 6 never arrived). Weighed: to tell the other end of the close; ruled out, since that message can get lost.

--- a/packages/core/src/kumquatway_core/mesh/_mesh.py
+++ b/packages/core/src/kumquatway_core/mesh/_mesh.py
@@ -69,6 +69,7 @@
         self.merge = merge
         self.clock = clock
         self.peers: dict[str, Peer] = {}
+        self.idle: dict[str, Peer] = {}
         self.traffic = Traffic()
         self.context = zmq.asyncio.Context()
         self.socket = self.context.socket(zmq.ROUTER)
@@ -122,6 +123,17 @@
         peer.last_used = self.clock()
         return peer
 
+    def close(self, address: str) -> None:
+        """
+        Close the connection to an address until something is sent there.
+
+        :param address: of the other process.
+        """
+        logger.debug("closing the idle connection to {}", address)
+        peer = self.peers.pop(address)
+        self.idle[address] = peer
+        peer.close()
+
     def is_down(self, address: str) -> bool:
         """
         Tell whether an address is known not to answer.
@@ -145,6 +157,8 @@
             clock=self.clock,
             traffic=self.traffic,
         )
+        if address in self.idle:
+            peer.continue_from(self.idle.pop(address))
         self.peers[address] = peer
         if self._group is not None:
             self._group.start_soon(peer.run)
@@ -159,6 +173,4 @@
             now = self.clock()
             for address, peer in list(self.peers.items()):
                 if now - peer.last_used > IDLE_BOUND and not peer.backlog():
-                    logger.debug("closing the idle connection to {}", address)
-                    del self.peers[address]
-                    peer.close()
+                    self.close(address)
--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -157,6 +157,18 @@
         self._wake.set()
         return parcel
 
+    def continue_from(self, before: "Peer") -> None:
+        """
+        Go on counting where an earlier peer for the same address ended.
+
+        The other end takes a sequence that it has seen for a repeat, and one
+        identity for one connection.
+
+        :param before: a peer that was closed.
+        """
+        self._sequence = before._sequence
+        self.connections = before.connections
+
     def withdraw(self, parcel: Parcel) -> bool:
         """
         Take back a message that has not left this process.
--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -84,6 +84,16 @@
             assert near.mesh.traffic.sent_bytes > size
             assert far.mesh.traffic.received_bytes > size
 
+    async def test_nothing_is_lost_after_an_idle_connection_was_closed(self):
+        near, far = Node(address=free_address()), Node(address=free_address())
+        async with running(near, far):
+            for numbers in (range(3), range(3, 6)):
+                for number in numbers:
+                    near.mesh.send(far.mesh.address, message(number))
+                await until(lambda: not near.mesh.peer(far.mesh.address).backlog())
+                near.mesh.close(far.mesh.address)
+            assert far.taken == [message(number) for number in range(6)]
+
     async def test_silence_loses_and_doubles_nothing(self):
         near, far, relay = through_relay()
         async with running(near, far, relay=relay):
