Keep a stream's steps in order although decodes go first

Cause: the step after a replay is one token and overtook the chunks of the replay it follows; the engine did not know the stream yet (benchmarks.recovery kill: 4 streams of 64 recovered twice).

--- a/packages/agent/src/kumquatway_agent/stage/_queue.py
+++ b/packages/agent/src/kumquatway_agent/stage/_queue.py
@@ -6,8 +6,9 @@
 
 import heapq
 import itertools
+from collections import Counter
 
-from kumquatway_agent.stage._streams import Work
+from kumquatway_agent.stage._streams import Stream, Work
 
 _order = itertools.count()
 
@@ -20,14 +21,18 @@
     def __init__(self):
         self.decodes: list[tuple[int, int, Work]] = []
         self.prefills: list[tuple[int, int, Work]] = []
+        self.behind: Counter[Stream] = Counter()
 
     def add(self, work: Work) -> None:
         """
-        Put a step in the queue.
+        Put a step in the queue; a stream's steps stay in their order.
 
         :param work: to run.
         """
-        heap = self.decodes if work.count == 1 else self.prefills
+        waits = work.count > 1 or work.stream in self.behind
+        if waits:
+            self.behind[work.stream] += 1
+        heap = self.prefills if waits else self.decodes
         heapq.heappush(heap, (work.stream.open.priority, next(_order), work))
 
     def rank(self) -> Rank:
@@ -53,7 +58,13 @@
 
         :return: None if there is none.
         """
-        return heapq.heappop(self.prefills)[2] if self.prefills else None
+        if not self.prefills:
+            return None
+        work = heapq.heappop(self.prefills)[2]
+        self.behind[work.stream] -= 1
+        if not self.behind[work.stream]:
+            del self.behind[work.stream]
+        return work
 
     def is_empty(self) -> bool:
         """
--- a/packages/agent/tests/test_stage.py
+++ b/packages/agent/tests/test_stage.py
@@ -382,6 +382,16 @@
         batch = self.batcher._take(self.batcher._oldest())
         return [(work.stream.open.priority, work.count) for work in batch]
 
+    def test_a_decode_waits_for_the_replay_of_its_own_stream(self):
+        stream = self.add(30)
+        late = Work(stream=stream, position=30, count=1, data=b"x")
+        self.batcher.add(late)
+        other = self.add(1)
+        first = self.batcher._take(self.batcher._oldest())
+        assert [work.stream for work in first] == [other, stream]
+        second = self.batcher._take(self.batcher._oldest())
+        assert second == [late]
+
     def test_a_decode_does_not_wait_for_a_prompt_before_it(self):
         for _ in range(5):
             self.add(8)
