--- a/benchmarks/tokens.py
+++ b/benchmarks/tokens.py
@@ -28,6 +28,7 @@
 PROMPT = "Closure of pass {:05d}."
 BATCHES = {1: 4, 16: 2, 64: 1, 256: 1}  # streams at once: rounds
 IDLE = 5.0  # seconds
+RECOVERIES = "kumquatway_recoveries_total"
 TARGET_RATIO = 3.0
 MANY = 300
 MANY_MODELS = ("visits", "bulletins")
@@ -57,6 +58,7 @@
     :param tokens: delivered.
     :param wrong: streams whose answer differs from the one computed alone.
     :param refused: streams that ended with an error before the first token.
+    :param recoveries: of streams, from failures or false alarms.
     :param entry: seconds of the entry.
     :param agents: seconds of all agents together.
     """
@@ -65,6 +67,7 @@
     tokens: int
     wrong: int
     refused: int
+    recoveries: int
     seconds: float
     entry: float
     agents: float
@@ -83,7 +86,8 @@
             f"{piece * MS:.3f} | {piece / bare.piece:.1f} | "
             f"{piece / bare.server:.1f} | "
             f"{hop * MS:.3f} | {hop / bare.hop:.1f} | "
-            f"{self.refused} | {self.wrong} |"
+            f"{self.refused} | {self.wrong} | "
+            f"{self.recoveries} |"
         )
 
 
@@ -223,6 +227,7 @@
     idle: dict[str, float],
 ) -> Cost:
     model = MANY_MODELS[0]
+    recovered = await _recoveries(fleet)
     before = _cpu(fleet)
     started = anyio.current_time()
     streams: list[Stream] = []
@@ -237,12 +242,21 @@
         tokens=sum(len(stream.texts) for stream in streams),
         wrong=count_wrong(streams, model),
         refused=sum(map(is_refused, streams)),
+        recoveries=await _recoveries(fleet) - recovered,
         seconds=seconds,
         entry=spent["entry-0"],
         agents=sum(agents),
     )
 
 
+async def _recoveries(fleet: Fleet) -> int:
+    """Read how many streams the entry recovered so far."""
+    async with httpx.AsyncClient(base_url=fleet.admin_url("entry-0")) as http:
+        answer = await http.get("/metrics", headers={"Accept": "text/plain"})
+    lines = [line for line in answer.text.splitlines() if line.startswith(RECOVERIES)]
+    return sum(int(float(line.split()[-1])) for line in lines)
+
+
 async def run_many(folder: Path) -> list[str]:
     """
     Run many streams over two models, two entries and eight agents.
@@ -325,9 +339,10 @@
     report(f"{load_average()} Ratios are to the bare figures; target {TARGET_RATIO}.\n")
     report(
         "| streams | tokens | tokens/s | entry ms/token | ratio "
-        "| without reader | agent ms/token and hop | ratio | refused | wrong |"
+        "| without reader | agent ms/token and hop | ratio "
+        "| refused | wrong | recoveries |"
     )
-    report("| --- |" + " --- |" * 9)
+    report("| --- |" + " --- |" * 10)
     with tempfile.TemporaryDirectory() as folder:
         for cost in await measure_costs(Path(folder)):
             report(cost.line(bare))
