--- a/packages/entry/src/kumquatway/api/_services.py
+++ b/packages/entry/src/kumquatway/api/_services.py
@@ -32,10 +32,30 @@
         HTTPMethod.TRACE,
     )
 )
-PRIVATE_HEADERS = frozenset(
-    ("authorization", "connection", "host", "content-length", "transfer-encoding")
+# RFC 9110, section 7.6.1
+HOP_HEADERS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
 )
+# The agent asks for the encodings that it can undo.
+PRIVATE_HEADERS = HOP_HEADERS | {
+    "accept-encoding",
+    "authorization",
+    "content-length",
+    "expect",
+    "host",
+}
+OWN_HEADERS = HOP_HEADERS | {"content-length", "date", HEADER.lower()}
 MAX_KEY = 255  # characters
+SERVER_ERROR = 500
 MIN_TIMEOUT = 0.001  # seconds
 
 
@@ -69,12 +89,15 @@
     ticket = await admit(context.admission, request, wanted)
     if isinstance(ticket, Verdict):
         return _refuse(context, ask.request, ticket, caller.name)
+    well = False
     try:
         ask = replace(ask, timeout=max(deadline - context.clock(), MIN_TIMEOUT))
         key = request.headers.get(IDEMPOTENCY_KEY, "")
-        return await _run(context, caller, ask, key)
+        response = await _run(context, caller, ask, key)
+        well = response.status_code < SERVER_ERROR
+        return response
     finally:
-        ticket.close()
+        ticket.close(well=well)
 
 
 def _refuse(context: Context, name: str, verdict: Verdict, account: str = ""):
@@ -163,6 +186,7 @@
 def _response(answer: Answer) -> Response:
     response = Response(answer.body, status_code=answer.status)
     for key, value in answer.headers:
-        response.headers[key] = value
-    response.headers[HEADER] = "ran"
+        if key.lower() not in OWN_HEADERS:
+            response.headers.append(key, value)
+    response.headers[HEADER] = Verdict(ran=RAN).header()
     return response
--- a/packages/entry/tests/test_admission.py
+++ b/packages/entry/tests/test_admission.py
@@ -185,6 +185,15 @@
         assert late.reason is Reason.DEADLINE
         assert late.ran is NOT_RUN
 
+    def test_a_slow_request_does_not_bar_those_after_it_from_free_room(self):
+        bed = Bed(slots=1)
+        first = bed.offer(deadline=2.0)
+        bed.clock.now = 5.0
+        first.close(150)
+        again = bed.offer(deadline=7.0)
+        assert isinstance(again, Ticket)
+        assert bed.offer(deadline=bed.clock.now).reason is Reason.DEADLINE
+
     def test_a_waiting_request_is_refused_once_it_is_too_late(self):
         bed = Bed(slots=1)
         first = bed.offer()
@@ -209,6 +218,17 @@
         assert bed.woken[0].reason is Reason.DEADLINE
         assert bed.admission.pools["m"].running == 0
 
+    def test_one_stall_does_not_refuse_each_deadline_for_ever(self):
+        bed = Bed(slots=1)
+        stalled = bed.offer()
+        bed.clock.now = 9.0
+        stalled.close(served_tokens=150)
+        ticket = bed.offer(deadline=10.0)
+        assert isinstance(ticket, Ticket)
+        assert bed.offer(deadline=10.0).reason is Reason.DEADLINE
+        bed.clock.now = 9.1
+        ticket.close(served_tokens=150)
+
     def test_a_deadline_is_watched_until_the_end(self):
         bed = Bed(slots=1)
         first = bed.offer()
