--- a/packages/entry/src/kumquatway/api/_context.py
+++ b/packages/entry/src/kumquatway/api/_context.py
@@ -13,13 +13,15 @@
 from kumquatway.calls import Dispatcher
 from kumquatway.protect import MemoryBound
 from kumquatway.streams import Streams
-from kumquatway_core import Verdict
+from kumquatway_core import Reason, Verdict, not_run
 from kumquatway_core.events import Event
 from kumquatway_core.settings import LimitSettings
 from kumquatway_core.text import Account, Text
 
 WRITE_SECONDS = 30.0  # that a caller may take to read what was sent
 
+UNKNOWN_KEY = not_run(Reason.UNAUTHORIZED, "unknown key")
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Caller:
@@ -86,11 +88,13 @@
     write_seconds: float = WRITE_SECONDS
     callers: Callers = field(default_factory=Callers)
 
-    def find_caller(self, authorization: str) -> Caller | None:
+    def find_caller(self, authorization: str) -> Caller | Verdict:
         """
         Find who asks.
 
         :param authorization: the request's header.
-        :return: None if no account of the text in force has the key.
+        :return: the caller; or why there is none, which is no fault of the key
+            while no text is in force.
         """
-        return self.callers.find(self.text(), authorization)
+        found = self.callers.find(self.text(), authorization)
+        return found or self.refusal() or UNKNOWN_KEY
--- a/packages/entry/src/kumquatway/api/_models.py
+++ b/packages/entry/src/kumquatway/api/_models.py
@@ -32,7 +32,6 @@
 DEFAULT_TIMEOUT = 300.0  # seconds
 PRIORITIES = {Priority.URGENT: 0, Priority.NORMAL: 1, Priority.BULK: 2}
 SEED_BOUND = 2**63
-UNKNOWN_KEY = not_run(Reason.UNAUTHORIZED, "unknown key")
 ANSWERED = Verdict(ran=RAN)
 
 
@@ -51,14 +50,16 @@
         return await _handle(context, request, CompletionRequest, COMPLETION)
 
     async def models(request: Request) -> Response:
-        if context.find_caller(request.headers.get("authorization", "")) is None:
-            return error_response(UNKNOWN_KEY)
+        caller = context.find_caller(request.headers.get("authorization", ""))
+        if isinstance(caller, Verdict):
+            return error_response(caller)
         entries = [ModelEntry(id=name) for name in _names(context.text())]
         return _json(ModelList(data=entries))
 
     async def model(request: Request) -> Response:
-        if context.find_caller(request.headers.get("authorization", "")) is None:
-            return error_response(UNKNOWN_KEY)
+        caller = context.find_caller(request.headers.get("authorization", ""))
+        if isinstance(caller, Verdict):
+            return error_response(caller)
         name = request.path_params["model"]
         if name not in _names(context.text()):
             return error_response(not_run(Reason.NOT_FOUND, f"no model {name!r}"))
@@ -84,8 +85,8 @@
 async def _handle(context: Context, request: Request, kind, form: Form):
     name = request_id(request)
     caller = context.find_caller(request.headers.get("authorization", ""))
-    if caller is None:
-        return _refuse(context, name, UNKNOWN_KEY)
+    if isinstance(caller, Verdict):
+        return _refuse(context, name, caller)
     body = await _read(context, request, kind)
     if isinstance(body, Verdict):
         return _refuse(context, name, body, caller.name)
--- a/packages/entry/src/kumquatway/api/_services.py
+++ b/packages/entry/src/kumquatway/api/_services.py
@@ -70,9 +70,8 @@
     async def call(request: Request) -> Response:
         name = request_id(request)
         caller = context.find_caller(request.headers.get("authorization", ""))
-        if caller is None:
-            verdict = not_run(Reason.UNAUTHORIZED, "unknown key")
-            return _refuse(context, name, verdict)
+        if isinstance(caller, Verdict):
+            return _refuse(context, name, caller)
         ask = await _ask(context, request, name)
         if isinstance(ask, Verdict):
             return _refuse(context, name, ask, caller.name)
--- a/packages/entry/tests/test_api.py
+++ b/packages/entry/tests/test_api.py
@@ -214,6 +214,23 @@
 class TestErrors:
     """Every refusal has the shape of the API and says that nothing ran."""
 
+    @pytest.mark.parametrize(
+        ("method", "path"),
+        [
+            ("GET", "/v1/models"),
+            ("POST", "/v1/completions"),
+            ("POST", "/services/desk/a"),
+        ],
+    )
+    async def test_no_text_in_force_is_no_fault_of_the_key(
+        self, deployment, http, method, path, monkeypatch
+    ):
+        monkeypatch.setattr(deployment.entries[0].configuration, "text", None)
+        response = await http.request(method, path, json={})
+        assert response.status_code == 503
+        assert response.headers["Kumquatway-Verdict"] == "not-run"
+        assert "Retry-After" in response.headers
+
     @pytest.mark.parametrize(
         ("method", "path", "status"),
         [
