--- a/packages/entry/src/kumquatway/api/_generate.py
+++ b/packages/entry/src/kumquatway/api/_generate.py
@@ -126,6 +126,7 @@
         clock: Callable[[], float] = time.monotonic,
     ):
         self.clock = clock
+        self.ended = False
         self.writing_since: float | None = None
         self.streams = streams
         self.ask = ask
@@ -149,13 +150,22 @@
                 group.start_soon(_cancel_on_disconnect, receive, group.cancel_scope)
                 group.start_soon(self._watch_writes)
                 await self._answer(session, self._bounded(send))
+                # Before the tasks end: a caller may ask again at once.
+                self._end(session)
                 group.cancel_scope.cancel()
         except* SlowCaller:
             logger.info("the caller read nothing for {} s", self.write_seconds)
         finally:
-            self.streams.close(session)
-            self.on_end(self.tokens)
-            self._emit_end()
+            self._end(session)
+
+    def _end(self, session: Session) -> None:
+        """Free what the request holds, once."""
+        if self.ended:
+            return
+        self.ended = True
+        self.streams.close(session)
+        self.on_end(self.tokens)
+        self._emit_end()
 
     async def _answer(self, session: Session, send) -> None:
         if self.stream:
