--- a/packages/agent/src/kumquatway_agent/stage/_batcher.py
+++ b/packages/agent/src/kumquatway_agent/stage/_batcher.py
@@ -122,12 +122,20 @@
         return min(self.queues, key=lambda group: self.queues[group].rank())
 
     def _take(self, group: Group) -> list[Work]:
-        """Take decodes, which cost little, and fill up with chunks of prompts."""
+        """
+        Take decodes, which cost little, and fill up with replays, then prompts.
+
+        The callers of replays wait already, so they may fill the whole budget.
+        """
         queue = self.queues[group]
         batch = self._fill(queue.pop_decode, self.token_budget)
         if batch:
             self._last_decode = self.clock()
-        batch += self._fill(queue.pop_prefill, self._prefill_budget() - len(batch))
+        replays = self._fill(queue.pop_replay, self.token_budget - len(batch))
+        batch += replays
+        if not replays:
+            room = self._prefill_budget() - len(batch)
+            batch += self._fill(queue.pop_prefill, room)
         if queue.is_empty():
             del self.queues[group]
         return batch
--- a/packages/agent/src/kumquatway_agent/stage/_queue.py
+++ b/packages/agent/src/kumquatway_agent/stage/_queue.py
@@ -1,27 +1,28 @@
 """
 Queue.
 
-The steps that wait for one range of layers: decodes before prefills.
+The steps that wait for one range of layers: decodes, then replays, then prompts.
 """
 
 import heapq
 import itertools
-from collections import Counter
 
 from kumquatway_agent.stage._streams import Stream, Work
 
 _order = itertools.count()
 
 Rank = tuple[int, int]
+Heap = list[tuple[int, int, Work]]
 
 
 class Queue:
     """Waiting steps, by priority and then by age."""
 
     def __init__(self):
-        self.decodes: list[tuple[int, int, Work]] = []
-        self.prefills: list[tuple[int, int, Work]] = []
-        self.behind: Counter[Stream] = Counter()
+        self.decodes: Heap = []
+        self.replays: Heap = []
+        self.prefills: Heap = []
+        self.behind: dict[Stream, list[Heap]] = {}
 
     def add(self, work: Work) -> None:
         """
@@ -29,10 +30,9 @@
 
         :param work: to run.
         """
-        waits = work.count > 1 or work.stream in self.behind
-        if waits:
-            self.behind[work.stream] += 1
-        heap = self.prefills if waits else self.decodes
+        heap = self._heap(work)
+        if heap is not self.decodes:
+            self.behind.setdefault(work.stream, []).append(heap)
         heapq.heappush(heap, (work.stream.open.priority, next(_order), work))
 
     def rank(self) -> Rank:
@@ -41,8 +41,8 @@
 
         :return: priority and age of its most urgent step; less goes first.
         """
-        heads = [heap[0] for heap in (self.decodes, self.prefills) if heap]
-        return min(head[:2] for head in heads)
+        heaps = (self.decodes, self.replays, self.prefills)
+        return min(heap[0][:2] for heap in heaps if heap)
 
     def pop_decode(self) -> Work | None:
         """
@@ -52,19 +52,21 @@
         """
         return heapq.heappop(self.decodes)[2] if self.decodes else None
 
+    def pop_replay(self) -> Work | None:
+        """
+        Take the most urgent step of a recovery.
+
+        :return: None if there is none.
+        """
+        return self._pop(self.replays)
+
     def pop_prefill(self) -> Work | None:
         """
         Take the most urgent chunk of a prompt.
 
         :return: None if there is none.
         """
-        if not self.prefills:
-            return None
-        work = heapq.heappop(self.prefills)[2]
-        self.behind[work.stream] -= 1
-        if not self.behind[work.stream]:
-            del self.behind[work.stream]
-        return work
+        return self._pop(self.prefills)
 
     def is_empty(self) -> bool:
         """
@@ -72,4 +74,23 @@
 
         :return: True if nothing waits.
         """
-        return not self.decodes and not self.prefills
+        return not (self.decodes or self.replays or self.prefills)
+
+    def _heap(self, work: Work) -> Heap:
+        """Choose where a step waits: behind the stream's others, if there are."""
+        waiting = self.behind.get(work.stream)
+        if waiting:
+            return waiting[-1]
+        if work.count == 1:
+            return self.decodes
+        return self.replays if work.replay else self.prefills
+
+    def _pop(self, heap: Heap) -> Work | None:
+        if not heap:
+            return None
+        work = heapq.heappop(heap)[2]
+        waiting = self.behind[work.stream]
+        waiting.pop()
+        if not waiting:
+            del self.behind[work.stream]
+        return work
--- a/packages/agent/src/kumquatway_agent/stage/_stage.py
+++ b/packages/agent/src/kumquatway_agent/stage/_stage.py
@@ -284,6 +284,7 @@
             position=work.position + start,
             count=count,
             data=work.data[start * width : (start + count) * width],
+            replay=work.replay,
         )
         chunks.append(chunk)
     return chunks
--- a/packages/agent/src/kumquatway_agent/stage/_streams.py
+++ b/packages/agent/src/kumquatway_agent/stage/_streams.py
@@ -52,12 +52,14 @@
     :param stream: whose step it is.
     :param position: the first position.
     :param count: how many.
+    :param replay: the stream's caller waits for the recovery that it belongs to.
     """
 
     stream: "Stream"
     position: int
     count: int
     data: bytes
+    replay: bool = False
 
 
 class Stream:
@@ -353,6 +355,7 @@
             position=stream.queued,
             count=item.count - skip,
             data=item.data[skip * width :],
+            replay=item.replay,
         )
         stream.queued = item.position + item.count
         return work
--- a/packages/agent/tests/test_stage.py
+++ b/packages/agent/tests/test_stage.py
@@ -382,6 +382,17 @@
         batch = self.batcher._take(self.batcher._oldest())
         return [(work.stream.open.priority, work.count) for work in batch]
 
+    def test_a_replay_passes_prompts_and_fills_the_whole_step(self):
+        self.add(1)
+        self.add(9)
+        stream = self.add(1)
+        self.take()
+        replay = Work(stream=stream, position=1, count=30, data=b"x", replay=True)
+        self.batcher.add(replay)
+        self.add(1)
+        batch = self.batcher._take(self.batcher._oldest())
+        assert [work.count for work in batch] == [1, 30]
+
     def test_a_decode_waits_for_the_replay_of_its_own_stream(self):
         stream = self.add(30)
         late = Work(stream=stream, position=30, count=1, data=b"x")
--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -117,6 +117,7 @@
                 route=self._route,
                 replacement=self._replacement,
                 change=self.in_flight.change,
+                replay=self.in_flight.replay,
             ),
             send=self.mesh.send,
             emit=self.emit,
@@ -423,7 +424,7 @@
             adapter=ask.adapter,
             stage=stage,
             avoid=avoid,
-            in_flight=self.in_flight.count,
+            in_flight=self.in_flight.load,
             weight=self.newcomers.weight,
         )
 
--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -81,11 +81,13 @@
     :param route: chooses a chain that avoids some VMs.
     :param replacement: chooses another VM for a stage's layers.
     :param change: learns of the route before and the route now.
+    :param replay: learns that a replay to a VM begins (1) or ends (-1).
     """
 
     route: Callable[[Ask, frozenset[str]], tuple[Stage, ...] | Verdict]
     replacement: Callable[[Ask, Stage, frozenset[str]], Stage | None]
     change: Callable[[tuple[Stage, ...], tuple[Stage, ...]], None]
+    replay: Callable[[str, int], None] = lambda vm, change: None
 
 
 def ignore_first(session: "Session", seconds: float) -> None:
@@ -137,6 +139,7 @@
         self.usual_gap = 0.0
         self._last_piece = clock()
         self._left: set[str] = set()
+        self._replays: set[str] = set()
         self._failed: dict[str, Verdict] = {}
         self._failed_at = 0.0
         self._means = ""
@@ -233,6 +236,7 @@
 
     def close(self) -> None:
         """Free every stage of the route."""
+        self._note_replays(set())
         cancel = Cancel(items=((self.ask.request, self.attempt),))
         for address in {stage.address for stage in self.route}:
             self.send(address, cancel)
@@ -250,6 +254,7 @@
             self.on_first(self, gap)
         self._last_piece = now
         self.recoveries = 0
+        self._note_replays(set())
         self.tokens.append(piece.token)
         if self._means:
             self._recovered(now)
@@ -351,11 +356,19 @@
             route.append(found)
         self._leave(failed)
         self._left |= failed
+        self._note_replays({stage.vm for stage in route if stage not in self.route})
         old = self._change_route(tuple(route))
         self.epoch += 1
         self._announce(old)
         return True
 
+    def _note_replays(self, vms: set[str]) -> None:
+        for vm in self._replays:
+            self.routes.replay(vm, -1)
+        for vm in vms:
+            self.routes.replay(vm, 1)
+        self._replays = vms
+
     def _avoid(self, failed: frozenset[str]) -> frozenset[str]:
         # A VM that this attempt left refuses its later steps as cancelled.
         return failed | self._left | {stage.vm for stage in self.route}
