Read bearer keys, token widths and route changes in one place each

The last stage's splice was sent by a branch of its own that the loop before it covers; cancels were built twice; the key of a request was digested in two places, token and sequence widths stood in up to four. Session.uses, StatusBoard.unsubscribe and Peer.closed had no reader.

--- a/packages/agent/src/kumquatway_agent/_status.py
+++ b/packages/agent/src/kumquatway_agent/_status.py
@@ -51,14 +51,6 @@
             self.subscribers.popitem(last=False)
         self.send(address, self.now())
 
-    def unsubscribe(self, address: str) -> None:
-        """
-        Forget a subscriber.
-
-        :param address: of an entry that is gone.
-        """
-        self.subscribers.pop(address, None)
-
     def change(self, **changes) -> None:
         """
         Change the status, and tell the subscribers if it differs.
--- a/packages/agent/src/kumquatway_agent/stage/_stage.py
+++ b/packages/agent/src/kumquatway_agent/stage/_stage.py
@@ -15,6 +15,7 @@
 from kumquatway_core import Reason, Verdict
 from kumquatway_core.engine import NO_SLOT, StepOutput
 from kumquatway_core.wire import (
+    TOKEN_BYTES,
     Cancel,
     Load,
     Open,
@@ -25,7 +26,6 @@
     Trouble,
 )
 
-TOKEN_BYTES = 4
 PREFILL_CHUNK = 512  # tokens of a prompt in one engine step
 STOP = "stop"
 LENGTH = "length"
--- a/packages/agent/src/kumquatway_agent/stage/_streams.py
+++ b/packages/agent/src/kumquatway_agent/stage/_streams.py
@@ -15,6 +15,7 @@
 from kumquatway_core.wire import (
     CHAIN_BYTES,
     EMPTY,
+    TOKEN_BYTES,
     Holding,
     Open,
     Stage,
@@ -26,7 +27,6 @@
 MIB = 1024 * 1024
 RETAINED_BOUND = 64 * MIB
 MAX_STREAMS = 4096
-TOKEN_BYTES = 4
 
 Key = tuple[str, int]
 
--- a/packages/core/src/kumquatway_core/http/__init__.py
+++ b/packages/core/src/kumquatway_core/http/__init__.py
@@ -4,11 +4,13 @@
 What the HTTP listeners of both processes share.
 """
 
+from kumquatway_core.http._bearer import bearer_digest
 from kumquatway_core.http._client import open_client, open_transport
 from kumquatway_core.http._responses import events_response, metrics_response
 from kumquatway_core.http._serve import serve
 
 __all__ = [
+    "bearer_digest",
     "events_response",
     "metrics_response",
     "open_client",
--- a/packages/core/src/kumquatway_core/mesh/_inbox.py
+++ b/packages/core/src/kumquatway_core/mesh/_inbox.py
@@ -14,13 +14,13 @@
 from loguru import logger
 
 from kumquatway_core.exceptions import WireError
+from kumquatway_core.mesh._connection import SEQUENCE_BYTES
 from kumquatway_core.mesh._traffic import Traffic
 from kumquatway_core.wire import Ack, Beat, BeatReply, Message, decode, encode
 
 ACK_INTERVAL = 0.05  # seconds
 ACK_BYTES = 1024 * 1024  # taken in before an early acknowledgement
 MAX_SOURCES = 10_000
-SEQUENCE_BYTES = 8
 FRAMES = 3  # identity, sequence, message
 
 
--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -123,7 +123,6 @@
         self.round_trip = 0.0
         self.last_used = clock()
         self.last_step = float("-inf")
-        self.closed = False
         self._outbox: deque[Parcel] = deque()
         self._outbox_bytes = 0
         self._unacked: deque[Parcel] = deque()
@@ -201,7 +200,6 @@
 
     def close(self) -> None:
         """Stop the peer's task."""
-        self.closed = True
         self._scope.cancel()
 
     async def run(self) -> None:
--- a/packages/core/src/kumquatway_core/wire/__init__.py
+++ b/packages/core/src/kumquatway_core/wire/__init__.py
@@ -4,7 +4,13 @@
 The messages between processes, and their codec.
 """
 
-from kumquatway_core.wire._chain import CHAIN_BYTES, EMPTY, extend, extend_all
+from kumquatway_core.wire._chain import (
+    CHAIN_BYTES,
+    EMPTY,
+    TOKEN_BYTES,
+    extend,
+    extend_all,
+)
 from kumquatway_core.wire._codec import decode, encode
 from kumquatway_core.wire._messages import (
     Ack,
@@ -40,6 +46,7 @@
 __all__ = [
     "CHAIN_BYTES",
     "EMPTY",
+    "TOKEN_BYTES",
     "Ack",
     "Beat",
     "BeatReply",
--- a/packages/entry/src/kumquatway/admin/_context.py
+++ b/packages/entry/src/kumquatway/admin/_context.py
@@ -4,7 +4,6 @@
 What the handlers of an operator's request need of the entry, and who may ask.
 """
 
-import hashlib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -16,6 +15,7 @@
 from kumquatway.membership import Members
 from kumquatway_core import Verdict
 from kumquatway_core.events import Journal
+from kumquatway_core.http import bearer_digest
 from kumquatway_core.wire import Message
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -72,10 +72,7 @@
 
 
 def _digest(request: Request) -> str:
-    scheme, _, key = request.headers.get("authorization", "").partition(" ")
-    if scheme.lower() != "bearer":
-        return ""
-    return hashlib.sha256(key.strip().encode()).hexdigest()
+    return bearer_digest(request.headers.get("authorization", ""))
 
 
 def _unauthorized() -> Response:
--- a/packages/entry/src/kumquatway/api/_context.py
+++ b/packages/entry/src/kumquatway/api/_context.py
@@ -4,7 +4,6 @@
 What the handlers of a caller's request need of the entry.
 """
 
-import hashlib
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -15,6 +14,7 @@
 from kumquatway.streams import Streams
 from kumquatway_core import Reason, Verdict, not_run
 from kumquatway_core.events import Event
+from kumquatway_core.http import bearer_digest
 from kumquatway_core.settings import LimitSettings
 from kumquatway_core.text import Account, Text
 
@@ -50,12 +50,9 @@
         :param authorization: the request's header.
         :return: None if no account has the key.
         """
-        scheme, _, key = authorization.partition(" ")
-        if scheme.lower() != "bearer" or not key:
-            return None
         if text is not self.text:
             self._read(text)
-        return self.by_key.get(hashlib.sha256(key.strip().encode()).hexdigest())
+        return self.by_key.get(bearer_digest(authorization))
 
     def _read(self, text: Text) -> None:
         self.by_key = {
--- a/packages/entry/src/kumquatway/api/_models.py
+++ b/packages/entry/src/kumquatway/api/_models.py
@@ -27,6 +27,7 @@
 from kumquatway_core import HEADER, RAN, Reason, Verdict, not_run
 from kumquatway_core.events import Refused, RequestStarted
 from kumquatway_core.text import Priority
+from kumquatway_core.wire import TOKEN_BYTES
 
 DEFAULT_MAX_TOKENS = 256
 DEFAULT_TIMEOUT = 300.0  # seconds
@@ -148,10 +149,10 @@
     if isinstance(prompt, Verdict):
         return prompt
     tokens = encode_prompt(prompt)
-    verdict = _check(context, body, len(tokens) // 4, model.max_context)
+    verdict = _check(context, body, len(tokens) // TOKEN_BYTES, model.max_context)
     if verdict is not None:
         return verdict
-    room = model.max_context - len(tokens) // 4
+    room = model.max_context - len(tokens) // TOKEN_BYTES
     return Ask(
         request=name,
         name=base,
--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -17,6 +17,7 @@
 from kumquatway_core.text import Model
 from kumquatway_core.wire import (
     EMPTY,
+    TOKEN_BYTES,
     Cancel,
     Message,
     Open,
@@ -29,7 +30,6 @@
     extend,
 )
 
-TOKEN_BYTES = 4
 MAX_RECOVERIES = 16  # without a token between them
 NO_ROUTE_WAIT = 0.1  # seconds between looks for a route
 FIRST_PIECE_BOUND = 30.0  # seconds of silence before the first token
@@ -203,15 +203,6 @@
             if stage.address == address:
                 self._fail(stage.vm, may_have_run(Reason.UNREACHABLE, detail))
 
-    def uses(self, address: str) -> bool:
-        """
-        Tell whether the route has an agent.
-
-        :param address: of the agent.
-        :return: True if a stage listens there.
-        """
-        return any(stage.address == address for stage in self.route)
-
     async def run(self) -> AsyncIterator[Piece | Verdict]:
         """
         Generate the answer.
@@ -237,9 +228,7 @@
     def close(self) -> None:
         """Free every stage of the route."""
         self._note_replays(set())
-        cancel = Cancel(items=((self.ask.request, self.attempt),))
-        for address in {stage.address for stage in self.route}:
-            self.send(address, cancel)
+        self._cancel({stage.address for stage in self.route})
         self._change_route(())
 
     def _expected(self) -> int:
@@ -354,7 +343,7 @@
             if found is None:
                 return False
             route.append(found)
-        self._leave(failed)
+        self._cancel({stage.address for stage in self.route if stage.vm in failed})
         self._left |= failed
         self._note_replays({stage.vm for stage in route if stage not in self.route})
         old = self._change_route(tuple(route))
@@ -373,24 +362,20 @@
         # A VM that this attempt left refuses its later steps as cancelled.
         return failed | self._left | {stage.vm for stage in self.route}
 
-    def _leave(self, failed: frozenset[str]) -> None:
+    def _cancel(self, addresses: set[str]) -> None:
         cancel = Cancel(items=((self.ask.request, self.attempt),))
-        for stage in self.route:
-            if stage.vm in failed:
-                self.send(stage.address, cancel)
+        for address in addresses:
+            self.send(address, cancel)
 
     def _announce(self, old: tuple[Stage, ...]) -> None:
         """Tell the live stages whose next hop changed; feed a new first stage."""
         open = self._open()
-        last = len(self.route) - 1
         for index, stage in enumerate(self.route):
             following = (index + 1) % len(self.route)
             lives = stage == old[index]
             changed = self.route[following] != old[following]
-            if lives and changed and index != last:
+            if lives and changed:
                 self.send(stage.address, Splice(stage=index, open=open))
-        if self.route[last] == old[last] and self.route[0] != old[0]:
-            self.send(self.route[last].address, Splice(stage=last, open=open))
         if self.route[0] != old[0]:
             self._feed(open)
 
