--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 $(VENV)/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	test -x $(PY) || python3 -m venv $(VENV)
-	$(PY) -m pip install -q -c constraints.txt hatchling editables
+	$(PY) -m pip install -q -c constraints.txt wheel setuptools hatchling editables
 	$(PY) -m pip install -q --no-build-isolation -c constraints.txt -r requirements-dev.txt $(EDITABLE)
 	touch $@
 
--- /dev/null
+++ b/deploy/entry.py
@@ -0,0 +1,15 @@
+"""
+Starts an entry from a checkout: the platform runs programs by path, uninstalled.
+"""
+
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+SOURCES = ("packages/core/src", "packages/gateway/src", "platform/src")
+
+sys.path[:0] = [str(ROOT / source) for source in SOURCES]
+
+from kumquatway_platform.__main__ import main  # noqa: E402
+
+sys.exit(main())
--- a/packages/core/src/kumquatway_core/events/__init__.py
+++ b/packages/core/src/kumquatway_core/events/__init__.py
@@ -24,6 +24,7 @@
     StreamRecovered,
     kind_of,
 )
+from kumquatway_core.events._lines import Lines
 
 __all__ = [
     "KINDS",
@@ -34,6 +35,7 @@
     "Event",
     "Journal",
     "LeaseChanged",
+    "Lines",
     "MembershipChanged",
     "Page",
     "ProcessStarted",
--- a/packages/core/src/kumquatway_core/leases/_lease.py
+++ b/packages/core/src/kumquatway_core/leases/_lease.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import msgspec
 
@@ -18,10 +19,12 @@
     Key,
     Put,
     Row,
-    Table,
     Transaction,
 )
 
+if TYPE_CHECKING:
+    from kumquatway_core.platform import Table
+
 TABLE = "leases"
 PLANNER = "planner"  # name of the lease under which engines get orders
 DURATION_SECONDS = 10.0
@@ -84,7 +87,7 @@
     def __init__(
         self,
         *,
-        table: Table,
+        table: "Table",
         name: str,
         holder: str,
         duration: float = DURATION_SECONDS,
@@ -198,7 +201,7 @@
         await self.table.commit(Transaction(expectations=(place,), puts=(put,)))
 
 
-async def read_lease(table: Table, name: str) -> LeaseRow | None:
+async def read_lease(table: "Table", name: str) -> LeaseRow | None:
     """
     Read a lease without taking part in it.
 
--- a/packages/core/src/kumquatway_core/platform/__init__.py
+++ b/packages/core/src/kumquatway_core/platform/__init__.py
@@ -4,16 +4,9 @@
 Clients of the platform's table service, object store and list of VMs.
 """
 
-from kumquatway_core.platform._channel import Channel
-from kumquatway_core.platform._group import (
-    Applied,
-    Change,
-    GroupCommit,
-    Outcome,
-    Raced,
-    Unapplied,
-    Unknown,
-)
+import importlib
+from typing import TYPE_CHECKING
+
 from kumquatway_core.platform._messages import (
     ABSENT,
     VM,
@@ -32,9 +25,37 @@
     VMKind,
     VMs,
 )
-from kumquatway_core.platform._objects import Objects
-from kumquatway_core.platform._table import Table
-from kumquatway_core.platform._vms import VMList
+
+if TYPE_CHECKING:
+    from kumquatway_core.platform._channel import Channel
+    from kumquatway_core.platform._group import (
+        Applied,
+        Change,
+        GroupCommit,
+        Outcome,
+        Raced,
+        Unapplied,
+        Unknown,
+    )
+    from kumquatway_core.platform._objects import Objects
+    from kumquatway_core.platform._table import Table
+    from kumquatway_core.platform._vms import VMList
+
+# The clients bring an HTTP library along; a process with a store of another kind
+# needs the messages alone.
+_CLIENTS = {
+    "Applied": "_group",
+    "Change": "_group",
+    "Channel": "_channel",
+    "GroupCommit": "_group",
+    "Objects": "_objects",
+    "Outcome": "_group",
+    "Raced": "_group",
+    "Table": "_table",
+    "Unapplied": "_group",
+    "Unknown": "_group",
+    "VMList": "_vms",
+}
 
 __all__ = [
     "ABSENT",
@@ -65,3 +86,11 @@
     "VMList",
     "VMs",
 ]
+
+
+def __getattr__(name: str):
+    """Import a client on its first use."""
+    if name not in _CLIENTS:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    module = importlib.import_module(f"{__name__}.{_CLIENTS[name]}")
+    return getattr(module, name)
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/__init__.py
@@ -0,0 +1,25 @@
+"""
+kumquatway_gateway.
+
+The entry for engines that run a whole chain behind one request.
+"""
+
+from kumquatway_gateway._gateway import Gateway, GatewaySettings, Sources
+from kumquatway_gateway._log import open_log
+from kumquatway_gateway._sources import (
+    ConfigurationSource,
+    Document,
+    EntrySource,
+    ServerSource,
+)
+
+__all__ = [
+    "ConfigurationSource",
+    "Document",
+    "EntrySource",
+    "Gateway",
+    "GatewaySettings",
+    "ServerSource",
+    "Sources",
+    "open_log",
+]
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -0,0 +1,302 @@
+"""
+Gateway.
+
+The supervisor tree of an entry for engines that run whole chains.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from kumquatway_core import Supervisor, new_incarnation
+from kumquatway_core.events import Event, ProcessStarted, ProcessStopped
+from kumquatway_core.leases import PLANNER, Lease
+from kumquatway_gateway._follow import (
+    ConfigurationFollower,
+    ServerFollower,
+    follow_entries,
+)
+from kumquatway_gateway._sources import ConfigurationSource, EntrySource, ServerSource
+from kumquatway_gateway.duties import Placer
+from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.http1 import (
+    CallerConnection,
+    Fetcher,
+    Incoming,
+    Listener,
+    Pool,
+)
+from kumquatway_gateway.model import Limits, Server
+from kumquatway_gateway.peers import Copies, CopyServer, Gossip, is_copy_request
+from kumquatway_gateway.relay import Dialect, Doctor, Engines, ModelRouter, Relay
+from kumquatway_gateway.waiting import RepeatBudget
+
+LEASE_SECONDS = 3.0  # after which another entry takes over the placement
+SWEEP_SECONDS = 1.0  # between looks at idle connections
+OUT_OF_ROTATION_SECONDS = 2.5  # two missed questions of the balancer, and some
+LAST_SECONDS = 0.7  # of the grace, kept for the end of the process
+READY_PATH = "/ready"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class GatewaySettings:
+    """
+    Settings of one entry.
+
+    :param name: of the VM, for the log.
+    :param callers: address for callers, `host:port`.
+    :param readiness: address for the balancer's question.
+    :param peers: address for other entries, TCP and UDP.
+    :param known_peers: addresses of entries to begin with.
+    :param repeat_ratio: repeats that a service may get for each request.
+    :param repeat_slack: repeats beside, over all entries.
+    :param repeat_window: over which repeats are counted, seconds.
+    :param least_entries: entries that there are at least.
+    :param grace: from SIGTERM to the end, seconds.
+    """
+
+    name: str
+    data_centre: str
+    callers: str
+    readiness: str
+    peers: str
+    known_peers: frozenset[str] = frozenset()
+    repeat_ratio: float = 0.2
+    repeat_slack: float = 100.0
+    repeat_window: float = 10.0
+    least_entries: int = 3
+    grace: float = 8.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Sources:
+    """What an adapter gives a gateway."""
+
+    configuration: ConfigurationSource
+    servers: ServerSource
+    entries: EntrySource
+    dialect: Dialect
+    engines: Engines
+    leases: object
+
+
+class Gateway:
+    """
+    One entry.
+
+    :param settings: of the entry.
+    :param sources: what the adapter gives.
+    :param pool: connections, shared with the adapter.
+    :param emit: takes events.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        sources: Sources,
+        pool: Pool,
+        emit: Callable[[Event], None],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.settings = settings
+        self.sources = sources
+        self.pool = pool
+        self.emit = emit
+        self.clock = clock
+        self.life = new_incarnation()
+        self.stopping = asyncio.Event()
+        self.fleet = Fleet(clock=clock)
+        self.doctor = Doctor(
+            fleet=self.fleet,
+            engines=sources.engines,
+            pool=pool,
+            is_model=self._is_model,
+            clock=clock,
+        )
+        self.relay = Relay(
+            dialect=sources.dialect,
+            fleet=self.fleet,
+            pool=pool,
+            doctor=self.doctor,
+            home=settings.data_centre,
+            open_budget=self._open_budget,
+            elsewhere=self._elsewhere,
+            emit=emit,
+            clock=clock,
+        )
+        copies = Copies(fetcher=Fetcher(pool=pool))
+        self.configuration = ConfigurationFollower(
+            source=sources.configuration,
+            relay=self.relay,
+            copies=copies,
+            emit=emit,
+            clock=clock,
+        )
+        self.servers = ServerFollower(
+            source=sources.servers, fleet=self.fleet, copies=copies, clock=clock
+        )
+        self.gossip = Gossip(
+            address=settings.peers,
+            life=self.life,
+            fleet=self.fleet,
+            own_loads=self._own_loads,
+            revision=self.configuration.revision,
+            newer=self.configuration.newer_at,
+            clock=clock,
+        )
+        self.gossip.know(set(settings.known_peers))
+        self.configuration.peers = self._peers
+        self.servers.peers = self._peers
+        self.fleet.changed = self._fleet_changed
+        self.placer = Placer(
+            lease=Lease(
+                table=sources.leases,
+                name=PLANNER,
+                holder=f"{settings.name}-{self.life}",
+                duration=LEASE_SECONDS,
+            ),
+            engines=sources.engines,
+            fleet=self.fleet,
+            doctor=self.doctor,
+            routers=self._routers,
+            spread=self.gossip.hurry,
+            clock=clock,
+        )
+        self.copy_server = CopyServer(
+            revision=self.configuration.revision,
+            document=lambda: self.configuration.document.data,
+            servers=lambda: self.fleet.servers,
+            read_at=lambda: self.servers.read_at,
+            clock=clock,
+        )
+        self.callers = Listener(bounds=self._bounds, serve=self.relay.serve)
+        self.readiness = Listener(bounds=Limits, serve=self._answer_readiness)
+        self.peer_calls = Listener(bounds=Limits, serve=self._answer_peer)
+
+    async def run(self) -> None:
+        """Serve until `stop` was called and the requests in progress are done."""
+        started = self.clock()
+        await self.readiness.start(self.settings.readiness)
+        await self.peer_calls.start(self.settings.peers)
+        await self.callers.start(self.settings.callers)
+        self.emit(ProcessStarted(vm=self.settings.name, incarnation=self.life))
+        supervisor = asyncio.create_task(self._supervisor().run())
+        stopping = asyncio.create_task(self.stopping.wait())
+        await asyncio.wait((supervisor, stopping), return_when=asyncio.FIRST_COMPLETED)
+        if supervisor.done():
+            supervisor.result()
+        await self._drain()
+        supervisor.cancel()
+        if self.placer.held:
+            await self.placer.lease.release()
+        self.emit(
+            ProcessStopped(
+                vm=self.settings.name,
+                detail=f"after {self.clock() - started:.1f} s, "
+                f"{self.callers.busy} requests left",
+            )
+        )
+
+    def stop(self) -> None:
+        """Begin the graceful end."""
+        logger.info(
+            "{} ends: {} requests in progress", self.settings.name, self.callers.busy
+        )
+        self.stopping.set()
+
+    def is_ready(self) -> bool:
+        """
+        Tell whether the balancer should send callers here.
+
+        :return: True while requests can be judged and no end was asked for.
+        """
+        known = self.relay.configuration is not None and bool(self.fleet.servers)
+        return known and not self.stopping.is_set()
+
+    def _supervisor(self) -> Supervisor:
+        supervisor = Supervisor(name=self.settings.name)
+        supervisor.add("configuration", self.configuration.run)
+        supervisor.add("servers", self.servers.run)
+        supervisor.add("entries", self._follow_entries)
+        supervisor.add("gossip", self.gossip.run)
+        supervisor.add("watch", self.relay.watch)
+        supervisor.add("recheck", self.doctor.recheck)
+        supervisor.add("lease", self.placer.hold)
+        supervisor.add("placer", self.placer.run)
+        supervisor.add("sweep", self._sweep)
+        return supervisor
+
+    async def _drain(self) -> None:
+        begun = self.clock()
+        end = begun + self.settings.grace - LAST_SECONDS
+        self.callers.drain()
+        await asyncio.sleep(OUT_OF_ROTATION_SECONDS)
+        while self.callers.busy and self.clock() < end:
+            await asyncio.sleep(0.05)
+        self.callers.close()
+        self.callers.finish()
+        await asyncio.sleep(0.05)
+
+    async def _follow_entries(self) -> None:
+        source = self.sources.entries
+        await follow_entries(source, self.gossip, self.settings.peers)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_SECONDS)
+            self.pool.sweep()
+
+    async def _answer_readiness(
+        self, caller: CallerConnection, incoming: Incoming
+    ) -> None:
+        ready = incoming.target == READY_PATH and self.is_ready()
+        caller.respond(200 if ready else 503, [], b"", keep=True)
+
+    async def _answer_peer(self, caller: CallerConnection, incoming: Incoming) -> None:
+        if is_copy_request(incoming):
+            self.copy_server.answer(caller, incoming)
+        else:
+            caller.respond(404, [], b"", keep=False)
+
+    def _bounds(self) -> Limits:
+        configuration = self.relay.configuration
+        return configuration.limits if configuration else Limits()
+
+    def _is_model(self, server: Server) -> bool:
+        return server.service in self.relay.models
+
+    def _routers(self) -> list[ModelRouter]:
+        return list(self.relay.models.values())
+
+    def _own_loads(self):
+        loads = {}
+        for router in self.relay.models.values():
+            loads.update(router.own)
+        return loads
+
+    def _elsewhere(self):
+        return self.gossip.loads()
+
+    def _peers(self) -> list[str]:
+        return self.gossip.live() or list(self.gossip.addresses)
+
+    def _entries(self) -> int:
+        return max(self.settings.least_entries, len(self.gossip.live()) + 1)
+
+    def _open_budget(self) -> RepeatBudget:
+        return RepeatBudget(
+            ratio=self.settings.repeat_ratio,
+            slack=self.settings.repeat_slack,
+            window=self.settings.repeat_window,
+            entries=self._entries,
+            clock=self.clock,
+        )
+
+    def _fleet_changed(self) -> None:
+        self.gossip.hurry()
+        for router in self.relay.models.values():
+            router.room.wake()
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/_sources.py
@@ -0,0 +1,74 @@
+"""
+Sources.
+
+Where a gateway gets its configuration, its servers and its peers from; an adapter
+gives one implementation each.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from kumquatway_gateway.model import Configuration, Server
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Document:
+    """
+    A configuration as its source keeps it.
+
+    :param revision: rises with each change.
+    """
+
+    revision: int
+    data: bytes
+
+
+class ConfigurationSource(Protocol):
+    """The operators' configuration in the store."""
+
+    async def newest(self, wait: float) -> Document | None:
+        """
+        Wait for a change.
+
+        :param wait: at most, seconds.
+        :return: the newest document if it is new to this process, or None.
+        :raises PlatformError: if the store did not answer.
+        """
+
+    def decode(self, document: bytes) -> Configuration:
+        """
+        Read a document.
+
+        :raises ConfigurationError: if it is none.
+        """
+
+
+class ServerSource(Protocol):
+    """The platform's list of servers."""
+
+    async def listed(self, wait: float) -> tuple[Server, ...]:
+        """
+        Wait for a change of the list.
+
+        :param wait: at most, seconds.
+        :return: all servers in it.
+        :raises PlatformError: if the store did not answer.
+        """
+
+
+class EntrySource(Protocol):
+    """The entries of the deployment."""
+
+    async def announce(self, address: str) -> None:
+        """
+        Write down where peers reach this entry.
+
+        :raises PlatformError: if the store did not answer.
+        """
+
+    async def others(self) -> set[str]:
+        """
+        Read where the entries are.
+
+        :raises PlatformError: if the store did not answer.
+        """
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/chains/_capacity.py
@@ -0,0 +1,41 @@
+"""
+Capacity.
+
+How a server's memory is shared between layers and requests.
+"""
+
+from kumquatway_gateway.model import Accelerator, Engine
+
+BYTES_PER_MEGABYTE = 1e6
+
+
+def room_tokens(
+    engine: Engine, accelerator: Accelerator, held: int, used: int
+) -> float:
+    """
+    Compute how many tokens of requests fit beside the layers.
+
+    :param engine: of the service.
+    :param accelerator: of the server.
+    :param held: layers in its memory.
+    :param used: layers of it that the requests run through.
+    :return: tokens, at most what the engine takes.
+    """
+    free = accelerator.megabytes - held * engine.layer_megabytes
+    per_layer = engine.token_bytes / engine.layers / BYTES_PER_MEGABYTE
+    tokens = free / (per_layer * max(1, used))
+    return max(0.0, min(tokens, engine.max_tokens))
+
+
+def layers_within(engine: Engine, accelerator: Accelerator, tokens: float) -> int:
+    """
+    Compute how many layers a server can hold beside so many tokens.
+
+    :param engine: of the service.
+    :param accelerator: of the server.
+    :param tokens: room that must be left for requests.
+    :return: layers, never more than fit.
+    """
+    per_layer = engine.token_bytes / engine.layers / BYTES_PER_MEGABYTE
+    each = engine.layer_megabytes + tokens * per_layer
+    return max(0, int(accelerator.megabytes // each))
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -0,0 +1,234 @@
+"""
+Placer.
+
+Orders model servers to hold the layers that the plan gives them, under the lease.
+
+It keeps no state of its own: what servers hold is the state, so the next holder goes
+on from wherever the last one stopped.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from kumquatway_core.leases import Lease
+from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.http1 import FetchFailed
+from kumquatway_gateway.model import Engine, Held, LayerRange, Server
+from kumquatway_gateway.placement import Move, Slot, plan
+from kumquatway_gateway.relay import Doctor, Engines, ModelRouter, OrderOutcome
+
+PERIOD_SECONDS = 0.1  # between looks at the fleet
+LEASE_MARGIN_SECONDS = 0.3  # that the lease must hold after an order is sent
+ORDER_SECONDS = 0.5  # for the answer to an order
+POLL_SECONDS = 0.15  # between reports of a server that loads
+LATE_SECONDS = 3.0  # beyond the expected end of a load, after which it is lost
+SETTLE_SECONDS = 0.4  # after the first server is seen, before the first plan
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Pending:
+    """An order that a server has begun, or may have begun."""
+
+    born: int
+    layers: LayerRange
+    sequence: int
+    loads: int
+    due: float
+    lost_at: float
+
+
+class Placer:
+    """
+    Keeps every model service placed while this entry holds the lease.
+
+    :param lease: of the duty; its number fences the orders.
+    :param engines: takes the orders.
+    :param fleet: the servers.
+    :param doctor: takes the reports.
+    :param routers: gives the routers of the model services.
+    :param spread: called when something that peers should know has changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        lease: Lease,
+        engines: Engines,
+        fleet: Fleet,
+        doctor: Doctor,
+        routers: Callable[[], list[ModelRouter]],
+        spread: Callable[[], None],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.lease = lease
+        self.engines = engines
+        self.fleet = fleet
+        self.doctor = doctor
+        self.routers = routers
+        self.spread = spread
+        self.clock = clock
+        self.pending: dict[str, _Pending] = {}
+        self.tasks: set[asyncio.Task] = set()
+        self.orders = 0
+        self.held = False
+        self.first_seen: float | None = None
+        self.refused_numbers: set[int] = set()
+
+    async def hold(self) -> None:
+        """Acquire and renew the lease, for ever."""
+        while True:
+            held = await self.lease.hold()
+            if held != self.held:
+                self.held = held
+                logger.info(
+                    "lease {}: {}, fencing number {}",
+                    self.lease.name,
+                    "held" if held else "not held",
+                    self.lease.number,
+                )
+                if held:
+                    await self._look_at_all()
+            await asyncio.sleep(self.lease.duration / 6)
+
+    async def run(self) -> None:
+        """Plan and order, for ever."""
+        while True:
+            await asyncio.sleep(PERIOD_SECONDS)
+            if not self.held or not self.lease.still_mine(LEASE_MARGIN_SECONDS):
+                continue
+            if not self._settled():
+                continue
+            for router in self.routers():
+                self._place(router)
+
+    def _settled(self) -> bool:
+        if not self.fleet.servers:
+            return False
+        if self.first_seen is None:
+            self.first_seen = self.clock()
+        return self.clock() - self.first_seen > SETTLE_SECONDS
+
+    async def _look_at_all(self) -> None:
+        """Ask what the last holder has ordered that the list does not tell yet."""
+        names = {router.service for router in self.routers()}
+        servers = [s for s in self.fleet.servers.values() if s.service in names]
+        started = [s for s in servers if s.sequence]
+        await asyncio.gather(*(self._ask(server) for server in started))
+
+    async def _ask(self, server: Server) -> Held | None:
+        try:
+            report = await self.engines.report(server, ORDER_SECONDS)
+        except FetchFailed:
+            self.doctor.suspect(server)
+            return None
+        self.doctor.note(server, report)
+        return self.fleet.held.get(server.id)
+
+    def _place(self, router: ModelRouter) -> None:
+        engine = router.engine
+        self._forget_lost()
+        slots = self._slots(router)
+        moves = plan(engine, slots)
+        busy = sum(1 for name in self.pending if self._is_of(name, router.service))
+        for move in moves:
+            if busy >= engine.parallel_loads:
+                return
+            if move.server.id in self.pending:
+                continue
+            if not move.gap and busy:
+                return
+            self._order(engine, move)
+            busy += 1
+
+    def _is_of(self, name: str, service: str) -> bool:
+        server = self.fleet.servers.get(name)
+        return server is not None and server.service == service
+
+    def _slots(self, router: ModelRouter) -> list[Slot]:
+        slots = []
+        for server in self.fleet.servers.values():
+            if server.service != router.service or not self.fleet.is_up(server):
+                continue
+            pending = self.pending.get(server.id)
+            layers = pending.layers if pending else self.fleet.layers(server)
+            slots.append(Slot(server=server, layers=layers))
+        return slots
+
+    def _forget_lost(self) -> None:
+        now = self.clock()
+        for name, pending in list(self.pending.items()):
+            server = self.fleet.servers.get(name)
+            if server is None or server.born != pending.born or now > pending.lost_at:
+                del self.pending[name]
+
+    def _order(self, engine: Engine, move: Move) -> None:
+        server = move.server
+        now = self.clock()
+        seconds = engine.load_seconds * move.loads / engine.layers
+        waves = max(1.0, (len(self.pending) + 1) / engine.parallel_loads)
+        self.pending[server.id] = _Pending(
+            born=server.born,
+            layers=move.layers,
+            sequence=self.fleet.sequence(server),
+            loads=move.loads,
+            due=now + seconds * waves,
+            lost_at=now + seconds * waves * 2 + LATE_SECONDS,
+        )
+        task = asyncio.get_running_loop().create_task(self._carry_out(server))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _carry_out(self, server: Server) -> None:
+        pending = self.pending[server.id]
+        number = self.lease.number_to_act(LEASE_MARGIN_SECONDS)
+        if number is None or number in self.refused_numbers:
+            self.pending.pop(server.id, None)
+            return
+        self.orders += 1
+        outcome = await self.engines.place(
+            server, pending.layers, fence=number, sequence=pending.sequence
+        )
+        logger.info(
+            "order to {} at {}: hold {}-{} (+{}), fencing number {}, sequence {}: {}",
+            server.id,
+            server.address,
+            pending.layers.start,
+            pending.layers.stop,
+            pending.loads,
+            number,
+            pending.sequence,
+            outcome.value,
+        )
+        if outcome is OrderOutcome.FENCED:
+            self.refused_numbers.add(number)
+            self.lease.expires = float("-inf")
+            self.pending.pop(server.id, None)
+            return
+        if outcome in (OrderOutcome.MISFIT, OrderOutcome.OTHER):
+            await self._ask(server)
+            await asyncio.sleep(POLL_SECONDS)
+            self.pending.pop(server.id, None)
+            return
+        await self._await_load(server, pending)
+
+    async def _await_load(self, server: Server, pending: _Pending) -> None:
+        """Ask until the layers are there, so that routing uses them at once."""
+        await asyncio.sleep(max(0.0, pending.due - self.clock()))
+        while self.pending.get(server.id) is pending:
+            held = await self._ask(server)
+            if held is not None and held.layers == pending.layers and not held.busy:
+                self.pending.pop(server.id, None)
+                self.spread()
+                return
+            idle = held is not None and not held.busy
+            if idle and held.sequence > pending.sequence + 1:
+                self.pending.pop(server.id, None)
+                return
+            if not self.fleet.is_up(server):
+                self.pending.pop(server.id, None)
+                return
+            await asyncio.sleep(POLL_SECONDS)
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -0,0 +1,224 @@
+"""
+Fleet.
+
+What this entry believes of each server: the list, fresher reports, and marks.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from loguru import logger
+
+from kumquatway_gateway.model import Held, LayerRange, Server, ServerState
+
+AVOID_SECONDS = 0.4  # after a server said that it is full or gives layers up
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Mark:
+    """
+    Says that a server does not answer, or that it answers again.
+
+    :param born: the life that the mark is about.
+    :param since: when it was seen, monotonic seconds.
+    """
+
+    born: int
+    down: bool
+    since: float
+    reason: str
+
+
+class Fleet:
+    """
+    The servers as routing and placement see them.
+
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
+        self.clock = clock
+        self.servers: dict[str, Server] = {}
+        self.by_address: dict[str, Server] = {}
+        self.marks: dict[str, Mark] = {}
+        self.held: dict[str, Held] = {}
+        self.leaving: dict[str, int] = {}
+        self.avoided: dict[str, float] = {}
+        self.slow: dict[str, float] = {}
+        self.generation = 0  # rises with each change that routing depends on
+        self.changed: Callable[[], None] = lambda: None
+
+    def list(self, servers: dict[str, Server]) -> None:
+        """
+        Take the list of servers.
+
+        :param servers: all that there are, by id.
+        """
+        if servers == self.servers:
+            return
+        self._log_changes(servers)
+        self.servers = dict(servers)
+        self.by_address = {server.address: server for server in servers.values()}
+        for notes in (self.marks, self.held, self.leaving, self.avoided, self.slow):
+            for name in [name for name in notes if name not in servers]:
+                del notes[name]
+        for name in [n for n, mark in self.marks.items() if self._is_past(n, mark)]:
+            del self.marks[name]
+        self.touch()
+
+    def touch(self) -> None:
+        """Note a change that routing depends on."""
+        self.generation += 1
+        self.changed()
+
+    def layers(self, server: Server) -> LayerRange:
+        """
+        Give what a server holds, by the freshest word of it.
+
+        :param server: in the list.
+        :return: its layers.
+        """
+        held = self.held.get(server.id)
+        if held is None or held.born != server.born:
+            return server.layers
+        return held.layers if held.sequence >= server.sequence else server.layers
+
+    def sequence(self, server: Server) -> int:
+        """
+        Give the orders that a server has begun, by the freshest word of it.
+
+        :param server: in the list.
+        :return: the count.
+        """
+        held = self.held.get(server.id)
+        if held is None or held.born != server.born:
+            return server.sequence
+        return max(held.sequence, server.sequence)
+
+    def is_up(self, server: Server) -> bool:
+        """
+        Tell whether a server may be given work.
+
+        :param server: in the list.
+        :return: False if it leaves or does not answer.
+        """
+        if server.state is not ServerState.READY or server.id in self.leaving:
+            return False
+        mark = self.marks.get(server.id)
+        return mark is None or not mark.down
+
+    def is_avoided(self, server: Server) -> bool:
+        """
+        Tell whether a server just refused work.
+
+        :param server: in the list.
+        :return: True for a short time after it did.
+        """
+        return self.avoided.get(server.id, 0.0) > self.clock()
+
+    def avoid(self, server: Server, seconds: float = AVOID_SECONDS) -> None:
+        """
+        Give a server no new work for a short time.
+
+        :param server: one that refused work.
+        :param seconds: for how long.
+        """
+        self.avoided[server.id] = self.clock() + seconds
+        self.touch()
+
+    def mark(self, server: Server, *, down: bool, reason: str) -> None:
+        """
+        Note that a server does not answer, or answers again.
+
+        :param server: in the list.
+        :param down: whether it does not answer.
+        :param reason: what was seen.
+        """
+        mark = Mark(born=server.born, down=down, since=self.clock(), reason=reason)
+        self.take_mark(server.id, mark)
+
+    def take_mark(self, server_id: str, mark: Mark) -> bool:
+        """
+        Take a mark, one's own or a peer's; the newest counts.
+
+        :param server_id: of the server.
+        :param mark: about it.
+        :return: whether it changed anything.
+        """
+        server = self.servers.get(server_id)
+        if server is None or server.born != mark.born:
+            return False
+        known = self.marks.get(server_id)
+        if known is not None and known.since >= mark.since:
+            return False
+        was_down = known is not None and known.down
+        self.marks[server_id] = mark
+        if was_down == mark.down:
+            return False
+        logger.warning(
+            "server {} at {} is {}: {}",
+            server_id,
+            server.address,
+            "down" if mark.down else "up",
+            mark.reason,
+        )
+        self.touch()
+        return True
+
+    def take_held(self, server_id: str, held: Held) -> bool:
+        """
+        Take a report of what a server holds; the one after more orders counts.
+
+        :param server_id: of the server.
+        :param held: what it said.
+        :return: whether it changed anything.
+        """
+        server = self.servers.get(server_id)
+        if server is None or (held.born and held.born != server.born):
+            return False
+        known = self.held.get(server_id)
+        same_life = known is not None and known.born == held.born
+        if same_life and known.sequence > held.sequence:
+            return False
+        if known == held:
+            return False
+        before = self.layers(server)
+        self.held[server_id] = held
+        if self.layers(server) != before:
+            self.touch()
+        return True
+
+    def take_leaving(self, server_id: str, born: int) -> None:
+        """
+        Take a peer's word that a server leaves.
+
+        :param server_id: of the server.
+        :param born: of the life that leaves.
+        """
+        server = self.servers.get(server_id)
+        if server is None or server.born != born or server_id in self.leaving:
+            return
+        self.leaving[server_id] = born
+        self.touch()
+
+    def _is_past(self, server_id: str, mark: Mark) -> bool:
+        return self.servers[server_id].born != mark.born
+
+    def _log_changes(self, servers: dict[str, Server]) -> None:
+        for name, server in servers.items():
+            known = self.servers.get(name)
+            if known is None or known.born != server.born:
+                logger.info(
+                    "server {} of {} joined at {}, holds {}-{}",
+                    name,
+                    server.service,
+                    server.address,
+                    server.layers.start,
+                    server.layers.stop,
+                )
+            elif known.state is not server.state:
+                logger.info("server {} is {}", name, server.state.value)
+        for name in self.servers:
+            if name not in servers:
+                logger.info("server {} is gone", name)
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
@@ -0,0 +1,60 @@
+"""
+Membership.
+
+The platform's list of servers, read through outages of the store.
+"""
+
+import time
+from collections.abc import Callable, Iterable
+
+from kumquatway_gateway.model import Server, ServerState
+
+# An entry that lapsed with the store is written again within two seconds of the
+# store's return (users' platform pages, service discovery).
+RETURN_SECONDS = 2.3
+OUTAGE_SECONDS = 1.5  # without a read after which entries may have lapsed
+
+
+class Membership:
+    """
+    The servers of the list, and those that the store alone has lost.
+
+    While the store is away the last list stands. After its return an entry that
+    is missing is kept for a short time, since its server has yet to write it again.
+
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
+        self.clock = clock
+        self.servers: dict[str, Server] = {}
+        self.last_read = float("-inf")
+        self.grace_until = float("-inf")
+
+    def missed(self) -> None:
+        """Note that the store itself said that it was away."""
+        self.grace_until = max(self.grace_until, self.clock() + RETURN_SECONDS)
+
+    def take(self, listed: Iterable[Server]) -> dict[str, Server]:
+        """
+        Take a whole list.
+
+        :param listed: the servers in it.
+        :return: the servers that there are, by id.
+        """
+        now = self.clock()
+        if now - self.last_read > OUTAGE_SECONDS:
+            self.grace_until = max(self.grace_until, now + RETURN_SECONDS)
+        self.last_read = now
+        found = {server.id: server for server in listed}
+        if now < self.grace_until:
+            self._keep_lapsed(found)
+        self.servers = found
+        return found
+
+    def _keep_lapsed(self, found: dict[str, Server]) -> None:
+        taken = {server.address for server in found.values()}
+        for server in self.servers.values():
+            gone = server.id in found or server.address in taken
+            if not gone and server.state is ServerState.READY:
+                found[server.id] = server
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/model/_request.py
@@ -0,0 +1,54 @@
+"""
+Request.
+
+What a caller asked for, decoded once.
+"""
+
+from dataclasses import dataclass
+
+from kumquatway_gateway.http1 import Headers
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Prompt:
+    """
+    The size of a generation.
+
+    :param tokens: of the prompt.
+    :param max_answer: most tokens of the answer.
+    :param hint: the caller's estimate of the answer's tokens, or 0.
+    """
+
+    tokens: int
+    max_answer: int
+    hint: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """
+    One attempt of a caller.
+
+    :param id: of this attempt, "" if the caller sent none.
+    :param target: path and query, as sent.
+    :param arrived: when its head was read, seconds of the monotonic clock.
+    :param patience: how long the caller will wait, seconds.
+    :param last_event: the last event that the caller has, or "".
+    """
+
+    id: str
+    method: str
+    host: str
+    target: str
+    headers: Headers
+    body: bytes
+    arrived: float
+    patience: float
+    key: str = ""
+    last_event: str = ""
+    prompt: Prompt | None = None
+
+    @property
+    def path(self) -> str:
+        """Give the target without its query."""
+        return self.target.partition("?")[0]
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -0,0 +1,292 @@
+"""
+Gossip.
+
+Datagrams between entries: what each has in progress, and what it saw of servers.
+
+A datagram may be lost or late; each carries the whole of its sender's recent word, so
+the next one makes up for it.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from kumquatway_gateway.chains import Load
+from kumquatway_gateway.fleet import Fleet, Mark
+from kumquatway_gateway.model import Held, LayerRange
+
+PERIOD_SECONDS = 0.25
+FRESH_SECONDS = 1.5  # after which a peer's word on its load no longer counts
+PEER_SECONDS = 8.0  # without a word, after which a peer is no longer counted
+TELL_SECONDS = 6.0  # for which a mark or a report is repeated
+MAX_PEERS = 8  # told in one period, drawn anew each time
+MAX_DATAGRAM = 60_000  # bytes
+
+
+class _Load(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    server: str
+    tokens: int
+    requests: int
+
+
+class _Mark(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    server: str
+    born: int
+    down: bool
+    age: float
+    reason: str
+
+
+class _Held(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    server: str
+    born: int
+    start: int
+    stop: int
+    sequence: int
+    busy: bool
+
+
+class _Leaving(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    server: str
+    born: int
+
+
+class Word(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    What an entry tells its peers.
+
+    :param life: id of the sender's process.
+    :param address: where its peers reach it.
+    :param revision: of the configuration in force there.
+    """
+
+    life: int
+    address: str
+    revision: int
+    loads: tuple[_Load, ...]
+    marks: tuple[_Mark, ...]
+    held: tuple[_Held, ...]
+    leaving: tuple[_Leaving, ...]
+
+
+class _Peer(msgspec.Struct, kw_only=True):
+    life: int
+    heard: float
+    loads: dict[str, Load]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Word)
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """
+    This entry's part of the gossip.
+
+    :param address: of this entry, `host:port`, for datagrams.
+    :param life: id of this process.
+    :param fleet: gives and takes marks and reports.
+    :param own_loads: gives what this entry has in progress, by first server.
+    :param revision: gives the revision in force here.
+    :param newer: called with the address of a peer that has a newer revision.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        life: int,
+        fleet: Fleet,
+        own_loads: Callable[[], dict[str, Load]],
+        revision: Callable[[], int],
+        newer: Callable[[str], None],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.address = address
+        self.life = life
+        self.fleet = fleet
+        self.own_loads = own_loads
+        self.revision = revision
+        self.newer = newer
+        self.clock = clock
+        self.addresses: set[str] = set()
+        self.peers: dict[str, _Peer] = {}
+        self.transport: asyncio.DatagramTransport | None = None
+        self.told: dict[str, float] = {}
+        self._hurry = asyncio.Event()
+
+    async def run(self) -> None:
+        """Tell the peers, often and at each change of a mark, for ever."""
+        host, _, port = self.address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self.transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+        try:
+            while True:
+                self._tell()
+                self._hurry.clear()
+                try:
+                    async with asyncio.timeout(PERIOD_SECONDS):
+                        await self._hurry.wait()
+                except TimeoutError:
+                    continue
+        finally:
+            self.transport.close()
+
+    def hurry(self) -> None:
+        """Tell the peers at once."""
+        self._hurry.set()
+
+    def know(self, addresses: set[str]) -> None:
+        """
+        Take the addresses of all entries.
+
+        :param addresses: `host:port`, this entry's own may be among them.
+        """
+        self.addresses = {one for one in addresses if one != self.address}
+
+    def live(self) -> list[str]:
+        """
+        Give the peers heard lately.
+
+        :return: their addresses.
+        """
+        since = self.clock() - PEER_SECONDS
+        return [name for name, peer in self.peers.items() if peer.heard > since]
+
+    def loads(self) -> dict[str, Load]:
+        """
+        Sum up what peers have in progress.
+
+        :return: loads by id of the first server.
+        """
+        since = self.clock() - FRESH_SECONDS
+        total: dict[str, Load] = {}
+        for peer in self.peers.values():
+            if peer.heard < since:
+                continue
+            for name, load in peer.loads.items():
+                sum_ = total.get(name, Load())
+                total[name] = Load(
+                    tokens=sum_.tokens + load.tokens,
+                    requests=sum_.requests + load.requests,
+                )
+        return total
+
+    # asyncio.DatagramProtocol
+
+    def datagram_received(self, data, sender):
+        """Take a peer's word."""
+        try:
+            word = _decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            logger.warning("a datagram of {} cannot be read: {}", sender, error)
+            return
+        if word.life == self.life:
+            return
+        if word.address not in self.peers:
+            logger.info("peer {} found", word.address)
+        self._take(word)
+
+    def error_received(self, error):
+        """Ignore that a peer's port is closed: it may come back."""
+
+    def _take(self, word: Word) -> None:
+        now = self.clock()
+        loads = {
+            load.server: Load(tokens=load.tokens, requests=load.requests)
+            for load in word.loads
+        }
+        self.addresses.add(word.address)
+        self.peers[word.address] = _Peer(life=word.life, heard=now, loads=loads)
+        for mark in word.marks:
+            self.fleet.take_mark(
+                mark.server,
+                Mark(
+                    born=mark.born,
+                    down=mark.down,
+                    since=now - mark.age,
+                    reason=mark.reason,
+                ),
+            )
+        for held in word.held:
+            layers = LayerRange(start=held.start, stop=held.stop)
+            self.fleet.take_held(
+                held.server,
+                Held(
+                    born=held.born,
+                    layers=layers,
+                    sequence=held.sequence,
+                    busy=held.busy,
+                ),
+            )
+        for leaving in word.leaving:
+            self.fleet.take_leaving(leaving.server, leaving.born)
+        if word.revision > self.revision():
+            self.newer(word.address)
+
+    def _tell(self) -> None:
+        data = _encoder.encode(self._word())
+        if len(data) > MAX_DATAGRAM:
+            logger.warning("a word of {} bytes is too long for peers", len(data))
+            return
+        targets = list(self.addresses)
+        if len(targets) > MAX_PEERS:
+            targets = random.sample(targets, MAX_PEERS)
+        for target in targets:
+            host, _, port = target.rpartition(":")
+            self.transport.sendto(data, (host, int(port)))
+
+    def _word(self) -> Word:
+        now = self.clock()
+        fleet = self.fleet
+        return Word(
+            life=self.life,
+            address=self.address,
+            revision=self.revision(),
+            loads=tuple(
+                _Load(server=name, tokens=int(load.tokens), requests=load.requests)
+                for name, load in self.own_loads().items()
+            ),
+            marks=tuple(
+                _Mark(
+                    server=name,
+                    born=mark.born,
+                    down=mark.down,
+                    age=now - mark.since,
+                    reason=mark.reason[:80],
+                )
+                for name, mark in fleet.marks.items()
+                if now - mark.since < TELL_SECONDS or mark.down
+            ),
+            held=tuple(
+                _Held(
+                    server=name,
+                    born=held.born,
+                    start=held.layers.start,
+                    stop=held.layers.stop,
+                    sequence=held.sequence,
+                    busy=held.busy,
+                )
+                for name, held in self._fresh_held()
+            ),
+            leaving=tuple(
+                _Leaving(server=server.id, born=server.born)
+                for server in fleet.servers.values()
+                if not fleet.is_up(server) and server.state.value == "leaving"
+            ),
+        )
+
+    def _fresh_held(self) -> list[tuple[str, Held]]:
+        """Give the reports that the list does not tell yet."""
+        found = []
+        for name, held in self.fleet.held.items():
+            server = self.fleet.servers.get(name)
+            if server is not None and held.sequence > server.sequence:
+                found.append((name, held))
+        return found
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
@@ -0,0 +1,144 @@
+"""
+Doctor.
+
+Finds out which servers of a chain that fell silent do not answer.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+
+from kumquatway_gateway.chains import Chain
+from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.http1 import FetchFailed, Pool, Unreachable
+from kumquatway_gateway.model import Held, Server
+from kumquatway_gateway.relay._engines import Engines, Report
+
+PROBE_SECONDS = 0.12  # 50 times the way to a server and back
+PROBES = 2  # that must fail, since a packet may be lost
+AGAIN_SECONDS = 0.25  # between two examinations of a chain
+RECHECK_SECONDS = 0.8  # between probes of a server that is down
+
+
+class Doctor:
+    """
+    Examines servers on suspicion, and those that are down from time to time.
+
+    :param fleet: gets the marks.
+    :param engines: asks model servers.
+    :param pool: connects to plain servers.
+    :param is_model: tells whether a server is a model server.
+    """
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        engines: Engines,
+        pool: Pool,
+        is_model: Callable[[Server], bool],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.fleet = fleet
+        self.engines = engines
+        self.pool = pool
+        self.is_model = is_model
+        self.clock = clock
+        self.examined: dict[str, float] = {}
+        self.tasks: set[asyncio.Task] = set()
+        self.probes = 0
+
+    def examine(self, chain: Chain) -> None:
+        """
+        Ask all servers of a chain whether they are there, soon after each other once.
+
+        :param chain: one that fell silent.
+        """
+        key = chain.first.id
+        now = self.clock()
+        if now - self.examined.get(key, float("-inf")) < AGAIN_SECONDS:
+            return
+        self.examined[key] = now
+        self._spawn(self._examine_all([part.server for part in chain.parts]))
+
+    def suspect(self, server: Server) -> None:
+        """
+        Ask one server whether it is there.
+
+        :param server: one that did not answer.
+        """
+        now = self.clock()
+        if now - self.examined.get(server.id, float("-inf")) < AGAIN_SECONDS:
+            return
+        self.examined[server.id] = now
+        self._spawn(self._examine(server))
+
+    async def recheck(self) -> None:
+        """Probe the servers that are down, for ever."""
+        while True:
+            await asyncio.sleep(RECHECK_SECONDS)
+            for name, mark in list(self.fleet.marks.items()):
+                server = self.fleet.servers.get(name)
+                if mark.down and server is not None:
+                    self._spawn(self._revive(server))
+            cutoff = self.clock() - AGAIN_SECONDS
+            for name in [n for n, at in self.examined.items() if at < cutoff]:
+                del self.examined[name]
+
+    async def _examine_all(self, servers: Iterable[Server]) -> None:
+        await asyncio.gather(*(self._examine(server) for server in servers))
+
+    async def _examine(self, server: Server) -> None:
+        failure = ""
+        for _ in range(PROBES):
+            try:
+                await self._probe(server)
+                return
+            except (FetchFailed, Unreachable) as error:
+                failure = str(error)
+        if server.id in self.fleet.servers:
+            self.fleet.mark(server, down=True, reason=failure)
+            self.pool.forget(server.id)
+
+    async def _revive(self, server: Server) -> None:
+        try:
+            await self._probe(server)
+        except (FetchFailed, Unreachable):
+            return
+        self.fleet.mark(server, down=False, reason="it answers again")
+
+    async def _probe(self, server: Server) -> None:
+        self.probes += 1
+        if not self.is_model(server):
+            connection = await self.pool.connect("", server.address, PROBE_SECONDS)
+            connection.abandon()
+            return
+        report = await self.engines.report(server, PROBE_SECONDS)
+        self.note(server, report)
+
+    def note(self, server: Server, report: Report) -> None:
+        """
+        Take a report into what is believed of the fleet.
+
+        :param server: that it came from.
+        :param report: what it says.
+        """
+        held = Held(
+            born=report.born,
+            layers=report.layers,
+            sequence=report.sequence,
+            busy=report.busy,
+        )
+        self.fleet.take_held(server.id, held)
+        if self.fleet.slow.get(server.id, 1.0) != report.pace:
+            self.fleet.slow[server.id] = report.pace
+            self.fleet.touch()
+        for stalled in report.stalled:
+            other = self.fleet.by_address.get(stalled.address)
+            if other is not None and other.id != server.id:
+                self.suspect(other)
+
+    def _spawn(self, work) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/relay/_models.py
@@ -0,0 +1,203 @@
+"""
+Models.
+
+The chains of one model service, what is in progress on them, and who waits.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from kumquatway_gateway.chains import Chain, Holder, Load, choose, find_chains
+from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.model import Engine, Prompt
+from kumquatway_gateway.waiting import Waiter, WaitingRoom
+
+MEMORY = 0.2  # weight of the newest first event in the average
+FORGET_SECONDS = 3.0  # after which a slow first event no longer counts
+
+
+@dataclass(kw_only=True, slots=True, eq=False)
+class Claim:
+    """Room on a chain for one request."""
+
+    chain: Chain
+    waiter: Waiter
+    freed: bool = False
+
+
+class ModelRouter:
+    """
+    Gives requests of a service their chains.
+
+    :param service: its name.
+    :param fleet: the servers.
+    :param home: this entry's data centre.
+    :param elsewhere: gives what other entries have in progress, by first server.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: str,
+        engine: Engine,
+        fleet: Fleet,
+        home: str,
+        elsewhere: Callable[[], dict[str, Load]],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.service = service
+        self.engine = engine
+        self.fleet = fleet
+        self.home = home
+        self.elsewhere = elsewhere
+        self.clock = clock
+        self.own: dict[str, Load] = {}
+        self.first_events: dict[str, tuple[float, float]] = {}
+        self.room: WaitingRoom[Claim] = WaitingRoom(
+            claim=self.claim, undo=self.free, clock=clock
+        )
+        self._chains: tuple[Chain, ...] = ()
+        self._generation = -1
+        self._avoid_until = 0.0
+
+    def chains(self) -> tuple[Chain, ...]:
+        """
+        Give the chains that can serve now.
+
+        :return: those that share no server.
+        """
+        now = self.clock()
+        if self._generation != self.fleet.generation or now > self._avoid_until:
+            self._generation = self.fleet.generation
+            self._chains = find_chains(self.engine, self._holders(now))
+        return self._chains
+
+    def tokens(self, prompt: Prompt | None) -> float:
+        """
+        Estimate the tokens that a request holds in memory.
+
+        :param prompt: its size, if it was told.
+        :return: tokens.
+        """
+        if prompt is None:
+            return self.engine.usual_prompt + self.engine.usual_answer
+        answer = prompt.hint or self.engine.usual_answer
+        return prompt.tokens + min(prompt.max_answer, answer)
+
+    def claim(
+        self, waiter: Waiter, avoid: frozenset[str] = frozenset()
+    ) -> Claim | None:
+        """
+        Reserve room for a request.
+
+        :param waiter: the request.
+        :param avoid: ids of servers that must not take part.
+        :return: the claim, or None where no chain has room.
+        """
+        chain = choose(
+            self.chains(),
+            self.loads(),
+            tokens=waiter.tokens,
+            slots=self.engine.slots,
+            home=self.home,
+            avoid=avoid,
+        )
+        if chain is None:
+            return None
+        self._count(chain.first.id, waiter.tokens, 1)
+        self.room.begin(waiter)
+        return Claim(chain=chain, waiter=waiter)
+
+    def free(self, claim: Claim) -> None:
+        """
+        Give room back.
+
+        :param claim: one that was given; a second time does nothing.
+        """
+        if claim.freed:
+            return
+        claim.freed = True
+        self._count(claim.chain.first.id, -claim.waiter.tokens, -1)
+        self.room.end(claim.waiter)
+
+    def loads(self) -> dict[str, Load]:
+        """
+        Sum up what is in progress over all entries.
+
+        :return: loads by id of the first server.
+        """
+        total = dict(self.own)
+        for name, load in self.elsewhere().items():
+            mine = total.get(name, Load())
+            total[name] = Load(
+                tokens=mine.tokens + load.tokens,
+                requests=mine.requests + load.requests,
+            )
+        now = self.clock()
+        for name, (seconds, at) in self.first_events.items():
+            if now - at < FORGET_SECONDS:
+                load = total.get(name, Load())
+                total[name] = Load(
+                    tokens=load.tokens, requests=load.requests, first_event=seconds
+                )
+        return total
+
+    def note_first_event(self, chain: Chain, seconds: float) -> None:
+        """
+        Note how long a chain took to the first event.
+
+        :param chain: that served.
+        :param seconds: from sending to the first event.
+        """
+        before, _ = self.first_events.get(chain.first.id, (seconds, 0.0))
+        average = before + MEMORY * (seconds - before)
+        self.first_events[chain.first.id] = (average, self.clock())
+
+    def usual_first_event(self, chain: Chain) -> float:
+        """
+        Give the time that a chain lately took to its first event.
+
+        :param chain: that serves.
+        :return: seconds.
+        """
+        found = self.first_events.get(chain.first.id)
+        return found[0] if found else chain.read_seconds
+
+    def expected_return(self) -> float:
+        """
+        Estimate when a refused caller finds room.
+
+        :return: seconds.
+        """
+        if not self.chains():
+            return 1.0 + self.engine.load_seconds / 10
+        return max(0.3, self.room.expected_wait())
+
+    def _count(self, name: str, tokens: float, requests: int) -> None:
+        load = self.own.get(name, Load())
+        left = load.requests + requests
+        if left <= 0:
+            self.own.pop(name, None)
+            return
+        self.own[name] = Load(tokens=max(0.0, load.tokens + tokens), requests=left)
+
+    def _holders(self, now: float) -> list[Holder]:
+        holders = []
+        until = float("inf")
+        for server in self.fleet.servers.values():
+            if server.service != self.service or not self.fleet.is_up(server):
+                continue
+            if self.fleet.is_avoided(server):
+                until = min(until, self.fleet.avoided[server.id])
+                continue
+            holders.append(
+                Holder(
+                    server=server,
+                    layers=self.fleet.layers(server),
+                    slowness=self.fleet.slow.get(server.id, 1.0),
+                )
+            )
+        self._avoid_until = until
+        return holders
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -0,0 +1,254 @@
+"""
+Relay.
+
+Takes each caller's request to its route, and what all requests share.
+"""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from kumquatway_core import Reason, Verdict, not_run
+from kumquatway_core.events import Event, Refused as RefusedEvent, RequestEnded
+from kumquatway_gateway.chains import Load
+from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.http1 import CallerConnection, Incoming, Pool
+from kumquatway_gateway.model import (
+    Account,
+    Configuration,
+    Refused,
+    Request,
+    Route,
+    Service,
+)
+from kumquatway_gateway.relay._answers import answer_verdict
+from kumquatway_gateway.relay._dialect import Dialect, Rejected
+from kumquatway_gateway.relay._doctor import Doctor
+from kumquatway_gateway.relay._job import Job
+from kumquatway_gateway.relay._models import ModelRouter
+from kumquatway_gateway.relay._plain import PlainJob, PlainRouter
+from kumquatway_gateway.relay._streams import StreamJob
+from kumquatway_gateway.waiting import RepeatBudget
+
+WATCH_SECONDS = 0.03  # between looks at the streams in progress
+STALE_SECONDS = 2.5  # without a word of the store, unknown routes are in doubt
+
+
+class Relay:
+    """
+    Serves callers.
+
+    :param dialect: how callers and servers spell requests.
+    :param fleet: the servers.
+    :param pool: connections to servers.
+    :param doctor: examines servers.
+    :param home: this entry's data centre.
+    :param open_budget: makes the repeat budget of a service.
+    :param elsewhere: gives what other entries have in progress.
+    :param emit: takes events for the log and the time line.
+    """
+
+    def __init__(
+        self,
+        *,
+        dialect: Dialect,
+        fleet: Fleet,
+        pool: Pool,
+        doctor: Doctor,
+        home: str,
+        open_budget: Callable[[], RepeatBudget],
+        elsewhere: Callable[[], dict[str, Load]],
+        emit: Callable[[Event], None],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.dialect = dialect
+        self.fleet = fleet
+        self.pool = pool
+        self.doctor = doctor
+        self.home = home
+        self.open_budget = open_budget
+        self.elsewhere = elsewhere
+        self.emit = emit
+        self.clock = clock
+        self.configuration: Configuration | None = None
+        self.confirmed = float("-inf")  # when the configuration was last known newest
+        self.models: dict[str, ModelRouter] = {}
+        self.plains: dict[str, PlainRouter] = {}
+        self.budgets: dict[str, RepeatBudget] = {}
+        self.watched: set[StreamJob] = set()
+
+    def configure(self, configuration: Configuration) -> None:
+        """
+        Take a configuration; routers of services that stay are kept.
+
+        :param configuration: newer than the one before.
+        """
+        self.configuration = configuration
+        for service in configuration.services:
+            if service.engine is not None:
+                router = self.model_router(service)
+                router.engine = service.engine
+        self.fleet.touch()
+
+    def model_router(self, service: Service) -> ModelRouter:
+        """
+        Give the router of a model service.
+
+        :param service: with an engine.
+        :return: the router.
+        """
+        router = self.models.get(service.name)
+        if router is None:
+            router = ModelRouter(
+                service=service.name,
+                engine=service.engine,
+                fleet=self.fleet,
+                home=self.home,
+                elsewhere=self.elsewhere,
+                clock=self.clock,
+            )
+            self.models[service.name] = router
+        return router
+
+    def plain_router(self, service: Service) -> PlainRouter:
+        """
+        Give the router of a plain service.
+
+        :param service: without an engine.
+        :return: the router.
+        """
+        router = self.plains.get(service.name)
+        if router is None:
+            router = PlainRouter(service=service.name, fleet=self.fleet, home=self.home)
+            self.plains[service.name] = router
+        return router
+
+    def budget(self, service: str) -> RepeatBudget:
+        """
+        Give the repeat budget of a service.
+
+        :param service: its name.
+        :return: the budget.
+        """
+        found = self.budgets.get(service)
+        if found is None:
+            found = self.budgets[service] = self.open_budget()
+        return found
+
+    async def watch(self) -> None:
+        """Look for streams that fell silent, and for room, for ever."""
+        while True:
+            await asyncio.sleep(WATCH_SECONDS)
+            now = self.clock()
+            for job in list(self.watched):
+                job.check(now)
+            for router in self.models.values():
+                router.room.wake()
+
+    async def serve(self, caller: CallerConnection, incoming: Incoming) -> None:
+        """
+        Answer one request.
+
+        :param caller: the connection that it came on.
+        :param incoming: the request.
+        """
+        request = self.dialect.decode(incoming)
+        if isinstance(request, Rejected):
+            verdict = not_run(Reason.BAD_REQUEST, request.detail)
+            answer_verdict(caller, [], verdict)
+            return
+        configuration = self.configuration
+        if configuration is None:
+            self._refuse(caller, request, "no configuration is known yet")
+            return
+        route = configuration.route(request.host, request.path)
+        if route is None:
+            self._not_allowed(caller, request, Reason.NOT_FOUND, Refused.NO_ROUTE)
+            return
+        account = configuration.account(route, request.key)
+        if account is Refused.NO_ACCOUNT:
+            self._not_allowed(caller, request, Reason.UNAUTHORIZED, account)
+            return
+        await self._dispatch(caller, request, configuration, route, account)
+
+    async def _dispatch(
+        self,
+        caller: CallerConnection,
+        request: Request,
+        configuration: Configuration,
+        route: Route,
+        account: Account | None,
+    ) -> None:
+        service = configuration.by_service.get(_draw_service(route))
+        if service is None:
+            self._refuse(caller, request, f"route {route.name} has no service")
+            return
+        job = Job(
+            caller=caller,
+            request=request,
+            route=route,
+            service=service,
+            account=account,
+            revision=configuration.revision,
+            deadline=request.arrived + min(route.timeout, request.patience),
+        )
+        self.budget(service.name).request()
+        if service.engine is not None:
+            router = self.model_router(service)
+            await StreamJob(relay=self, router=router, job=job).run()
+        else:
+            plain = self.plain_router(service)
+            await PlainJob(relay=self, router=plain, job=job).run()
+
+    def ended(self, job: Job, verdict: Verdict) -> None:
+        """
+        Log a request that got no answer of a server.
+
+        :param job: the request.
+        :param verdict: what became of it.
+        """
+        self.emit(
+            RequestEnded(
+                request=job.request.id,
+                vm=job.sent[-1] if job.sent else "",
+                detail=f"route {job.route.name}, revision {job.revision}, "
+                f"{job.age() * 1000:.0f} ms, {len(job.sent)} sent: {verdict.detail}",
+                verdict=verdict.header(),
+                status=verdict.status(),
+                reason=verdict.reason.value,
+            )
+        )
+
+    def _not_allowed(
+        self, caller: CallerConnection, request: Request, reason: Reason, why: Refused
+    ) -> None:
+        if self.clock() - self.confirmed > STALE_SECONDS:
+            self._refuse(caller, request, f"{why.value}, but the store is away")
+            return
+        self._answer(caller, request, not_run(reason, why.value))
+
+    def _refuse(self, caller: CallerConnection, request: Request, detail: str) -> None:
+        wait = 0.5 + random.random()
+        verdict = not_run(Reason.NO_UPSTREAM, detail, retry_after=wait)
+        self._answer(caller, request, verdict)
+
+    def _answer(
+        self, caller: CallerConnection, request: Request, verdict: Verdict
+    ) -> None:
+        self.emit(
+            RefusedEvent(
+                request=request.id, reason=verdict.reason.value, detail=verdict.detail
+            )
+        )
+        answer_verdict(caller, self.dialect.own_fields(request), verdict)
+
+
+def _draw_service(route: Route) -> str:
+    if len(route.backends) == 1:
+        return route.backends[0].service
+    names = [backend.service for backend in route.backends]
+    weights = [max(0.0, backend.weight) for backend in route.backends]
+    if not sum(weights):
+        return names[0] if names else ""
+    return random.choices(names, weights)[0]
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -0,0 +1,397 @@
+"""
+Streams.
+
+One request to a model: its chain, its events, and how it outlives a server.
+"""
+
+import asyncio
+import enum
+import time
+from dataclasses import dataclass
+
+from loguru import logger
+
+from kumquatway_core import Reason, Verdict, may_have_run, not_run
+from kumquatway_core.events import StreamRecovered
+from kumquatway_gateway.chains import Chain
+from kumquatway_gateway.http1 import (
+    End,
+    Exchange,
+    ResponseHead,
+    Unreachable,
+    UpstreamConnection,
+)
+from kumquatway_gateway.relay._answers import answer_verdict
+from kumquatway_gateway.relay._dialect import Sending
+from kumquatway_gateway.relay._events import EventRelay
+from kumquatway_gateway.relay._job import Job
+from kumquatway_gateway.relay._models import Claim, ModelRouter
+from kumquatway_gateway.waiting import MAX_WAIT_SECONDS, Waiter, retry_after
+
+QUIET_SECONDS = 0.12  # without an event, before a chain is suspected
+QUIET_PACES = 5.0  # the same in usual gaps of the stream
+FIRST_QUIET_SECONDS = 0.3  # to the first event, before a chain is suspected
+FIRST_QUIET_TIMES = 3.0  # the same in first events of the chain
+DEAD_QUIET_SECONDS = 0.06  # without an event, on a chain with a server that is down
+LONG_QUIET_SECONDS = 0.9  # after which a stream moves though no server is down
+CALLER_PATIENCE_SECONDS = 1.9  # between events, before callers leave
+NOT_RUN_STATUSES = (421, 429, 503, 408)
+
+
+class _Step(enum.Enum):
+    """What an attempt came to."""
+
+    DONE = "done"
+    UNREACHED = "no connection"
+    REFUSED = "refused, not run"
+    FAILED = "failed"
+    STALLED = "stalled"
+    CUT = "cut"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Failure:
+    """An answer of a server that is no success."""
+
+    head: ResponseHead
+    body: bytes
+
+
+class StreamJob:
+    """
+    Serves one request to a model service.
+
+    :param relay: what all requests share.
+    :param router: of the service.
+    :param job: the request.
+    """
+
+    def __init__(self, *, relay, router: ModelRouter, job: Job):
+        self.relay = relay
+        self.router = router
+        self.job = job
+        self.chain: Chain | None = None
+        self.connection: UpstreamConnection | None = None
+        self.exchange: Exchange | None = None
+        self.events = EventRelay(
+            write=job.caller.write_chunk, last=job.request.last_event
+        )
+        self.streaming = False  # the caller has the head of the answer
+        self.relaying = False  # the current server's body is the answer
+        self.sent_at = 0.0
+        self.doubt = False  # a server may have run it
+        self.failure: _Failure | None = None
+        self.failed_at = 0.0
+        self.moves = 0
+        self.avoid: set[str] = set()
+        self.refusals = 0
+
+    async def run(self) -> None:
+        """Serve the request to its end."""
+        job = self.job
+        waiter = Waiter(
+            account=job.account_name,
+            priority=job.priority,
+            tokens=self.router.tokens(job.request.prompt),
+            arrived=job.request.arrived,
+            give_up=min(job.deadline, job.request.arrived + MAX_WAIT_SECONDS),
+        )
+        claim = await self.router.room.enter(waiter)
+        if claim is None:
+            self._refuse("every chain is full" if self.router.chains() else "no chain")
+            return
+        try:
+            async with asyncio.timeout_at(self._loop_deadline()):
+                await self._serve(claim, waiter)
+        except TimeoutError:
+            self._time_out()
+
+    def _loop_deadline(self) -> float:
+        return asyncio.get_running_loop().time() + self.job.seconds_left()
+
+    async def _serve(self, claim: Claim | None, waiter: Waiter) -> None:
+        while claim is not None:
+            try:
+                step = await self._attempt(claim.chain)
+            finally:
+                self._drop_connection()
+                self.router.free(claim)
+            if step is _Step.DONE:
+                return
+            self._note_failure(step, claim.chain)
+            claim = await self._next_claim(step, waiter)
+        self._give_up()
+
+    # one attempt
+
+    async def _attempt(self, chain: Chain) -> _Step:
+        self.chain = chain
+        first = chain.first
+        try:
+            self.connection = await self.relay.pool.connect(first.id, first.address)
+        except Unreachable as error:
+            self.avoid.add(first.id)
+            self.relay.doctor.suspect(first)
+            logger.info("request {}: {}", self.job.request.id, error)
+            return _Step.UNREACHED
+        self._send(chain)
+        self.relay.watched.add(self)
+        try:
+            return await self._follow(chain)
+        finally:
+            self.relay.watched.discard(self)
+
+    def _send(self, chain: Chain) -> None:
+        job = self.job
+        if job.sent:
+            self.events.restart()
+        job.sent.append(chain.first.id)
+        sending = Sending(
+            server=chain.first,
+            account=job.account_name,
+            seconds=job.seconds_left(),
+            chain=chain,
+            last_event=self.events.last.decode("latin-1"),
+            urgent=self.streaming,
+        )
+        request = job.request
+        dialect = self.relay.dialect
+        self.relaying = False
+        self.exchange = Exchange(
+            accepts=lambda status, headers: dialect.accepts(request, status, headers),
+            sink=self._take,
+        )
+        self.sent_at = self.events.heard = time.monotonic()
+        self.connection.send(self.exchange, dialect.encode(request, sending))
+
+    async def _follow(self, chain: Chain) -> _Step:
+        exchange = self.exchange
+        self._error_body: list[bytes] = []
+        head = await exchange.head
+        if isinstance(head, End):
+            return self._ended_early(head)
+        if head.status != 200:
+            return await self._refused(head)
+        if not self.relay.dialect.note(head.status, head.headers).genuine:
+            self.doubt = True
+            self.avoid.add(chain.first.id)
+            return _Step.CUT
+        self._begin(head)
+        end = await exchange.ended
+        if end is not End.COMPLETE:
+            return self._ended_early(end)
+        if self.events.tail:
+            self.job.caller.write_chunk(self.events.tail)
+        self.job.caller.end_stream()
+        return _Step.DONE
+
+    def _begin(self, head: ResponseHead) -> None:
+        self.relaying = True
+        self.doubt = True
+        if not self.streaming:
+            self.streaming = True
+            fields = head.headers.forwardable()
+            self.job.caller.start_stream(head.status, fields, keep=True)
+        waiting, self._error_body = self._error_body, []
+        for data in waiting:
+            self._take(data)
+
+    def _take(self, data: bytes) -> None:
+        """Take a piece of the body; on the path of every event."""
+        if not self.relaying:
+            self._error_body.append(data)
+            return
+        events = self.events
+        first = not events.count
+        events.feed(data)
+        if first and events.count:
+            self.router.note_first_event(self.chain, events.heard - self.sent_at)
+        if self.failed_at and events.count:
+            self._note_recovery()
+
+    def _ended_early(self, end: End) -> _Step:
+        self.doubt = True
+        return _Step.STALLED if end is End.ABANDONED else _Step.CUT
+
+    async def _refused(self, head: ResponseHead) -> _Step:
+        end = await self.exchange.ended
+        note = self.relay.dialect.note(head.status, head.headers)
+        if note.not_run:
+            self._avoid_fault(note.at)
+            return _Step.REFUSED
+        self.doubt = True
+        if end is End.COMPLETE:
+            self.failure = _Failure(head=head, body=b"".join(self._error_body))
+        self.avoid.add(self.chain.first.id)
+        return _Step.FAILED
+
+    def _avoid_fault(self, address: str) -> None:
+        """Keep new work off the server that is at fault for a refusal."""
+        fleet = self.relay.fleet
+        server = fleet.by_address.get(address, self.chain.first)
+        self.refusals += 1
+        self.avoid.add(server.id)
+        fleet.avoid(server)
+        self.relay.doctor.suspect(server)
+        logger.info(
+            "request {}: refused by {}, at fault {}",
+            self.job.request.id,
+            self.chain.first.address,
+            server.address,
+        )
+
+    # silence
+
+    def check(self, now: float) -> None:
+        """
+        Look whether the chain fell silent; called many times a second.
+
+        :param now: monotonic seconds.
+        """
+        quiet = now - self.events.heard
+        if quiet < DEAD_QUIET_SECONDS:
+            return
+        chain = self.chain
+        if any(not self._is_up(part.server) for part in chain.parts):
+            self._leave_chain()
+            return
+        if quiet < self._suspicious_after():
+            return
+        self.relay.doctor.examine(chain)
+        if quiet > LONG_QUIET_SECONDS:
+            self._leave_chain()
+
+    def _is_up(self, server) -> bool:
+        mark = self.relay.fleet.marks.get(server.id)
+        return mark is None or not mark.down
+
+    def _suspicious_after(self) -> float:
+        if self.relaying and self.events.count:
+            return max(QUIET_SECONDS, QUIET_PACES * self.events.pace)
+        usual = self.router.usual_first_event(self.chain)
+        return max(FIRST_QUIET_SECONDS, FIRST_QUIET_TIMES * usual)
+
+    def _leave_chain(self) -> None:
+        """End the attempt, if the request can go on elsewhere."""
+        if not self._may_repeat():
+            return
+        self.connection.abandon()
+
+    # what follows a failed attempt
+
+    def _may_repeat(self) -> bool:
+        job = self.job
+        if self.doubt or self.relaying:
+            if not job.route.idempotent:
+                return False
+        fleet = self.relay.fleet
+        ran = {name for name in job.sent if self._counts(fleet, name)}
+        if len(ran) >= job.route.attempts:
+            return False
+        return self.relay.budget(job.service.name).left() >= 1
+
+    def _counts(self, fleet, name: str) -> bool:
+        server = fleet.servers.get(name)
+        return server is not None and self._is_up(server)
+
+    def _note_failure(self, step: _Step, chain: Chain) -> None:
+        self.moves += 1
+        if self.streaming and not self.failed_at:
+            self.failed_at = time.monotonic()
+        logger.info(
+            "request {}: attempt on {} {} after {} events, {:.0f} ms without one",
+            self.job.request.id,
+            chain.first.address,
+            step.value,
+            self.events.count,
+            (time.monotonic() - self.events.heard) * 1000,
+        )
+        if step in (_Step.STALLED, _Step.CUT):
+            self.avoid |= {
+                p.server.id for p in chain.parts if not self._is_up(p.server)
+            }
+            self.avoid.add(chain.first.id)
+        if step is _Step.CUT:
+            self.relay.doctor.examine(chain)
+
+    async def _next_claim(self, step: _Step, waiter: Waiter) -> Claim | None:
+        if step is not _Step.UNREACHED:
+            if not self._may_go_on(step):
+                return None
+            if not self.relay.budget(self.job.service.name).take():
+                return None
+        claim = self.router.claim(waiter, frozenset(self.avoid))
+        if claim is not None:
+            return claim
+        patience = CALLER_PATIENCE_SECONDS - (time.monotonic() - self.events.heard)
+        again = Waiter(
+            account=waiter.account,
+            priority=-1,
+            tokens=waiter.tokens,
+            arrived=waiter.arrived,
+            give_up=time.monotonic() + min(patience, MAX_WAIT_SECONDS),
+        )
+        return await self.router.room.enter(again)
+
+    def _may_go_on(self, step: _Step) -> bool:
+        if step is _Step.REFUSED:
+            return self.refusals <= self.job.route.attempts
+        return self._may_repeat()
+
+    # final answers
+
+    def _give_up(self) -> None:
+        job = self.job
+        if self.streaming:
+            self.relay.ended(job, may_have_run(Reason.RESET, "the stream broke off"))
+            job.caller.abort()
+            return
+        if self.failure is not None:
+            head = self.failure.head
+            fields = head.headers.forwardable()
+            job.caller.respond(head.status, fields, self.failure.body, keep=True)
+            return
+        if self.doubt:
+            self._answer(may_have_run(Reason.RESET, "no server finished the request"))
+            return
+        self._refuse("the servers of the chain refused")
+
+    def _time_out(self) -> None:
+        if self.streaming:
+            self.relay.ended(self.job, may_have_run(Reason.DEADLINE, "out of time"))
+            self.job.caller.abort()
+            return
+        self._answer(may_have_run(Reason.DEADLINE, "the time of the request is over"))
+
+    def _refuse(self, detail: str) -> None:
+        if self.doubt:
+            self._answer(may_have_run(Reason.RESET, detail))
+            return
+        wait = retry_after(self.router.expected_return())
+        self._answer(not_run(Reason.OVERLOADED, detail, retry_after=wait))
+
+    def _answer(self, verdict: Verdict) -> None:
+        fields = self.relay.dialect.own_fields(self.job.request)
+        self.relay.ended(self.job, verdict)
+        answer_verdict(self.job.caller, fields, verdict)
+
+    def _note_recovery(self) -> None:
+        seconds = time.monotonic() - self.failed_at
+        self.failed_at = 0.0
+        last = self.events.last
+        self.relay.emit(
+            StreamRecovered(
+                request=self.job.request.id,
+                vm=self.chain.first.id,
+                attempt=len(self.job.sent),
+                means="resume",
+                position=int(last) if last.isdigit() else 0,
+                seconds=round(seconds, 3),
+            )
+        )
+
+    def _drop_connection(self) -> None:
+        """Close the connection unless its answer was taken whole."""
+        connection, self.connection = self.connection, None
+        if connection is not None and connection.exchange is self.exchange:
+            connection.abandon()
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_budget.py
@@ -0,0 +1,69 @@
+"""
+Budget.
+
+How many repeats of requests the entries together may send to a service.
+"""
+
+import time
+from collections import deque
+from collections.abc import Callable
+
+SAFETY = 0.8  # of the budget, as the entries count apart
+
+
+class RepeatBudget:
+    """
+    This entry's share of the repeats to one service, over a sliding window.
+
+    :param ratio: repeats for each request.
+    :param slack: repeats beside, shared by all entries.
+    :param window: seconds.
+    :param entries: gives the number of entries that share the budget.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        ratio: float,
+        slack: float,
+        window: float,
+        entries: Callable[[], int],
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.ratio = ratio
+        self.slack = slack
+        self.window = window
+        self.entries = entries
+        self.clock = clock
+        self.requests: deque[float] = deque()
+        self.repeats: deque[float] = deque()
+
+    def request(self) -> None:
+        """Count a first request of a caller."""
+        self.requests.append(self.clock())
+
+    def left(self) -> float:
+        """
+        Compute the repeats that may be sent now.
+
+        :return: their number, may be below one.
+        """
+        since = self.clock() - self.window
+        for times in (self.requests, self.repeats):
+            while times and times[0] < since:
+                times.popleft()
+        shared = self.slack / max(1, self.entries())
+        allowed = SAFETY * (self.ratio * len(self.requests) + shared)
+        return allowed - len(self.repeats)
+
+    def take(self) -> bool:
+        """
+        Draw one repeat.
+
+        :return: False if there is none left.
+        """
+        if self.left() < 1:
+            return False
+        self.repeats.append(self.clock())
+        return True
