Serve streams over whole chains on the users' platform

Cause of the refusals before: an entry's count in the list is of heartbeats, not of orders, and a first layout was planned while few servers were listed, and anew with each order.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -186,7 +186,8 @@
                 continue
             self.failing_since = None
             self.read_at = self.clock()
-            self.fleet.list(self.membership.take(listed))
+            servers = self.membership.take(listed)
+            self.fleet.list(servers, kept_up=self.membership.is_kept_up())
             await asyncio.sleep(SERVERS_PAUSE_SECONDS)
 
     async def _ask_peer(self) -> None:
@@ -200,7 +201,7 @@
         self.read_at = self.clock() - copy.age
         servers = copy.servers()
         self.membership.servers = servers
-        self.fleet.list(servers)
+        self.fleet.list(servers, kept_up=False)
 
 
 async def follow_entries(source: EntrySource, gossip: Gossip, address: str) -> None:
--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -26,7 +26,9 @@
 ORDER_SECONDS = 0.5  # for the answer to an order
 POLL_SECONDS = 0.15  # between reports of a server that loads
 LATE_SECONDS = 3.0  # beyond the expected end of a load, after which it is lost
-SETTLE_SECONDS = 0.4  # after the first server is seen, before the first plan
+# Servers that start together are listed over three seconds (measured on the bench).
+SETTLE_SECONDS = 0.9  # without a new server, before a first layout is planned
+LONGEST_SETTLE_SECONDS = 4.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -72,10 +74,13 @@
         self.spread = spread
         self.clock = clock
         self.pending: dict[str, _Pending] = {}
+        self.intended: dict[str, Move] = {}  # planned, but not yet ordered
         self.tasks: set[asyncio.Task] = set()
         self.orders = 0
         self.held = False
-        self.first_seen: float | None = None
+        self.known: set[str] = set()
+        self.first_join = float("-inf")
+        self.last_join = float("-inf")
         self.refused_numbers: set[int] = set()
 
     async def hold(self) -> None:
@@ -100,24 +105,32 @@
             await asyncio.sleep(PERIOD_SECONDS)
             if not self.held or not self.lease.still_mine(LEASE_MARGIN_SECONDS):
                 continue
-            if not self._settled():
-                continue
+            self._note_joins()
             for router in self.routers():
-                self._place(router)
+                if router.chains() or self._settled():
+                    self._place(router)
+
+    def _note_joins(self) -> None:
+        now = self.clock()
+        names = set(self.fleet.servers)
+        if names - self.known:
+            if now - self.last_join > LONGEST_SETTLE_SECONDS:
+                self.first_join = now
+            self.last_join = now
+        self.known = names
 
     def _settled(self) -> bool:
-        if not self.fleet.servers:
-            return False
-        if self.first_seen is None:
-            self.first_seen = self.clock()
-        return self.clock() - self.first_seen > SETTLE_SECONDS
+        """Tell whether a first layout would be planned for all servers there are."""
+        now = self.clock()
+        quiet = now - self.last_join > SETTLE_SECONDS
+        return quiet or now - self.first_join > LONGEST_SETTLE_SECONDS
 
     async def _look_at_all(self) -> None:
         """Ask what the last holder has ordered that the list does not tell yet."""
         names = {router.service for router in self.routers()}
         servers = [s for s in self.fleet.servers.values() if s.service in names]
-        started = [s for s in servers if s.sequence]
-        await asyncio.gather(*(self._ask(server) for server in started))
+        placed = [server for server in servers if len(self.fleet.layers(server))]
+        await asyncio.gather(*(self._ask(server) for server in placed))
 
     async def _ask(self, server: Server) -> Held | None:
         try:
@@ -131,16 +144,20 @@
     def _place(self, router: ModelRouter) -> None:
         engine = router.engine
         self._forget_lost()
-        slots = self._slots(router)
-        moves = plan(engine, slots)
+        for move in plan(engine, self._slots(router)):
+            self.intended[move.server.id] = move
         busy = sum(1 for name in self.pending if self._is_of(name, router.service))
+        moves = sorted(self.intended.values(), key=lambda move: not move.gap)
         for move in moves:
             if busy >= engine.parallel_loads:
                 return
             if move.server.id in self.pending:
                 continue
+            if not self._is_of(move.server.id, router.service):
+                continue
             if not move.gap and busy:
                 return
+            del self.intended[move.server.id]
             self._order(engine, move)
             busy += 1
 
@@ -153,8 +170,8 @@
         for server in self.fleet.servers.values():
             if server.service != router.service or not self.fleet.is_up(server):
                 continue
-            pending = self.pending.get(server.id)
-            layers = pending.layers if pending else self.fleet.layers(server)
+            coming = self.intended.get(server.id) or self.pending.get(server.id)
+            layers = coming.layers if coming else self.fleet.layers(server)
             slots.append(Slot(server=server, layers=layers))
         return slots
 
@@ -164,6 +181,11 @@
             server = self.fleet.servers.get(name)
             if server is None or server.born != pending.born or now > pending.lost_at:
                 del self.pending[name]
+        for name, move in list(self.intended.items()):
+            server = self.fleet.servers.get(name)
+            same = server is not None and server.born == move.server.born
+            if not same or not self.fleet.is_up(server):
+                del self.intended[name]
 
     def _order(self, engine: Engine, move: Move) -> None:
         server = move.server
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -12,6 +12,8 @@
 
 from kumquatway_gateway.model import Held, LayerRange, Server, ServerState
 
+# The list lags by a heartbeat of 1.2 s and the 0.8 s that the store adds (site files).
+LIST_LAG_SECONDS = 2.2
 AVOID_SECONDS = 0.4  # after a server said that it is full or gives layers up
 
 
@@ -43,19 +45,27 @@
         self.by_address: dict[str, Server] = {}
         self.marks: dict[str, Mark] = {}
         self.held: dict[str, Held] = {}
+        self.sequences: dict[str, tuple[int, int]] = {}
         self.leaving: dict[str, int] = {}
         self.avoided: dict[str, float] = {}
         self.slow: dict[str, float] = {}
+        self.listed_at = float("-inf")  # when the list was last known to be kept up
         self.generation = 0  # rises with each change that routing depends on
         self.changed: Callable[[], None] = lambda: None
 
-    def list(self, servers: dict[str, Server]) -> None:
+    def list(self, servers: dict[str, Server], *, kept_up: bool = True) -> None:
         """
         Take the list of servers.
 
         :param servers: all that there are, by id.
+        :param kept_up: whether the servers could write to it lately.
         """
+        if kept_up:
+            self.listed_at = self.clock()
+        overtaken = self._drop_overtaken()
         if servers == self.servers:
+            if overtaken:
+                self.touch()
             return
         self._log_changes(servers)
         self.servers = dict(servers)
@@ -67,6 +77,17 @@
             del self.marks[name]
         self.touch()
 
+    def _drop_overtaken(self) -> bool:
+        """Drop reports that the list has surely caught up with."""
+        dropped = False
+        for name, held in list(self.held.items()):
+            if self.listed_at - held.at > LIST_LAG_SECONDS:
+                server = self.servers.get(name)
+                dropped = dropped or server is None or server.layers != held.layers
+                self.sequences[name] = (held.born, held.sequence)
+                del self.held[name]
+        return dropped
+
     def touch(self) -> None:
         """Note a change that routing depends on."""
         self.generation += 1
@@ -82,19 +103,20 @@
         held = self.held.get(server.id)
         if held is None or held.born != server.born:
             return server.layers
-        return held.layers if held.sequence >= server.sequence else server.layers
+        return held.layers
 
     def sequence(self, server: Server) -> int:
         """
-        Give the orders that a server has begun, by the freshest word of it.
+        Give the orders that a server has begun, as far as it has said so.
 
         :param server: in the list.
         :return: the count.
         """
         held = self.held.get(server.id)
-        if held is None or held.born != server.born:
-            return server.sequence
-        return max(held.sequence, server.sequence)
+        if held is not None and held.born == server.born:
+            return held.sequence
+        born, sequence = self.sequences.get(server.id, (server.born, 0))
+        return sequence if born == server.born else 0
 
     def is_up(self, server: Server) -> bool:
         """
@@ -179,9 +201,9 @@
             return False
         known = self.held.get(server_id)
         same_life = known is not None and known.born == held.born
-        if same_life and known.sequence > held.sequence:
+        if same_life and (known.sequence, known.at) >= (held.sequence, held.at):
             return False
-        if known == held:
+        if self.listed_at - held.at > LIST_LAG_SECONDS:
             return False
         before = self.layers(server)
         self.held[server_id] = held
--- a/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
@@ -35,6 +35,14 @@
         """Note that the store itself said that it was away."""
         self.grace_until = max(self.grace_until, self.clock() + RETURN_SECONDS)
 
+    def is_kept_up(self) -> bool:
+        """
+        Tell whether the servers could write their entries lately.
+
+        :return: False until some time after an outage.
+        """
+        return self.clock() >= self.grace_until
+
     def take(self, listed: Iterable[Server]) -> dict[str, Server]:
         """
         Take a whole list.
--- a/packages/gateway/src/kumquatway_gateway/model/_configuration.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_configuration.py
@@ -37,7 +37,7 @@
     How the requests below one prefix are served.
 
     :param timeout: longest time that a caller is kept waiting, seconds.
-    :param objective: time to the answer (streams: first event) that is on time, seconds.
+    :param objective: to the answer (streams: first event) that is on time, seconds.
     :param gap_objective: longest pause between events that is on time, seconds.
     :param attempts: the most servers that may be given one request.
     :param priority: 0 is the most urgent.
--- a/packages/gateway/src/kumquatway_gateway/model/_server.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_server.py
@@ -50,7 +50,6 @@
     :param accelerator: the kind, or "" for a plain service.
     :param layers: what it holds, as it last reported.
     :param version: of the weights that it holds.
-    :param sequence: orders that it has begun.
     :param slots: requests that it works on at once, 0 if untold.
     """
 
@@ -63,7 +62,6 @@
     accelerator: str = ""
     layers: LayerRange = NOTHING
     version: int = 0
-    sequence: int = 0
     slots: int = 0
 
 
@@ -72,11 +70,13 @@
     """
     What a server said that it holds, fresher than the list.
 
-    :param sequence: orders begun when it said so.
+    :param sequence: orders that it had begun.
     :param busy: whether an order was in progress.
+    :param at: when it said so, monotonic seconds.
     """
 
     born: int
     layers: LayerRange
     sequence: int
     busy: bool
+    at: float
--- a/packages/gateway/src/kumquatway_gateway/peers/_copies.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_copies.py
@@ -33,7 +33,6 @@
     start: int
     stop: int
     version: int
-    sequence: int
     slots: int
 
 
@@ -154,7 +153,6 @@
         start=server.layers.start,
         stop=server.layers.stop,
         version=server.version,
-        sequence=server.sequence,
         slots=server.slots,
     )
 
@@ -170,7 +168,6 @@
         accelerator=one.accelerator,
         layers=LayerRange(start=one.start, stop=one.stop),
         version=one.version,
-        sequence=one.sequence,
         slots=one.slots,
     )
 
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -48,6 +48,7 @@
     stop: int
     sequence: int
     busy: bool
+    age: float
 
 
 class _Leaving(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -223,6 +224,7 @@
                     layers=layers,
                     sequence=held.sequence,
                     busy=held.busy,
+                    at=now - held.age,
                 ),
             )
         for leaving in word.leaving:
@@ -272,8 +274,9 @@
                     stop=held.layers.stop,
                     sequence=held.sequence,
                     busy=held.busy,
+                    age=now - held.at,
                 )
-                for name, held in self._fresh_held()
+                for name, held in fleet.held.items()
             ),
             leaving=tuple(
                 _Leaving(server=server.id, born=server.born)
@@ -281,12 +284,3 @@
                 if not fleet.is_up(server) and server.state.value == "leaving"
             ),
         )
-
-    def _fresh_held(self) -> list[tuple[str, Held]]:
-        """Give the reports that the list does not tell yet."""
-        found = []
-        for name, held in self.fleet.held.items():
-            server = self.fleet.servers.get(name)
-            if server is not None and held.sequence > server.sequence:
-                found.append((name, held))
-        return found
--- a/packages/gateway/src/kumquatway_gateway/placement/_plan.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_plan.py
@@ -66,8 +66,7 @@
     moves: list[Move] = []
     for pool in _pools(engine, known):
         moves += _plan_pool(engine, pool)
-    moves.sort(key=lambda move: (not move.gap, move.loads))
-    return tuple(moves)
+    return tuple(sorted(moves, key=lambda move: not move.gap))
 
 
 def _pools(engine: Engine, slots: list[Slot]) -> list[list[Slot]]:
@@ -78,10 +77,15 @@
     rest = [s for pool in centres.values() if pool not in whole for s in pool]
     if whole:
         # Leftovers hold nothing that could be a chain of their own.
-        return sorted(whole, key=lambda pool: -_layers(engine, pool, ROOMS[0]))
+        return sorted(whole, key=lambda pool: _missing(engine, pool))
     return [rest] if rest else []
 
 
+def _missing(engine: Engine, pool: list[Slot]) -> int:
+    held = {n for s in pool for n in range(s.layers.start, s.layers.stop)}
+    return engine.layers - len(held)
+
+
 def _fits(engine: Engine, pool: list[Slot]) -> bool:
     return _layers(engine, pool, ROOMS[-1]) >= engine.layers
 
--- a/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
@@ -128,6 +128,7 @@
             layers=report.layers,
             sequence=report.sequence,
             busy=report.busy,
+            at=self.clock(),
         )
         self.fleet.take_held(server.id, held)
         if self.fleet.slow.get(server.id, 1.0) != report.pace:
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -281,9 +281,8 @@
 
     def _may_repeat(self) -> bool:
         job = self.job
-        if self.doubt or self.relaying:
-            if not job.route.idempotent:
-                return False
+        if (self.doubt or self.relaying) and not job.route.idempotent:
+            return False
         fleet = self.relay.fleet
         ran = {name for name in job.sent if self._counts(fleet, name)}
         if len(ran) >= job.route.attempts:
