Plan room as well as gaps, and mend chains while the store is away

Repairs had grown a100s to 19 layers, which leaves room for four requests, and scattered spare servers in loads of one layer; and the lease lapsed with the store for 8 s, so that nothing was mended. Ruled out: too few layers in all (only two servers left).

--- a/packages/core/src/kumquatway_core/leases/_lease.py
+++ b/packages/core/src/kumquatway_core/leases/_lease.py
@@ -103,6 +103,7 @@
         self.number = 0
         self.expires = NEVER
         self.seen: _Seen | None = None
+        self.opposed = False  # another holder was seen since the last hold
 
     async def hold(self) -> bool:
         """
@@ -138,6 +139,20 @@
         """
         return self.number if self.still_mine(margin) else None
 
+    def unopposed_number(self) -> int | None:
+        """
+        Give the last number held, where no other holder was ever seen after it.
+
+        For upstreams that refuse old numbers: while the store is away nobody can take
+        the lease, and one that takes it later has a higher number, so that an order
+        under this one is either the newest or refused.
+
+        :return: the number, or None where another holder is known.
+        """
+        if not self.number or self.opposed:
+            return None
+        return self.number
+
     async def release(self) -> bool:
         """
         Give the lease up, once every order has been answered.
@@ -145,6 +160,7 @@
         :return: whether the table says so; if not, it lapses.
         """
         self.expires = NEVER
+        self.opposed = True
         try:
             row = await self._read()
             found = _decode(row)
@@ -178,9 +194,11 @@
         self.number = number
         self.expires = asked + self.duration
         self.seen = None
+        self.opposed = False
 
     def _lose(self) -> None:
         self.expires = NEVER
+        self.opposed = True
 
     def _has_waited_out(self, revision: int, found: LeaseRow) -> bool:
         """Tell whether the holder's time and its last order are surely over."""
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -55,6 +55,7 @@
     :param repeat_slack: repeats beside, over all entries.
     :param repeat_window: over which repeats are counted, seconds.
     :param least_entries: entries that there are at least.
+    :param fenced: whether servers refuse orders under old fencing numbers.
     :param grace: from SIGTERM to the end, seconds.
     """
 
@@ -69,6 +70,7 @@
     repeat_window: float = 10.0
     least_entries: int = 3
     grace: float = 8.0
+    fenced: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -164,6 +166,7 @@
             doctor=self.doctor,
             routers=self._routers,
             spread=self.gossip.hurry,
+            fenced=settings.fenced,
             clock=clock,
         )
         self.copy_server = CopyServer(
--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -18,12 +18,13 @@
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.http1 import FetchFailed
 from kumquatway_gateway.model import Engine, Held, LayerRange, Server
-from kumquatway_gateway.placement import Move, Slot, plan
+from kumquatway_gateway.placement import Aim, Move, Slot, plan
 from kumquatway_gateway.relay import Doctor, Engines, ModelRouter, OrderOutcome
 
 PERIOD_SECONDS = 0.1  # between looks at the fleet
 LEASE_MARGIN_SECONDS = 0.3  # that the lease must hold after an order is sent
 ORDER_SECONDS = 0.5  # for the answer to an order
+ORDER_TRIES = 4  # of an order that is not answered
 POLL_SECONDS = 0.15  # between reports of a server that loads
 LATE_SECONDS = 3.0  # beyond the expected end of a load, after which it is lost
 # Servers that start together are listed over three seconds (measured on the bench).
@@ -52,6 +53,7 @@
     :param fleet: the servers.
     :param doctor: takes the reports.
     :param routers: gives the routers of the model services.
+    :param fenced: whether servers refuse orders under old numbers.
     :param spread: called when something that peers should know has changed.
     """
 
@@ -64,6 +66,7 @@
         doctor: Doctor,
         routers: Callable[[], list[ModelRouter]],
         spread: Callable[[], None],
+        fenced: bool,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.lease = lease
@@ -72,6 +75,7 @@
         self.doctor = doctor
         self.routers = routers
         self.spread = spread
+        self.fenced = fenced
         self.clock = clock
         self.pending: dict[str, _Pending] = {}
         self.intended: dict[str, Move] = {}  # planned, but not yet ordered
@@ -103,13 +107,25 @@
         """Plan and order, for ever."""
         while True:
             await asyncio.sleep(PERIOD_SECONDS)
-            if not self.held or not self.lease.still_mine(LEASE_MARGIN_SECONDS):
+            if self._number() is None:
                 continue
             self._note_joins()
             for router in self.routers():
                 if router.chains() or self._settled():
                     self._place(router)
 
+    def _number(self) -> int | None:
+        """
+        Give the fencing number to order under, read just before each order.
+
+        Where servers refuse old numbers the last holder goes on while the store is
+        away: an outage of the store must not keep a broken chain from being mended.
+        """
+        number = self.lease.number_to_act(LEASE_MARGIN_SECONDS)
+        if number is None and self.fenced:
+            number = self.lease.unopposed_number()
+        return None if number in self.refused_numbers else number
+
     def _note_joins(self) -> None:
         now = self.clock()
         names = set(self.fleet.servers)
@@ -147,7 +163,7 @@
         for move in plan(engine, self._slots(router)):
             self.intended[move.server.id] = move
         busy = sum(1 for name in self.pending if self._is_of(name, router.service))
-        moves = sorted(self.intended.values(), key=lambda move: not move.gap)
+        moves = sorted(self.intended.values(), key=lambda move: move.aim)
         for move in moves:
             if busy >= engine.parallel_loads:
                 return
@@ -155,7 +171,7 @@
                 continue
             if not self._is_of(move.server.id, router.service):
                 continue
-            if not move.gap and busy:
+            if move.aim is not Aim.GAP and busy:
                 return
             del self.intended[move.server.id]
             self._order(engine, move)
@@ -206,14 +222,11 @@
 
     async def _carry_out(self, server: Server) -> None:
         pending = self.pending[server.id]
-        number = self.lease.number_to_act(LEASE_MARGIN_SECONDS)
-        if number is None or number in self.refused_numbers:
+        number = self._number()
+        if number is None:
             self.pending.pop(server.id, None)
             return
-        self.orders += 1
-        outcome = await self.engines.place(
-            server, pending.layers, fence=number, sequence=pending.sequence
-        )
+        outcome = await self._send(server, pending, number)
         logger.info(
             "order to {} at {}: hold {}-{} (+{}), fencing number {}, sequence {}: {}",
             server.id,
@@ -227,9 +240,10 @@
         )
         if outcome is OrderOutcome.FENCED:
             self.refused_numbers.add(number)
-            self.lease.expires = float("-inf")
             self.pending.pop(server.id, None)
             return
+        if outcome is OrderOutcome.BEGUN and not pending.loads:
+            self._shrink_at_once(server, pending)
         if outcome in (OrderOutcome.MISFIT, OrderOutcome.OTHER):
             await self._ask(server)
             await asyncio.sleep(POLL_SECONDS)
@@ -237,6 +251,39 @@
             return
         await self._await_load(server, pending)
 
+    def _shrink_at_once(self, server: Server, pending: _Pending) -> None:
+        """Keep new work off layers that are being given up."""
+        held = Held(
+            born=pending.born,
+            layers=pending.layers,
+            sequence=pending.sequence + 1,
+            busy=True,
+            at=self.clock(),
+        )
+        self.fleet.take_held(server.id, held)
+        self.spread()
+
+    async def _send(
+        self, server: Server, pending: _Pending, number: int
+    ) -> OrderOutcome:
+        """
+        Give an order, again if it was not answered.
+
+        A copy that is carried out late names a count of orders that has passed by
+        then, so that the server refuses it.
+        """
+        for _ in range(ORDER_TRIES):
+            self.orders += 1
+            outcome = await self.engines.place(
+                server, pending.layers, fence=number, sequence=pending.sequence
+            )
+            if outcome is not OrderOutcome.UNKNOWN or not self.fleet.is_up(server):
+                return outcome
+            held = await self._ask(server)
+            if held is None or held.sequence > pending.sequence:
+                return outcome
+        return outcome
+
     async def _await_load(self, server: Server, pending: _Pending) -> None:
         """Ask until the layers are there, so that routing uses them at once."""
         await asyncio.sleep(max(0.0, pending.due - self.clock()))
