Let a removed entry count at once, and refuse streams late in a graceful end

Only an outage of a second or more now gives lapsed entries their grace; 2.8 s after SIGTERM an entry refuses streams, not run.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -36,7 +36,7 @@
 
 LEASE_SECONDS = 3.0  # after which another entry takes over the placement
 SWEEP_SECONDS = 1.0  # between looks at idle connections
-OUT_OF_ROTATION_SECONDS = 2.5  # two missed questions of the balancer, and some
+OUT_OF_ROTATION_SECONDS = 2.8  # two missed questions of the balancer, and some
 LAST_SECONDS = 0.7  # of the grace, kept for the end of the process
 READY_PATH = "/ready"
 
@@ -238,6 +238,7 @@
         end = begun + self.settings.grace - LAST_SECONDS
         self.callers.drain()
         await asyncio.sleep(OUT_OF_ROTATION_SECONDS)
+        self.relay.closing = True
         while self.callers.busy and self.clock() < end:
             await asyncio.sleep(0.05)
         self.callers.close()
--- a/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
@@ -12,7 +12,7 @@
 # An entry that lapsed with the store is written again within two seconds of the
 # store's return (users' platform pages, service discovery).
 RETURN_SECONDS = 2.3
-OUTAGE_SECONDS = 1.5  # without a read after which entries may have lapsed
+OUTAGE_SECONDS = 1.0  # of an outage, from which on entries may have lapsed
 
 
 class Membership:
@@ -28,12 +28,13 @@
     def __init__(self, *, clock: Callable[[], float] = time.monotonic):
         self.clock = clock
         self.servers: dict[str, Server] = {}
-        self.last_read = float("-inf")
+        self.away_since: float | None = None
         self.grace_until = float("-inf")
 
     def missed(self) -> None:
-        """Note that the store itself said that it was away."""
-        self.grace_until = max(self.grace_until, self.clock() + RETURN_SECONDS)
+        """Note that the store did not answer."""
+        if self.away_since is None:
+            self.away_since = self.clock()
 
     def is_kept_up(self) -> bool:
         """
@@ -51,9 +52,9 @@
         :return: the servers that there are, by id.
         """
         now = self.clock()
-        if now - self.last_read > OUTAGE_SECONDS:
-            self.grace_until = max(self.grace_until, now + RETURN_SECONDS)
-        self.last_read = now
+        if self.away_since is not None and now - self.away_since > OUTAGE_SECONDS:
+            self.grace_until = now + RETURN_SECONDS
+        self.away_since = None
         found = {server.id: server for server in listed}
         if now < self.grace_until:
             self._keep_lapsed(found)
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -77,6 +77,7 @@
         self.plains: dict[str, PlainRouter] = {}
         self.budgets: dict[str, RepeatBudget] = {}
         self.watched: set[StreamJob] = set()
+        self.closing = False  # too late to begin what takes seconds
 
     def configure(self, configuration: Configuration) -> None:
         """
@@ -193,6 +194,10 @@
             revision=configuration.revision,
             deadline=request.arrived + min(route.timeout, request.patience),
         )
+        if service.engine is not None and self.closing:
+            verdict = not_run(Reason.SHUTTING_DOWN, "this entry ends", retry_after=0.3)
+            self._answer(caller, request, verdict)
+            return
         self.budget(service.name).request()
         if service.engine is not None:
             router = self.model_router(service)
