Test the plan of layers and what is believed of servers; lay a chain out anew where its gap cannot be mended

Found by the tests: after the loss of three servers of one data centre the gap could not be filled without moving others, and the chain stayed broken. A chain that is broken anyway is now laid out anew over the servers that are left.

--- a/packages/gateway/src/kumquatway_gateway/placement/_plan.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_plan.py
@@ -12,13 +12,14 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from kumquatway_gateway.chains import layers_within
+from kumquatway_gateway.chains import layers_within, room_tokens
 from kumquatway_gateway.model import Accelerator, Engine, LayerRange, Server
 
 # Room for requests that a plan tries to leave, tokens, in turn. The first is all that
 # an engine takes (site files), the last one holds about four usual requests.
 ROOMS = (50_000, 45_000, 40_000, 35_000, 30_000, 25_000, 20_000, 15_000, 10_000, 4_300)
 RELIEVE_BELOW = 40_000  # tokens of room, below which a server gets relief
+POOR_ROOM = 9_000  # tokens, below which a broken chain is laid out anew
 # Layers in one load of a repair: with fewer, servers end up in crumbs; with more, a
 # chain is broken for longer than a second (14 s for 80 layers, site files).
 LOAD_LAYERS = 6
@@ -121,6 +122,7 @@
 
     def __init__(self, engine: Engine, members: list[Slot]):
         self.engine = engine
+        self.members = members
         self.slots = {slot.server.id: slot for slot in members}
         self.moves: dict[str, Move] = {}
 
@@ -129,9 +131,12 @@
         while (gap := self._first_gap()) is not None:
             filled = self._fill(gap)
             if not filled:
+                self._rebuild()
                 return list(self.moves.values())
             for move in filled:
                 self._apply(move)
+        if self.moves and self._worst_room() < POOR_ROOM:
+            self._rebuild()
         if not self.moves:
             self._shrink()
         self._relieve()
@@ -243,6 +248,54 @@
             need -= counts[index]
         return counts
 
+    # a chain that is broken and cannot be mended well
+
+    def _worst_room(self) -> float:
+        """Give the least room for requests of a server that holds layers."""
+        return min(self._room(s.server, s.layers) for s in self.slots.values())
+
+    def _room(self, server: Server, layers: LayerRange) -> float:
+        if not len(layers):
+            return self.engine.max_tokens
+        kind = self.engine.accelerator(server.accelerator)
+        return room_tokens(self.engine, kind, len(layers), len(layers))
+
+    def _rebuild(self) -> None:
+        """
+        Lay the whole pool out anew, in the order that its servers stand in.
+
+        Only for a chain that is broken now: nothing that runs is lost by it. What a
+        server keeps of its layers it need not load.
+        """
+        before = {slot.server.id: slot.layers for slot in self.members}
+        order = sorted(
+            self.members, key=lambda slot: (not len(slot.layers), slot.layers)
+        )
+        for room in ROOMS:
+            most = [self._most(slot, room) for slot in order]
+            if sum(most) >= self.engine.layers:
+                break
+        else:
+            return
+        self.moves.clear()
+        position = 0
+        for slot, count in zip(order, most, strict=True):
+            stop = min(self.engine.layers, position + count)
+            layers = LayerRange(start=position, stop=stop)
+            position = stop
+            held = before[slot.server.id]
+            if not len(layers) or layers == held:
+                continue
+            kept = max(0, min(stop, held.stop) - max(layers.start, held.start))
+            self._apply(
+                Move(
+                    server=slot.server,
+                    layers=layers,
+                    loads=len(layers) - kept,
+                    aim=Aim.GAP,
+                )
+            )
+
     # room
 
     def _shrink(self) -> None:
--- /dev/null
+++ b/packages/gateway/tests/test_membership.py
@@ -0,0 +1,125 @@
+"""Tests of the list of servers through outages of the store."""
+
+from kumquatway_gateway.fleet import RETURN_SECONDS, Fleet, Mark, Membership
+from kumquatway_gateway.model import Held, LayerRange, Server, ServerState
+
+
+class _Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def _server(name: str, **fields) -> Server:
+    defaults = {"service": "model", "address": f"{name}:1", "data_centre": "a"}
+    return Server(id=name, **{**defaults, **fields})
+
+
+class TestMembership:
+    """The list of servers."""
+
+    def setup_method(self):
+        self.clock = _Clock()
+        self.members = Membership(clock=self.clock)
+        self.members.take([_server("one"), _server("two")])
+
+    def test_a_removed_entry_is_gone_at_once_however_long_the_list_was_quiet(self):
+        self.clock.now += 1.9
+        assert set(self.members.take([_server("one")])) == {"one"}
+
+    def test_a_failed_call_alone_is_no_outage(self):
+        self.members.missed()
+        self.clock.now += 0.3
+        assert set(self.members.take([_server("one")])) == {"one"}
+
+    def test_entries_that_lapse_with_the_store_get_time_to_return(self):
+        self.members.missed()
+        self.clock.now += 4.0
+        assert set(self.members.take([])) == {"one", "two"}
+        assert not self.members.is_kept_up()
+        self.clock.now += RETURN_SECONDS + 0.1
+        assert self.members.take([_server("one")]).keys() == {"one"}
+        assert self.members.is_kept_up()
+
+    def test_a_leaving_server_gets_no_time(self):
+        self.members.take([_server("one", state=ServerState.LEAVING)])
+        self.members.missed()
+        self.clock.now += 4.0
+        assert self.members.take([]) == {}
+
+    def test_a_reused_address_ends_the_server_that_had_it(self):
+        self.members.missed()
+        self.clock.now += 4.0
+        found = self.members.take([_server("three", address="one:1")])
+        assert set(found) == {"two", "three"}
+
+
+class TestFleet:
+    """What an entry believes of servers."""
+
+    def setup_method(self):
+        self.clock = _Clock()
+        self.fleet = Fleet(clock=self.clock)
+        self.one = _server("one", born=7, layers=LayerRange(start=0, stop=4))
+        self.fleet.list({"one": self.one})
+
+    def _held(self, start: int, stop: int, sequence: int, born: int = 7) -> Held:
+        return Held(
+            born=born,
+            layers=LayerRange(start=start, stop=stop),
+            sequence=sequence,
+            busy=False,
+            at=self.clock.now,
+        )
+
+    def test_a_report_is_fresher_than_the_list(self):
+        assert self.fleet.take_held("one", self._held(0, 8, 1))
+        assert self.fleet.layers(self.one) == LayerRange(start=0, stop=8)
+        assert self.fleet.sequence(self.one) == 1
+
+    def test_the_list_catches_up_with_an_old_report(self):
+        self.fleet.take_held("one", self._held(0, 8, 1))
+        self.clock.now += 3.0
+        self.fleet.list({"one": self.one})
+        assert self.fleet.layers(self.one) == LayerRange(start=0, stop=4)
+        assert self.fleet.sequence(self.one) == 1
+
+    def test_a_list_of_before_an_outage_does_not_catch_up(self):
+        self.fleet.take_held("one", self._held(0, 8, 1))
+        self.clock.now += 3.0
+        self.fleet.list({"one": self.one}, kept_up=False)
+        assert self.fleet.layers(self.one) == LayerRange(start=0, stop=8)
+
+    def test_a_report_of_another_life_counts_for_nothing(self):
+        assert not self.fleet.take_held("one", self._held(0, 8, 1, born=8))
+        assert self.fleet.layers(self.one) == LayerRange(start=0, stop=4)
+
+    def test_fewer_orders_are_an_older_report(self):
+        self.fleet.take_held("one", self._held(0, 8, 2))
+        self.clock.now += 0.1
+        assert not self.fleet.take_held("one", self._held(0, 6, 1))
+
+    def test_the_newest_mark_counts(self):
+        now = self.clock.now
+        down = Mark(born=7, down=True, since=now, reason="silent")
+        late = Mark(born=7, down=False, since=now - 1, reason="answered")
+        assert self.fleet.take_mark("one", down)
+        assert not self.fleet.take_mark("one", late)
+        assert not self.fleet.is_up(self.one)
+
+    def test_a_mark_ends_with_the_life_it_is_about(self):
+        self.fleet.mark(self.one, down=True, reason="silent")
+        again = _server("one", born=9)
+        self.fleet.list({"one": again})
+        assert self.fleet.is_up(again)
+        old = Mark(born=7, down=True, since=self.clock.now + 1, reason="late word")
+        assert not self.fleet.take_mark("one", old)
+
+    def test_each_change_of_what_routing_uses_is_counted(self):
+        before = self.fleet.generation
+        self.fleet.take_held("one", self._held(0, 4, 1))
+        assert self.fleet.generation == before
+        self.fleet.take_held("one", self._held(0, 8, 2))
+        assert self.fleet.generation == before + 1
--- /dev/null
+++ b/packages/gateway/tests/test_plan.py
@@ -0,0 +1,195 @@
+"""Tests of the plan of layers: losses, returns and room."""
+
+import random
+
+import pytest
+from engines import ENGINE, FLEET, server, servers, span
+
+from kumquatway_gateway.chains import Holder, find_chains, layers_within, room_tokens
+from kumquatway_gateway.model import NOTHING, LayerRange, Server
+from kumquatway_gateway.placement import Aim, Slot, plan
+
+
+class _Servers:
+    """Servers that carry out every move at once."""
+
+    def __init__(self, members: list[Server]):
+        self.held: dict[str, tuple[Server, LayerRange]] = {
+            one.id: (one, NOTHING) for one in members
+        }
+        self.loaded = 0
+
+    def slots(self) -> list[Slot]:
+        return [Slot(server=one, layers=layers) for one, layers in self.held.values()]
+
+    def settle(self) -> None:
+        for _ in range(20):
+            moves = plan(ENGINE, self.slots())
+            if not moves:
+                return
+            for move in moves:
+                self.held[move.server.id] = (move.server, move.layers)
+                self.loaded += move.loads
+        raise AssertionError("the plan never comes to rest")
+
+    def lose(self, name: str) -> None:
+        del self.held[name]
+
+    def chains(self):
+        holders = [
+            Holder(server=one, layers=layers) for one, layers in self.held.values()
+        ]
+        return find_chains(ENGINE, holders)
+
+    def within(self) -> list[str]:
+        """Name the data centres with a chain of their own."""
+        return sorted(c.data_centre for c in self.chains() if not c.crossings)
+
+
+def _room(held: tuple[Server, LayerRange]) -> float:
+    one, layers = held
+    kind = ENGINE.accelerator(one.accelerator)
+    return room_tokens(ENGINE, kind, len(layers), len(layers))
+
+
+class TestFirstLayout:
+    """Servers that are all empty."""
+
+    def setup_method(self):
+        self.fleet = _Servers(servers())
+        self.fleet.settle()
+
+    def test_each_data_centre_has_a_chain_with_full_room(self):
+        assert self.fleet.within() == ["a", "b", "c"]
+        for chain in self.fleet.chains():
+            if not chain.crossings:
+                assert chain.tokens == ENGINE.max_tokens
+
+    def test_no_server_holds_more_than_fits(self):
+        for one, layers in self.fleet.held.values():
+            kind = ENGINE.accelerator(one.accelerator)
+            assert len(layers) * ENGINE.layer_megabytes <= kind.megabytes
+
+    def test_a_whole_chain_is_loaded_before_the_next(self):
+        moves = plan(ENGINE, _Servers(servers()).slots())
+        gaps = [move.server.data_centre for move in moves if move.aim is Aim.GAP]
+        assert gaps == sorted(gaps, key=gaps.index)
+        first = [m for m in moves if m.server.data_centre == gaps[0]]
+        assert sum(m.loads for m in first if m.aim is Aim.GAP) == ENGINE.layers
+
+    def test_spare_servers_hold_what_one_server_alone_holds(self):
+        doubles = [
+            m for m in plan(ENGINE, _Servers(servers()).slots()) if m.aim is Aim.DOUBLE
+        ]
+        assert doubles
+
+
+class TestLosses:
+    """Load pattern: capacity goes in an instant while the rest is in use."""
+
+    def setup_method(self):
+        self.fleet = _Servers(servers())
+        self.fleet.settle()
+        self.fleet.loaded = 0
+
+    @pytest.mark.parametrize("name", [one.id for one in servers()])
+    def test_any_one_server(self, name):
+        _, lost = self.fleet.held[name]
+        self.fleet.lose(name)
+        moves = plan(ENGINE, self.fleet.slots())
+        assert sum(move.loads for move in moves) <= len(lost)
+        self.fleet.settle()
+        assert self.fleet.within() == ["a", "b", "c"]
+        for chain in self.fleet.chains():
+            assert chain.crossings or chain.tokens >= 20_000
+
+    def test_the_loads_of_a_repair_are_short_but_no_crumbs(self):
+        self.fleet.lose("b-big-0")
+        gaps = [m for m in plan(ENGINE, self.fleet.slots()) if m.aim is Aim.GAP]
+        assert all(move.loads <= 8 for move in gaps)
+        assert len(gaps) <= 4
+
+    @pytest.mark.parametrize("seed", range(8))
+    def test_three_in_turn_leave_every_chain_room(self, seed):
+        chance = random.Random(seed)
+        lost = chance.sample(sorted(self.fleet.held), 3)
+        for name in lost:
+            self.fleet.lose(name)
+            self.fleet.settle()
+        assert self.fleet.within() == ["a", "b", "c"]
+        for chain in self.fleet.chains():
+            assert chain.crossings or chain.tokens >= 9_000
+
+    @pytest.mark.parametrize("seed", range(8))
+    def test_what_comes_back_empty_makes_room_again(self, seed):
+        chance = random.Random(seed)
+        lost = chance.sample(sorted(self.fleet.held), 6)
+        for name in lost:
+            one, _ = self.fleet.held[name]
+            self.fleet.lose(name)
+            self.fleet.settle()
+            self.fleet.held[name] = (one, NOTHING)
+            self.fleet.settle()
+        for chain in self.fleet.chains():
+            assert chain.crossings or chain.tokens >= 30_000
+
+    def test_what_serves_is_never_given_up(self):
+        for name in ("a-small-0", "a-middle-1", "a-small-2"):
+            before = dict(self.fleet.held)
+            self.fleet.lose(name)
+            for move in plan(ENGINE, self.fleet.slots()):
+                if move.aim is not Aim.GAP:
+                    continue
+                _, held = before[move.server.id]
+                others = [
+                    r for n, (_, r) in before.items() if n not in (name, move.server.id)
+                ]
+                kept = move.layers
+                for layer in range(held.start, held.stop):
+                    covered = any(r.covers(layer, layer + 1) for r in others)
+                    assert covered or kept.covers(layer, layer + 1)
+            self.fleet.settle()
+
+
+class TestRoom:
+    """Room for requests."""
+
+    def test_a_crowded_server_is_relieved_by_an_empty_one(self):
+        crowded = server("x", "a", "big")
+        rest = [server(f"s{n}", "a", "middle") for n in range(7)]
+        fleet = _Servers([crowded, *rest, server("new", "a", "small")])
+        fleet.held["x"] = (crowded, span(0, 19))
+        position = 19
+        for one in rest:
+            stop = min(80, position + 9)
+            fleet.held[one.id] = (one, span(position, stop))
+            position = stop
+        fleet.settle()
+        assert _room(fleet.held["x"]) >= 40_000
+        assert fleet.within() == ["a"]
+
+    def test_layers_and_room_agree(self):
+        for kind in ENGINE.accelerators:
+            for room in (4_300, 20_000, 50_000):
+                most = layers_within(ENGINE, kind, room)
+                assert room_tokens(ENGINE, kind, most, most) >= room
+
+
+class TestPools:
+    """Which servers are planned together."""
+
+    def test_a_data_centre_too_small_for_the_model_is_left_out(self):
+        fleet = _Servers(servers({"a": FLEET["a"], "z": {"small": 2}}))
+        fleet.settle()
+        assert fleet.within() == ["a"]
+
+    def test_where_none_is_large_enough_all_serve_together(self):
+        small = {"a": {"big": 2}, "b": {"big": 2}, "c": {"middle": 2}}
+        fleet = _Servers(servers(small))
+        fleet.settle()
+        assert len(fleet.chains()) == 1
+
+    def test_unknown_accelerators_get_nothing(self):
+        assert (
+            plan(ENGINE, [Slot(server=server("x", "a", "odd"), layers=NOTHING)]) == ()
+        )
