--- /dev/null
+++ b/tests/platform/standins.py
@@ -0,0 +1,317 @@
+"""Small stand-ins of the platform's store, a model server and a plain service."""
+
+import asyncio
+import base64
+import json
+import socket
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+from kumquatway_gateway.http1 import CallerConnection, Incoming, Listener
+from kumquatway_gateway.model import Limits
+
+JSON = (b"Content-Type", b"application/json")
+STAMP = (b"Kumquatway-Server-Stamp", b"signed")
+EVENTS = 12  # of a stream
+
+
+def free_address() -> str:
+    """Find a free port on loopback."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+class _Server:
+    """Something that listens on loopback."""
+
+    def __init__(self):
+        self.address = free_address()
+        self.listener = Listener(bounds=Limits, serve=self.serve)
+        self.requests: list[Incoming] = []
+
+    async def start(self) -> None:
+        await self.listener.start(self.address)
+
+    async def stop(self) -> None:
+        self.listener.close()
+        for connection in list(self.listener.connections):
+            connection.abort()
+
+    async def serve(self, caller: CallerConnection, incoming: Incoming) -> None:
+        raise NotImplementedError
+
+
+def answer(caller: CallerConnection, status: int, body: object, *fields) -> None:
+    """Answer with JSON."""
+    caller.respond(status, [JSON, *fields], json.dumps(body).encode(), keep=True)
+
+
+class Store(_Server):
+    """The platform's store, with faults to switch on."""
+
+    def __init__(self):
+        super().__init__()
+        self.tables: dict[str, dict[str, dict]] = {}
+        self.changes: list[dict] = []
+        self.version = 0
+        self.down = False
+        self.forgotten = 0
+        self.lose_answers = 0
+        self.changed = asyncio.Event()
+
+    def put(self, table: str, key: str, data: bytes) -> None:
+        self.version += 1
+        row = {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "ver": self.version,
+        }
+        self.tables.setdefault(table, {})[key] = row
+        self._note(row)
+
+    def remove(self, table: str, key: str) -> None:
+        self.version += 1
+        if self.tables.get(table, {}).pop(key, None):
+            gone = {"table": table, "part": "", "key": key, "tombstone": True}
+            self._note({**gone, "ver": self.version})
+
+    def forget(self) -> None:
+        """Discard the history."""
+        self.changes.clear()
+        self.forgotten = self.version
+        self.changed.set()
+
+    def _note(self, row: dict) -> None:
+        self.changes.append(row)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, caller: CallerConnection, incoming: Incoming) -> None:
+        self.requests.append(incoming)
+        if self.down:
+            answer(caller, 503, {})
+            return
+        url = urlsplit(incoming.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        if url.path == "/rows-get":
+            self._get(caller, query)
+        elif url.path == "/rows-feed":
+            await self._feed(caller, query)
+        else:
+            self._transact(caller, json.loads(incoming.body))
+
+    def _get(self, caller: CallerConnection, query: dict) -> None:
+        rows = self.tables.get(query["table"], {})
+        start = query.get("from", "")
+        found = [rows[key] for key in sorted(rows) if key >= start]
+        limit = int(query.get("limit", 500))
+        page = {"rows": found[:limit], "morePages": len(found) > limit}
+        answer(caller, 200, {**page, "ver": self.version, "nowMs": 1})
+
+    async def _feed(self, caller: CallerConnection, query: dict) -> None:
+        after = int(query["afterRev"])
+        if after < self.forgotten:
+            answer(caller, 410, {})
+            return
+        rows = self._since(query["table"], after)
+        if not rows:
+            try:
+                async with asyncio.timeout(int(query["waitMs"]) / 1000):
+                    await self.changed.wait()
+            except TimeoutError:
+                pass
+            if after < self.forgotten:
+                answer(caller, 410, {})
+                return
+            rows = self._since(query["table"], after)
+        answer(caller, 200, {"rows": rows, "ver": self.version, "nowMs": 1})
+
+    def _since(self, table: str, after: int) -> list[dict]:
+        return [r for r in self.changes if r["table"] == table and r["ver"] > after]
+
+    def _transact(self, caller: CallerConnection, body: dict) -> None:
+        for one in body["expectRev"]:
+            row = self.tables.get(one["table"], {}).get(one["key"])
+            if (row["ver"] if row else 0) != one["ver"]:
+                found = [row] if row else []
+                answer(caller, 412, {"rows": found, "ver": self.version})
+                return
+        for put in body["puts"]:
+            self.put(put["table"], put["key"], base64.b64decode(put["value"]))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            caller.abort()
+            return
+        answer(caller, 200, {"ver": self.version, "nowMs": 1})
+
+
+@dataclass
+class Run:
+    """A request that reached a server."""
+
+    incoming: Incoming
+    after: int = 0
+    fields: dict[bytes, bytes] = field(default_factory=dict)
+
+
+def _fields(incoming: Incoming) -> dict[bytes, bytes]:
+    return {name.lower(): value for name, value in incoming.headers.fields}
+
+
+class ModelServer(_Server):
+    """A model server; the first of a chain answers for the whole of it."""
+
+    def __init__(self, name: str, peers: dict[str, "ModelServer"]):
+        super().__init__()
+        self.name = name
+        self.born = 1
+        self.layers = (0, 0)
+        self.sequence = 0
+        self.runs: list[Run] = []
+        self.orders: list[dict] = []
+        self.peers = peers
+        self.silent = False
+        self.stop_after = 0
+        self.fence = 0
+        self.lose_orders = 0
+        self.beat = lambda: None
+        peers[self.address] = self
+
+    def entry(self, state: str = "ready") -> bytes:
+        start, stop = self.layers
+        return json.dumps(
+            {
+                "service": "svc-model",
+                "address": self.address,
+                "zone": "zone-a",
+                "state": state,
+                "kind": "card",
+                "slots": 8,
+                "seq": 17,
+                "born": self.born,
+                "layers": {"from": start, "to": stop, "version": 1},
+                "newField": [1],
+            }
+        ).encode()
+
+    async def serve(self, caller: CallerConnection, incoming: Incoming) -> None:
+        if self.silent:
+            await asyncio.sleep(3600)
+        if incoming.target == "/report":
+            self._report(caller)
+        elif incoming.target == "/order":
+            self._order(caller, json.loads(incoming.body))
+        else:
+            await self._generate(caller, incoming)
+
+    def _report(self, caller: CallerConnection) -> None:
+        start, stop = self.layers
+        layers = {"from": start, "to": stop, "version": 1}
+        report = {"seq": self.sequence, "busy": False, "born": self.born}
+        answer(caller, 200, {**report, "layers": layers, "pace": 1.0})
+
+    def _order(self, caller: CallerConnection, order: dict) -> None:
+        self.orders.append(order)
+        if self.lose_orders:
+            self.lose_orders -= 1
+            caller.abort()
+            return
+        if order["fence"] < self.fence:
+            answer(caller, 412, {})
+        elif order["expectRev"] != self.sequence:
+            answer(caller, 409, {})
+        else:
+            self.fence = order["fence"]
+            self.sequence += 1
+            self.layers = (order["from"], order["to"])
+            self.beat()
+            answer(caller, 202, {})
+
+    async def _generate(self, caller: CallerConnection, incoming: Incoming) -> None:
+        fields = _fields(incoming)
+        after = int(fields.get(b"last-event-id", b"0"))
+        self.runs.append(Run(incoming=incoming, after=after, fields=fields))
+        at_fault = self._fault(fields[b"kumquatway-hops"].decode())
+        if at_fault:
+            not_run = (b"Kumquatway-Not-Run", b"1")
+            answer(caller, 503, {}, not_run, (b"At-Server", at_fault.encode()))
+            return
+        echo = (b"Kumquatway-Request-Id", fields[b"kumquatway-request-id"])
+        kind = (b"Content-Type", b"text/event-stream")
+        caller.start_stream(200, [kind, STAMP, echo], keep=True)
+        for number in range(after + 1, EVENTS + 1):
+            await asyncio.sleep(0.01)
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if self.stop_after and number == self.stop_after:
+                caller.write_chunk(event[:7])
+                self.silent = True
+                await asyncio.sleep(3600)
+            caller.write_chunk(event)
+        caller.end_stream()
+
+    def _fault(self, hops: str) -> str:
+        """Give the address of a part that is not held, or ""."""
+        position = 0
+        for hop in hops.split(","):
+            address, _, span = hop.partition("=")
+            start, _, stop = span.partition("-")
+            held = self.peers[address].layers
+            if (
+                int(start) != position
+                or not held[0] <= int(start) < int(stop) <= held[1]
+            ):
+                return address
+            position = int(stop)
+        return ""
+
+
+class PlainServer(_Server):
+    """A plain service whose answers can go wrong."""
+
+    def __init__(self, name: str):
+        super().__init__()
+        self.name = name
+        self.runs: list[Run] = []
+        self.fault = ""
+
+    def entry(self, state: str = "ready") -> bytes:
+        return json.dumps(
+            {
+                "service": "svc-plain",
+                "address": self.address,
+                "zone": "zone-a",
+                "state": state,
+                "slots": 6,
+                "born": 1,
+            }
+        ).encode()
+
+    async def serve(self, caller: CallerConnection, incoming: Incoming) -> None:
+        fields = _fields(incoming)
+        self.runs.append(Run(incoming=incoming, fields=fields))
+        echo = (b"Kumquatway-Request-Id", fields.get(b"kumquatway-request-id", b""))
+        body = b"done: " + incoming.body
+        if self.fault == "reset":
+            caller.abort()
+        elif self.fault == "full":
+            caller.respond(503, [(b"Kumquatway-Not-Run", b"1")], b"", keep=True)
+        elif self.fault == "error":
+            caller.respond(500, [STAMP, echo], b"broken", keep=True)
+        elif self.fault == "silent":
+            await asyncio.sleep(3600)
+        elif self.fault == "late answer":
+            old = (b"Kumquatway-Request-Id", b"of-another")
+            caller.respond(200, [STAMP, old], b"another's", keep=True)
+            caller.respond(200, [STAMP, echo], body, keep=True)
+        elif self.fault == "unsigned":
+            caller.respond(200, [echo], body, keep=True)
+        elif self.fault == "cut":
+            caller.start_stream(200, [STAMP, echo], keep=True)
+            caller.write_chunk(b"half")
+            await asyncio.sleep(0.02)
+            caller.abort()
+        else:
+            caller.respond(200, [STAMP, echo], body, keep=True)
--- /dev/null
+++ b/tests/platform/test_whole_path.py
@@ -0,0 +1,355 @@
+"""Tests of an entry on the platform, over stand-ins and real connections."""
+
+import asyncio
+
+from deployment import KEY, LAYERS, Deployment, configuration, until
+from standins import EVENTS
+
+WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, EVENTS + 1))
+PROMPT = {"Kumquatway_Tokens": "20,24"}
+
+
+def play(story) -> None:
+    asyncio.run(story)
+
+
+class TestStart:
+    """An entry that starts before what it needs."""
+
+    def test_without_a_configuration_nothing_is_judged(self):
+        async def story():
+            async with Deployment() as site:
+                await until(lambda: site.entries[0].gateway.callers.server)
+                got = await site.call("/look/x")
+                assert got.status == 503
+                assert float(got.headers.get(b"retry-after")) > 0
+                assert got.headers.get(b"kumquatway-verdict") == b"not-run"
+                assert await site.ready() == 503
+                site.store.put("op", "config", configuration())
+                await until(lambda: site.entries[0].gateway.is_ready())
+                assert (await site.call("/look/x")).status == 200
+
+        play(story())
+
+    def test_with_the_store_down(self):
+        async def story():
+            site = Deployment()
+            site.store.down = True
+            async with site:
+                site.store.put("op", "config", configuration())
+                await until(lambda: len(site.store.requests) > 2)
+                assert (await site.call("/look/x")).status == 503
+                site.store.down = False
+                await until(lambda: site.entries[0].gateway.is_ready())
+                assert (await site.call("/look/x")).status == 200
+
+        play(story())
+
+    def test_with_rows_of_other_writers(self):
+        async def story():
+            async with Deployment() as site:
+                for number, data in enumerate((b"\xff", b"[]", b'{"state":"odd"}')):
+                    site.store.put("servers", f"odd-{number}", data)
+                site.store.put("op", "config", b"not json")
+                site.store.put("op", "config", configuration(2))
+                await site.placed()
+                assert (await site.call("/gen/x", **PROMPT)).body == WHOLE
+
+        play(story())
+
+
+class TestCallers:
+    """What callers may do, and what servers are told."""
+
+    def test_a_stream_over_a_chain(self):
+        async def story():
+            async with Deployment() as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                got = await site.call("/gen/x?q=1", b"prompt", **PROMPT)
+                assert got.status == 200
+                assert got.body == WHOLE
+                assert got.headers.get(b"kumquatway-server-stamp") == b"signed"
+                [run] = [run for server in site.models for run in server.runs]
+                assert run.incoming.target == "/gen/x?q=1"
+                assert run.incoming.body == b"prompt"
+                assert run.fields[b"kumquatway-tenant"] == b"house"
+                assert b"x-api-key" not in run.fields
+                assert int(run.fields[b"kumquatway-deadline-ms"]) <= 4000
+                assert run.fields[b"kumquatway-hops"].endswith(b"-%d" % LAYERS)
+
+        play(story())
+
+    def test_unknown_routes_and_keys(self):
+        async def story():
+            async with Deployment() as site:
+                site.store.put("op", "config", configuration())
+                await until(lambda: site.entries[0].gateway.is_ready())
+                assert (await site.call("/none/x")).status == 404
+                assert (await site.call("/look/x", key="wrong")).status == 401
+                assert (await site.call("/look/x", key="")).status == 401
+                assert not any(server.runs for server in site.plains)
+
+        play(story())
+
+    def test_headers_of_the_system_are_not_the_callers_to_set(self):
+        async def story():
+            async with Deployment() as site:
+                site.store.put("op", "config", configuration())
+                await until(lambda: site.entries[0].gateway.is_ready())
+                forged = {"Kumquatway_Tenant": "other", "Kumquatway_Hops": "x=0-1"}
+                assert (await site.call("/look/x", **forged)).status == 200
+                [run] = [run for server in site.plains for run in server.runs]
+                assert run.fields[b"kumquatway-tenant"] == b"house"
+                assert b"kumquatway-hops" not in run.fields
+
+        play(story())
+
+    def test_a_revoked_key_is_refused(self):
+        async def story():
+            async with Deployment() as site:
+                site.store.put("op", "config", configuration())
+                await until(lambda: site.entries[0].gateway.is_ready())
+                assert (await site.call("/look/x")).status == 200
+                site.store.put("op", "config", configuration(2, keys=("other",)))
+                gateway = site.entries[0].gateway
+                await until(lambda: gateway.configuration.revision() == 2)
+                assert (await site.call("/look/x")).status == 401
+
+        play(story())
+
+
+class TestStreams:
+    """Streams that outlive a server."""
+
+    def test_a_server_that_falls_silent_midway(self):
+        async def story():
+            async with Deployment() as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                for server in site.models:
+                    server.stop_after = 6
+                calls = asyncio.create_task(site.call("/gen/x", **PROMPT))
+                await until(lambda: any(server.silent for server in site.models))
+                for server in site.models:
+                    server.stop_after = 0
+                got = await calls
+                assert got.body == WHOLE
+                runs = [run for server in site.models for run in server.runs]
+                assert sorted(run.after for run in runs) == [0, 5]
+
+        play(story())
+
+    def test_no_server_left_is_no_whole_answer(self):
+        async def story():
+            async with Deployment(models=1) as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                site.models[0].stop_after = 6
+                got = await site.call("/gen/x", **PROMPT)
+                assert got.body != WHOLE
+                assert WHOLE.startswith(got.body)
+
+        play(story())
+
+    def test_a_caller_goes_on_where_it_stopped(self):
+        async def story():
+            async with Deployment() as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                got = await site.call("/gen/x", **PROMPT, Last_Event_Id="10")
+                assert got.body == WHOLE[WHOLE.index(b"id: 11\n") :]
+
+        play(story())
+
+
+class TestPlainService:
+    """Requests that may run once at most, and those that may be repeated."""
+
+    def _site(self, fault: str, path: str, check):
+        async def story():
+            async with Deployment(plains=2) as site:
+                site.store.put("op", "config", configuration())
+                await until(lambda: site.entries[0].gateway.is_ready())
+                for server in site.plains:
+                    server.fault = fault
+                got = await site.call(path, b"x")
+                runs = [run for server in site.plains for run in server.runs]
+                check(got, runs)
+
+        play(story())
+
+    def test_unsafe_after_a_reset_is_in_doubt_and_sent_once(self):
+        def check(got, runs):
+            assert got.status == 502
+            assert got.headers.get(b"kumquatway-verdict") == b"may-have-run"
+            assert len(runs) == 1
+
+        self._site("reset", "/once/x", check)
+
+    def test_safe_after_a_reset_is_sent_to_another(self):
+        def check(got, runs):
+            assert got.status == 502
+            assert len(runs) == 2
+
+        self._site("reset", "/look/x", check)
+
+    def test_a_refusal_that_says_not_run_stays_one(self):
+        def check(got, runs):
+            assert got.status == 503
+            assert got.headers.get(b"kumquatway-verdict") == b"not-run"
+            assert len(runs) <= 2
+
+        self._site("full", "/once/x", check)
+
+    def test_a_servers_own_error_is_its_answer(self):
+        def check(got, runs):
+            assert got.status == 500
+            assert got.body == b"broken"
+            assert len(runs) == 1
+
+        self._site("error", "/once/x", check)
+
+    def test_another_requests_answer_is_skipped(self):
+        def check(got, runs):
+            assert got.status == 200
+            assert got.body == b"done: x"
+
+        self._site("late answer", "/once/x", check)
+
+    def test_an_unsigned_success_is_none(self):
+        def check(got, runs):
+            assert got.status == 502
+            assert len(runs) == 1
+
+        self._site("unsigned", "/once/x", check)
+
+    def test_a_cut_answer_is_none(self):
+        def check(got, runs):
+            assert got.status == 502
+            assert len(runs) == 1
+
+        self._site("cut", "/once/x", check)
+
+    def test_silence_ends_with_the_callers_patience(self):
+        def check(got, runs):
+            assert got.status == 504
+            assert got.headers.get(b"kumquatway-verdict") == b"may-have-run"
+            assert len(runs) == 1
+
+        self._site("silent", "/once/x", check)
+
+
+class TestStop:
+    """The graceful end."""
+
+    def test_a_stream_in_progress_ends_whole(self):
+        async def story():
+            async with Deployment() as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                call = asyncio.create_task(site.call("/gen/x", **PROMPT))
+                await until(lambda: any(server.runs for server in site.models))
+                gateway = site.entries[0].gateway
+                gateway.stop()
+                assert await site.ready() == 503
+                assert (await call).body == WHOLE
+                await until(
+                    lambda: gateway.relay.closing or site.entries[0].task.done()
+                )
+                await until(site.entries[0].task.done)
+
+        play(story())
+
+    def test_late_streams_are_refused_and_not_run(self):
+        async def story():
+            async with Deployment() as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                site.entries[0].gateway.relay.closing = True
+                got = await site.call("/gen/x", **PROMPT)
+                assert got.status == 503
+                assert got.headers.get(b"kumquatway-verdict") == b"not-run"
+                assert (await site.call("/look/x")).status == 200
+
+        play(story())
+
+
+class TestEntries:
+    """Several entries."""
+
+    def test_one_without_the_store_learns_from_its_peer(self):
+        async def story():
+            async with Deployment(entries=2) as site:
+                site.store.put("op", "config", configuration())
+                await until(lambda: all(e.gateway.is_ready() for e in site.entries))
+                cut = site.entries[1].gateway
+                await until(cut.gossip.live)
+                source = cut.sources.configuration.followed.store
+                source.address = "127.0.0.1:1"
+                site.store.put("op", "config", configuration(2, keys=("new",)))
+                await until(lambda: cut.configuration.revision() == 2)
+                assert (await site.call("/look/x", entry=1, key="new")).status == 200
+                assert (await site.call("/look/x", entry=1, key=KEY)).status in (
+                    401,
+                    503,
+                )
+
+        play(story())
+
+    def test_one_entry_orders(self):
+        async def story():
+            async with Deployment(entries=2) as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                fences = {o["fence"] for server in site.models for o in server.orders}
+                assert len(fences) == 1
+
+        play(story())
+
+    def test_an_order_that_is_not_answered_is_given_again(self):
+        async def story():
+            async with Deployment(models=1) as site:
+                site.models[0].lose_orders = 1
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                first, second = site.models[0].orders[:2]
+                assert first == second
+
+        play(story())
+
+    def test_the_history_of_the_store_may_go(self):
+        async def story():
+            async with Deployment() as site:
+                site.store.put("op", "config", configuration())
+                gateway = site.entries[0].gateway
+                await until(gateway.is_ready)
+                site.store.put("op", "config", configuration(2))
+                site.store.forget()
+                await until(lambda: gateway.configuration.revision() == 2)
+                site.store.put("op", "config", configuration(1))
+                site.store.put("op", "config", configuration(3))
+                await until(lambda: gateway.configuration.revision() == 3)
+
+        play(story())
+
+    def test_a_chain_is_mended_while_the_store_is_away(self):
+        async def story():
+            async with Deployment(models=3) as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                gateway = site.entries[0].gateway
+                await until(lambda: not gateway.placer.pending)
+                await until(lambda: not gateway.placer.intended)
+                site.store.down = True
+                await until(lambda: not gateway.placer.lease.still_mine())
+                for server in site.models[:2]:
+                    server.silent = True
+                    gateway.fleet.mark(
+                        gateway.fleet.servers[server.name], down=True, reason="test"
+                    )
+                await until(lambda: site.models[2].layers == (0, LAYERS))
+                [router] = gateway.relay.models.values()
+                await until(router.chains)
+
+        play(story())
