Fill gaps with empty servers first, and load spare layers only in calm

Ruled out: too few loads at once (34 layers a second fit). Only moves for gaps are kept until ordered; spare layers wait for 1.2 s without a change and leave two loads free; routing leaves layers that are given up at once.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import dataclasses
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,7 +18,7 @@
 from kumquatway_core.leases import Lease
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.http1 import FetchFailed
-from kumquatway_gateway.model import Engine, Held, LayerRange, Server
+from kumquatway_gateway.model import NOTHING, Engine, Held, LayerRange, Server
 from kumquatway_gateway.placement import Aim, Move, Slot, plan
 from kumquatway_gateway.relay import Doctor, Engines, ModelRouter, OrderOutcome
 
@@ -30,6 +31,8 @@
 # Servers that start together are listed over three seconds (measured on the bench).
 SETTLE_SECONDS = 0.9  # without a new server, before a first layout is planned
 LONGEST_SETTLE_SECONDS = 4.0
+CALM_SECONDS = 1.2  # without a change of the fleet, before spare layers are loaded
+KEPT_LOADS = 2  # of those that run at full speed, kept for gaps
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -83,6 +86,8 @@
         self.orders = 0
         self.held = False
         self.known: set[str] = set()
+        self.up: set[str] = set()
+        self.last_change = float("-inf")
         self.first_join = float("-inf")
         self.last_join = float("-inf")
         self.refused_numbers: set[int] = set()
@@ -128,6 +133,10 @@
 
     def _note_joins(self) -> None:
         now = self.clock()
+        up = {s.id for s in self.fleet.servers.values() if self.fleet.is_up(s)}
+        if up != self.up:
+            self.up = up
+            self.last_change = now
         names = set(self.fleet.servers)
         if names - self.known:
             if now - self.last_join > LONGEST_SETTLE_SECONDS:
@@ -154,29 +163,41 @@
         except FetchFailed:
             self.doctor.suspect(server)
             return None
+        pending = self.pending.get(server.id)
+        if pending is not None and report.busy and report.sequence > pending.sequence:
+            # It may still tell of layers that it gives up.
+            common = _common(report.layers, pending.layers)
+            report = dataclasses.replace(report, layers=common)
         self.doctor.note(server, report)
         return self.fleet.held.get(server.id)
 
     def _place(self, router: ModelRouter) -> None:
         engine = router.engine
         self._forget_lost()
-        for move in plan(engine, self._slots(router)):
-            self.intended[move.server.id] = move
-        busy = sum(1 for name in self.pending if self._is_of(name, router.service))
-        moves = sorted(self.intended.values(), key=lambda move: move.aim)
+        moves = plan(engine, self._slots(router))
+        # Gaps are filled as planned once; what waits behind them is planned anew.
         for move in moves:
-            if busy >= engine.parallel_loads:
+            if move.aim is Aim.GAP:
+                self.intended[move.server.id] = move
+        gaps = [m for m in self.intended.values() if m.server.service == router.service]
+        rest = [move for move in moves if move.aim is not Aim.GAP]
+        if gaps or not self._is_calm():
+            rest = []
+        busy = sum(1 for name in self.pending if self._is_of(name, router.service))
+        for move in [*gaps, *rest]:
+            spare = 0 if move.aim is Aim.GAP else KEPT_LOADS
+            if busy >= max(1, engine.parallel_loads - spare):
                 return
             if move.server.id in self.pending:
                 continue
-            if not self._is_of(move.server.id, router.service):
-                continue
-            if move.aim is not Aim.GAP and busy:
-                return
-            del self.intended[move.server.id]
+            self.intended.pop(move.server.id, None)
             self._order(engine, move)
             busy += 1
 
+    def _is_calm(self) -> bool:
+        """Tell whether no server came or went lately: those that come may be needed."""
+        return self.clock() - self.last_change > CALM_SECONDS
+
     def _is_of(self, name: str, service: str) -> bool:
         server = self.fleet.servers.get(name)
         return server is not None and server.service == service
@@ -242,8 +263,8 @@
             self.refused_numbers.add(number)
             self.pending.pop(server.id, None)
             return
-        if outcome is OrderOutcome.BEGUN and not pending.loads:
-            self._shrink_at_once(server, pending)
+        if outcome is OrderOutcome.BEGUN:
+            self._keep_off(server, pending)
         if outcome in (OrderOutcome.MISFIT, OrderOutcome.OTHER):
             await self._ask(server)
             await asyncio.sleep(POLL_SECONDS)
@@ -251,11 +272,15 @@
             return
         await self._await_load(server, pending)
 
-    def _shrink_at_once(self, server: Server, pending: _Pending) -> None:
+    def _keep_off(self, server: Server, pending: _Pending) -> None:
         """Keep new work off layers that are being given up."""
+        before = self.fleet.layers(server)
+        kept = _common(before, pending.layers)
+        if kept == before:
+            return
         held = Held(
             born=pending.born,
-            layers=pending.layers,
+            layers=kept,
             sequence=pending.sequence + 1,
             busy=True,
             at=self.clock(),
@@ -301,3 +326,10 @@
                 self.pending.pop(server.id, None)
                 return
             await asyncio.sleep(POLL_SECONDS)
+
+
+def _common(one: LayerRange, other: LayerRange) -> LayerRange:
+    """Give the layers in both ranges."""
+    start = max(one.start, other.start)
+    stop = min(one.stop, other.stop)
+    return LayerRange(start=start, stop=stop) if start < stop else NOTHING
--- a/packages/gateway/src/kumquatway_gateway/placement/_plan.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_plan.py
@@ -390,25 +390,35 @@
 
 def _level(offers: list[_Offer], need: int) -> list[int]:
     """
-    Fill a gap in loads of a few layers, free servers first.
+    Fill a gap in loads of a few layers: by empty servers alone where they can.
 
-    Only where these loads do not fill it are they made longer.
+    Next come servers whose layers others hold too, then the gap's neighbours.
     """
     counts = [0] * len(offers)
-    free_first = sorted(
-        range(len(offers)), key=lambda index: offers[index].side is not _Side.FREE
+    groups = (
+        [n for n, o in enumerate(offers) if _is_empty(o)],
+        [n for n, o in enumerate(offers) if o.side is _Side.FREE and not _is_empty(o)],
+        [n for n, o in enumerate(offers) if o.side is not _Side.FREE],
     )
-    limit = min(LOAD_LAYERS, -(-need // 2))
-    while need:
-        for index in free_first:
-            take = min(need, limit - counts[index], offers[index].most - counts[index])
-            if take > 0:
+    for group in groups:
+        most = sum(offers[index].most for index in group)
+        share = min(need, most)
+        limit = min(LOAD_LAYERS, max(1, -(-share // 2)))
+        while share:
+            for index in group:
+                room = min(limit, offers[index].most) - counts[index]
+                take = min(share, max(0, room))
                 counts[index] += take
+                share -= take
                 need -= take
-        limit += 1
+            limit += 1
     return counts
 
 
+def _is_empty(offer: _Offer) -> bool:
+    return offer.side is _Side.FREE and not len(offer.slot.layers)
+
+
 def _move(offer: _Offer, taken: LayerRange) -> Move:
     layers = taken
     if offer.side is _Side.LEFT:
--- a/packages/gateway/src/kumquatway_gateway/relay/_models.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_models.py
@@ -8,7 +8,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from kumquatway_gateway.chains import Chain, Holder, Load, choose, find_chains
+from loguru import logger
+
+from kumquatway_gateway.chains import Chain, Holder, Load, Part, choose, find_chains
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.model import Engine, Prompt
 from kumquatway_gateway.waiting import Waiter, WaitingRoom
@@ -71,9 +73,23 @@
         now = self.clock()
         if self._generation != self.fleet.generation or now > self._avoid_until:
             self._generation = self.fleet.generation
+            before = self._chains
             self._chains = find_chains(self.engine, self._holders(now))
+            if _paths(before) != _paths(self._chains):
+                self._log_chains()
         return self._chains
 
+    def _log_chains(self) -> None:
+        for chain in self._chains:
+            logger.info(
+                "service {}: chain {} with room for {:.0f} tokens",
+                self.service,
+                " ".join(_spell(part) for part in chain.parts),
+                chain.tokens,
+            )
+        if not self._chains:
+            logger.warning("service {}: some layers are held nowhere", self.service)
+
     def tokens(self, prompt: Prompt | None) -> float:
         """
         Estimate the tokens that a request holds in memory.
@@ -201,3 +217,11 @@
             )
         self._avoid_until = until
         return holders
+
+
+def _paths(chains: tuple[Chain, ...]) -> tuple[tuple[Part, ...], ...]:
+    return tuple(chain.parts for chain in chains)
+
+
+def _spell(part: Part) -> str:
+    return f"{part.server.address}={part.layers.start}-{part.layers.stop}"
