--- a/packages/gateway/src/kumquatway_gateway/chains/_choice.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_choice.py
@@ -12,6 +12,7 @@
 FULL_SHARE = 0.92  # of the room, above which running requests would be evicted
 AWAY_COST = 0.2  # share of use that a chain elsewhere must be emptier by
 CROSSING_COST = 0.6  # the same for each step between data centres
+FAILURE_COST = 2.0  # the same where every request lately failed
 SLOW_COST = 1.0  # the same for each second that first events lately took
 
 
@@ -23,11 +24,13 @@
     :param tokens: of the requests, with their answers.
     :param requests: their count.
     :param first_event: time to the first event lately, seconds.
+    :param failures: share of requests that lately got no first event.
     """
 
     tokens: float = 0.0
     requests: int = 0
     first_event: float = 0.0
+    failures: float = 0.0
 
 
 EMPTY = Load()
@@ -79,5 +82,6 @@
         used
         + away
         + CROSSING_COST * chain.crossings
+        + FAILURE_COST * load.failures
         + SLOW_COST * max(load.first_event, chain.read_seconds)
     )
--- a/packages/gateway/src/kumquatway_gateway/relay/_models.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_models.py
@@ -16,6 +16,7 @@
 from kumquatway_gateway.waiting import Waiter, WaitingRoom
 
 MEMORY = 0.2  # weight of the newest first event in the average
+FAILURE_MEMORY = 0.3  # weight of the newest outcome in a first server's failure rate
 FORGET_SECONDS = 3.0  # after which a slow first event no longer counts
 
 
@@ -57,6 +58,7 @@
         self.clock = clock
         self.own: dict[str, Load] = {}
         self.first_events: dict[str, tuple[float, float]] = {}
+        self.failures: dict[str, tuple[float, float]] = {}
         self.room: WaitingRoom[Claim] = WaitingRoom(
             claim=self.claim, undo=self.free, clock=clock
         )
@@ -152,12 +154,14 @@
                 requests=mine.requests + load.requests,
             )
         now = self.clock()
-        for name, (seconds, at) in self.first_events.items():
-            if now - at < FORGET_SECONDS:
-                load = total.get(name, Load())
-                total[name] = Load(
-                    tokens=load.tokens, requests=load.requests, first_event=seconds
-                )
+        for name in self.first_events.keys() | self.failures.keys():
+            load = total.get(name, Load())
+            total[name] = Load(
+                tokens=load.tokens,
+                requests=load.requests,
+                first_event=_fresh(self.first_events.get(name), now),
+                failures=_fresh(self.failures.get(name), now),
+            )
         return total
 
     def note_first_event(self, chain: Chain, seconds: float) -> None:
@@ -170,6 +174,20 @@
         before, _ = self.first_events.get(chain.first.id, (seconds, 0.0))
         average = before + MEMORY * (seconds - before)
         self.first_events[chain.first.id] = (average, self.clock())
+        self._note_outcome(chain, 0.0)
+
+    def note_failure(self, chain: Chain) -> None:
+        """
+        Note that a chain left a request without a first event.
+
+        :param chain: that was sent the request.
+        """
+        self._note_outcome(chain, 1.0)
+
+    def _note_outcome(self, chain: Chain, failed: float) -> None:
+        rate, _ = self.failures.get(chain.first.id, (0.0, 0.0))
+        rate += FAILURE_MEMORY * (failed - rate)
+        self.failures[chain.first.id] = (rate, self.clock())
 
     def usual_first_event(self, chain: Chain) -> float:
         """
@@ -225,3 +243,10 @@
 
 def _spell(part: Part) -> str:
     return f"{part.server.address}={part.layers.start}-{part.layers.stop}"
+
+
+def _fresh(noted: tuple[float, float] | None, now: float) -> float:
+    """Give a noted value, or 0 where it is old."""
+    if noted is None or now - noted[1] > FORGET_SECONDS:
+        return 0.0
+    return noted[0]
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -31,7 +31,7 @@
 from kumquatway_gateway.relay._streams import StreamJob
 from kumquatway_gateway.waiting import RepeatBudget
 
-WATCH_SECONDS = 0.03  # between looks at the streams in progress
+WATCH_SECONDS = 0.02  # between looks at the streams in progress
 STALE_SECONDS = 2.5  # without a word of the store, unknown routes are in doubt
 
 
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -28,10 +28,12 @@
 from kumquatway_gateway.relay._models import Claim, ModelRouter
 from kumquatway_gateway.waiting import MAX_WAIT_SECONDS, Waiter, retry_after
 
-QUIET_SECONDS = 0.12  # without an event, before a chain is suspected
-QUIET_PACES = 5.0  # the same in usual gaps of the stream
-FIRST_QUIET_SECONDS = 0.3  # to the first event, before a chain is suspected
+QUIET_SECONDS = 0.075  # without an event, before a chain is suspected
+QUIET_PACES = 4.0  # the same in usual gaps of the stream
+FIRST_QUIET_SECONDS = 0.18  # to the first event, before a chain is suspected
 FIRST_QUIET_TIMES = 3.0  # the same in first events of the chain
+FIRST_LEAVE_TIMES = 1.5  # of that, after which a request moves while that is cheap
+CHEAP_SHARE = 0.5  # of the repeat budget left, above which repeats are cheap
 DEAD_QUIET_SECONDS = 0.06  # without an event, on a chain with a server that is down
 LONG_QUIET_SECONDS = 0.9  # after which a stream moves though no server is down
 CALLER_PATIENCE_SECONDS = 1.9  # between events, before callers leave
@@ -258,9 +260,22 @@
         if quiet < self._suspicious_after():
             return
         self.relay.doctor.examine(chain)
-        if quiet > LONG_QUIET_SECONDS:
+        if quiet > LONG_QUIET_SECONDS or self._is_first_overdue(quiet):
             self._leave_chain()
 
+    def _is_first_overdue(self, quiet: float) -> bool:
+        """
+        Tell whether a first event is so late that another chain should try.
+
+        Load pattern: a server that takes requests and answers some of them never. As
+        long as the repeat budget is nearly whole the caller need not wait for it.
+        """
+        if self.relaying and self.events.count:
+            return False
+        if quiet < self._suspicious_after() * FIRST_LEAVE_TIMES:
+            return False
+        return self.relay.budget(self.job.service.name).share_left() > CHEAP_SHARE
+
     def _is_up(self, server) -> bool:
         mark = self.relay.fleet.marks.get(server.id)
         return mark is None or not mark.down
@@ -295,6 +310,8 @@
 
     def _note_failure(self, step: _Step, chain: Chain) -> None:
         self.moves += 1
+        if step in (_Step.STALLED, _Step.FAILED) and not self.events.count:
+            self.router.note_failure(chain)
         if self.streaming and not self.failed_at:
             self.failed_at = time.monotonic()
         logger.info(
--- a/packages/gateway/src/kumquatway_gateway/waiting/_budget.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_budget.py
@@ -49,13 +49,24 @@
 
         :return: their number, may be below one.
         """
+        return self._allowed() - len(self.repeats)
+
+    def share_left(self) -> float:
+        """
+        Compute which share of the budget is left.
+
+        :return: 0 to 1.
+        """
+        allowed = self._allowed()
+        return max(0.0, 1 - len(self.repeats) / allowed) if allowed else 0.0
+
+    def _allowed(self) -> float:
         since = self.clock() - self.window
         for times in (self.requests, self.repeats):
             while times and times[0] < since:
                 times.popleft()
         shared = self.slack / max(1, self.entries())
-        allowed = SAFETY * (self.ratio * len(self.requests) + shared)
-        return allowed - len(self.repeats)
+        return SAFETY * (self.ratio * len(self.requests) + shared)
 
     def take(self) -> bool:
         """
