Let small accounts wait only behind what goes before them

A newcomer now counts only what goes before it, and waiting lifts a request to the most urgent rank at most.

--- a/packages/gateway/src/kumquatway_gateway/waiting/_order.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_order.py
@@ -4,7 +4,7 @@
 Which of those that wait goes next.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass
 
 AGING_SECONDS = 0.4  # of waiting that make up for one step of priority
@@ -29,25 +29,54 @@
     give_up: float
 
 
-def next_waiter(
-    waiters: Iterable[Waiter], in_service: dict[str, float], now: float
-) -> Waiter | None:
+def _rank(
+    waiter: Waiter, priority: float, in_service: dict[str, float]
+) -> tuple[float, float, float]:
     """
-    Choose by priority with aging, then the account that is served least, then age.
+    Rank by priority, then the account that is served least, then age.
 
     Load pattern: one account sends many times its share. Its requests queue behind its
     own; another account's next request goes first, as it has fewer tokens in service.
     Size plays no part, so that large prompts are not starved by small ones.
+    """
+    served = in_service.get(waiter.account, 0.0)
+    return (priority, served, waiter.arrived)
+
+
+def next_waiter(
+    waiters: Collection[Waiter], in_service: dict[str, float], now: float
+) -> Waiter | None:
+    """
+    Choose who goes next.
+
+    Waiting lifts a less urgent request up to the most urgent that waits, not above.
 
     :param waiters: all that wait.
     :param in_service: tokens in progress by account.
     :param now: monotonic seconds.
     :return: the next, or None where nobody waits.
     """
+    most_urgent = min((one.priority for one in waiters), default=0)
 
-    def rank(waiter: Waiter) -> tuple[float, float, float]:
+    def key(waiter: Waiter) -> tuple[float, float, float]:
         aged = int((now - waiter.arrived) / AGING_SECONDS)
-        served = in_service.get(waiter.account, 0.0)
-        return (waiter.priority - aged, served, waiter.arrived)
+        return _rank(waiter, max(most_urgent, waiter.priority - aged), in_service)
+
+    return min(waiters, key=key, default=None)
+
+
+def tokens_ahead(
+    waiter: Waiter, waiters: Iterable[Waiter], in_service: dict[str, float]
+) -> float:
+    """
+    Sum up what goes before a newcomer.
 
-    return min(waiters, key=rank, default=None)
+    :param waiter: the newcomer.
+    :param waiters: all that wait.
+    :param in_service: tokens in progress by account.
+    :return: tokens.
+    """
+    mine = _rank(waiter, waiter.priority, in_service)
+    return sum(
+        one.tokens for one in waiters if _rank(one, one.priority, in_service) < mine
+    )
--- a/packages/gateway/src/kumquatway_gateway/waiting/_room.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_room.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
-from kumquatway_gateway.waiting._order import Waiter, next_waiter
+from kumquatway_gateway.waiting._order import Waiter, next_waiter, tokens_ahead
 
 # A caller leaves after two seconds without a first event (users' platform pages), and
 # the first event takes a few hundred milliseconds once a chain is found.
@@ -49,14 +49,18 @@
         self._left = 0.0
         self._since = clock()
 
-    def expected_wait(self) -> float:
+    def expected_wait(self, waiter: Waiter | None = None) -> float:
         """
         Estimate how long one that comes now would wait.
 
+        :param waiter: the newcomer, or None for one that goes last.
         :return: seconds.
         """
         self._average()
-        return self.queued_tokens / max(self.rate, self.least_rate(), MIN_RATE)
+        ahead = self.queued_tokens
+        if waiter is not None:
+            ahead = tokens_ahead(waiter, self.waiting, self.in_service)
+        return ahead / max(self.rate, self.least_rate(), MIN_RATE)
 
     async def enter(self, waiter: Waiter) -> T | None:
         """
@@ -75,7 +79,7 @@
                 return found
         now = self.clock()
         patience = waiter.give_up - now
-        if patience <= 0 or self.expected_wait() > patience:
+        if patience <= 0 or self.expected_wait(waiter) > patience:
             return None
         future: asyncio.Future[T | None] = asyncio.get_running_loop().create_future()
         self.waiting[waiter] = future
--- /dev/null
+++ b/packages/gateway/tests/test_chains.py
@@ -0,0 +1,123 @@
+"""Tests of chains: found whole, and chosen by the room that is left."""
+
+from engines import ENGINE, server, span
+
+from kumquatway_gateway.chains import Holder, Load, choose, find_chains
+
+
+def _holder(name: str, centre: str, start: int, stop: int, **fields) -> Holder:
+    kind = fields.pop("kind", "big")
+    one = server(name, centre, kind)
+    return Holder(server=one, layers=span(start, stop), **fields)
+
+
+def _whole(chain) -> bool:
+    position = 0
+    for part in chain.parts:
+        if part.layers.start != position:
+            return False
+        position = part.layers.stop
+    return position == ENGINE.layers
+
+
+class TestPaths:
+    """Every layer once and in order."""
+
+    def test_neighbours(self):
+        [chain] = find_chains(
+            ENGINE, [_holder("x", "a", 0, 40), _holder("y", "a", 40, 80)]
+        )
+        assert [p.server.id for p in chain.parts] == ["x", "y"]
+        assert _whole(chain)
+
+    def test_overlaps_are_cut(self):
+        holders = [_holder("x", "a", 0, 50), _holder("y", "a", 30, 80)]
+        [chain] = find_chains(ENGINE, holders)
+        assert _whole(chain)
+
+    def test_a_gap_is_no_chain(self):
+        assert not find_chains(
+            ENGINE, [_holder("x", "a", 0, 40), _holder("y", "a", 41, 80)]
+        )
+
+    def test_no_server_twice_and_none_shared(self):
+        holders = [
+            _holder("x", "a", 0, 80, slowness=9.0),
+            _holder("y", "a", 20, 60),
+            _holder("z", "a", 0, 80),
+        ]
+        chains = find_chains(ENGINE, holders)
+        names = [p.server.id for chain in chains for p in chain.parts]
+        assert len(names) == len(set(names))
+        assert all(_whole(chain) for chain in chains)
+
+    def test_within_a_data_centre_before_across(self):
+        holders = [
+            _holder("a1", "a", 0, 40),
+            _holder("a2", "a", 40, 80),
+            _holder("b1", "b", 0, 40),
+            _holder("c2", "c", 40, 80),
+        ]
+        first, second = find_chains(ENGINE, holders)
+        assert first.crossings == 0
+        assert second.crossings == 1
+
+    def test_a_slow_server_is_gone_around(self):
+        holders = [
+            _holder("x", "a", 0, 40),
+            _holder("slow", "a", 40, 80, slowness=12.0),
+            _holder("fast", "a", 40, 80),
+        ]
+        assert find_chains(ENGINE, holders)[0].parts[1].server.id == "fast"
+
+    def test_the_room_is_that_of_the_fullest(self):
+        holders = [
+            _holder("x", "a", 0, 19),
+            *[
+                _holder(f"m{n}", "a", 19 + 9 * n, min(80, 28 + 9 * n), kind="middle")
+                for n in range(7)
+            ],
+        ]
+        [chain] = find_chains(ENGINE, holders)
+        assert 12_000 < chain.tokens < 13_000
+
+
+class TestChoice:
+    """Load pattern: a third of the capacity is gone and the rest is in use."""
+
+    def setup_method(self):
+        holders = [
+            _holder(f"{name}{start}" if start else name, centre, start, start + 16)
+            for name, centre in (("x", "a"), ("y", "b"))
+            for start in range(0, 80, 16)
+        ]
+        self.chains = find_chains(ENGINE, holders)
+        self.room = self.chains[0].tokens
+
+    def _choose(self, loads: dict[str, Load], **fields):
+        chosen = choose(self.chains, loads, tokens=900, slots=4, home="a", **fields)
+        return chosen.first.id if chosen else None
+
+    def test_home_on_near_equal_terms(self):
+        assert self._choose({}) == "x"
+
+    def test_elsewhere_where_home_is_much_fuller(self):
+        assert self._choose({"x": Load(tokens=0.5 * self.room, requests=2)}) == "y"
+
+    def test_none_without_room(self):
+        full = Load(tokens=self.room, requests=2)
+        assert self._choose({"x": full, "y": full}) is None
+
+    def test_none_without_slots(self):
+        full = Load(tokens=0.1, requests=4)
+        assert self._choose({"x": full, "y": full}) is None
+
+    def test_one_request_fits_an_idle_chain_whatever_its_size(self):
+        assert choose(self.chains, {}, tokens=1e9, slots=4, home="a") is not None
+
+    def test_not_where_requests_lately_failed(self):
+        assert self._choose({"x": Load(failures=0.5)}) == "y"
+
+    def test_not_what_is_to_be_avoided(self):
+        assert self._choose({}, avoid={"x"}) == "y"
+        assert self._choose({}, avoid={"x", "y"}) is None
