--- a/packages/core/src/kumquatway_core/events/_kinds.py
+++ b/packages/core/src/kumquatway_core/events/_kinds.py
@@ -157,6 +157,48 @@
     state: str
 
 
+class DependencyChanged(_Event, tag="dependency_changed"):
+    """
+    Something that the process needs was lost or regained.
+
+    :param name: such as `store`.
+    :param state: `lost` or `regained`.
+    """
+
+    name: str
+    state: str
+
+
+class LayersOrdered(_Event, tag="layers_ordered"):
+    """
+    A server was ordered to hold layers.
+
+    :param start: the first layer.
+    :param stop: one past the last layer.
+    :param loads: layers that it has to load.
+    :param fencing: the fencing number of the order.
+    :param outcome: what the server said.
+    """
+
+    start: int
+    stop: int
+    loads: int
+    fencing: int
+    outcome: str
+
+
+class ChainsChanged(_Event, tag="chains_changed"):
+    """
+    The chains that a process sends requests over changed.
+
+    :param service: the model service.
+    :param chains: each chain's VMs, and its room for requests in tokens.
+    """
+
+    service: str
+    chains: tuple[str, ...]
+
+
 Event = (
     ProcessStarted
     | ProcessStopped
@@ -170,6 +212,9 @@
     | LeaseChanged
     | ConfigurationChanged
     | DrainChanged
+    | DependencyChanged
+    | LayersOrdered
+    | ChainsChanged
 )
 
 KINDS = tuple(kind.__struct_config__.tag for kind in Event.__args__)
--- a/packages/entry/src/kumquatway/timeline/_marks.py
+++ b/packages/entry/src/kumquatway/timeline/_marks.py
@@ -57,4 +57,7 @@
     "lease_changed": Mark(shape=_square, colour="#e69f00"),
     "configuration_changed": Mark(shape=_square, colour="#009e73"),
     "drain_changed": Mark(shape=_diamond, colour="#cc79a7"),
+    "dependency_changed": Mark(shape=_square, colour="#d55e00"),
+    "layers_ordered": Mark(shape=_diamond, colour="#e69f00"),
+    "chains_changed": Mark(shape=_diamond, colour="#009e73"),
 }
--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -11,7 +11,7 @@
 
 from loguru import logger
 
-from kumquatway_core.events import ConfigurationChanged, Event
+from kumquatway_core.events import ConfigurationChanged, DependencyChanged, Event
 from kumquatway_core.exceptions import ConfigurationError, PlatformError
 from kumquatway_gateway._sources import (
     ConfigurationSource,
@@ -140,13 +140,17 @@
     def _lost(self, error: PlatformError) -> None:
         if self.away_since is None:
             self.away_since = self.clock()
-            logger.warning("the store is away: {}", error)
+            self.emit(DependencyChanged(name="store", state="lost", detail=str(error)))
 
     def _regained(self) -> None:
         if self.away_since is not None:
             passed = self.clock() - self.away_since
             self.away_since = None
-            logger.info("the store is back after {:.1f} s", passed)
+            self.emit(
+                DependencyChanged(
+                    name="store", state="regained", detail=f"after {passed:.1f} s"
+                )
+            )
 
 
 class ServerFollower:
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -112,7 +112,7 @@
         self.clock = clock
         self.life = new_incarnation()
         self.stopping = asyncio.Event()
-        self.fleet = Fleet(clock=clock)
+        self.fleet = Fleet(emit=emit, clock=clock)
         self.doctor = Doctor(
             fleet=self.fleet,
             engines=sources.engines,
@@ -169,6 +169,7 @@
             routers=self._routers,
             spread=self.gossip.hurry,
             fenced=settings.fenced,
+            emit=emit,
             clock=clock,
         )
         self.servers.places = lambda: self.placer.held or not self.gossip.live()
--- a/packages/gateway/src/kumquatway_gateway/_log.py
+++ b/packages/gateway/src/kumquatway_gateway/_log.py
@@ -16,6 +16,21 @@
 _encoder = msgspec.json.Encoder()
 
 
+def is_kept(event: Event) -> bool:
+    """
+    Tell whether an event's line goes last where lines must be dropped.
+
+    What a request does when all goes well can be told from the metrics; refusals,
+    failures and changes of belief cannot.
+
+    :param event: any event.
+    :return: False for the usual steps of a request that ran.
+    """
+    if isinstance(event, (events.RequestStarted, events.RouteChosen)):
+        return False
+    return not (isinstance(event, events.RequestEnded) and event.status < 400)
+
+
 def open_log(process: str, lines: Lines) -> Callable[[Event], None]:
     """
     Send the log and the events of this process to standard output.
@@ -34,7 +49,6 @@
 
     def emit(event: Event) -> None:
         record = journal.emit(event)
-        keep = not isinstance(event, events.RequestStarted)
-        lines.put(_encoder.encode(record) + b"\n", keep=keep)
+        lines.put(_encoder.encode(record) + b"\n", keep=is_kept(event))
 
     return emit
--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -15,6 +15,7 @@
 
 from loguru import logger
 
+from kumquatway_core.events import Event, LayersOrdered, LeaseChanged
 from kumquatway_core.leases import Lease
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.http1 import FetchFailed
@@ -46,6 +47,7 @@
     layers: LayerRange
     sequence: int
     loads: int
+    aim: Aim
     due: float
     lost_at: float
 
@@ -60,6 +62,7 @@
     :param doctor: takes the reports.
     :param routers: gives the routers of the model services.
     :param fenced: whether servers refuse orders under old numbers.
+    :param emit: takes events.
     :param spread: called when something that peers should know has changed.
     """
 
@@ -73,6 +76,7 @@
         routers: Callable[[], list[ModelRouter]],
         spread: Callable[[], None],
         fenced: bool,
+        emit: Callable[[Event], None],
         clock: Callable[[], float] = time.monotonic,
     ):
         self.lease = lease
@@ -82,6 +86,7 @@
         self.routers = routers
         self.spread = spread
         self.fenced = fenced
+        self.emit = emit
         self.clock = clock
         self.pending: dict[str, _Pending] = {}
         self.intended: dict[str, Move] = {}  # planned, but not yet ordered
@@ -104,11 +109,12 @@
                 return
             if held != self.held:
                 self.held = held
-                logger.info(
-                    "lease {}: {}, fencing number {}",
-                    self.lease.name,
-                    "held" if held else "not held",
-                    self.lease.number,
+                self.emit(
+                    LeaseChanged(
+                        lease=self.lease.name,
+                        state="taken" if held else "lost",
+                        fencing=self.lease.number,
+                    )
                 )
                 if held:
                     await self._look_at_all()
@@ -263,6 +269,7 @@
             layers=move.layers,
             sequence=self.fleet.sequence(server),
             loads=move.loads,
+            aim=move.aim,
             due=now + seconds * waves,
             lost_at=now + seconds * waves * 2 + LATE_SECONDS,
         )
@@ -277,16 +284,17 @@
             self.pending.pop(server.id, None)
             return
         outcome = await self._send(server, pending, number)
-        logger.info(
-            "order to {} at {}: hold {}-{} (+{}), fencing number {}, sequence {}: {}",
-            server.id,
-            server.address,
-            pending.layers.start,
-            pending.layers.stop,
-            pending.loads,
-            number,
-            pending.sequence,
-            outcome.value,
+        self.emit(
+            LayersOrdered(
+                vm=server.id,
+                start=pending.layers.start,
+                stop=pending.layers.stop,
+                loads=pending.loads,
+                fencing=number,
+                outcome=outcome.value,
+                detail=f"{server.address}, {pending.aim.name.lower()}, "
+                f"after {pending.sequence} orders",
+            )
         )
         if outcome is OrderOutcome.FENCED:
             self.refused_numbers.add(number)
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -8,8 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from loguru import logger
-
+from kumquatway_core.events import Event, MembershipChanged
 from kumquatway_gateway.model import Held, LayerRange, Server, ServerState
 
 # The list lags by a heartbeat of 1.2 s and the 0.8 s that the store adds (site files).
@@ -37,10 +36,17 @@
     """
     The servers as routing and placement see them.
 
+    :param emit: takes events.
     :param clock: monotonic seconds.
     """
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
+    def __init__(
+        self,
+        *,
+        emit: Callable[[Event], None] = lambda event: None,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        self.emit = emit
         self.clock = clock
         self.servers: dict[str, Server] = {}
         self.by_address: dict[str, Server] = {}
@@ -68,7 +74,7 @@
             if overtaken:
                 self.touch()
             return
-        self._log_changes(servers)
+        self._tell_changes(servers)
         self.servers = dict(servers)
         self.by_address = {server.address: server for server in servers.values()}
         for notes in (self.marks, self.held, self.leaving, self.avoided, self.paces):
@@ -179,13 +185,7 @@
         self.marks[server_id] = mark
         if was_down == mark.down:
             return False
-        logger.warning(
-            "server {} at {} is {}: {}",
-            server_id,
-            server.address,
-            "down" if mark.down else "up",
-            mark.reason,
-        )
+        self._tell(server, "down" if mark.down else "up", mark.reason)
         self.touch()
         return True
 
@@ -240,7 +240,7 @@
         before = self.pace(server)
         self.paces[server_id] = (born, pace, at)
         if abs(before - pace) > PACE_STEP * before:
-            logger.info("server {} takes {:.1f} times its time", server_id, pace)
+            self._tell(server, "slow" if pace > 1 else "usual", f"pace {pace:.1f}")
             self.touch()
 
     def take_leaving(self, server_id: str, born: int) -> None:
@@ -259,20 +259,24 @@
     def _is_past(self, server_id: str, mark: Mark) -> bool:
         return self.servers[server_id].born != mark.born
 
-    def _log_changes(self, servers: dict[str, Server]) -> None:
+    def _tell_changes(self, servers: dict[str, Server]) -> None:
         for name, server in servers.items():
             known = self.servers.get(name)
             if known is None or known.born != server.born:
-                logger.info(
-                    "server {} of {} joined at {}, holds {}-{}",
-                    name,
-                    server.service,
-                    server.address,
-                    server.layers.start,
-                    server.layers.stop,
-                )
+                held = f"{server.layers.start}-{server.layers.stop}"
+                self._tell(server, "joined", f"{server.service}, holds {held}")
             elif known.state is not server.state:
-                logger.info("server {} is {}", name, server.state.value)
-        for name in self.servers:
+                self._tell(server, server.state.value)
+        for name, server in self.servers.items():
             if name not in servers:
-                logger.info("server {} is gone", name)
+                self._tell(server, "gone")
+
+    def _tell(self, server: Server, state: str, detail: str = "") -> None:
+        self.emit(
+            MembershipChanged(
+                vm=server.id,
+                state=state,
+                incarnation=server.born,
+                detail=f"{server.address} {detail}".rstrip(),
+            )
+        )
--- a/packages/gateway/src/kumquatway_gateway/relay/_models.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_models.py
@@ -8,8 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from loguru import logger
-
+from kumquatway_core.events import ChainsChanged, Event
 from kumquatway_gateway.chains import Chain, Holder, Load, Part, choose, find_chains
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.model import Engine, Prompt
@@ -38,6 +37,7 @@
     :param fleet: the servers.
     :param home: this entry's data centre.
     :param elsewhere: gives what other entries have in progress, by first server.
+    :param emit: takes events.
     :param clock: monotonic seconds.
     """
 
@@ -49,6 +49,7 @@
         fleet: Fleet,
         home: str,
         elsewhere: Callable[[], dict[str, Load]],
+        emit: Callable[[Event], None] = lambda event: None,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.service = service
@@ -56,6 +57,7 @@
         self.fleet = fleet
         self.home = home
         self.elsewhere = elsewhere
+        self.emit = emit
         self.clock = clock
         self.own: dict[str, Load] = {}
         self.first_events: dict[str, tuple[float, float]] = {}
@@ -79,19 +81,17 @@
             before = self._chains
             self._chains = find_chains(self.engine, self._holders(now))
             if _paths(before) != _paths(self._chains):
-                self._log_chains()
+                self._tell_chains()
         return self._chains
 
-    def _log_chains(self) -> None:
-        for chain in self._chains:
-            logger.info(
-                "service {}: chain {} with room for {:.0f} tokens",
-                self.service,
-                " ".join(_spell(part) for part in chain.parts),
-                chain.tokens,
+    def _tell_chains(self) -> None:
+        self.emit(
+            ChainsChanged(
+                service=self.service,
+                chains=tuple(spell(chain) for chain in self._chains),
+                detail="" if self._chains else "some layers are held nowhere",
             )
-        if not self._chains:
-            logger.warning("service {}: some layers are held nowhere", self.service)
+        )
 
     def tokens(self, prompt: Prompt | None) -> float:
         """
@@ -266,8 +266,18 @@
     return tuple(chain.parts for chain in chains)
 
 
-def _spell(part: Part) -> str:
-    return f"{part.server.address}={part.layers.start}-{part.layers.stop}"
+def spell(chain: Chain) -> str:
+    """
+    Write a chain for people.
+
+    :param chain: any chain.
+    :return: its parts and its room.
+    """
+    parts = (
+        f"{part.server.address}={part.layers.start}-{part.layers.stop}"
+        for part in chain.parts
+    )
+    return f"{' '.join(parts)}, room {chain.tokens:.0f}"
 
 
 def _fresh(noted: tuple[float, float] | None, now: float) -> float:
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -11,9 +11,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
-from loguru import logger
-
-from kumquatway_core import Reason, Verdict, may_have_run, not_run
+from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.http1 import (
     End,
@@ -247,6 +245,8 @@
             self.relay.fleet.avoid(outcome.server)
             return
         self.doubt = True
+        if outcome.head is None:
+            self.relay.failed(self.job, outcome.server.id, "reset", "no whole answer")
         if outcome.is_answer:
             self.best = outcome
 
@@ -255,7 +255,7 @@
         try:
             connection = await self._connect(server)
         except Unreachable as error:
-            logger.info("request {}: {}", job.request.id, error)
+            self.relay.failed(job, server.id, "unreachable", str(error))
             return _Outcome(
                 server=server, head=None, body=b"", not_run=True, reached=False
             )
@@ -294,6 +294,7 @@
         sending = Sending(
             server=server, account=job.account_name, seconds=job.seconds_left()
         )
+        self.relay.routed(job, (server.id,), self._why(server))
         connection.send(exchange, dialect.encode(job.request, sending))
         try:
             end = await exchange.ended
@@ -313,9 +314,18 @@
             not_run=note.not_run,
         )
 
+    def _why(self, server: Server) -> str:
+        return (
+            f"{self.router.outstanding.get(server.id, 0)} in progress, usually "
+            f"{self.router.usual(server) * 1000:.0f} ms"
+        )
+
     def _deliver(self, outcome: _Outcome) -> None:
         fields = outcome.head.headers.forwardable()
-        self.job.caller.respond(outcome.head.status, fields, outcome.body, keep=True)
+        status = outcome.head.status
+        self.job.caller.respond(status, fields, outcome.body, keep=True)
+        reason = Reason.NONE if outcome.succeeded else Reason.UPSTREAM_ERROR
+        self.relay.ended(self.job, Verdict(ran=RAN, reason=reason), status)
 
     def _give_up(self, reason: Reason, detail: str) -> None:
         if self.best is not None:
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -10,7 +10,14 @@
 from collections.abc import Callable
 
 from kumquatway_core import Reason, Verdict, not_run
-from kumquatway_core.events import Event, Refused as RefusedEvent, RequestEnded
+from kumquatway_core.events import (
+    Event,
+    Refused as RefusedEvent,
+    RequestEnded,
+    RequestStarted,
+    RouteChosen,
+    StageFailed,
+)
 from kumquatway_gateway.chains import Load
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.http1 import CallerConnection, Incoming, Pool
@@ -107,6 +114,7 @@
                 fleet=self.fleet,
                 home=self.home,
                 elsewhere=self.elsewhere,
+                emit=self.emit,
                 clock=self.clock,
             )
             self.models[service.name] = router
@@ -199,6 +207,7 @@
             self._answer(caller, request, verdict)
             return
         self.budget(service.name).request()
+        self.began(job)
         if service.engine is not None:
             router = self.model_router(service)
             await StreamJob(relay=self, router=router, job=job).run()
@@ -214,25 +223,78 @@
         need = self.model_router(service).longest(answer)
         return self.clock() + need < self.ends
 
-    def ended(self, job: Job, verdict: Verdict) -> None:
+    def ended(self, job: Job, verdict: Verdict, status: int | None = None) -> None:
         """
-        Log a request that got no answer of a server.
+        Tell how a request ended.
 
         :param job: the request.
         :param verdict: what became of it.
+        :param status: of a server's answer, or None for the verdict's own.
         """
         self.emit(
             RequestEnded(
                 request=job.request.id,
                 vm=job.sent[-1] if job.sent else "",
-                detail=f"route {job.route.name}, revision {job.revision}, "
-                f"{job.age() * 1000:.0f} ms, {len(job.sent)} sent: {verdict.detail}",
+                detail=f"{job.age() * 1000:.0f} ms, {len(job.sent)} sent"
+                + (f": {verdict.detail}" if verdict.detail else ""),
                 verdict=verdict.header(),
-                status=verdict.status(),
+                status=verdict.status() if status is None else status,
                 reason=verdict.reason.value,
             )
         )
 
+    def began(self, job: Job) -> None:
+        """
+        Tell that a request was allowed.
+
+        :param job: the request.
+        """
+        self.emit(
+            RequestStarted(
+                request=job.request.id,
+                account=job.account_name,
+                target=job.service.name,
+                detail=f"route {job.route.name}, revision {job.revision}",
+            )
+        )
+
+    def routed(self, job: Job, vms: tuple[str, ...], detail: str) -> None:
+        """
+        Tell where an attempt is sent.
+
+        :param job: the request.
+        :param vms: ids of the servers that take part.
+        :param detail: what decided it.
+        """
+        self.emit(
+            RouteChosen(
+                request=job.request.id,
+                attempt=len(job.sent),
+                vms=vms,
+                detail=detail,
+            )
+        )
+
+    def failed(self, job: Job, vm: str, reason: str, detail: str) -> None:
+        """
+        Tell that an attempt failed.
+
+        :param job: the request.
+        :param vm: id of the server at fault, or of the first.
+        :param reason: what was seen.
+        :param detail: the figures.
+        """
+        self.emit(
+            StageFailed(
+                request=job.request.id,
+                vm=vm,
+                attempt=len(job.sent),
+                stage=0,
+                reason=reason,
+                detail=detail,
+            )
+        )
+
     def _not_allowed(
         self, caller: CallerConnection, request: Request, reason: Reason, why: Refused
     ) -> None:
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -9,11 +9,9 @@
 import time
 from dataclasses import dataclass
 
-from loguru import logger
-
-from kumquatway_core import Reason, Verdict, may_have_run, not_run
+from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
 from kumquatway_core.events import StreamRecovered
-from kumquatway_gateway.chains import Chain
+from kumquatway_gateway.chains import Chain, Load
 from kumquatway_gateway.http1 import (
     End,
     Exchange,
@@ -134,7 +132,7 @@
         except Unreachable as error:
             self.avoid.add(first.id)
             self.relay.doctor.suspect(first)
-            logger.info("request {}: {}", self.job.request.id, error)
+            self.relay.failed(self.job, first.id, "unreachable", str(error))
             return _Step.UNREACHED
         self._send(chain)
         self.relay.watched.add(self)
@@ -164,8 +162,20 @@
             sink=self._take,
         )
         self.sent_at = self.events.heard = time.monotonic()
+        self._tell_route(chain)
         self.connection.send(self.exchange, dialect.encode(request, sending))
 
+    def _tell_route(self, chain: Chain) -> None:
+        load = self.router.loads().get(chain.first.id, Load())
+        self.relay.routed(
+            self.job,
+            tuple(part.server.id for part in chain.parts),
+            f"{load.tokens:.0f} of {chain.tokens:.0f} tokens used, "
+            f"fleet {self.relay.fleet.generation}, list "
+            f"{time.monotonic() - self.relay.fleet.listed_at:.1f} s old, "
+            f"after event {self.events.last.decode('latin-1') or 0}",
+        )
+
     async def _follow(self, chain: Chain) -> _Step:
         exchange = self.exchange
         self._error_body: list[bytes] = []
@@ -185,6 +195,7 @@
         if self.events.tail:
             self.job.caller.write_chunk(self.events.tail)
         self.job.caller.end_stream()
+        self.relay.ended(self.job, Verdict(ran=RAN), head.status)
         return _Step.DONE
 
     def _begin(self, head: ResponseHead) -> None:
@@ -235,12 +246,8 @@
         self.avoid.add(server.id)
         fleet.avoid(server)
         self.relay.doctor.suspect(server)
-        logger.info(
-            "request {}: refused by {}, at fault {}",
-            self.job.request.id,
-            self.chain.first.address,
-            server.address,
-        )
+        detail = f"refused by {self.chain.first.address}, at fault {server.address}"
+        self.relay.failed(self.job, server.id, "refused", detail)
 
     # silence
 
@@ -314,14 +321,8 @@
             self.router.note_failure(chain)
         if self.streaming and not self.failed_at:
             self.failed_at = time.monotonic()
-        logger.info(
-            "request {}: attempt on {} {} after {} events, {:.0f} ms without one",
-            self.job.request.id,
-            chain.first.address,
-            step.value,
-            self.events.count,
-            (time.monotonic() - self.events.heard) * 1000,
-        )
+        if step not in (_Step.UNREACHED, _Step.REFUSED):
+            self._tell_failure(step, chain)
         if step in (_Step.STALLED, _Step.CUT):
             self.avoid |= {
                 p.server.id for p in chain.parts if not self._is_up(p.server)
@@ -330,6 +331,18 @@
         if step is _Step.CUT:
             self.relay.doctor.examine(chain)
 
+    def _tell_failure(self, step: _Step, chain: Chain) -> None:
+        down = [p.server.id for p in chain.parts if not self._is_up(p.server)]
+        quiet = (time.monotonic() - self.events.heard) * 1000
+        budget = self.relay.budget(self.job.service.name).left()
+        self.relay.failed(
+            self.job,
+            down[0] if down else chain.first.id,
+            "silence" if step is _Step.STALLED else step.value,
+            f"after {self.events.count} events, {quiet:.0f} ms without one, "
+            f"{len(down)} of the chain down, {budget:.0f} repeats left",
+        )
+
     async def _next_claim(self, step: _Step, waiter: Waiter) -> Claim | None:
         if step is not _Step.UNREACHED:
             if not self._may_go_on(step):
@@ -366,6 +379,8 @@
             head = self.failure.head
             fields = head.headers.forwardable()
             job.caller.respond(head.status, fields, self.failure.body, keep=True)
+            verdict = Verdict(ran=RAN, reason=Reason.UPSTREAM_ERROR)
+            self.relay.ended(job, verdict, head.status)
             return
         if self.doubt:
             self._answer(may_have_run(Reason.RESET, "no server finished the request"))
