--- a/packages/entry/src/kumquatway/_cli/_commands.py
+++ b/packages/entry/src/kumquatway/_cli/_commands.py
@@ -23,6 +23,7 @@
 )
 from kumquatway._entry import Entry
 from kumquatway.admin import EditView, StatusView
+from kumquatway.explain import cause, read_records, render, tell
 from kumquatway.placement import plan as make_plan, plan_view, read_vms, render_plan
 from kumquatway.timeline import draw as draw_lanes, merge, table
 from kumquatway_core.events import Record
@@ -153,6 +154,29 @@
     OUT.print(f"{vm} {'stays' if undo else 'leaves'}")
 
 
+def explain(request: str, logs: list[Path]) -> int:
+    """
+    Tell a request's story.
+
+    :param request: its id.
+    :param logs: files with the lines of all processes, or none for standard input.
+    :return: the exit code; 1 where no line names the request.
+    :raises ConfigurationError: if a file cannot be read.
+    """
+    try:
+        texts = [path.read_text(errors="replace") for path in logs]
+    except OSError as error:
+        raise ConfigurationError(f"log {error.filename}: {error.strerror}") from error
+    if not logs:
+        texts = [sys.stdin.read()]
+    lines = (line for text in texts for line in text.splitlines())
+    story = tell(read_records(lines), request)
+    if story.own:
+        print(render(story))
+    print(cause(story))
+    return 0 if story.own else 1
+
+
 def timeline(
     *,
     admins: list[str],
--- a/packages/entry/src/kumquatway/_cli/_main.py
+++ b/packages/entry/src/kumquatway/_cli/_main.py
@@ -152,6 +152,21 @@
         )
 
 
+@cappa.command(help="Tell a request's story and its cause from log lines.")
+@dataclass
+class Explain:
+    """The options of `explain`."""
+
+    request: Annotated[str, cappa.Arg(help="The request's id.")]
+    logs: Annotated[
+        list[Path], cappa.Arg(help="Log files; standard input by default.")
+    ] = field(default_factory=list)
+
+    def __call__(self):
+        """Run the command."""
+        sys.exit(_commands.explain(self.request, self.logs))
+
+
 @cappa.command(help="Show which VM would hold what, without acting.")
 @dataclass
 class Plan:
@@ -187,7 +202,7 @@
     """The subcommands."""
 
     command: cappa.Subcommands[
-        Serve | Check | Apply | Status | Drain | Timeline | Plan | Demo
+        Serve | Check | Apply | Status | Drain | Timeline | Explain | Plan | Demo
     ]
 
 
--- /dev/null
+++ b/packages/entry/src/kumquatway/explain/_read.py
@@ -0,0 +1,32 @@
+"""
+Read.
+
+Records of events among the lines of logs.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from kumquatway_core.events import Record
+
+_decoder = msgspec.json.Decoder(Record)
+
+
+def read_records(lines: Iterable[str]) -> tuple[Record, ...]:
+    """
+    Find the records in lines of any origin; what stands before `{` is skipped.
+
+    :param lines: of logs, from one process or many, in any order.
+    :return: the records, in the order of their clocks.
+    """
+    found = []
+    for line in lines:
+        start = line.find('{"process"')
+        if start < 0:
+            continue
+        try:
+            found.append(_decoder.decode(line[start:]))
+        except msgspec.MsgspecError:
+            continue
+    return tuple(sorted(found, key=lambda one: (one.clock, one.process)))
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 
-from kumquatway_core import Reason, Verdict, not_run
+from kumquatway_core import Reason, Verdict, may_have_run, not_run
 from kumquatway_core.events import (
     Event,
     Refused as RefusedEvent,
@@ -208,6 +208,14 @@
             return
         self.budget(service.name).request()
         self.began(job)
+        try:
+            await self._serve_job(job)
+        except asyncio.CancelledError:
+            self.ended(job, may_have_run(Reason.CANCELLED, "its caller left"))
+            raise
+
+    async def _serve_job(self, job: Job) -> None:
+        service = job.service
         if service.engine is not None:
             router = self.model_router(service)
             await StreamJob(relay=self, router=router, job=job).run()
