--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -36,6 +36,7 @@
 SETTLE_SECONDS = 0.9  # without a new server, before a first layout is planned
 LONGEST_SETTLE_SECONDS = 4.0
 CALM_SECONDS = 1.2  # without a change of the fleet, before spare layers are loaded
+REBUILD_SECONDS = 5.0  # the same, before a chain that cannot be mended is laid out anew
 KEPT_LOADS = 2  # of those that run at full speed, kept for gaps
 
 
@@ -209,7 +210,10 @@
     def _place(self, router: ModelRouter) -> None:
         engine = router.engine
         self._forget_lost()
-        moves = plan(engine, self._slots(router))
+        # Most servers that go are back within seconds, with or without their layers.
+        patient = self.clock() - self.last_change < REBUILD_SECONDS
+        may_rebuild = not patient or not router.chains()
+        moves = plan(engine, self._slots(router), may_rebuild=may_rebuild)
         # Gaps are filled as planned once; what waits behind them is planned anew.
         for move in moves:
             if move.aim is Aim.GAP:
--- a/packages/gateway/src/kumquatway_gateway/placement/_plan.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_plan.py
@@ -76,18 +76,21 @@
     side: _Side
 
 
-def plan(engine: Engine, slots: Iterable[Slot]) -> tuple[Move, ...]:
+def plan(
+    engine: Engine, slots: Iterable[Slot], *, may_rebuild: bool = True
+) -> tuple[Move, ...]:
     """
     Plan the next moves of every pool.
 
     :param engine: of the service.
     :param slots: servers that are up, with what they hold.
+    :param may_rebuild: whether a chain that cannot be mended may be laid out anew.
     :return: the moves, most urgent first; none where nothing is to be done.
     """
     known = [slot for slot in slots if engine.accelerator(slot.server.accelerator)]
     moves: list[Move] = []
     for members in _pools(engine, known):
-        moves += _Pool(engine, members).plan()
+        moves += _Pool(engine, members).plan(may_rebuild)
     return tuple(sorted(moves, key=lambda move: move.aim))
 
 
@@ -125,12 +128,13 @@
         self.slots = {slot.server.id: slot for slot in members}
         self.moves: dict[str, Move] = {}
 
-    def plan(self) -> list[Move]:
+    def plan(self, may_rebuild: bool) -> list[Move]:
         """Fill the gaps; where there are none, make room and double layers."""
         while (gap := self._first_gap()) is not None:
             filled = self._fill(gap)
             if not filled:
-                self._rebuild()
+                if may_rebuild:
+                    self._rebuild()
                 return list(self.moves.values())
             for move in filled:
                 self._apply(move)
