--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -19,6 +19,7 @@
     ServerFollower,
     follow_entries,
 )
+from kumquatway_gateway._metrics import GatewayMetrics
 from kumquatway_gateway._sources import ConfigurationSource, EntrySource, ServerSource
 from kumquatway_gateway.duties import Placer
 from kumquatway_gateway.fleet import Fleet
@@ -39,6 +40,8 @@
 OUT_OF_ROTATION_SECONDS = 2.8  # two missed questions of the balancer, and some
 LAST_SECONDS = 0.7  # of the grace, kept for the end of the process
 READY_PATH = "/ready"
+METRICS_PATH = "/metrics"
+NEVER_SECONDS = 1e6  # shown for what never happened
 HOLDER_MARK = "#"  # between an entry's name and its life
 
 
@@ -51,6 +54,7 @@
     :param callers: address for callers, `host:port`.
     :param readiness: address for the balancer's question.
     :param peers: address for other entries, TCP and UDP.
+    :param metrics: address for metrics, or "" for none.
     :param known_peers: addresses of entries to begin with.
     :param repeat_ratio: repeats that a service may get for each request.
     :param repeat_slack: repeats beside, over all entries.
@@ -65,6 +69,7 @@
     callers: str
     readiness: str
     peers: str
+    metrics: str = ""
     known_peers: frozenset[str] = frozenset()
     repeat_ratio: float = 0.2
     repeat_slack: float = 100.0
@@ -108,7 +113,9 @@
         self.settings = settings
         self.sources = sources
         self.pool = pool
-        self.emit = emit
+        self.metrics = GatewayMetrics()
+        self.log = emit
+        emit = self.emit
         self.clock = clock
         self.life = new_incarnation()
         self.stopping = asyncio.Event()
@@ -129,6 +136,7 @@
             open_budget=self._open_budget,
             elsewhere=self._elsewhere,
             emit=emit,
+            metrics=self.metrics,
             clock=clock,
         )
         copies = Copies(fetcher=Fetcher(pool=pool))
@@ -182,14 +190,27 @@
         )
         self.callers = Listener(bounds=self._bounds, serve=self.relay.serve)
         self.readiness = Listener(bounds=Limits, serve=self._answer_readiness)
+        self.metrics_calls = Listener(bounds=Limits, serve=self._answer_metrics)
+        self._watch_figures()
         self.peer_calls = Listener(bounds=Limits, serve=self._answer_peer)
 
+    def emit(self, event: Event) -> None:
+        """
+        Count an event and write it down.
+
+        :param event: any event.
+        """
+        self.metrics.observe(event)
+        self.log(event)
+
     async def run(self) -> None:
         """Serve until `stop` was called and the requests in progress are done."""
         started = self.clock()
         await self.readiness.start(self.settings.readiness)
         await self.peer_calls.start(self.settings.peers)
         await self.callers.start(self.settings.callers)
+        if self.settings.metrics:
+            await self.metrics_calls.start(self.settings.metrics)
         self.emit(ProcessStarted(vm=self.settings.name, incarnation=self.life))
         supervisor = asyncio.create_task(self._supervisor().run())
         stopping = asyncio.create_task(self.stopping.wait())
@@ -263,6 +284,55 @@
         ready = incoming.target == READY_PATH and self.is_ready()
         caller.respond(200 if ready else 503, [], b"", keep=True)
 
+    async def _answer_metrics(
+        self, caller: CallerConnection, incoming: Incoming
+    ) -> None:
+        if incoming.target != METRICS_PATH:
+            caller.respond(404, [], b"", keep=False)
+            return
+        body, fields = self.metrics.render()
+        own = [(name.encode(), value.encode()) for name, value in fields]
+        caller.respond(200, own, body, keep=True)
+
+    def _watch_figures(self) -> None:
+        """Let the metrics tell what this entry believes now."""
+        watch = self.metrics.watch
+        watch(
+            "kumquatway_revision",
+            "Revision of the configuration in force.",
+            lambda: float(self.configuration.revision()),
+        )
+        watch(
+            "kumquatway_confirmed_seconds",
+            "Since the configuration was last known to be the newest.",
+            lambda: min(NEVER_SECONDS, self.clock() - self.relay.confirmed),
+        )
+        watch(
+            "kumquatway_chains",
+            "Chains that can serve.",
+            lambda: float(sum(len(r.chains()) for r in self._routers())),
+        )
+        watch(
+            "kumquatway_waiting",
+            "Requests that wait for room.",
+            lambda: float(sum(len(r.room.waiting) for r in self._routers())),
+        )
+        watch(
+            "kumquatway_in_progress",
+            "Requests in progress.",
+            lambda: float(self.callers.busy),
+        )
+        watch(
+            "kumquatway_repeats_left",
+            "Repeats that this entry may send now, over all services.",
+            lambda: sum(budget.left() for budget in self.relay.budgets.values()),
+        )
+        watch(
+            "kumquatway_peers",
+            "Peers heard lately.",
+            lambda: float(len(self.gossip.live())),
+        )
+
     async def _answer_peer(self, caller: CallerConnection, incoming: Incoming) -> None:
         if is_copy_request(incoming):
             self.copy_server.answer(caller, incoming)
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/_metrics.py
@@ -0,0 +1,122 @@
+"""
+Metrics.
+
+What a gateway counts: mostly its events, once more as numbers.
+"""
+
+from collections.abc import Callable, Iterable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+from kumquatway_core.events import (
+    DependencyChanged,
+    Event,
+    LayersOrdered,
+    MembershipChanged,
+    Refused,
+    RequestEnded,
+    StageFailed,
+    StreamRecovered,
+)
+
+# Seconds; the objectives of the users' deployments are 0.1 and 0.5 s, the longest
+# timeout is 20 s.
+BUCKETS = (0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0)
+
+
+class GatewayMetrics:
+    """The metrics of one gateway, in a registry of their own."""
+
+    def __init__(self):
+        self.registry = Registry()
+        self.ended = self._counter(
+            "kumquatway_requests_total", "Requests by verdict, reason and status class."
+        )
+        self.refused = self._counter(
+            "kumquatway_refused_total", "Requests that were not allowed, by reason."
+        )
+        self.failures = self._counter(
+            "kumquatway_attempt_failures_total", "Attempts that failed, by reason."
+        )
+        self.recoveries = self._counter(
+            "kumquatway_recoveries_total", "Streams that went on elsewhere."
+        )
+        self.orders = self._counter(
+            "kumquatway_orders_total", "Orders to servers, by outcome."
+        )
+        self.members = self._counter(
+            "kumquatway_server_changes_total", "Changes of servers, by state."
+        )
+        self.dependencies = self._counter(
+            "kumquatway_dependency_changes_total", "Dependencies lost and regained."
+        )
+        self.store_calls = self._counter(
+            "kumquatway_store_calls_total", "Calls of the store, by outcome."
+        )
+        self.first_events = self._histogram(
+            "kumquatway_first_event_seconds", "From the request to its first event."
+        )
+        self.durations = self._histogram(
+            "kumquatway_request_seconds", "From the request to its end, by kind."
+        )
+        self.waits = self._histogram(
+            "kumquatway_wait_seconds", "Waiting for room on a chain."
+        )
+        self.gauges: dict[str, tuple[Gauge, Callable[[], float]]] = {}
+
+    def watch(self, name: str, doc: str, value: Callable[[], float]) -> None:
+        """
+        Add a figure that is read when the metrics are.
+
+        :param name: of the metric.
+        :param doc: one line for people.
+        :param value: gives it.
+        """
+        self.gauges[name] = (Gauge(name, doc, registry=self.registry), value)
+
+    def observe(self, event: Event) -> None:
+        """
+        Count an event.
+
+        :param event: any event of the gateway.
+        """
+        match event:
+            case RequestEnded():
+                self._count_end(event)
+            case Refused():
+                self.refused.inc({"reason": event.reason})
+            case StageFailed():
+                self.failures.inc({"reason": event.reason})
+            case StreamRecovered():
+                self.recoveries.inc({"means": event.means})
+            case LayersOrdered():
+                self.orders.inc({"outcome": event.outcome})
+            case MembershipChanged():
+                self.members.inc({"state": event.state})
+            case DependencyChanged():
+                self.dependencies.inc({"name": event.name, "state": event.state})
+
+    def render(self) -> tuple[bytes, Iterable[tuple[str, str]]]:
+        """
+        Write the metrics as text.
+
+        :return: the body and its header fields.
+        """
+        for gauge, value in self.gauges.values():
+            gauge.set({}, value())
+        body, fields = render(self.registry, [])
+        return body, fields.items()
+
+    def _count_end(self, event: RequestEnded) -> None:
+        labels = {
+            "verdict": event.verdict,
+            "reason": event.reason,
+            "status": f"{event.status // 100}xx",
+        }
+        self.ended.inc(labels)
+
+    def _counter(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self.registry)
+
+    def _histogram(self, name: str, doc: str) -> Histogram:
+        return Histogram(name, doc, registry=self.registry, buckets=list(BUCKETS))
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -18,6 +18,7 @@
     RouteChosen,
     StageFailed,
 )
+from kumquatway_gateway._metrics import GatewayMetrics
 from kumquatway_gateway.chains import Load
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.http1 import CallerConnection, Incoming, Pool
@@ -54,6 +55,7 @@
     :param open_budget: makes the repeat budget of a service.
     :param elsewhere: gives what other entries have in progress.
     :param emit: takes events for the log and the time line.
+    :param metrics: takes durations.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         open_budget: Callable[[], RepeatBudget],
         elsewhere: Callable[[], dict[str, Load]],
         emit: Callable[[Event], None],
+        metrics: GatewayMetrics,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.dialect = dialect
@@ -77,6 +80,7 @@
         self.open_budget = open_budget
         self.elsewhere = elsewhere
         self.emit = emit
+        self.metrics = metrics
         self.clock = clock
         self.configuration: Configuration | None = None
         self.confirmed = float("-inf")  # when the configuration was last known newest
@@ -239,6 +243,7 @@
         :param verdict: what became of it.
         :param status: of a server's answer, or None for the verdict's own.
         """
+        self.metrics.durations.observe({"kind": job.route.kind.value}, job.age())
         self.emit(
             RequestEnded(
                 request=job.request.id,
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -97,6 +97,7 @@
             give_up=min(job.deadline, job.request.arrived + MAX_WAIT_SECONDS),
         )
         claim = await self.router.room.enter(waiter)
+        self.relay.metrics.waits.observe({}, self.job.age())
         if claim is None:
             self._refuse("every chain is full" if self.router.chains() else "no chain")
             return
@@ -218,6 +219,7 @@
         first = not events.count
         events.feed(data)
         if first and events.count:
+            self.relay.metrics.first_events.observe({}, self.job.age())
             self.router.note_first_event(self.chain, events.heard - self.sent_at)
         if self.failed_at and events.count:
             self._note_recovery()
