Hold the size of a head, and end a connection on which more than the answer comes

Found by new tests: a head that came in one piece was not measured; the beginning of a second answer behind a whole one left the connection in the pool.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -230,7 +230,9 @@
         self._body = []
         self._body_bytes = 0
         length = _length(self._fields)
-        if length > self.bounds().body_bytes:
+        if self._size() > self.bounds().header_bytes:
+            self._refuse(431, "the head of the request is too large")
+        elif length > self.bounds().body_bytes:
             self._refuse(413, "the body of the request is too large")
         elif _expects_continue(self._fields) and not self.lost:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -261,6 +263,11 @@
         self._body = []
         self.arrival.set()
 
+    def _size(self) -> int:
+        """Count the bytes of the head, with its separators."""
+        fields = sum(len(name) + len(value) + 4 for name, value in self._fields)
+        return len(self._url) + fields
+
     # the task of the connection
 
     async def _run(self) -> None:
--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -169,8 +169,10 @@
     # httptools
 
     def on_message_begin(self):
-        """Begin a response."""
+        """Begin a response; one that nothing is due for ends the connection."""
         self.message = _Message()
+        if self.exchange is None:
+            self.abandon()
 
     def on_header(self, name, value):
         """Take a field."""
