--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -180,6 +180,7 @@
             emit=emit,
             clock=clock,
         )
+        self.gossip.has_duty = lambda: self.placer.held
         self.servers.places = lambda: self.placer.held or not self.gossip.live()
         self.copy_server = CopyServer(
             revision=self.configuration.revision,
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -21,7 +21,7 @@
 
 PERIOD_SECONDS = 0.25
 FRESH_SECONDS = 1.5  # after which a peer's word on its load no longer counts
-SILENT_SECONDS = 1.1  # four words missed, after which a peer's duty may be taken
+SILENT_SECONDS = 1.6  # six words missed, after which a peer's duty may be taken
 PEER_SECONDS = 8.0  # without a word, after which a peer is no longer counted
 TELL_SECONDS = 6.0  # for which a mark or a report is repeated
 MAX_PEERS = 8  # told in one period, drawn anew each time
@@ -127,7 +127,7 @@
         self.addresses: set[str] = set()
         self.peers: dict[str, _Peer] = {}
         self.transport: asyncio.DatagramTransport | None = None
-        self.told: dict[str, float] = {}
+        self.has_duty: Callable[[], bool] = lambda: False
         self._hurry = asyncio.Event()
 
     async def run(self) -> None:
@@ -270,7 +270,8 @@
             logger.warning("a word of {} bytes is too long for peers", len(data))
             return
         targets = list(self.addresses)
-        if len(targets) > MAX_PEERS:
+        # Who holds a duty tells all: its silence would have the duty taken from it.
+        if len(targets) > MAX_PEERS and not self.has_duty():
             targets = random.sample(targets, MAX_PEERS)
         for target in targets:
             host, _, port = target.rpartition(":")
--- a/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
@@ -5,9 +5,12 @@
 """
 
 import asyncio
+import random
 import time
 from collections.abc import Callable, Iterable
 
+from loguru import logger
+
 from kumquatway_gateway.chains import Chain
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.http1 import FetchFailed, Pool, Unreachable
@@ -15,7 +18,7 @@
 from kumquatway_gateway.relay._engines import Engines, Report
 
 PROBE_SECONDS = 0.12  # 50 times the way to a server and back
-PROBES = 2  # that must fail, since a packet may be lost
+WITNESSES = 2  # other servers asked before a server is taken for down
 AGAIN_SECONDS = 0.25  # between two examinations of a chain
 RECHECK_SECONDS = 0.8  # between probes of a server that is down or slow
 SLOW_PACE = 1.5  # times the usual, above which a server is asked again
@@ -60,6 +63,8 @@
         if now - self.examined.get(key, float("-inf")) < AGAIN_SECONDS:
             return
         self.examined[key] = now
+        for part in chain.parts:
+            self.examined[part.server.id] = now
         self._spawn(self._examine_all([part.server for part in chain.parts]))
 
     def suspect(self, server: Server) -> None:
@@ -94,23 +99,51 @@
         await asyncio.gather(*(self._examine(server) for server in servers))
 
     async def _examine(self, server: Server) -> None:
-        failure = ""
-        for _ in range(PROBES):
-            try:
-                await self._probe(server)
-                return
-            except (FetchFailed, Unreachable) as error:
-                failure = str(error)
-        if server.id in self.fleet.servers:
-            self.fleet.mark(server, down=True, reason=failure)
-            self.pool.forget(server.id)
+        """Mark a server down if it does not answer while others do."""
+        if await self._answers(server) is None:
+            return
+        failure, witnessed = await asyncio.gather(
+            self._answers(server), self._has_witness(server)
+        )
+        if failure is None or server.id not in self.fleet.servers:
+            return
+        if not witnessed:
+            logger.warning("{}, but no other server answers either", failure)
+            return
+        self.fleet.mark(server, down=True, reason=failure)
+        self.pool.forget(server.id)
 
-    async def _revive(self, server: Server) -> None:
+    async def _answers(self, server: Server) -> str | None:
+        """Probe a server; gives what went wrong, or None."""
         try:
             await self._probe(server)
-        except (FetchFailed, Unreachable):
-            return
-        self.fleet.mark(server, down=False, reason="it answers again")
+        except (FetchFailed, Unreachable) as error:
+            return str(error)
+        return None
+
+    async def _has_witness(self, suspect: Server) -> bool:
+        """
+        Tell whether other servers answer, so that the own link is not at fault.
+
+        Load pattern: an entry behind a full or cut link hears from nobody. It must not
+        tell its peers that the servers are gone.
+        """
+        others = [
+            server
+            for server in self.fleet.servers.values()
+            if self.fleet.is_up(server) and server.id not in self.examined
+        ]
+        others.sort(key=lambda one: one.data_centre == suspect.data_centre)
+        elsewhere = others[: max(WITNESSES, len(others) // 2)]
+        if not elsewhere:
+            return True
+        chosen = random.sample(elsewhere, min(WITNESSES, len(elsewhere)))
+        failures = await asyncio.gather(*(self._answers(one) for one in chosen))
+        return None in failures
+
+    async def _revive(self, server: Server) -> None:
+        if await self._answers(server) is None:
+            self.fleet.mark(server, down=False, reason="it answers again")
 
     async def _probe(self, server: Server) -> None:
         self.probes += 1
