--- /dev/null
+++ b/packages/gateway/tests/test_doctor.py
@@ -0,0 +1,168 @@
+"""Tests of who is taken for down, and who is not."""
+
+import asyncio
+
+from engines import server, span
+
+from kumquatway_gateway.chains import Chain, Part
+from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.http1 import FetchFailed, Pool
+from kumquatway_gateway.model import Server
+from kumquatway_gateway.relay import Doctor, Report, Stalled
+
+
+class _Engines:
+    """Model servers, some of which do not answer."""
+
+    def __init__(self):
+        self.silent: set[str] = set()
+        self.failures: dict[str, int] = {}
+        self.paces: dict[str, float] = {}
+        self.stalled: dict[str, str] = {}
+        self.asked: list[str] = []
+
+    async def report(self, one: Server, timeout: float) -> Report:
+        self.asked.append(one.id)
+        left = self.failures.get(one.id, 0)
+        if left:
+            self.failures[one.id] = left - 1
+        if one.id in self.silent or left:
+            raise FetchFailed(f"{one.address}: {timeout} s passed", sent=True)
+        address = self.stalled.get(one.id)
+        return Report(
+            born=one.born,
+            layers=one.layers,
+            sequence=1,
+            busy=False,
+            running=0,
+            waiting=0,
+            pace=self.paces.get(one.id, 1.0),
+            stalled=(Stalled(request="r", address=address),) if address else (),
+        )
+
+
+class _Site:
+    def __init__(self):
+        self.engines = _Engines()
+        self.events: list = []
+        self.fleet = Fleet(emit=self.events.append)
+        members = [
+            server(
+                f"{centre}{number}", centre, "big", span(16 * number, 16 * number + 16)
+            )
+            for centre in "ab"
+            for number in range(5)
+        ]
+        self.fleet.list({one.id: one for one in members})
+        self.doctor = Doctor(
+            fleet=self.fleet,
+            engines=self.engines,
+            pool=Pool(),
+            is_model=lambda one: True,
+        )
+
+    def chain(self, centre: str = "a") -> Chain:
+        members = [s for s in self.fleet.servers.values() if s.data_centre == centre]
+        parts = tuple(Part(server=one, layers=one.layers) for one in members)
+        return Chain(
+            parts=parts, tokens=1.0, seconds=1.0, read_seconds=0.1, crossings=0
+        )
+
+    async def settle(self) -> None:
+        while self.doctor.tasks:
+            await asyncio.gather(*self.doctor.tasks)
+
+    def down(self) -> set[str]:
+        return {name for name, mark in self.fleet.marks.items() if mark.down}
+
+
+def play(story) -> None:
+    asyncio.run(story(_Site()))
+
+
+class TestExamine:
+    """A chain that fell silent."""
+
+    def test_the_one_that_does_not_answer_is_down(self):
+        async def story(site):
+            site.engines.silent.add("a2")
+            site.doctor.examine(site.chain())
+            await site.settle()
+            assert site.down() == {"a2"}
+            assert not site.fleet.is_up(site.fleet.servers["a2"])
+
+        play(story)
+
+    def test_one_lost_packet_is_nothing(self):
+        async def story(site):
+            site.engines.failures["a2"] = 1
+            site.doctor.examine(site.chain())
+            await site.settle()
+            assert site.down() == set()
+
+        play(story)
+
+    def test_where_nobody_answers_the_own_link_is_at_fault(self):
+        """Load pattern: an entry behind a full link tells nobody that all are down."""
+
+        async def story(site):
+            site.engines.silent.update(site.fleet.servers)
+            site.doctor.examine(site.chain())
+            await site.settle()
+            assert site.down() == set()
+
+        play(story)
+
+    def test_all_of_a_data_centre_may_be_down(self):
+        async def story(site):
+            site.engines.silent.update(f"a{n}" for n in range(5))
+            site.doctor.examine(site.chain())
+            await site.settle()
+            assert site.down() == {f"a{n}" for n in range(5)}
+
+        play(story)
+
+    def test_many_streams_of_a_chain_ask_once(self):
+        async def story(site):
+            for _ in range(50):
+                site.doctor.examine(site.chain())
+            await site.settle()
+            assert len(site.engines.asked) == 5
+
+        play(story)
+
+    def test_who_another_server_waits_for_is_asked(self):
+        async def story(site):
+            site.engines.silent.add("b3")
+            site.engines.stalled["a0"] = "b3:80"
+            site.doctor.examine(site.chain())
+            await site.settle()
+            assert site.down() == {"b3"}
+
+        play(story)
+
+    def test_the_pace_is_noted(self):
+        async def story(site):
+            site.engines.paces["a1"] = 12.0
+            site.doctor.examine(site.chain())
+            await site.settle()
+            assert site.fleet.pace(site.fleet.servers["a1"]) == 12.0
+            assert any(event.state == "slow" for event in site.events[10:])
+
+        play(story)
+
+
+class TestRecheck:
+    """Servers that are down."""
+
+    def test_who_answers_again_is_up(self):
+        async def story(site):
+            site.fleet.mark(site.fleet.servers["a2"], down=True, reason="test")
+            task = asyncio.create_task(site.doctor.recheck())
+            async with asyncio.timeout(10):
+                while site.down():
+                    await asyncio.sleep(0.02)
+            task.cancel()
+            assert site.fleet.is_up(site.fleet.servers["a2"])
+
+        play(story)
