--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -24,12 +24,14 @@
 
     :param born: the life that the mark is about.
     :param since: when it was seen, monotonic seconds.
+    :param ended: whether its life is surely over, and not only out of reach.
     """
 
     born: int
     down: bool
     since: float
     reason: str
+    ended: bool = False
 
 
 class Fleet:
@@ -156,15 +158,35 @@
         self.avoided[server.id] = self.clock() + seconds
         self.touch()
 
-    def mark(self, server: Server, *, down: bool, reason: str) -> None:
+    def has_ended(self, server_id: str) -> bool:
+        """
+        Tell whether a server's life is surely over.
+
+        :param server_id: of the server.
+        :return: True if it is not listed any more or its VM refuses connections.
+        """
+        mark = self.marks.get(server_id)
+        ended = mark is not None and mark.down and mark.ended
+        return ended or server_id not in self.servers
+
+    def mark(
+        self, server: Server, *, down: bool, reason: str, ended: bool = False
+    ) -> None:
         """
         Note that a server does not answer, or answers again.
 
         :param server: in the list.
         :param down: whether it does not answer.
         :param reason: what was seen.
+        :param ended: whether its life is surely over.
         """
-        mark = Mark(born=server.born, down=down, since=self.clock(), reason=reason)
+        mark = Mark(
+            born=server.born,
+            down=down,
+            since=self.clock(),
+            reason=reason,
+            ended=ended,
+        )
         self.take_mark(server.id, mark)
 
     def take_mark(self, server_id: str, mark: Mark) -> bool:
--- a/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
@@ -17,11 +17,13 @@
     A call got no answer.
 
     :param sent: whether a byte of it may have arrived.
+    :param refused: whether the VM said that nothing listens there.
     """
 
-    def __init__(self, message: str, *, sent: bool):
+    def __init__(self, message: str, *, sent: bool, refused: bool = False):
         super().__init__(message)
         self.sent = sent
+        self.refused = refused
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -73,7 +75,8 @@
         try:
             connection = await self.pool.connect(server or address, address, limit)
         except Unreachable as error:
-            raise FetchFailed(str(error), sent=False) from error
+            refused = error.refused
+            raise FetchFailed(str(error), sent=False, refused=refused) from error
         head = [(b"Host", address.encode()), *fields]
         if body or method in ("POST", "PUT"):
             head.append((b"Content-Type", content_type))
--- a/packages/gateway/src/kumquatway_gateway/http1/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_pool.py
@@ -17,7 +17,15 @@
 
 
 class Unreachable(Exception):
-    """No connection could be made, so that no byte of a request left."""
+    """
+    No connection could be made, so that no byte of a request left.
+
+    :param refused: whether the VM said that nothing listens there.
+    """
+
+    def __init__(self, message: str, *, refused: bool = False):
+        super().__init__(message)
+        self.refused = refused
 
 
 class Pool:
@@ -63,7 +71,8 @@
         except TimeoutError as error:
             raise Unreachable(f"{address} did not answer in {timeout} s") from error
         except (OSError, ValueError) as error:
-            raise Unreachable(f"{address}: {error}") from error
+            refused = isinstance(error, ConnectionRefusedError)
+            raise Unreachable(f"{address}: {error}", refused=refused) from error
         return connection
 
     def forget(self, server: str) -> None:
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -40,6 +40,7 @@
     down: bool
     age: float
     reason: str
+    ended: bool = False
 
 
 class _Held(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -243,6 +244,7 @@
                     down=mark.down,
                     since=now - mark.age,
                     reason=mark.reason,
+                    ended=mark.ended,
                 ),
             )
         for held in word.held:
@@ -295,6 +297,7 @@
                     down=mark.down,
                     age=now - mark.since,
                     reason=mark.reason[:80],
+                    ended=mark.ended,
                 )
                 for name, mark in fleet.marks.items()
                 if now - mark.since < TELL_SECONDS or mark.down
--- a/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
@@ -110,15 +110,15 @@
         if not witnessed:
             logger.warning("{}, but no other server answers either", failure)
             return
-        self.fleet.mark(server, down=True, reason=failure)
+        self.fleet.mark(server, down=True, reason=str(failure), ended=failure.refused)
         self.pool.forget(server.id)
 
-    async def _answers(self, server: Server) -> str | None:
+    async def _answers(self, server: Server) -> FetchFailed | Unreachable | None:
         """Probe a server; gives what went wrong, or None."""
         try:
             await self._probe(server)
         except (FetchFailed, Unreachable) as error:
-            return str(error)
+            return error
         return None
 
     async def _has_witness(self, suspect: Server) -> bool:
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -307,16 +307,13 @@
         job = self.job
         if (self.doubt or self.relaying) and not job.route.idempotent:
             return False
+        # A server that is only out of reach may still be at work on the request.
         fleet = self.relay.fleet
-        ran = {name for name in job.sent if self._counts(fleet, name)}
+        ran = {name for name in job.sent if not fleet.has_ended(name)}
         if len(ran) >= job.route.attempts:
             return False
         return self.relay.budget(job.service.name).left() >= 1
 
-    def _counts(self, fleet, name: str) -> bool:
-        server = fleet.servers.get(name)
-        return server is not None and self._is_up(server)
-
     def _note_failure(self, step: _Step, chain: Chain) -> None:
         self.moves += 1
         if step in (_Step.STALLED, _Step.FAILED) and not self.events.count:
--- a/packages/gateway/tests/test_doctor.py
+++ b/packages/gateway/tests/test_doctor.py
@@ -16,6 +16,7 @@
 
     def __init__(self):
         self.silent: set[str] = set()
+        self.refusing: set[str] = set()
         self.failures: dict[str, int] = {}
         self.paces: dict[str, float] = {}
         self.stalled: dict[str, str] = {}
@@ -28,6 +29,8 @@
             self.failures[one.id] = left - 1
         if one.id in self.silent or left:
             raise FetchFailed(f"{one.address}: {timeout} s passed", sent=True)
+        if one.id in self.refusing:
+            raise FetchFailed(f"{one.address}: refused", sent=False, refused=True)
         address = self.stalled.get(one.id)
         return Report(
             born=one.born,
@@ -93,6 +96,26 @@
 
         play(story)
 
+    def test_silence_is_no_proof_that_a_life_is_over(self):
+        async def story(site):
+            site.engines.silent.add("a2")
+            site.doctor.examine(site.chain())
+            await site.settle()
+            assert not site.fleet.has_ended("a2")
+
+        play(story)
+
+    def test_a_refused_connection_is(self):
+        async def story(site):
+            site.engines.refusing.add("a2")
+            site.doctor.examine(site.chain())
+            await site.settle()
+            assert site.fleet.has_ended("a2")
+            assert not site.fleet.has_ended("a1")
+            assert site.fleet.has_ended("never listed")
+
+        play(story)
+
     def test_one_lost_packet_is_nothing(self):
         async def story(site):
             site.engines.failures["a2"] = 1
