--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/placement/_types.py
@@ -0,0 +1,59 @@
+"""
+Types.
+
+What a plan is made from and what it says.
+"""
+
+import enum
+from dataclasses import dataclass
+
+from kumquatway_gateway.chains import layers_within
+from kumquatway_gateway.model import Engine, LayerRange, Server
+
+
+class Aim(enum.IntEnum):
+    """What a move is for, the most urgent first."""
+
+    GAP = 0
+    SHRINK = 1
+    RELIEF = 2
+    DOUBLE = 3
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Slot:
+    """
+    A server that may hold layers.
+
+    :param layers: what it holds, or will hold once its order is done.
+    """
+
+    server: Server
+    layers: LayerRange
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Move:
+    """
+    Layers that a server is to hold.
+
+    :param loads: layers that it has to load for that.
+    """
+
+    server: Server
+    layers: LayerRange
+    loads: int
+    aim: Aim
+
+
+def most_layers(engine: Engine, slot: Slot, room: float) -> int:
+    """
+    Compute how many layers a server can hold beside so much room.
+
+    :param engine: of the service.
+    :param slot: of the server, of a known kind of accelerator.
+    :param room: for requests, tokens.
+    :return: layers.
+    """
+    kind = engine.accelerator(slot.server.accelerator)
+    return layers_within(engine, kind, room)
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/relay/_silence.py
@@ -0,0 +1,80 @@
+"""
+Silence.
+
+What a stream without events is to do: wait, have its chain examined, or leave it.
+"""
+
+import enum
+from dataclasses import dataclass
+
+DEAD_QUIET_SECONDS = 0.06  # on a chain with a server that is down
+QUIET_SECONDS = 0.075  # before a chain is suspected
+QUIET_PACES = 4.0  # the same in usual gaps of the stream
+FIRST_QUIET_SECONDS = 0.18  # to the first event, before a chain is suspected
+FIRST_QUIET_TIMES = 3.0  # the same in first events of the chain
+FIRST_LEAVE_TIMES = 1.5  # of that, after which a request moves while that is cheap
+CHEAP_SHARE = 0.5  # of the repeat budget left, above which repeats are cheap
+LONG_QUIET_SECONDS = 0.9  # after which a stream moves though no server is down
+
+
+class Step(enum.Enum):
+    """What follows from a silence."""
+
+    WAIT = "wait"
+    EXAMINE = "have the chain examined"
+    LEAVE = "leave the chain"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Silence:
+    """
+    How long a stream has been without an event, and what is usual.
+
+    :param seconds: without an event.
+    :param flowing: whether this server has sent any event.
+    :param pace: usual seconds between events of the stream.
+    :param first_event: usual seconds to the first event of the chain.
+    :param part_down: whether a server of the chain is known to be down.
+    :param budget: share of the repeat budget that is left.
+    """
+
+    seconds: float
+    flowing: bool
+    pace: float
+    first_event: float
+    part_down: bool
+    budget: float
+
+
+def judge(silence: Silence) -> Step:
+    """
+    Decide what a silent stream does.
+
+    Load patterns: a chain loses a server, and all its streams fall silent at once: the
+    first one has it examined, the rest leave once the server is known to be down. A
+    server takes requests and answers some of them never: a first event that is overdue
+    is not waited for as long as the repeat budget is nearly whole. All chains are
+    slow: the usual grows with them, and nobody moves.
+
+    :param silence: of the stream.
+    :return: what to do.
+    """
+    if silence.seconds < DEAD_QUIET_SECONDS:
+        return Step.WAIT
+    if silence.part_down:
+        return Step.LEAVE
+    suspicious = _suspicious_after(silence)
+    if silence.seconds < suspicious:
+        return Step.WAIT
+    if silence.seconds > LONG_QUIET_SECONDS:
+        return Step.LEAVE
+    overdue = silence.seconds >= suspicious * FIRST_LEAVE_TIMES
+    if overdue and not silence.flowing and silence.budget > CHEAP_SHARE:
+        return Step.LEAVE
+    return Step.EXAMINE
+
+
+def _suspicious_after(silence: Silence) -> float:
+    if silence.flowing:
+        return max(QUIET_SECONDS, QUIET_PACES * silence.pace)
+    return max(FIRST_QUIET_SECONDS, FIRST_QUIET_TIMES * silence.first_event)
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -19,23 +19,21 @@
     Unreachable,
     UpstreamConnection,
 )
+from kumquatway_gateway.model import Server
 from kumquatway_gateway.relay._answers import answer_verdict
 from kumquatway_gateway.relay._dialect import Sending
 from kumquatway_gateway.relay._events import EventRelay
 from kumquatway_gateway.relay._job import Job
 from kumquatway_gateway.relay._models import Claim, ModelRouter
+from kumquatway_gateway.relay._silence import (
+    DEAD_QUIET_SECONDS,
+    Silence,
+    Step as Next,
+    judge,
+)
 from kumquatway_gateway.waiting import MAX_WAIT_SECONDS, Waiter, retry_after
 
-QUIET_SECONDS = 0.075  # without an event, before a chain is suspected
-QUIET_PACES = 4.0  # the same in usual gaps of the stream
-FIRST_QUIET_SECONDS = 0.18  # to the first event, before a chain is suspected
-FIRST_QUIET_TIMES = 3.0  # the same in first events of the chain
-FIRST_LEAVE_TIMES = 1.5  # of that, after which a request moves while that is cheap
-CHEAP_SHARE = 0.5  # of the repeat budget left, above which repeats are cheap
-DEAD_QUIET_SECONDS = 0.06  # without an event, on a chain with a server that is down
-LONG_QUIET_SECONDS = 0.9  # after which a stream moves though no server is down
 CALLER_PATIENCE_SECONDS = 1.9  # between events, before callers leave
-NOT_RUN_STATUSES = (421, 429, 503, 408)
 
 
 class _Step(enum.Enum):
@@ -262,39 +260,27 @@
         quiet = now - self.events.heard
         if quiet < DEAD_QUIET_SECONDS:
             return
-        chain = self.chain
-        if any(not self._is_up(part.server) for part in chain.parts):
-            self._leave_chain()
-            return
-        if quiet < self._suspicious_after():
-            return
-        self.relay.doctor.examine(chain)
-        if quiet > LONG_QUIET_SECONDS or self._is_first_overdue(quiet):
+        silence = self._silence(quiet)
+        step = judge(silence)
+        if step is not Next.WAIT and not silence.part_down:
+            self.relay.doctor.examine(self.chain)
+        if step is Next.LEAVE:
             self._leave_chain()
 
-    def _is_first_overdue(self, quiet: float) -> bool:
-        """
-        Tell whether a first event is so late that another chain should try.
-
-        Load pattern: a server that takes requests and answers some of them never. As
-        long as the repeat budget is nearly whole the caller need not wait for it.
-        """
-        if self.relaying and self.events.count:
-            return False
-        if quiet < self._suspicious_after() * FIRST_LEAVE_TIMES:
-            return False
-        return self.relay.budget(self.job.service.name).share_left() > CHEAP_SHARE
+    def _silence(self, quiet: float) -> Silence:
+        return Silence(
+            seconds=quiet,
+            flowing=self.relaying and self.events.count > 0,
+            pace=self.events.pace,
+            first_event=self.router.usual_first_event(self.chain),
+            part_down=any(not self._is_up(p.server) for p in self.chain.parts),
+            budget=self.relay.budget(self.job.service.name).share_left(),
+        )
 
-    def _is_up(self, server) -> bool:
+    def _is_up(self, server: Server) -> bool:
         mark = self.relay.fleet.marks.get(server.id)
         return mark is None or not mark.down
 
-    def _suspicious_after(self) -> float:
-        if self.relaying and self.events.count:
-            return max(QUIET_SECONDS, QUIET_PACES * self.events.pace)
-        usual = self.router.usual_first_event(self.chain)
-        return max(FIRST_QUIET_SECONDS, FIRST_QUIET_TIMES * usual)
-
     def _leave_chain(self) -> None:
         """End the attempt, if the request can go on elsewhere."""
         if not self._may_repeat():
