--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -33,6 +33,7 @@
     A whole request as it was read.
 
     :param arrived: when its head was read, monotonic seconds.
+    :param chunks: whether the caller understands a body in chunks.
     """
 
     method: str
@@ -41,6 +42,7 @@
     body: bytes
     arrived: float
     keep_alive: bool
+    chunks: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -82,11 +84,12 @@
         self.arrival = asyncio.Event()
         self.lost = False
         self.busy = False
+        self.chunks = True  # the caller in progress understands them
         self.closing = False  # no request after the one in progress
         self.draining = False  # the next response is the last
         self.responded = False
-        self.on_writable: Callable[[], None] | None = None
-        self.paused = False
+        self.on_flow: Callable[[bool], None] | None = None
+        self.paused = False  # the caller reads too slowly
         self.task: asyncio.Task | None = None
         self._url = b""
         self._fields: list[Field] = []
@@ -129,19 +132,24 @@
         self.responded = True
         if self.lost:
             return
-        framing = [*fields, (b"Transfer-Encoding", b"chunked")]
-        if not self._keeps(keep):
+        framing = list(fields)
+        if self.chunks:
+            framing.append((b"Transfer-Encoding", b"chunked"))
+        if not self._keeps(keep and self.chunks):
             framing.append((b"Connection", b"close"))
         self.transport.write(render_response(status, framing))
 
     def write_chunk(self, data: bytes) -> None:
         """Write a piece of a streamed body."""
-        if not self.lost:
-            self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
+        if self.lost:
+            return
+        if self.chunks:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self.transport.write(data)
 
     def end_stream(self) -> None:
         """Write the end of a streamed body."""
-        if not self.lost:
+        if not self.lost and self.chunks:
             self.transport.write(b"0\r\n\r\n")
 
     def abort(self) -> None:
@@ -197,14 +205,16 @@
             self.task.cancel()
 
     def pause_writing(self):
-        """Note that the caller reads too slowly."""
+        """Have what the caller is sent held back."""
         self.paused = True
+        if self.on_flow is not None:
+            self.on_flow(False)
 
     def resume_writing(self):
-        """Note that the caller has caught up."""
+        """Let what the caller is sent flow again."""
         self.paused = False
-        if self.on_writable is not None:
-            self.on_writable()
+        if self.on_flow is not None:
+            self.on_flow(True)
 
     # httptools
 
@@ -258,6 +268,7 @@
                 body=b"".join(self._body),
                 arrived=self._arrived,
                 keep_alive=self.parser.should_keep_alive(),
+                chunks=self.parser.get_http_version() != "1.0",
             )
         )
         self._body = []
@@ -290,11 +301,12 @@
     async def _answer(self, incoming: Incoming) -> None:
         self.busy = True
         self.responded = False
+        self.chunks = incoming.chunks
         try:
             await self.serve(self, incoming)
         finally:
             self.busy = False
-            self.on_writable = None
+            self.on_flow = None
         if not incoming.keep_alive:
             self.closing = True
 
--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -46,16 +46,28 @@
     :param accepts: tells whether a response belongs to the request; a server may
         send a late one of another request first.
     :param sink: gets each piece of the body; without one the pieces are kept.
+    :param bodyless: whether the response ends with its head, whatever its fields say.
     """
 
-    __slots__ = ("accepts", "body", "ended", "head", "kept", "loop", "sink")
+    __slots__ = (
+        "accepts",
+        "body",
+        "bodyless",
+        "ended",
+        "head",
+        "kept",
+        "loop",
+        "sink",
+    )
 
     def __init__(
         self,
         *,
         accepts: Callable[[int, Headers], bool] = accept_any,
         sink: Callable[[bytes], None] | None = None,
+        bodyless: bool = False,
     ):
+        self.bodyless = bodyless
         self.loop = asyncio.get_running_loop()
         self.accepts = accepts
         self.sink = sink
@@ -115,8 +127,6 @@
         self.keep_alive = 0.0  # seconds that the server keeps it idle, 0 if untold
         self.idle_since = 0.0
         self.requests = 0
-        self.writable = asyncio.Event()
-        self.writable.set()
 
     def send(self, exchange: Exchange, data: bytes) -> None:
         """
@@ -129,6 +139,19 @@
         self.requests += 1
         self.transport.write(data)
 
+    def flow(self, on: bool) -> None:
+        """
+        Hold back what the server sends, or let it flow again.
+
+        :param on: whether it flows.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return
+        if on:
+            self.transport.resume_reading()
+        else:
+            self.transport.pause_reading()
+
     def abandon(self) -> None:
         """Close the connection, whatever is in progress on it."""
         self.reusable = False
@@ -195,6 +218,11 @@
             self.message.skipped = True
             return
         exchange.begin(ResponseHead(status=status, headers=headers))
+        if exchange.bodyless:
+            # The parser would wait for the body that the fields speak of.
+            self.reusable = False
+            self._finish(End.COMPLETE)
+            self.transport.close()
 
     def on_body(self, data):
         """Hand a piece of the body over."""
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -288,7 +288,8 @@
         exchange = Exchange(
             accepts=lambda status, headers: dialect.accepts(
                 job.request, status, headers
-            )
+            ),
+            bodyless=job.request.method == "HEAD",
         )
         job.sent.append(server.id)
         sending = Sending(
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -134,12 +134,20 @@
             self.relay.failed(self.job, first.id, "unreachable", str(error))
             return _Step.UNREACHED
         self._send(chain)
+        self.job.caller.on_flow = self._flow
+        self._flow(not self.job.caller.paused)
         self.relay.watched.add(self)
         try:
             return await self._follow(chain)
         finally:
             self.relay.watched.discard(self)
 
+    def _flow(self, on: bool) -> None:
+        """Hold the server back while the caller reads too slowly."""
+        self.events.heard = time.monotonic()
+        if self.connection is not None:
+            self.connection.flow(on)
+
     def _send(self, chain: Chain) -> None:
         job = self.job
         if job.sent:
@@ -258,7 +266,7 @@
         :param now: monotonic seconds.
         """
         quiet = now - self.events.heard
-        if quiet < DEAD_QUIET_SECONDS:
+        if quiet < DEAD_QUIET_SECONDS or self.job.caller.paused:
             return
         silence = self._silence(quiet)
         step = judge(silence)
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -188,6 +188,20 @@
 
         play(story)
 
+    def test_a_caller_of_http_1_0_gets_no_chunks(self):
+        async def story(callers):
+            async def stream(caller, incoming):
+                caller.start_stream(200, [], keep=True)
+                caller.write_chunk(b"a piece")
+                caller.end_stream()
+
+            callers.listener.serve = stream
+            got = await callers.talk(b"GET /x HTTP/1.0\r\n\r\n")
+            assert got.endswith(b"\r\n\r\na piece")
+            assert b"chunked" not in got
+
+        play(story)
+
     def test_the_last_response_of_a_drain_says_so(self):
         async def story(callers):
             callers.listener.drain()
@@ -310,6 +324,13 @@
         _, _, pool = self._end(_Server(leaving))
         assert not pool.idle.get("s")
 
+    def test_the_answer_to_a_head_request_ends_with_its_head(self):
+        body, end, pool = self._end(
+            _Server(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n"), bodyless=True
+        )
+        assert (body, end) == (b"", End.COMPLETE)
+        assert not pool.idle.get("s")
+
     def test_an_interim_answer_is_not_the_answer(self):
         body, end, _ = self._end(_Server(b"HTTP/1.1 100 Continue\r\n\r\n" + WHOLE))
         assert (body, end) == (b"ok", End.COMPLETE)
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -175,6 +175,7 @@
         self.peers = peers
         self.silent = False
         self.stop_after = 0
+        self.padding = 0  # bytes more in each event
         self.fence = 0
         self.lose_orders = 0
         self.beat = lambda: None
@@ -245,6 +246,8 @@
         for number in range(after + 1, EVENTS + 1):
             await asyncio.sleep(0.01)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            if self.padding:
+                event = event[:-2] + b"x" * self.padding + b"\n\n"
             if self.stop_after and number == self.stop_after:
                 caller.write_chunk(event[:7])
                 self.silent = True
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -163,6 +163,41 @@
         play(story())
 
 
+class TestSlowCaller:
+    """A caller that reads more slowly than the servers write."""
+
+    def test_what_waits_for_it_is_bounded(self):
+        async def story():
+            async with Deployment(models=1) as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                site.models[0].padding = 1 << 20
+                entry = site.entries[0]
+                _, data = site.request("/gen/x", **PROMPT)
+                host, _, port = entry.settings.callers.rpartition(":")
+                reader, writer = await asyncio.open_connection(
+                    host, int(port), limit=1 << 14
+                )
+                writer.write(data)
+                await until(
+                    lambda: any(c.paused for c in entry.gateway.callers.connections)
+                )
+                most = 0
+                for _ in range(20):
+                    await asyncio.sleep(0.01)
+                    for one in callers.connections:
+                        most = max(most, one.transport.get_write_buffer_size())
+                assert most < 4 << 20
+                got = 0
+                while b"0\r\n\r\n" not in (piece := await reader.read(1 << 20)):
+                    got += len(piece)
+                assert got > (EVENTS - 1) << 20
+                assert len(site.models[0].runs) == 1
+                writer.close()
+
+        play(story())
+
+
 class TestPlainService:
     """Requests that may run once at most, and those that may be repeated."""
 
