--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -179,9 +179,8 @@
                     host, int(port), limit=1 << 14
                 )
                 writer.write(data)
-                await until(
-                    lambda: any(c.paused for c in entry.gateway.callers.connections)
-                )
+                callers = entry.gateway.callers
+                await until(lambda: any(one.paused for one in callers.connections))
                 most = 0
                 for _ in range(20):
                     await asyncio.sleep(0.01)
