--- a/packages/gateway/src/kumquatway_gateway/chains/_choice.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_choice.py
@@ -14,6 +14,7 @@
 AWAY_COST = 0.2  # share of use that a chain elsewhere must be emptier by
 CROSSING_COST = 0.6  # the same for each step between data centres
 FAILURE_COST = 2.0  # the same where every request lately failed
+PACE_COST = 0.25  # the same for each second that a usual request takes, alone
 SLOW_COST = 1.0  # the same for each second that first events lately took
 
 
@@ -84,5 +85,6 @@
         + away
         + CROSSING_COST * chain.crossings
         + FAILURE_COST * load.failures
+        + PACE_COST * chain.seconds
         + SLOW_COST * max(load.first_event, chain.read_seconds)
     )
--- a/packages/gateway/tests/test_chains.py
+++ b/packages/gateway/tests/test_chains.py
@@ -118,6 +118,15 @@
     def test_not_where_requests_lately_failed(self):
         assert self._choose({"x": Load(failures=0.5)}) == "y"
 
+    def test_not_where_a_part_is_slow(self):
+        """Load pattern: some servers take many times their time."""
+        slow = [
+            _holder(f"x{n}", "a", n, n + 16, slowness=12.0) for n in range(0, 80, 16)
+        ]
+        fast = [_holder(f"y{n}", "b", n, n + 16) for n in range(0, 80, 16)]
+        self.chains = find_chains(ENGINE, [*slow, *fast])
+        assert self._choose({}) == "y0"
+
     def test_not_what_is_to_be_avoided(self):
         assert self._choose({}, avoid={"x"}) == "y"
         assert self._choose({}, avoid={"x", "y"}) is None
