--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -264,6 +264,7 @@
         await self.placer.release()
         await asyncio.sleep(max(0.0, begun + OUT_OF_ROTATION_SECONDS - self.clock()))
         self.relay.ends = end
+        self.callers.close()
         while self.callers.busy and self.clock() < end:
             await asyncio.sleep(0.05)
         self.callers.close()
