Wait for what may not be repeated, and leave a chain only for another

Found in reading, with tests that failed first: a stream that may not be repeated was left after 0.27 s without a first event; a body that is no stream could begin twice; a request whose only chain was slow was sent to the same server three times.

--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -19,7 +19,7 @@
     Unreachable,
     UpstreamConnection,
 )
-from kumquatway_gateway.model import Server
+from kumquatway_gateway.model import RouteKind, Server
 from kumquatway_gateway.relay._answers import answer_verdict
 from kumquatway_gateway.relay._dialect import Sending
 from kumquatway_gateway.relay._events import EventRelay
@@ -291,19 +291,30 @@
 
     def _leave_chain(self) -> None:
         """End the attempt, if the request can go on elsewhere."""
-        if not self._may_repeat():
+        # A request that was sent may run, whether or not an answer has begun.
+        if not self.job.route.idempotent or not self._may_repeat():
+            return
+        if not self._has_elsewhere():
             return
         self.connection.abandon()
 
+    def _has_elsewhere(self) -> bool:
+        """Tell whether another chain could take the request."""
+        tried = {*self.avoid, self.chain.first.id}
+        return any(chain.first.id not in tried for chain in self.router.chains())
+
     # what follows a failed attempt
 
     def _may_repeat(self) -> bool:
         job = self.job
         if (self.doubt or self.relaying) and not job.route.idempotent:
             return False
+        # Only events can be gone on with; any other body would begin anew.
+        if self.streaming and job.route.kind is not RouteKind.STREAM:
+            return False
         # A server that is only out of reach may still be at work on the request.
         fleet = self.relay.fleet
-        ran = {name for name in job.sent if not fleet.has_ended(name)}
+        ran = [name for name in job.sent if not fleet.has_ended(name)]
         if len(ran) >= job.route.attempts:
             return False
         return self.relay.budget(job.service.name).left() >= 1
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -64,6 +64,21 @@
                 "service": "svc-model",
                 "resumable": True,
             },
+            {
+                **route,
+                "name": "bound",
+                "prefix": "/bound/",
+                "kind": "stream",
+                "service": "svc-model",
+                "resumable": False,
+            },
+            {
+                **route,
+                "name": "text",
+                "prefix": "/text/",
+                "kind": "safe",
+                "service": "svc-model",
+            },
             {
                 **route,
                 "name": "once",
--- a/tests/platform/standins.py
+++ b/tests/platform/standins.py
@@ -176,6 +176,7 @@
         self.silent = False
         self.stop_after = 0
         self.padding = 0  # bytes more in each event
+        self.think = 0.0  # seconds before the first event
         self.fence = 0
         self.lose_orders = 0
         self.beat = lambda: None
@@ -240,6 +241,7 @@
             not_run = (b"Kumquatway-Not-Run", b"1")
             answer(caller, 503, {}, not_run, (b"At-Server", at_fault.encode()))
             return
+        await asyncio.sleep(self.think)
         echo = (b"Kumquatway-Request-Id", fields[b"kumquatway-request-id"])
         kind = (b"Content-Type", b"text/event-stream")
         caller.start_stream(200, [kind, STAMP, echo], keep=True)
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -140,6 +140,43 @@
 
         play(story())
 
+    def test_one_that_may_not_be_repeated_is_waited_for(self):
+        async def story():
+            async with Deployment() as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                for server in site.models:
+                    server.think = 0.7
+                assert (await site.call("/bound/x", **PROMPT)).body == WHOLE
+                assert sum(len(server.runs) for server in site.models) == 1
+
+        play(story())
+
+    def test_one_that_may_be_repeated_tries_elsewhere(self):
+        async def story():
+            async with Deployment(models=4) as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                for server in site.models:
+                    server.think = 0.7
+                assert (await site.call("/gen/x", **PROMPT)).body == WHOLE
+                assert sum(len(server.runs) for server in site.models) == 2
+
+        play(story())
+
+    def test_a_body_that_is_no_stream_never_begins_twice(self):
+        async def story():
+            async with Deployment() as site:
+                site.store.put("op", "config", configuration())
+                await site.placed()
+                for server in site.models:
+                    server.stop_after = 6
+                got = await site.call("/text/x", **PROMPT)
+                assert WHOLE.startswith(got.body)
+                assert sum(len(server.runs) for server in site.models) == 1
+
+        play(story())
+
     def test_no_server_left_is_no_whole_answer(self):
         async def story():
             async with Deployment(models=1) as site:
