Believe a report until the server's entry changes

Ruled out: the witnesses (no line of theirs in the log). The count of orders now outlives a lapsed entry too, and an order that did not fit waits for 0.6 s.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -30,6 +30,7 @@
 RELEASE_SECONDS = 1.0
 ORDER_SECONDS = 0.5  # for the answer to an order
 ORDER_TRIES = 4  # of an order that is not answered
+MISFIT_SECONDS = 0.6  # after an order that did not fit, before the next to the server
 POLL_SECONDS = 0.15  # between reports of a server that loads
 LATE_SECONDS = 3.0  # beyond the expected end of a load, after which it is lost
 # Servers that start together are listed over three seconds (measured on the bench).
@@ -308,7 +309,7 @@
             self._keep_off(server, pending)
         if outcome in (OrderOutcome.MISFIT, OrderOutcome.OTHER):
             await self._ask(server)
-            await asyncio.sleep(POLL_SECONDS)
+            await asyncio.sleep(MISFIT_SECONDS)
             self.pending.pop(server.id, None)
             return
         await self._await_load(server, pending)
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -54,6 +54,7 @@
         self.by_address: dict[str, Server] = {}
         self.marks: dict[str, Mark] = {}
         self.held: dict[str, Held] = {}
+        self.listed_then: dict[str, LayerRange] = {}  # as of each report
         self.sequences: dict[str, tuple[int, int]] = {}
         self.leaving: dict[str, int] = {}
         self.avoided: dict[str, float] = {}
@@ -71,7 +72,7 @@
         """
         if kept_up:
             self.listed_at = self.clock()
-        overtaken = self._drop_overtaken()
+        overtaken = self._drop_overtaken(servers)
         if servers == self.servers:
             if overtaken:
                 self.touch()
@@ -79,24 +80,40 @@
         self._tell_changes(servers)
         self.servers = dict(servers)
         self.by_address = {server.address: server for server in servers.values()}
-        for notes in (self.marks, self.held, self.leaving, self.avoided, self.paces):
+        for name in [name for name in self.held if name not in servers]:
+            self._forget_held(name)
+        for notes in (self.marks, self.leaving, self.avoided, self.paces):
             for name in [name for name in notes if name not in servers]:
                 del notes[name]
         for name in [n for n, mark in self.marks.items() if self._is_past(n, mark)]:
             del self.marks[name]
         self.touch()
 
-    def _drop_overtaken(self) -> bool:
-        """Drop reports that the list has surely caught up with."""
+    def _drop_overtaken(self, servers: dict[str, Server]) -> bool:
+        """
+        Drop reports that the list agrees with, or has surely caught up with.
+
+        An entry that has not changed since the report tells nothing: its server may be
+        cut off from the store.
+        """
         dropped = False
         for name, held in list(self.held.items()):
-            if self.listed_at - held.at > LIST_LAG_SECONDS:
-                server = self.servers.get(name)
-                dropped = dropped or server is None or server.layers != held.layers
-                self.sequences[name] = (held.born, held.sequence)
-                del self.held[name]
+            server = servers.get(name)
+            if server is None or server.born != held.born:
+                continue
+            agrees = server.layers == held.layers
+            changed = server.layers != self.listed_then.get(name)
+            late = self.listed_at - held.at > LIST_LAG_SECONDS
+            if agrees or (changed and late):
+                dropped = dropped or not agrees
+                self._forget_held(name)
         return dropped
 
+    def _forget_held(self, server_id: str) -> None:
+        held = self.held.pop(server_id)
+        self.sequences[server_id] = (held.born, held.sequence)
+        self.listed_then.pop(server_id, None)
+
     def touch(self) -> None:
         """Note a change that routing depends on."""
         self.generation += 1
@@ -230,6 +247,7 @@
             return False
         before = self.layers(server)
         self.held[server_id] = held
+        self.listed_then[server_id] = server.layers
         if self.layers(server) != before:
             self.touch()
         return True
