Drop counters that nobody read, and add up loads in one place

Found in the last reading: seven counts and flags that were written and never read, a metric that was declared and never counted, a listener closed twice, and the sum of two loads written in the gossip and in the router.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -267,7 +267,6 @@
         self.callers.close()
         while self.callers.busy and self.clock() < end:
             await asyncio.sleep(0.05)
-        self.callers.close()
         self.callers.finish()
         await asyncio.sleep(0.05)
 
--- a/packages/gateway/src/kumquatway_gateway/_metrics.py
+++ b/packages/gateway/src/kumquatway_gateway/_metrics.py
@@ -50,9 +50,6 @@
         self.dependencies = self._counter(
             "kumquatway_dependency_changes_total", "Dependencies lost and regained."
         )
-        self.store_calls = self._counter(
-            "kumquatway_store_calls_total", "Calls of the store, by outcome."
-        )
         self.first_events = self._histogram(
             "kumquatway_first_event_seconds", "From the request to its first event."
         )
--- a/packages/gateway/src/kumquatway_gateway/chains/_choice.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_choice.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from kumquatway_gateway.chains._paths import Chain
 
@@ -34,6 +34,19 @@
     first_event: float = 0.0
     failures: float = 0.0
 
+    def plus(self, other: "Load") -> "Load":
+        """
+        Add what is in progress elsewhere.
+
+        :param other: on the same chain.
+        :return: the sum; what was lately seen stays this one's.
+        """
+        return replace(
+            self,
+            tokens=self.tokens + other.tokens,
+            requests=self.requests + other.requests,
+        )
+
 
 EMPTY = Load()
 
--- a/packages/gateway/src/kumquatway_gateway/chains/_paths.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_paths.py
@@ -64,15 +64,6 @@
         """Give the data centre of the first server."""
         return self.first.data_centre
 
-    def uses(self, server_id: str) -> bool:
-        """
-        Tell whether a server takes part.
-
-        :param server_id: of the server.
-        :return: True if it does.
-        """
-        return any(part.server.id == server_id for part in self.parts)
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Step:
--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -93,7 +93,6 @@
         self.pending: dict[str, _Pending] = {}
         self.intended: dict[str, Move] = {}  # planned, but not yet ordered
         self.tasks: set[asyncio.Task] = set()
-        self.orders = 0
         self.held = False
         self.released = False
         self.known: set[str] = set()
@@ -340,7 +339,6 @@
         then, so that the server refuses it.
         """
         for _ in range(ORDER_TRIES):
-            self.orders += 1
             outcome = await self.engines.place(
                 server, pending.layers, fence=number, sequence=pending.sequence
             )
--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -87,7 +87,6 @@
         self.chunks = True  # the caller in progress understands them
         self.closing = False  # no request after the one in progress
         self.draining = False  # the next response is the last
-        self.responded = False
         self.on_flow: Callable[[bool], None] | None = None
         self.paused = False  # the caller reads too slowly
         self.task: asyncio.Task | None = None
@@ -113,7 +112,6 @@
         :param body: the whole body.
         :param keep: whether the connection may carry another request.
         """
-        self.responded = True
         if self.lost:
             return
         framing = [*fields, (b"Content-Length", b"%d" % len(body))]
@@ -129,7 +127,6 @@
         :param fields: without framing.
         :param keep: whether the connection may carry another request.
         """
-        self.responded = True
         if self.lost:
             return
         framing = list(fields)
@@ -300,7 +297,6 @@
 
     async def _answer(self, incoming: Incoming) -> None:
         self.busy = True
-        self.responded = False
         self.chunks = incoming.chunks
         try:
             await self.serve(self, incoming)
--- a/packages/gateway/src/kumquatway_gateway/http1/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_pool.py
@@ -38,7 +38,6 @@
     def __init__(self, *, clock: Callable[[], float] = time.monotonic):
         self.clock = clock
         self.idle: dict[str, list[UpstreamConnection]] = {}
-        self.opened = 0
 
     async def connect(
         self, server: str, address: str, timeout: float = CONNECT_SECONDS
@@ -64,7 +63,6 @@
         def protocol() -> UpstreamConnection:
             return UpstreamConnection(released=released)
 
-        self.opened += 1
         try:
             async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(protocol, host, int(port))
--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -56,7 +56,6 @@
         "ended",
         "head",
         "kept",
-        "loop",
         "sink",
     )
 
@@ -68,13 +67,13 @@
         bodyless: bool = False,
     ):
         self.bodyless = bodyless
-        self.loop = asyncio.get_running_loop()
+        loop = asyncio.get_running_loop()
         self.accepts = accepts
         self.sink = sink
         self.body: list[bytes] = []
         self.kept = 0
-        self.head: asyncio.Future[ResponseHead | End] = self.loop.create_future()
-        self.ended: asyncio.Future[End] = self.loop.create_future()
+        self.head: asyncio.Future[ResponseHead | End] = loop.create_future()
+        self.ended: asyncio.Future[End] = loop.create_future()
 
     def begin(self, head: ResponseHead) -> None:
         """Take the head of the response."""
@@ -126,7 +125,6 @@
         self.closed = False
         self.keep_alive = 0.0  # seconds that the server keeps it idle, 0 if untold
         self.idle_since = 0.0
-        self.requests = 0
 
     def send(self, exchange: Exchange, data: bytes) -> None:
         """
@@ -136,7 +134,6 @@
         :param data: head and body.
         """
         self.exchange = exchange
-        self.requests += 1
         self.transport.write(data)
 
     def flow(self, on: bool) -> None:
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -196,11 +196,7 @@
             if peer.heard < since:
                 continue
             for name, load in peer.loads.items():
-                sum_ = total.get(name, Load())
-                total[name] = Load(
-                    tokens=sum_.tokens + load.tokens,
-                    requests=sum_.requests + load.requests,
-                )
+                total[name] = total.get(name, Load()).plus(load)
         return total
 
     # asyncio.DatagramProtocol
--- a/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
@@ -50,7 +50,6 @@
         self.clock = clock
         self.examined: dict[str, float] = {}
         self.tasks: set[asyncio.Task] = set()
-        self.probes = 0
 
     def examine(self, chain: Chain) -> None:
         """
@@ -146,7 +145,6 @@
             self.fleet.mark(server, down=False, reason="it answers again")
 
     async def _probe(self, server: Server) -> None:
-        self.probes += 1
         if not self.is_model(server):
             connection = await self.pool.connect("", server.address, PROBE_SECONDS)
             connection.abandon()
--- a/packages/gateway/src/kumquatway_gateway/relay/_models.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_models.py
@@ -149,11 +149,7 @@
         """
         total = dict(self.own)
         for name, load in self.elsewhere().items():
-            mine = total.get(name, Load())
-            total[name] = Load(
-                tokens=mine.tokens + load.tokens,
-                requests=mine.requests + load.requests,
-            )
+            total[name] = total.get(name, Load()).plus(load)
         now = self.clock()
         for name in self.first_events.keys() | self.failures.keys():
             load = total.get(name, Load())
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -225,8 +225,7 @@
         return self.relay.budget(self.job.service.name).take()
 
     def _may_repeat(self) -> bool:
-        last_unreached = self.last.reached is False
-        if last_unreached:
+        if not self.last.reached:
             return True
         if self.last.not_run or self.job.route.idempotent:
             if len(self.job.sent) >= max(
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -80,7 +80,6 @@
         self.doubt = False  # a server may have run it
         self.failure: _Failure | None = None
         self.failed_at = 0.0
-        self.moves = 0
         self.avoid: set[str] = set()
         self.refusals = 0
 
@@ -320,7 +319,6 @@
         return self.relay.budget(job.service.name).left() >= 1
 
     def _note_failure(self, step: _Step, chain: Chain) -> None:
-        self.moves += 1
         if step in (_Step.STALLED, _Step.FAILED) and not self.events.count:
             self.router.note_failure(chain)
         if self.streaming and not self.failed_at:
