Give each test port once, outside of the ports of outgoing connections

The tests' free_address asked the system for a free port and gave it back, so that the same port could be found twice: an entry that gets one port for two listeners ends with 'address already in use' in its task, which nobody looked at. A port of that range can also be taken by an outgoing connection before it is listened at. Ruled out: the store (each failed call of it is logged; no line was captured).

--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -1,6 +1,5 @@
 """Tests of the mesh over real connections, with a link that fails."""
 
-import socket
 from contextlib import asynccontextmanager
 
 import anyio
@@ -13,7 +12,7 @@
 from kumquatway_core.mesh import AckDelay, Mesh, PeerState, beat_interval
 from kumquatway_core.mesh._beats import ACK_FLOOR, BEAT_BUDGET, BEAT_BYTES
 from kumquatway_core.wire import Cancel, Steps, decode, encode
-from kumquatway_fakes import Relay
+from kumquatway_fakes import Relay, free_address
 
 TIMEOUT = 20.0  # seconds until a test gives up
 
@@ -23,12 +22,6 @@
     return "asyncio"
 
 
-def free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 def message(number: int) -> Cancel:
     return Cancel(items=((f"request-{number}", number),))
 
--- a/packages/entry/src/kumquatway/_demo/_deployment.py
+++ b/packages/entry/src/kumquatway/_demo/_deployment.py
@@ -9,7 +9,6 @@
 import anyio
 import httpx
 
-from kumquatway._demo._ports import free_address
 from kumquatway._entry import Entry
 from kumquatway_agent import Agent
 from kumquatway_core.http import serve
@@ -31,6 +30,7 @@
     TableService,
     VMListService,
     engine_app,
+    free_address,
     service_app,
 )
 
--- a/packages/entry/src/kumquatway/_demo/_run.py
+++ b/packages/entry/src/kumquatway/_demo/_run.py
@@ -13,12 +13,11 @@
 from rich.console import Console
 
 from kumquatway._demo._deployment import Deployment, Layout, Pipeline
-from kumquatway._demo._ports import HOST
 from kumquatway_core.exceptions import ConfigurationError
 from kumquatway_core.logs import configure
 from kumquatway_core.settings import LogFormat, LogLevel
 from kumquatway_core.text import parse
-from kumquatway_fakes import Speed
+from kumquatway_fakes import HOST, Speed
 
 EXAMPLES = ("vinoteca", "maes")
 ADMIN_KEY = "demo-key-admin"
--- a/packages/entry/tests/test_api_connections.py
+++ b/packages/entry/tests/test_api_connections.py
@@ -9,8 +9,8 @@
 from starlette.responses import PlainTextResponse, StreamingResponse
 from starlette.routing import Route
 
-from kumquatway._demo._ports import HOST, free_address
 from kumquatway_core.http import _connection, _serve, serve
+from kumquatway_fakes import HOST, free_address
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 PIECE = b"x" * 65536
--- a/packages/entry/tests/test_cli.py
+++ b/packages/entry/tests/test_cli.py
@@ -13,8 +13,8 @@
 
 from kumquatway._cli import _commands, main
 from kumquatway._demo import Deployment, Layout, Pipeline
-from kumquatway._demo._ports import free_address
 from kumquatway_core.events import KINDS
+from kumquatway_fakes import free_address
 
 KEY = "operator-key"
 EXAMPLES = Path(__file__).parents[3] / "examples"
--- a/packages/entry/tests/test_configuration.py
+++ b/packages/entry/tests/test_configuration.py
@@ -8,7 +8,6 @@
 import pytest
 
 from kumquatway._demo import Deployment, Layout
-from kumquatway._demo._ports import free_address
 from kumquatway._entry import Entry
 from kumquatway.configuration import Configuration, Parser, _parser
 from kumquatway_core.exceptions import AnswerLost, PlatformUnavailable
@@ -16,7 +15,7 @@
 from kumquatway_core.revisions import Accepted, InDoubt, NotStored, RacedEdit, Revisions
 from kumquatway_core.settings import EntrySettings
 from kumquatway_core.wire import RevisionCopy, RevisionSeen
-from kumquatway_fakes import Faults, TableService
+from kumquatway_fakes import Faults, TableService, free_address
 
 WAIT = 20  # seconds
 KEY = "test-key"
--- a/packages/entry/tests/test_exchange.py
+++ b/packages/entry/tests/test_exchange.py
@@ -7,13 +7,13 @@
 import pytest
 
 from kumquatway._demo import Deployment, Layout
-from kumquatway._demo._ports import free_address
 from kumquatway.admission import Ask, EntryAdmission, Exchange, Ticket
 from kumquatway.admission._split import owner_of
 from kumquatway_core import Reason, not_run
 from kumquatway_core.mesh import Mesh
 from kumquatway_core.text import Account, Text
 from kumquatway_core.wire import DemandItem, Demands, Grants
+from kumquatway_fakes import free_address
 
 KEY = "test-key"
 DIGEST = hashlib.sha256(KEY.encode()).hexdigest()
--- a/packages/fakes/src/kumquatway_fakes/__init__.py
+++ b/packages/fakes/src/kumquatway_fakes/__init__.py
@@ -8,6 +8,7 @@
 from kumquatway_fakes._faults import Faults, Gate
 from kumquatway_fakes._model import answer
 from kumquatway_fakes._objects import ObjectStore
+from kumquatway_fakes._ports import HOST, free_address
 from kumquatway_fakes._relay import LinkFaults, Relay
 from kumquatway_fakes._service import PlainService, service_app
 from kumquatway_fakes._table import TableService
@@ -15,6 +16,7 @@
 from kumquatway_fakes._weights import WeightStore
 
 __all__ = [
+    "HOST",
     "Engine",
     "Faults",
     "Gate",
@@ -28,5 +30,6 @@
     "WeightStore",
     "answer",
     "engine_app",
+    "free_address",
     "service_app",
 ]
--- a/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
+++ b/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
@@ -4,12 +4,9 @@
 Writes the settings of a deployment and runs its processes.
 """
 
-import contextlib
 import hashlib
 import json
-import random
 import signal
-import socket
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -18,6 +15,7 @@
 import msgspec
 
 from kumquatway_core.platform import VM, VMKind
+from kumquatway_fakes._ports import free_address
 from kumquatway_fakes._spec import (
     EngineSpec,
     HoldingSpec,
@@ -27,19 +25,11 @@
 )
 from kumquatway_fakes.fleet._process import Process
 
-HOST = "127.0.0.1"
 ADMIN_KEY = "fleet-admin-key"
 READY_TIMEOUT = 60.0  # seconds
 READY_POLL = 0.05  # seconds
 PLATFORM = "platform"
 
-_given: set[int] = set()
-
-# Below the ports that the system gives to outgoing connections: one of those may be
-# in use again by the time that its process listens.
-FIRST_PORT = 10_000
-END_PORT = 32_000
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class EngineVM:
@@ -374,22 +364,6 @@
                 raise RuntimeError(f"{process.name} ended: {log}")
 
 
-def free_address() -> str:
-    """
-    Find an address that nobody listens at, and that was not found before.
-
-    :return: `host:port`.
-    """
-    while True:
-        port = random.randrange(FIRST_PORT, END_PORT)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((HOST, port))
-            if port in _given:
-                continue
-            _given.add(port)
-            return f"{HOST}:{port}"
-
-
 async def _knows(http: httpx.AsyncClient, headers: dict, upstreams: int) -> bool:
     try:
         answer = await http.get("/admin/status", headers=headers)
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from kumquatway_fakes import free_address
 from kumquatway_gateway.http1 import (
     CallerConnection,
     End,
@@ -24,12 +25,6 @@
 SMALL = Limits(header_bytes=512, body_bytes=64, header_seconds=0.2, idle_seconds=0.3)
 
 
-def _free_address() -> str:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
-
-
 class _Callers:
     """A listener that notes what it was asked."""
 
@@ -37,7 +32,7 @@
         self.seen: list[Incoming] = []
         self.cancelled = False
         self.hold: asyncio.Event | None = None
-        self.address = _free_address()
+        self.address = free_address()
         self.listener = Listener(bounds=lambda: limits, serve=self._serve)
 
     async def _serve(self, caller: CallerConnection, incoming: Incoming) -> None:
@@ -219,7 +214,7 @@
         self.reset = reset
         self.close = close
         self.connections = 0
-        self.address = _free_address()
+        self.address = free_address()
 
     async def __aenter__(self):
         host, _, port = self.address.rpartition(":")
@@ -338,7 +333,7 @@
     def test_a_closed_port_is_no_request(self):
         async def run():
             with pytest.raises(Unreachable):
-                await Pool().connect("s", _free_address())
+                await Pool().connect("s", free_address())
 
         asyncio.run(run())
 
@@ -388,7 +383,7 @@
     def test_a_closed_port_says_that_nothing_was_sent(self):
         async def run():
             with pytest.raises(FetchFailed) as failure:
-                await Fetcher(pool=Pool()).fetch(_free_address(), "GET", "/")
+                await Fetcher(pool=Pool()).fetch(free_address(), "GET", "/")
             assert not failure.value.sent
 
         asyncio.run(run())
