Let the lease's holder alone read the store often, and the others learn from its words

Change: each word tells how long ago the sender's configuration was confirmed, a stamp of its list of servers and its age, and whether it holds the lease. An entry that hears words new enough rests; with another stamp it fetches the list, and without a new word it reads for itself after 1.1 s (list) and 1.4 s (configuration), within the bound of 2 s. The holder reads the list each 0.5 s (0.25 before). Ruled out: a longer call for changes at each entry, which tells nothing while the store is silent; one feed for both tables, which the store does not have.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -2,6 +2,10 @@
 Follow.
 
 Keeps the configuration and the list of servers fresh, from the store or a peer.
+
+The entry that holds the lease of the placement reads the store often. The others
+learn from the words of their peers how new these are, and read for themselves as soon
+as no word is new enough.
 """
 
 import asyncio
@@ -20,18 +24,22 @@
     ServerSource,
 )
 from kumquatway_gateway.fleet import Fleet, Membership
-from kumquatway_gateway.peers import Copies, Gossip
+from kumquatway_gateway.model import Server
+from kumquatway_gateway.peers import Copies, Gossip, Word, stamp_servers
 from kumquatway_gateway.relay import Relay
 
-CONFIGURATION_WAIT_SECONDS = 1.5  # of a call for changes, below the bound of 2 s
-SERVERS_WAIT_SECONDS = 1.5
-# Between reads while the list changes all the time: short for the entry that places
-# layers, which tells the others at once who leaves.
-PLACER_PAUSE_SECONDS = 0.25
-OTHERS_PAUSE_SECONDS = 0.8
+# Of a call for changes. Peers count the answers, so it stays well below their trust.
+CONFIGURATION_WAIT_SECONDS = 1.0
+SERVERS_WAIT_SECONDS = 0.3
+SERVERS_PAUSE_SECONDS = 0.5  # between reads, since the list changes all the time
+# For which a peer's word stands for the store's: a read and a word may be missed, and
+# a call of one's own still ends before the bound of 2 s of the users' platform.
+CONFIGURATION_TRUST_SECONDS = 1.4
+SERVERS_TRUST_SECONDS = 1.1
 RETRY_SECONDS = 0.25  # after a failed call
 PEER_AFTER_SECONDS = 0.6  # without the store, before a peer is asked
-ENTRIES_SECONDS = 4.0  # between reads of the entries
+ENTRIES_SECONDS = 20.0  # between reads of the entries, which also tell each other
+ALONE_SECONDS = 1.0  # the same while no peer was heard
 
 
 class ConfigurationFollower:
@@ -61,6 +69,8 @@
         self.document = Document(revision=0, data=b"")
         self.refused = 0
         self.away_since: float | None = None
+        self.leads: Callable[[], bool] = lambda: True
+        self.changed: Callable[[], None] = lambda: None
         self.peers: Callable[[], list[str]] = list
         self._fetching: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -72,6 +82,10 @@
     async def run(self) -> None:
         """Follow the store, for ever."""
         while True:
+            rest = self.rest()
+            if rest:
+                await asyncio.sleep(rest)
+                continue
             try:
                 found = await self.source.newest(CONFIGURATION_WAIT_SECONDS)
             except PlatformError as error:
@@ -84,6 +98,29 @@
             if found is not None:
                 self.offer(found, "the store")
 
+    def rest(self) -> float:
+        """
+        Give the time for which the words of peers are new enough.
+
+        :return: seconds, 0 where the store is to be asked now.
+        """
+        if self.leads() or self.away_since is not None:
+            return 0.0
+        until = self.relay.confirmed + CONFIGURATION_TRUST_SECONDS
+        return max(0.0, until - self.clock())
+
+    def hear(self, word: Word) -> None:
+        """
+        Take what a peer says of its configuration.
+
+        :param word: the peer's.
+        """
+        if word.revision > max(self.revision(), self.refused):
+            self.newer_at(word.address)
+        elif word.revision == self.revision() and word.fresh is not None:
+            confirmed = self.clock() - word.fresh.confirmed
+            self.relay.confirmed = max(self.relay.confirmed, confirmed)
+
     def offer(self, document: Document, origin: str) -> None:
         """
         Take a document if it is newer.
@@ -107,6 +144,7 @@
                 revision=document.revision, source=origin, detail=f"after {before}"
             )
         )
+        self.changed()
 
     def newer_at(self, address: str) -> None:
         """
@@ -176,41 +214,85 @@
         self.clock = clock
         self.membership = Membership(clock=clock)
         self.read_at = float("-inf")
-        self.failing_since: float | None = None
-        self.places: Callable[[], bool] = lambda: True
-        self.peers: Callable[[], list[str]] = list
+        self.leads: Callable[[], bool] = lambda: True
+        self._stamp = 0
+        self._stamped: dict[str, Server] | None = None
+        self._fetching: asyncio.Task | None = None
 
     async def run(self) -> None:
         """Follow the store, for ever."""
         while True:
+            rest = self.rest()
+            if rest:
+                await asyncio.sleep(rest)
+                continue
             try:
                 listed = await self.source.listed(SERVERS_WAIT_SECONDS)
             except PlatformError:
                 self.membership.missed()
-                if self.failing_since is None:
-                    self.failing_since = self.clock()
-                await self._ask_peer()
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            self.failing_since = None
-            self.read_at = self.clock()
-            servers = self.membership.take(listed)
-            self.fleet.list(servers, kept_up=self.membership.is_kept_up())
-            pause = PLACER_PAUSE_SECONDS if self.places() else OTHERS_PAUSE_SECONDS
-            await asyncio.sleep(pause)
+            self._list(self.membership.take(listed), self.clock())
+            await asyncio.sleep(SERVERS_PAUSE_SECONDS)
 
-    async def _ask_peer(self) -> None:
-        """Take a peer's list if it is fresher than one's own."""
-        peers = self.peers()
-        if not peers or self.clock() - self.failing_since < PEER_AFTER_SECONDS:
+    def rest(self) -> float:
+        """
+        Give the time for which the words of peers are new enough.
+
+        :return: seconds, 0 where the store is to be asked now.
+        """
+        if self.leads():
+            return 0.0
+        return max(0.0, self.read_at + SERVERS_TRUST_SECONDS - self.clock())
+
+    def stamp(self) -> int:
+        """Sum up the list that routing uses."""
+        if self._stamped is not self.fleet.servers:
+            self._stamped = self.fleet.servers
+            self._stamp = stamp_servers(self._stamped)
+        return self._stamp
+
+    def hear(self, word: Word) -> None:
+        """
+        Take what a peer says of its list, where that is newer than one's own.
+
+        :param word: the peer's.
+        """
+        fresh = word.fresh
+        if fresh is None or (self.leads() and self._age() < SERVERS_TRUST_SECONDS):
             return
-        copy = await self.copies.fetch(random.choice(peers))
-        if copy is None or copy.age >= self.clock() - self.read_at:
+        if fresh.read >= self._age():
             return
-        self.read_at = self.clock() - copy.age
-        servers = copy.servers()
-        self.membership.servers = servers
-        self.fleet.list(servers, kept_up=False)
+        if fresh.stamp == self.stamp():
+            self._adopt(self.fleet.servers, fresh.read, fresh.grace)
+        elif self._fetching is None:
+            task = asyncio.get_running_loop().create_task(self.fetch(word.address))
+            self._fetching = task
+            task.add_done_callback(self._fetched)
+
+    async def fetch(self, address: str) -> None:
+        """
+        Take a peer's list if it is newer than one's own.
+
+        :param address: of the peer.
+        """
+        copy = await self.copies.fetch(address)
+        if copy is not None and copy.age < self._age():
+            self._adopt(copy.servers(), copy.age, copy.grace)
+
+    def _fetched(self, task: asyncio.Task) -> None:
+        self._fetching = None
+
+    def _age(self) -> float:
+        return self.clock() - self.read_at
+
+    def _adopt(self, servers: dict[str, Server], age: float, grace: float) -> None:
+        self.membership.adopt(servers, grace)
+        self._list(servers, self.clock() - age)
+
+    def _list(self, servers: dict[str, Server], at: float) -> None:
+        self.read_at = at
+        self.fleet.list(servers, kept_up=self.membership.is_kept_up(), at=at)
 
 
 async def follow_entries(source: EntrySource, gossip: Gossip, address: str) -> None:
@@ -228,8 +310,8 @@
                 await source.announce(address)
                 announced = True
             gossip.know(gossip.addresses | await source.others())
-            pause = ENTRIES_SECONDS if gossip.live() else 1.0
+            pause = ENTRIES_SECONDS if gossip.live() else ALONE_SECONDS
         except PlatformError as error:
             logger.info("the entries are not known from the store: {}", error)
-            pause = 1.0
+            pause = ALONE_SECONDS
         await asyncio.sleep(pause)
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -31,7 +31,14 @@
     Pool,
 )
 from kumquatway_gateway.model import Limits, Server
-from kumquatway_gateway.peers import Copies, CopyServer, Gossip, is_copy_request
+from kumquatway_gateway.peers import (
+    Copies,
+    CopyServer,
+    Freshness,
+    Gossip,
+    Word,
+    is_copy_request,
+)
 from kumquatway_gateway.relay import Dialect, Doctor, Engines, ModelRouter, Relay
 from kumquatway_gateway.waiting import RepeatBudget
 
@@ -156,12 +163,13 @@
             fleet=self.fleet,
             own_loads=self._own_loads,
             revision=self.configuration.revision,
-            newer=self.configuration.newer_at,
+            fresh=self._fresh,
+            heard=self._heard,
             clock=clock,
         )
         self.gossip.know(set(settings.known_peers))
         self.configuration.peers = self._peers
-        self.servers.peers = self._peers
+        self.configuration.changed = self.gossip.hurry
         self.fleet.changed = self._fleet_changed
         self.placer = Placer(
             lease=Lease(
@@ -176,17 +184,19 @@
             doctor=self.doctor,
             routers=self._routers,
             spread=self.gossip.hurry,
+            is_held_elsewhere=self.gossip.is_duty_held,
             fenced=settings.fenced,
             emit=emit,
             clock=clock,
         )
         self.gossip.has_duty = lambda: self.placer.held
-        self.servers.places = lambda: self.placer.held or not self.gossip.live()
+        self.configuration.leads = self.servers.leads = self._leads
         self.copy_server = CopyServer(
             revision=self.configuration.revision,
             document=lambda: self.configuration.document.data,
             servers=lambda: self.fleet.servers,
             read_at=lambda: self.servers.read_at,
+            grace=self.servers.membership.grace_left,
             clock=clock,
         )
         self.callers = Listener(bounds=self._bounds, serve=self.relay.serve)
@@ -363,6 +373,21 @@
         life = holder.rpartition(HOLDER_MARK)[2]
         return life.isdigit() and self.gossip.is_gone(int(life))
 
+    def _leads(self) -> bool:
+        return self.placer.held or not self.gossip.live()
+
+    def _fresh(self) -> Freshness:
+        return Freshness(
+            confirmed=self.clock() - self.relay.confirmed,
+            stamp=self.servers.stamp(),
+            read=self.clock() - self.servers.read_at,
+            grace=self.servers.membership.grace_left(),
+        )
+
+    def _heard(self, word: Word) -> None:
+        self.configuration.hear(word)
+        self.servers.hear(word)
+
     def _peers(self) -> list[str]:
         return self.gossip.live() or list(self.gossip.addresses)
 
--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -66,6 +66,8 @@
     :param fenced: whether servers refuse orders under old numbers.
     :param emit: takes events.
     :param spread: called when something that peers should know has changed.
+    :param is_held_elsewhere: tells whether a peer surely holds the lease, so that the
+        store need not be asked.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         doctor: Doctor,
         routers: Callable[[], list[ModelRouter]],
         spread: Callable[[], None],
+        is_held_elsewhere: Callable[[], bool],
         fenced: bool,
         emit: Callable[[Event], None],
         clock: Callable[[], float] = time.monotonic,
@@ -87,6 +90,7 @@
         self.doctor = doctor
         self.routers = routers
         self.spread = spread
+        self.is_held_elsewhere = is_held_elsewhere
         self.fenced = fenced
         self.emit = emit
         self.clock = clock
@@ -118,6 +122,7 @@
                     )
                 )
                 if held:
+                    self.spread()
                     await self._look_at_all()
             await self._pause()
 
@@ -125,10 +130,15 @@
         """Wait for the next look at the lease, or until its holder is gone."""
         share = HOLDER_SHARE if self.held else WAITER_SHARE
         end = self.clock() + self.lease.duration * share
-        while self.clock() < end:
+        elsewhere = False
+        while elsewhere or self.clock() < end:
             await asyncio.sleep(PERIOD_SECONDS)
-            if not self.held and self.lease.is_gone(self.lease.other):
+            if self.held:
+                continue
+            ended = elsewhere and not self.is_held_elsewhere()
+            if ended or self.lease.is_gone(self.lease.other):
                 return
+            elsewhere = self.is_held_elsewhere()
 
     async def release(self) -> None:
         """Order no more, and let another entry take the duty."""
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -63,15 +63,22 @@
         self.generation = 0  # rises with each change that routing depends on
         self.changed: Callable[[], None] = lambda: None
 
-    def list(self, servers: dict[str, Server], *, kept_up: bool = True) -> None:
+    def list(
+        self,
+        servers: dict[str, Server],
+        *,
+        kept_up: bool = True,
+        at: float | None = None,
+    ) -> None:
         """
         Take the list of servers.
 
         :param servers: all that there are, by id.
         :param kept_up: whether the servers could write to it lately.
+        :param at: when the store had this list, monotonic seconds; now if not given.
         """
         if kept_up:
-            self.listed_at = self.clock()
+            self.listed_at = self.clock() if at is None else at
         overtaken = self._drop_overtaken(servers)
         if servers == self.servers:
             if overtaken:
--- a/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
@@ -44,6 +44,25 @@
         """
         return self.clock() >= self.grace_until
 
+    def grace_left(self) -> float:
+        """
+        Give the time for which entries that lapsed with the store stay listed.
+
+        :return: seconds, 0 where there was no outage lately.
+        """
+        return max(0.0, self.grace_until - self.clock())
+
+    def adopt(self, servers: dict[str, Server], grace: float) -> None:
+        """
+        Take a peer's list.
+
+        :param servers: by id.
+        :param grace: as the peer's `grace_left`.
+        """
+        self.away_since = None
+        self.grace_until = self.clock() + grace if grace else float("-inf")
+        self.servers = servers
+
     def take(self, listed: Iterable[Server]) -> dict[str, Server]:
         """
         Take a whole list.
--- a/packages/gateway/src/kumquatway_gateway/peers/_copies.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_copies.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 import msgspec
+import xxhash
 
 from kumquatway_gateway.http1 import (
     CallerConnection,
@@ -43,12 +44,14 @@
     :param revision: of the configuration.
     :param document: the configuration as the store keeps it.
     :param age: seconds since the peer's list of servers was read.
+    :param grace: seconds for which entries that lapsed with the store stay listed.
     """
 
     revision: int
     document: bytes
     age: float
     listed: tuple[_Server, ...]
+    grace: float = 0.0
 
     def servers(self) -> dict[str, Server]:
         """
@@ -71,6 +74,7 @@
     :param document: gives the configuration's document.
     :param servers: gives the list of servers.
     :param read_at: gives when the list was read, seconds of `clock`.
+    :param grace: gives the seconds for which lapsed entries stay listed.
     """
 
     def __init__(
@@ -80,12 +84,14 @@
         document: Callable[[], bytes],
         servers: Callable[[], dict[str, Server]],
         read_at: Callable[[], float],
+        grace: Callable[[], float],
         clock: Callable[[], float] = time.monotonic,
     ):
         self.revision = revision
         self.document = document
         self.servers = servers
         self.read_at = read_at
+        self.grace = grace
         self.clock = clock
 
     def answer(self, caller: CallerConnection, incoming: Incoming) -> None:
@@ -100,6 +106,7 @@
             document=self.document(),
             age=min(1e6, self.clock() - self.read_at()),
             listed=tuple(_from_server(one) for one in self.servers().values()),
+            grace=self.grace(),
         )
         fields = [(b"Content-Type", MEDIA_TYPE)]
         caller.respond(200, fields, _encoder.encode(copy), keep=True)
@@ -141,6 +148,17 @@
     return incoming.method == "GET" and incoming.target == PATH
 
 
+def stamp_servers(servers: dict[str, Server]) -> int:
+    """
+    Sum up a list of servers in a number, the same one at each entry.
+
+    :param servers: by id.
+    :return: 64 bits.
+    """
+    listed = sorted((_from_server(one) for one in servers.values()), key=lambda s: s.id)
+    return xxhash.xxh3_64_intdigest(_encoder.encode(listed))
+
+
 def _from_server(server: Server) -> _Server:
     return _Server(
         id=server.id,
@@ -172,4 +190,4 @@
     )
 
 
-__all__ = ["Copies", "Copy", "CopyServer", "is_copy_request"]
+__all__ = ["Copies", "Copy", "CopyServer", "is_copy_request", "stamp_servers"]
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -65,6 +65,22 @@
     born: int
 
 
+class Freshness(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    How new an entry's copy of the store is, so that its peers need not ask as well.
+
+    :param confirmed: seconds since its configuration was known to be the newest.
+    :param stamp: of its list of servers, as `stamp_servers` gives it.
+    :param read: seconds since the store had that list.
+    :param grace: seconds for which entries that lapsed with the store stay listed.
+    """
+
+    confirmed: float
+    stamp: int
+    read: float
+    grace: float = 0.0
+
+
 class Word(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
     What an entry tells its peers.
@@ -72,6 +88,8 @@
     :param life: id of the sender's process.
     :param address: where its peers reach it.
     :param revision: of the configuration in force there.
+    :param fresh: how new the sender's copy of the store is.
+    :param has_duty: whether the sender holds the lease of the placement.
     """
 
     life: int
@@ -82,6 +100,8 @@
     held: tuple[_Held, ...]
     leaving: tuple[_Leaving, ...]
     slow: tuple[_Slow, ...] = ()
+    fresh: Freshness | None = None
+    has_duty: bool = False
 
 
 class _Peer(msgspec.Struct, kw_only=True):
@@ -89,6 +109,7 @@
     lives: set[int]
     heard: float
     loads: dict[str, Load]
+    has_duty: bool
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -104,7 +125,8 @@
     :param fleet: gives and takes marks and reports.
     :param own_loads: gives what this entry has in progress, by first server.
     :param revision: gives the revision in force here.
-    :param newer: called with the address of a peer that has a newer revision.
+    :param fresh: gives how new this entry's copy of the store is.
+    :param heard: called with each word.
     """
 
     def __init__(
@@ -115,7 +137,8 @@
         fleet: Fleet,
         own_loads: Callable[[], dict[str, Load]],
         revision: Callable[[], int],
-        newer: Callable[[str], None],
+        fresh: Callable[[], Freshness],
+        heard: Callable[[Word], None],
         clock: Callable[[], float] = time.monotonic,
     ):
         self.address = address
@@ -123,7 +146,8 @@
         self.fleet = fleet
         self.own_loads = own_loads
         self.revision = revision
-        self.newer = newer
+        self.fresh = fresh
+        self.heard = heard
         self.clock = clock
         self.addresses: set[str] = set()
         self.peers: dict[str, _Peer] = {}
@@ -184,6 +208,15 @@
                 return peer.life != life or now - peer.heard > SILENT_SECONDS
         return False
 
+    def is_duty_held(self) -> bool:
+        """
+        Tell whether a peer said lately that it holds the lease.
+
+        :return: False once it is silent for several words.
+        """
+        since = self.clock() - SILENT_SECONDS
+        return any(p.has_duty and p.heard > since for p in self.peers.values())
+
     def loads(self) -> dict[str, Load]:
         """
         Sum up what peers have in progress.
@@ -230,7 +263,11 @@
         if word.life < max(lives):
             return
         self.peers[word.address] = _Peer(
-            life=word.life, lives=lives, heard=now, loads=loads
+            life=word.life,
+            lives=lives,
+            heard=now,
+            loads=loads,
+            has_duty=word.has_duty,
         )
         for mark in word.marks:
             self.fleet.take_mark(
@@ -259,8 +296,7 @@
             self.fleet.take_leaving(leaving.server, leaving.born)
         for slow in word.slow:
             self.fleet.take_pace(slow.server, slow.born, slow.pace, now - slow.age)
-        if word.revision > self.revision():
-            self.newer(word.address)
+        self.heard(word)
 
     def _tell(self) -> None:
         data = _encoder.encode(self._word())
@@ -320,4 +356,6 @@
                 for name, (born, pace, at) in fleet.paces.items()
                 if now - at < TELL_SECONDS
             ),
+            fresh=self.fresh(),
+            has_duty=self.has_duty(),
         )
--- /dev/null
+++ b/packages/gateway/tests/test_follow.py
@@ -0,0 +1,210 @@
+"""Tests of who reads the store, and of what the others learn from their peers."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from engines import server, span
+
+from kumquatway_gateway._follow import (
+    CONFIGURATION_TRUST_SECONDS,
+    SERVERS_TRUST_SECONDS,
+    ConfigurationFollower,
+    ServerFollower,
+)
+from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.peers import Copy, Freshness, Word, stamp_servers
+from kumquatway_gateway.peers._copies import _from_server
+
+PEER = "10.0.0.1:9"
+
+
+class _Clock:
+    def __init__(self):
+        self.now = 50.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def _word(fresh: Freshness, revision: int = 1) -> Word:
+    return Word(
+        life=9,
+        address=PEER,
+        revision=revision,
+        loads=(),
+        marks=(),
+        held=(),
+        leaving=(),
+        fresh=fresh,
+    )
+
+
+class _Copies:
+    """A peer with a list."""
+
+    def __init__(self, *names: str, age: float = 0.0, grace: float = 0.0):
+        self.servers = _listed(*names)
+        self.age = age
+        self.grace = grace
+        self.asked: list[str] = []
+
+    async def fetch(self, address: str) -> Copy:
+        self.asked.append(address)
+        listed = tuple(_from_server(one) for one in self.servers.values())
+        return Copy(
+            revision=1, document=b"", age=self.age, listed=listed, grace=self.grace
+        )
+
+
+def _listed(*names: str) -> dict:
+    return {name: server(name, "a", "big", span(0, 10)) for name in names}
+
+
+class TestServers:
+    """The list of servers at an entry that does not hold the lease."""
+
+    def setup_method(self):
+        self.clock = _Clock()
+        self.fleet = Fleet(clock=self.clock)
+        self.copies = _Copies("s1", "s2")
+        self.follower = ServerFollower(
+            source=None, fleet=self.fleet, copies=self.copies, clock=self.clock
+        )
+        self.follower.leads = lambda: False
+
+    def _hear(self, *names: str, read: float, grace: float = 0.0) -> None:
+        stamp = stamp_servers(_listed(*names))
+        fresh = Freshness(confirmed=0.0, stamp=stamp, read=read, grace=grace)
+
+        async def story():
+            self.follower.hear(_word(fresh))
+            if self.follower._fetching:
+                await self.follower._fetching
+
+        asyncio.run(story())
+
+    def test_another_list_is_fetched_once(self):
+        assert self.follower.rest() == 0
+        self._hear("s1", "s2", read=0.1)
+        assert set(self.fleet.servers) == {"s1", "s2"}
+        self._hear("s1", "s2", read=0.0)
+        assert self.copies.asked == [PEER]
+
+    def test_while_words_come_the_store_is_left_alone(self):
+        self._hear("s1", "s2", read=0.0)
+        for _ in range(10):
+            self.clock.now += SERVERS_TRUST_SECONDS - 0.2
+            assert self.follower.rest() > 0
+            self._hear("s1", "s2", read=0.1)
+
+    def test_without_a_new_word_the_store_is_read(self):
+        self._hear("s1", "s2", read=0.0)
+        self.clock.now += SERVERS_TRUST_SECONDS
+        assert self.follower.rest() == 0
+
+    def test_a_peer_without_the_store_is_no_reason_to_wait(self):
+        self._hear("s1", "s2", read=0.0)
+        self.clock.now += SERVERS_TRUST_SECONDS
+        self._hear("s1", "s2", read=SERVERS_TRUST_SECONDS)
+        assert self.follower.rest() == 0
+
+    def test_an_older_list_is_not_taken(self):
+        self._hear("s1", "s2", read=0.0)
+        self.copies.servers = _listed("s1")
+        self.copies.age = 0.5
+        self._hear("s1", read=0.5)
+        assert set(self.fleet.servers) == {"s1", "s2"}
+
+    def test_a_copy_may_be_older_than_the_word_that_told_of_it(self):
+        self._hear("s1", "s2", read=0.2)
+        self.clock.now += 0.1
+        self.copies.servers = _listed("s1")
+        self.copies.age = 0.4
+        self._hear("s1", read=0.0)
+        assert set(self.fleet.servers) == {"s1", "s2"}
+
+    def test_who_holds_the_lease_reads_and_does_not_follow(self):
+        self._hear("s1", "s2", read=0.1)
+        self.follower.leads = lambda: True
+        assert self.follower.rest() == 0
+        self._hear("s1", read=0.0)
+        assert set(self.fleet.servers) == {"s1", "s2"}
+
+    def test_who_holds_the_lease_follows_while_it_cannot_read(self):
+        self.follower.leads = lambda: True
+        self._hear("s1", "s2", read=0.1)
+        assert set(self.fleet.servers) == {"s1", "s2"}
+
+    def test_a_peers_grace_is_ones_own(self):
+        self.copies.grace = 1.5
+        self._hear("s1", "s2", read=0.0, grace=1.5)
+        assert not self.follower.membership.is_kept_up()
+        assert set(self.follower.membership.take([])) == {"s1", "s2"}
+        self.clock.now += 1.6
+        assert self.follower.membership.take([]) == {}
+
+    def test_an_outage_that_peers_saw_end_is_over(self):
+        self._hear("s1", "s2", read=0.0)
+        self.follower.membership.missed()
+        self.clock.now += 5.0
+        self._hear("s1", "s2", read=0.0)
+        assert self.follower.membership.take([]) == {}
+
+
+class TestConfiguration:
+    """The configuration at an entry that does not hold the lease."""
+
+    def setup_method(self):
+        self.clock = _Clock()
+        self.relay = SimpleNamespace(confirmed=float("-inf"))
+        self.follower = ConfigurationFollower(
+            source=None,
+            relay=self.relay,
+            copies=None,
+            emit=lambda event: None,
+            clock=self.clock,
+        )
+        self.follower.leads = lambda: False
+        self.fetched: list[str] = []
+        self.follower.newer_at = self.fetched.append
+
+    def _hear(self, revision: int, confirmed: float) -> None:
+        fresh = Freshness(confirmed=confirmed, stamp=0, read=0.0)
+        self.follower.hear(_word(fresh, revision))
+
+    def test_a_newer_revision_is_fetched(self):
+        self._hear(5, 0.0)
+        assert self.fetched == [PEER]
+        assert self.follower.rest() == 0
+
+    def test_a_revision_that_was_refused_is_not_fetched_again(self):
+        self.follower.refused = 5
+        self._hear(5, 0.0)
+        assert self.fetched == []
+
+    def test_the_same_revision_is_confirmed(self):
+        self._hear(0, 0.3)
+        assert self.relay.confirmed == self.clock.now - 0.3
+        left = CONFIGURATION_TRUST_SECONDS - 0.3
+        assert self.follower.rest() == pytest.approx(left)
+
+    def test_an_older_word_takes_nothing_back(self):
+        self._hear(0, 0.3)
+        self._hear(0, 2.0)
+        assert self.relay.confirmed == self.clock.now - 0.3
+
+    def test_an_older_revision_confirms_nothing(self):
+        self.follower.document = SimpleNamespace(revision=3)
+        self._hear(2, 0.0)
+        assert self.follower.rest() == 0
+
+    def test_without_a_new_word_the_store_is_asked(self):
+        self._hear(0, 0.0)
+        self.clock.now += CONFIGURATION_TRUST_SECONDS
+        assert self.follower.rest() == 0
+
+    def test_an_entry_that_lost_the_store_asks_until_it_is_back(self):
+        self._hear(0, 0.0)
+        self.follower.away_since = self.clock.now
+        assert self.follower.rest() == 0
--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -5,7 +5,7 @@
 from kumquatway_gateway.chains import Load
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.model import Held, ServerState
-from kumquatway_gateway.peers import Gossip
+from kumquatway_gateway.peers import Freshness, Gossip
 from kumquatway_gateway.peers._gossip import (
     FRESH_SECONDS,
     MAX_PEERS,
@@ -40,14 +40,16 @@
         self.fleet.list({"s1": one})
         self.loads: dict[str, Load] = {}
         self.revision = 1
-        self.newer: list[str] = []
+        self.fresh = Freshness(confirmed=0.1, stamp=5, read=0.2)
+        self.words: list[Word] = []
         self.gossip = Gossip(
             address=name,
             life=life,
             fleet=self.fleet,
             own_loads=lambda: self.loads,
             revision=lambda: self.revision,
-            newer=self.newer.append,
+            fresh=lambda: self.fresh,
+            heard=self.words.append,
             clock=clock,
         )
         self.gossip.transport = _Wire()
@@ -109,12 +111,21 @@
         self.two.hear(self.one.word())
         assert not self.two.fleet.is_up(self.two.fleet.servers["s1"])
 
-    def test_a_newer_revision_is_fetched(self):
+    def test_how_new_the_peers_copies_are_is_passed_on(self):
         self.one.revision = 5
         self.two.hear(self.one.word())
-        assert self.two.newer == ["10.0.0.1:9"]
-        self.one.hear(self.two.word())
-        assert self.one.newer == []
+        [word] = self.two.words
+        assert (word.address, word.revision) == ("10.0.0.1:9", 5)
+        assert word.fresh == self.one.fresh
+
+    def test_who_holds_the_lease_is_known_while_it_speaks(self):
+        self.two.hear(self.one.word())
+        assert not self.two.gossip.is_duty_held()
+        self.one.gossip.has_duty = lambda: True
+        self.two.hear(self.one.word())
+        assert self.two.gossip.is_duty_held()
+        self.clock.now += SILENT_SECONDS + 0.1
+        assert not self.two.gossip.is_duty_held()
 
     def test_own_words_and_garbage_are_nothing(self):
         self.one.hear(self.one.word())
