--- a/packages/gateway/src/kumquatway_gateway/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/__init__.py
@@ -11,6 +11,9 @@
     Document,
     EntrySource,
     ServerSource,
+    StoreCall,
+    StoreCallKind,
+    StoreCallOutcome,
 )
 
 __all__ = [
@@ -21,5 +24,8 @@
     "GatewaySettings",
     "ServerSource",
     "Sources",
+    "StoreCall",
+    "StoreCallKind",
+    "StoreCallOutcome",
     "open_log",
 ]
--- a/packages/gateway/src/kumquatway_gateway/_metrics.py
+++ b/packages/gateway/src/kumquatway_gateway/_metrics.py
@@ -18,6 +18,7 @@
     StageFailed,
     StreamRecovered,
 )
+from kumquatway_gateway._sources import StoreCall, StoreCallKind
 
 # Seconds; the objectives of the users' deployments are 0.1 and 0.5 s, the longest
 # timeout is 20 s.
@@ -56,6 +57,16 @@
         self.durations = self._histogram(
             "kumquatway_request_seconds", "From the request to its end, by kind."
         )
+        self.gaps = self._histogram(
+            "kumquatway_longest_gap_seconds",
+            "The longest time between two events of a stream.",
+        )
+        self.store_calls = self._counter(
+            "kumquatway_store_calls_total", "Calls of the store, by kind and outcome."
+        )
+        self.store_seconds = self._histogram(
+            "kumquatway_store_seconds", "From a call of the store to its answer."
+        )
         self.waits = self._histogram(
             "kumquatway_wait_seconds", "Waiting for room on a chain."
         )
@@ -93,6 +104,18 @@
             case DependencyChanged():
                 self.dependencies.inc({"name": event.name, "state": event.state})
 
+    def note_store_call(self, call: StoreCall) -> None:
+        """
+        Count a call of the store.
+
+        :param call: one that has ended.
+        """
+        labels = {"kind": call.kind.value, "outcome": call.outcome.value}
+        self.store_calls.inc(labels)
+        # A call for changes ends when there are some, which says nothing of the store.
+        if call.kind is not StoreCallKind.FOLLOW:
+            self.store_seconds.observe({}, call.seconds)
+
     def render(self) -> tuple[bytes, Iterable[tuple[str, str]]]:
         """
         Write the metrics as text.
--- a/packages/gateway/src/kumquatway_gateway/_sources.py
+++ b/packages/gateway/src/kumquatway_gateway/_sources.py
@@ -5,6 +5,7 @@
 gives one implementation each.
 """
 
+import enum
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -23,6 +24,38 @@
     data: bytes
 
 
+class StoreCallKind(enum.Enum):
+    """What a call of the store is for."""
+
+    READ = "read"
+    FOLLOW = "follow"
+    WRITE = "write"
+
+
+class StoreCallOutcome(enum.Enum):
+    """What a call of the store came to."""
+
+    DONE = "done"
+    CONFLICT = "conflict"  # a row had another revision
+    BEHIND = "behind"  # changes that were asked for are no longer kept
+    REFUSED = "refused"  # the store does no work now
+    UNREACHED = "unreached"
+    LOST = "lost"  # sent, but no answer came that can be read
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoreCall:
+    """
+    A call of the store that has ended.
+
+    :param seconds: it took.
+    """
+
+    kind: StoreCallKind
+    outcome: StoreCallOutcome
+    seconds: float
+
+
 class ConfigurationSource(Protocol):
     """The operators' configuration in the store."""
 
--- a/packages/gateway/src/kumquatway_gateway/relay/_events.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_events.py
@@ -27,10 +27,12 @@
         "count",
         "heard",
         "last",
+        "longest_gap",
         "pace",
         "resumed",
         "tail",
         "write",
+        "written",
     )
 
     def __init__(
@@ -45,6 +47,8 @@
         self.clock = clock
         self.tail = b""
         self.heard = clock()
+        self.written = self.heard
+        self.longest_gap = 0.0  # seconds between events as the caller got them
         self.count = 0
         self.pace = FIRST_PACE
         self.resumed = False
@@ -80,9 +84,16 @@
         found = _last_id(whole)
         if found:
             self.last = found
+        if self.count:
+            self.longest_gap = max(self.longest_gap, now - self.written)
+        self.written = now
         self.count += 1
         self.write(whole)
 
+    def excuse(self) -> None:
+        """Begin the gap anew, where it was the caller that did not read."""
+        self.heard = self.written = self.clock()
+
     def _after_last(self, whole: bytes) -> bytes:
         """Drop events that the caller has already."""
         kept = []
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -103,6 +103,8 @@
                 await self._serve(claim, waiter)
         except TimeoutError:
             self._time_out()
+        if self.events.count > 1:
+            self.relay.metrics.gaps.observe({}, self.events.longest_gap)
 
     def _loop_deadline(self) -> float:
         return asyncio.get_running_loop().time() + self.job.seconds_left()
@@ -134,7 +136,7 @@
             return _Step.UNREACHED
         self._send(chain)
         self.job.caller.on_flow = self._flow
-        self._flow(not self.job.caller.paused)
+        self.connection.flow(not self.job.caller.paused)
         self.relay.watched.add(self)
         try:
             return await self._follow(chain)
@@ -143,7 +145,7 @@
 
     def _flow(self, on: bool) -> None:
         """Hold the server back while the caller reads too slowly."""
-        self.events.heard = time.monotonic()
+        self.events.excuse()
         if self.connection is not None:
             self.connection.flow(on)
 
--- a/packages/gateway/tests/test_events.py
+++ b/packages/gateway/tests/test_events.py
@@ -96,3 +96,19 @@
             caller.relay.feed(event)
         assert 0.07 < caller.relay.pace <= 0.1
         assert caller.relay.heard == caller.clock.now
+
+    def test_the_longest_gap_is_the_callers(self):
+        """The time of a recovery counts, the caller's own pause does not."""
+        caller = _Caller()
+        caller.relay.feed(b"id: 1\n\n")
+        caller.clock.now += 0.5
+        caller.relay.restart()
+        caller.relay.heard = caller.clock.now
+        caller.clock.now += 0.2
+        caller.relay.feed(b"id: 2\n\n")
+        assert caller.relay.longest_gap == pytest.approx(0.7)
+        caller.clock.now += 3.0
+        caller.relay.excuse()
+        caller.clock.now += 0.1
+        caller.relay.feed(b"id: 3\n\n")
+        assert caller.relay.longest_gap == pytest.approx(0.7)
