--- /dev/null
+++ b/packages/gateway/tests/replays.py
@@ -0,0 +1,438 @@
+"""
+Loads to replay, in virtual time and with a seed, and the baselines to replay them with.
+
+Each decision of routing, waiting and placement is played here against the simple way
+of taking it; `test_baselines` says which is better, `python -m benchmarks decisions`
+by how much.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+
+from engines import ENGINE, server, servers, span
+
+from kumquatway_gateway.chains import (
+    Chain,
+    Holder,
+    Load,
+    choose,
+    find_chains,
+    room_tokens,
+)
+from kumquatway_gateway.model import NOTHING, LayerRange, Server
+from kumquatway_gateway.placement import Slot, plan
+from kumquatway_gateway.waiting import (
+    MAX_WAIT_SECONDS,
+    RepeatBudget,
+    Waiter,
+    WaitingRoom,
+    retry_after,
+)
+
+STEP_SECONDS = 0.01
+
+
+class Clock:
+    """Seconds that only move when told to."""
+
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self) -> float:
+        return self.now
+
+
+def waiter(account: str = "a", *, at: float = 0.0, **fields) -> Waiter:
+    """Make a request that waits."""
+    defaults = {"priority": 1, "tokens": 900.0, "give_up": at + MAX_WAIT_SECONDS}
+    return Waiter(account=account, arrived=at, **{**defaults, **fields})
+
+
+# Who goes next and who is refused.
+
+
+@dataclass
+class TokenRoom:
+    """Room for tokens, each request of which stays for a second."""
+
+    clock: Clock
+    room: float
+    used: float = 0.0
+    ends: list[tuple[float, Waiter]] = field(default_factory=list)
+
+    def claim(self, waiter: Waiter) -> Waiter | None:
+        if self.used + waiter.tokens > self.room:
+            return None
+        self.used += waiter.tokens
+        self.ends.append((self.clock.now + 1.0, waiter))
+        return waiter
+
+    def free(self, waiter: Waiter) -> None:
+        self.used -= waiter.tokens
+
+
+@dataclass
+class Queued:
+    """
+    What became of the requests of a replay.
+
+    :param refused_late: requests that waited for nothing.
+    """
+
+    served: dict[str, int] = field(default_factory=dict)
+    asked: dict[str, int] = field(default_factory=dict)
+    waits: list[float] = field(default_factory=list)
+    refused_late: int = 0
+
+    def share(self, account: str) -> float:
+        """Give the share of an account's requests that were served."""
+        return self.served.get(account, 0) / self.asked[account]
+
+    def mean_wait(self) -> float:
+        """Give the mean wait of those that were served, seconds."""
+        return sum(self.waits) / len(self.waits)
+
+
+class _PatientRoom(WaitingRoom):
+    """The baseline that lets everybody wait."""
+
+    def expected_wait(self, waiter: Waiter | None = None) -> float:
+        return 0.0
+
+
+async def play_queue(
+    arrivals: list[Waiter],
+    room_tokens: float,
+    *,
+    fair: bool = True,
+    refuse_early: bool = True,
+) -> Queued:
+    """
+    Play arrivals against chains in virtual time.
+
+    :param arrivals: the requests.
+    :param room_tokens: of all chains together.
+    :param fair: whether accounts are told apart; first come first served if not.
+    :param refuse_early: whether those are refused that would wait for too long.
+    """
+    clock = Clock()
+    chains = TokenRoom(clock=clock, room=room_tokens)
+    room = (WaitingRoom if refuse_early else _PatientRoom)(
+        claim=chains.claim,
+        undo=chains.free,
+        least_rate=lambda: room_tokens / 2,
+        clock=clock,
+    )
+    outcome = Queued()
+    tasks: dict[asyncio.Task, tuple[str, Waiter]] = {}
+    pending = sorted(arrivals, key=lambda one: one.arrived)
+    while pending or tasks or chains.ends:
+        clock.now += STEP_SECONDS
+        while pending and pending[0].arrived <= clock.now:
+            one = pending.pop(0)
+            outcome.asked[one.account] = outcome.asked.get(one.account, 0) + 1
+            shown = one if fair else replace(one, account="")
+            tasks[asyncio.create_task(room.enter(shown))] = (one.account, shown)
+        for end in [end for end in chains.ends if end[0] <= clock.now]:
+            chains.ends.remove(end)
+            chains.free(end[1])
+            room.end(end[1])
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        for task in [task for task in tasks if task.done()]:
+            account, one = tasks.pop(task)
+            if task.result() is not None:
+                room.begin(one)
+                outcome.served[account] = outcome.served.get(account, 0) + 1
+                outcome.waits.append(clock.now - one.arrived)
+            elif clock.now - one.arrived > 0.1:
+                outcome.refused_late += 1
+        for task, (_, one) in list(tasks.items()):
+            if clock.now > one.give_up:
+                task.cancel()
+                del tasks[task]
+                outcome.refused_late += 1
+    return outcome
+
+
+def draw_arrivals(
+    rates: dict[str, float], seconds: float, seed: int = 1
+) -> list[Waiter]:
+    """Draw the requests of accounts that each send at a rate, per second."""
+    chance = random.Random(seed)
+    found = []
+    for account, rate in rates.items():
+        at = 0.0
+        while at < seconds:
+            at += chance.expovariate(rate)
+            found.append(waiter(account, at=at))
+    return found
+
+
+# One account sends many times its share, and a burst above what the chains carry.
+
+CROWD = {"large": 120.0, "one": 4.0, "two": 4.0}  # requests a second
+BURST = {"a": 40.0, "b": 40.0}
+CHAINS_TOKENS = 45_000
+
+
+def play_crowd(*, fair: bool = True) -> Queued:
+    """Replay a crowd of one account's requests."""
+    return asyncio.run(play_queue(draw_arrivals(CROWD, 8.0), CHAINS_TOKENS, fair=fair))
+
+
+def play_burst(*, refuse_early: bool = True) -> Queued:
+    """Replay a burst."""
+    arrivals = draw_arrivals(BURST, 6.0)
+    return asyncio.run(play_queue(arrivals, CHAINS_TOKENS, refuse_early=refuse_early))
+
+
+# Returns of refused callers: how many come within one tenth of a second.
+
+
+def peak_of_returns(draw: Callable[[], float], callers: int = 400) -> int:
+    """
+    Refuse callers in one instant and count the largest wave of their return.
+
+    :param draw: gives the time to return that one caller is told, seconds.
+    :return: callers in the worst tenth of a second.
+    """
+    waves: dict[int, int] = {}
+    for _ in range(callers):
+        wave = int(draw() * 10)
+        waves[wave] = waves.get(wave, 0) + 1
+    return max(waves.values())
+
+
+def spread_returns() -> Callable[[], float]:
+    """Give the product's times to return, around two seconds."""
+    chance = random.Random(1)
+    return lambda: retry_after(2.0, random=chance.random)
+
+
+def equal_returns() -> float:
+    """Give the baseline's: the same time for all."""
+    return 2.0
+
+
+# Repeats while a third of a service's answers fail.
+
+
+@dataclass(kw_only=True)
+class Storm:
+    """
+    What a service got while some of its answers failed.
+
+    :param most: repeats for each request in the worst window of ten seconds.
+    :param served: share of the requests.
+    """
+
+    most: float
+    served: float
+
+
+def play_storm(may_repeat: Callable[[Clock], tuple], *, failing: float) -> Storm:
+    """
+    Send requests to a service whose answers fail, three attempts at most.
+
+    :param may_repeat: given the clock, gives what notes a request and what asks
+        for a repeat.
+    :param failing: share of answers that fail.
+    """
+    chance = random.Random(2)
+    clock = Clock()
+    note, take = may_repeat(clock)
+    sent: list[tuple[float, int]] = []
+    served = 0
+    requests = 6000
+    for _ in range(requests):
+        clock.now += chance.expovariate(200.0)
+        note()
+        repeats = 0
+        while chance.random() < failing:
+            if repeats == 2 or not take():
+                break
+            repeats += 1
+        else:
+            served += 1
+        sent.append((clock.now, repeats))
+    worst = 0.0
+    for end in range(10, int(clock.now), 2):
+        window = [n for at, n in sent if end - 10 <= at < end]
+        worst = max(worst, sum(window) / len(window))
+    return Storm(most=worst, served=served / requests)
+
+
+def with_budget(clock: Clock):
+    """Repeat within the product's budget, as one entry of one."""
+    budget = RepeatBudget(
+        ratio=0.2, slack=100, window=10, entries=lambda: 1, clock=clock
+    )
+    return budget.request, budget.take
+
+
+def without_budget(clock: Clock):
+    """Repeat always."""
+    return (lambda: None), (lambda: True)
+
+
+# Which chain: a third of the capacity goes, the rest has different room.
+
+
+@dataclass(kw_only=True)
+class Placed:
+    """
+    What became of requests that chains took.
+
+    :param served: share that was taken and fitted.
+    :param evicted: share that was taken beyond the room of its chain.
+    """
+
+    served: float
+    evicted: float
+
+
+Pick = Callable[[list[Chain], dict[str, Load], float], Chain | None]
+
+
+def pick_by_room(chains, loads, tokens):
+    """Choose as the product does."""
+    return choose(chains, loads, tokens=tokens, slots=96, home="a")
+
+
+def pick_least_outstanding(chains, loads, tokens):
+    """Choose the chain with the fewest requests, within its slots."""
+    open_ones = [c for c in chains if _load(loads, c).requests < 96]
+    return min(open_ones, key=lambda c: _load(loads, c).requests, default=None)
+
+
+def _load(loads: dict[str, Load], chain: Chain) -> Load:
+    return loads.get(chain.first.id, Load())
+
+
+def uneven_chains() -> list[Chain]:
+    """Give two chains, one of which has a third of the other's room."""
+    wide = [server(f"w{n}", "a", "big", span(16 * n, 16 * n + 16)) for n in range(5)]
+    tight = [server(f"t{n}", "b", "big", span(20 * n, 20 * n + 20)) for n in range(4)]
+    holders = [Holder(server=one, layers=one.layers) for one in (*wide, *tight)]
+    chains = find_chains(ENGINE, holders)
+    assert len(chains) == 2
+    return chains
+
+
+def play_chains(pick: Pick, chains: list[Chain], *, rate: float) -> Placed:
+    """Let requests of 900 tokens, two seconds each, arrive at chains."""
+    chance = random.Random(3)
+    loads: dict[str, Load] = {}
+    ends: list[tuple[float, Chain, float]] = []
+    now = 0.0
+    asked = fitted = evicted = 0
+    while now < 30:
+        now += chance.expovariate(rate)
+        for one in [one for one in ends if one[0] <= now]:
+            ends.remove(one)
+            _, chain, tokens = one
+            loads[chain.first.id] = _load(loads, chain).plus(
+                Load(tokens=-tokens, requests=-1)
+            )
+        asked += 1
+        tokens = chance.uniform(300.0, 1500.0)
+        chain = pick(chains, loads, tokens)
+        if chain is None:
+            continue
+        load = _load(loads, chain)
+        if load.tokens + tokens > chain.tokens:
+            evicted += 1
+            tokens = 0.0  # it waits there for nothing
+        else:
+            fitted += 1
+        loads[chain.first.id] = load.plus(Load(tokens=tokens, requests=1))
+        ends.append((now + 2.0, chain, tokens))
+    return Placed(served=fitted / asked, evicted=evicted / asked)
+
+
+# Which layers: one server is lost.
+
+
+Layout = dict[str, tuple[Server, LayerRange]]
+
+
+def settle(layout: Layout) -> tuple[Layout, int]:
+    """Carry out the product's plan; gives the layout and the layers loaded."""
+    loaded = 0
+    layout = dict(layout)
+    for _ in range(20):
+        slots = [Slot(server=one, layers=held) for one, held in layout.values()]
+        moves = plan(ENGINE, slots)
+        if not moves:
+            return layout, loaded
+        for move in moves:
+            layout[move.server.id] = (move.server, move.layers)
+            loaded += move.loads
+    raise AssertionError("the plan never comes to rest")
+
+
+def split_equally(layout: Layout) -> tuple[Layout, int]:
+    """Split the layers of each data centre anew, in proportion to memory."""
+    loaded = 0
+    found: Layout = {}
+    centres: dict[str, list[tuple[Server, LayerRange]]] = {}
+    for one, held in layout.values():
+        centres.setdefault(one.data_centre, []).append((one, held))
+    for members in centres.values():
+        sizes = [ENGINE.accelerator(one.accelerator).megabytes for one, _ in members]
+        start, total = 0, 0.0
+        for (one, held), size in zip(members, sizes, strict=True):
+            total += size
+            stop = round(ENGINE.layers * total / sum(sizes))
+            kept = max(0, min(stop, held.stop) - max(start, held.start))
+            loaded += stop - start - kept
+            found[one.id] = (one, span(start, stop))
+            start = stop
+    return found, loaded
+
+
+def empty_layout() -> Layout:
+    """Give the servers of one deployment, all empty."""
+    return {one.id: (one, NOTHING) for one in servers()}
+
+
+@dataclass(kw_only=True)
+class Losses:
+    """
+    What the loss of any one server came to, the mean over all servers.
+
+    :param loaded: layers that had to be loaded.
+    :param broken: data centres without a chain of their own until then.
+    """
+
+    loaded: float
+    broken: float
+
+
+def play_losses(lay_out: Callable[[Layout], tuple[Layout, int]]) -> Losses:
+    """Lose each server in turn from a settled layout."""
+    layout, _ = lay_out(empty_layout())
+    loaded = broken = 0
+    for name in layout:
+        rest = {key: value for key, value in layout.items() if key != name}
+        broken += 3 - len(_centres_served(rest))
+        loaded += lay_out(rest)[1]
+    return Losses(loaded=loaded / len(layout), broken=broken / len(layout))
+
+
+def _centres_served(layout: Layout) -> set[str]:
+    holders = [Holder(server=one, layers=held) for one, held in layout.values()]
+    chains = find_chains(ENGINE, holders)
+    return {chain.data_centre for chain in chains if not chain.crossings}
+
+
+def least_room(layout: Layout) -> float:
+    """Give the room of the fullest server, tokens."""
+    return min(
+        room_tokens(ENGINE, ENGINE.accelerator(one.accelerator), len(held), len(held))
+        for one, held in layout.values()
+        if held != NOTHING
+    )
