Ask a server that refuses whether it takes work at all

Two servers were being emptied while the store was away: they refuse all new work, their reports look well, the list cannot say so. Each refusal kept them out of the chains for 0.4 s only, so that chains came and went and the third was full. Ruled out: full memory (0 to 58,476 of 339,869 units used), lost layers, slow servers.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -48,6 +48,7 @@
 LAST_SECONDS = 0.7  # of the grace, kept for the end of the process
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
+HEALTH_PATH = "/health"  # of servers whose service is not known yet
 NEVER_SECONDS = 1e6  # shown for what never happened
 HOLDER_MARK = "#"  # between an entry's name and its life
 
@@ -132,6 +133,7 @@
             engines=sources.engines,
             pool=pool,
             is_model=self._is_model,
+            health_path=self._health_path,
             clock=clock,
         )
         self.relay = Relay(
@@ -357,6 +359,11 @@
     def _is_model(self, server: Server) -> bool:
         return server.service in self.relay.models
 
+    def _health_path(self, server: Server) -> str:
+        configuration = self.relay.configuration
+        service = configuration and configuration.by_service.get(server.service)
+        return service.health_path if service else HEALTH_PATH
+
     def _routers(self) -> list[ModelRouter]:
         return list(self.relay.models.values())
 
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -25,6 +25,7 @@
     :param born: the life that the mark is about.
     :param since: when it was seen, monotonic seconds.
     :param ended: whether its life is surely over, and not only out of reach.
+    :param refuses: whether it answers, finishes what it has, and takes no new work.
     """
 
     born: int
@@ -32,6 +33,7 @@
     since: float
     reason: str
     ended: bool = False
+    refuses: bool = False
 
 
 class Fleet:
@@ -163,6 +165,16 @@
         mark = self.marks.get(server.id)
         return mark is None or not mark.down
 
+    def answers(self, server: Server) -> bool:
+        """
+        Tell whether what a server has in progress goes on.
+
+        :param server: in the list.
+        :return: False if it does not answer; one that leaves does.
+        """
+        mark = self.marks.get(server.id)
+        return mark is None or not mark.down or mark.refuses
+
     def is_avoided(self, server: Server) -> bool:
         """
         Tell whether a server just refused work.
@@ -194,15 +206,22 @@
         return ended or server_id not in self.servers
 
     def mark(
-        self, server: Server, *, down: bool, reason: str, ended: bool = False
+        self,
+        server: Server,
+        *,
+        down: bool,
+        reason: str,
+        ended: bool = False,
+        refuses: bool = False,
     ) -> None:
         """
-        Note that a server does not answer, or answers again.
+        Note that a server does not answer or takes no work, or that it does again.
 
         :param server: in the list.
-        :param down: whether it does not answer.
+        :param down: whether it does not answer or takes no work.
         :param reason: what was seen.
         :param ended: whether its life is surely over.
+        :param refuses: whether it answers and takes no work.
         """
         mark = Mark(
             born=server.born,
@@ -210,6 +229,7 @@
             since=self.clock(),
             reason=reason,
             ended=ended,
+            refuses=refuses,
         )
         self.take_mark(server.id, mark)
 
--- a/packages/gateway/src/kumquatway_gateway/model/_configuration.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_configuration.py
@@ -146,11 +146,13 @@
 
     :param max_connections: that a server accepts from all callers together.
     :param engine: what its model servers can do, or None for a plain service.
+    :param health_path: where its servers say whether they take work.
     """
 
     name: str
     max_connections: int
     engine: Engine | None = None
+    health_path: str = "/health"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -41,6 +41,7 @@
     age: float
     reason: str
     ended: bool = False
+    refuses: bool = False
 
 
 class _Held(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -278,6 +279,7 @@
                     since=now - mark.age,
                     reason=mark.reason,
                     ended=mark.ended,
+                    refuses=mark.refuses,
                 ),
             )
         for held in word.held:
@@ -330,6 +332,7 @@
                     age=now - mark.since,
                     reason=mark.reason[:80],
                     ended=mark.ended,
+                    refuses=mark.refuses,
                 )
                 for name, mark in fleet.marks.items()
                 if now - mark.since < TELL_SECONDS or mark.down
--- a/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -32,6 +33,7 @@
     :param engines: asks model servers.
     :param pool: connects to plain servers.
     :param is_model: tells whether a server is a model server.
+    :param health_path: gives where a server says whether it takes work.
     """
 
     def __init__(
@@ -41,12 +43,14 @@
         engines: Engines,
         pool: Pool,
         is_model: Callable[[Server], bool],
+        health_path: Callable[[Server], str],
         clock: Callable[[], float] = time.monotonic,
     ):
         self.fleet = fleet
         self.engines = engines
         self.pool = pool
         self.is_model = is_model
+        self.health_path = health_path
         self.clock = clock
         self.examined: dict[str, float] = {}
         self.tasks: set[asyncio.Task] = set()
@@ -72,11 +76,28 @@
 
         :param server: one that did not answer.
         """
+        if self._is_due(server):
+            self._spawn(self._examine(server))
+
+    def refused(self, server: Server) -> None:
+        """
+        Ask a model server whether it takes work at all.
+
+        Load pattern: servers are emptied one after the other, unannounced or while the
+        store is away. Each refuses all new work for seconds, and every chain through
+        it, while its reports look well.
+
+        :param server: one that refused a request.
+        """
+        if self._is_due(server):
+            self._spawn(self._question(server))
+
+    def _is_due(self, server: Server) -> bool:
         now = self.clock()
         if now - self.examined.get(server.id, float("-inf")) < AGAIN_SECONDS:
-            return
+            return False
         self.examined[server.id] = now
-        self._spawn(self._examine(server))
+        return True
 
     async def recheck(self) -> None:
         """Probe the servers that are down, for ever."""
@@ -85,7 +106,7 @@
             for name, mark in list(self.fleet.marks.items()):
                 server = self.fleet.servers.get(name)
                 if mark.down and server is not None:
-                    self._spawn(self._revive(server))
+                    self._spawn(self.revive(server))
             for name, (_, pace, _) in list(self.fleet.paces.items()):
                 server = self.fleet.servers.get(name)
                 if pace > SLOW_PACE and server is not None:
@@ -140,8 +161,32 @@
         failures = await asyncio.gather(*(self._answers(one) for one in chosen))
         return None in failures
 
-    async def _revive(self, server: Server) -> None:
-        if await self._answers(server) is None:
+    async def _question(self, server: Server) -> None:
+        try:
+            takes_work = await self._takes_work(server)
+        except FetchFailed:
+            await self._examine(server)
+            return
+        if not takes_work:
+            reason = "it answers, but takes no work"
+            self.fleet.mark(server, down=True, refuses=True, reason=reason)
+
+    async def _takes_work(self, server: Server) -> bool:
+        path = self.health_path(server)
+        return await self.engines.takes_work(server, path, PROBE_SECONDS)
+
+    async def revive(self, server: Server) -> None:
+        """
+        Ask a server that is down whether it is up again.
+
+        :param server: with a mark.
+        """
+        mark = self.fleet.marks[server.id]
+        if mark.refuses:
+            with contextlib.suppress(FetchFailed):
+                if await self._takes_work(server):
+                    self.fleet.mark(server, down=False, reason="it takes work again")
+        elif await self._answers(server) is None:
             self.fleet.mark(server, down=False, reason="it answers again")
 
     async def _probe(self, server: Server) -> None:
--- a/packages/gateway/src/kumquatway_gateway/relay/_engines.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_engines.py
@@ -59,6 +59,15 @@
         :raises FetchFailed: if it does not answer in time.
         """
 
+    async def takes_work(self, server: Server, path: str, timeout: float) -> bool:
+        """
+        Ask a server whether it takes new work.
+
+        :param path: where its service says so.
+        :return: False while it leaves, or holds itself for broken.
+        :raises FetchFailed: if it does not answer in time.
+        """
+
     async def place(
         self, server: Server, layers: LayerRange, *, fence: int, sequence: int
     ) -> OrderOutcome:
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -19,7 +19,7 @@
     Unreachable,
     UpstreamConnection,
 )
-from kumquatway_gateway.model import RouteKind, Server
+from kumquatway_gateway.model import RouteKind
 from kumquatway_gateway.relay._answers import answer_verdict
 from kumquatway_gateway.relay._dialect import Sending
 from kumquatway_gateway.relay._events import EventRelay
@@ -258,7 +258,7 @@
         self.refusals += 1
         self.avoid.add(server.id)
         fleet.avoid(server)
-        self.relay.doctor.suspect(server)
+        self.relay.doctor.refused(server)
         detail = f"refused by {self.chain.first.address}, at fault {server.address}"
         self.relay.failed(self.job, server.id, "refused", detail)
 
@@ -305,16 +305,16 @@
             flowing=self.flowing,
             pace=self.events.pace,
             first_event=self.router.usual_first_event(self.chain),
-            part_down=any(not self._is_up(p.server) for p in self.chain.parts),
+            part_down=bool(self._silent_parts(self.chain)),
             budget=self.relay.budget(self.job.service.name).share_left(),
             together=pulses.streams(chain),
             chain=pulses.quiet(chain, now),
             elsewhere=pulses.quiet_elsewhere(chain, now),
         )
 
-    def _is_up(self, server: Server) -> bool:
-        mark = self.relay.fleet.marks.get(server.id)
-        return mark is None or not mark.down
+    def _silent_parts(self, chain: Chain) -> list[str]:
+        answers = self.relay.fleet.answers
+        return [part.server.id for part in chain.parts if not answers(part.server)]
 
     def _leave_chain(self, servers: set[str]) -> None:
         """End the attempt, if the request can go on without some servers."""
@@ -359,15 +359,13 @@
         if step not in (_Step.UNREACHED, _Step.REFUSED):
             self._tell_failure(step, chain)
         if step in (_Step.STALLED, _Step.CUT):
-            self.avoid |= {
-                p.server.id for p in chain.parts if not self._is_up(p.server)
-            }
+            self.avoid |= set(self._silent_parts(chain))
             self.avoid.add(chain.first.id)
         if step is _Step.CUT:
             self.relay.doctor.examine(chain)
 
     def _tell_failure(self, step: _Step, chain: Chain) -> None:
-        down = [p.server.id for p in chain.parts if not self._is_up(p.server)]
+        down = self._silent_parts(chain)
         quiet = (time.monotonic() - self.events.heard) * 1000
         budget = self.relay.budget(self.job.service.name).left()
         self.relay.failed(
--- a/packages/gateway/tests/test_doctor.py
+++ b/packages/gateway/tests/test_doctor.py
@@ -16,12 +16,19 @@
 
     def __init__(self):
         self.silent: set[str] = set()
+        self.leaving: set[str] = set()
         self.refusing: set[str] = set()
         self.failures: dict[str, int] = {}
         self.paces: dict[str, float] = {}
         self.stalled: dict[str, str] = {}
         self.asked: list[str] = []
 
+    async def takes_work(self, one: Server, path: str, timeout: float) -> bool:
+        assert path == "/well"
+        if one.id in self.silent:
+            raise FetchFailed(f"{one.address}: {timeout} s passed", sent=True)
+        return one.id not in self.leaving
+
     async def report(self, one: Server, timeout: float) -> Report:
         self.asked.append(one.id)
         left = self.failures.get(one.id, 0)
@@ -62,6 +69,7 @@
             engines=self.engines,
             pool=Pool(),
             is_model=lambda one: True,
+            health_path=lambda one: "/well",
         )
 
     def chain(self, centre: str = "a") -> Chain:
@@ -175,9 +183,67 @@
         play(story)
 
 
+class TestRefusal:
+    """Load pattern: a server leaves, and the list does not say so yet."""
+
+    def _refuse(self, site) -> Server:
+        server = site.fleet.servers["a2"]
+        site.doctor.refused(server)
+        return server
+
+    def test_one_that_says_that_it_takes_no_work_gets_none(self):
+        async def story(site):
+            site.engines.leaving.add("a2")
+            server = self._refuse(site)
+            await site.settle()
+            assert not site.fleet.is_up(server)
+
+        play(story)
+
+    def test_what_runs_there_goes_on(self):
+        async def story(site):
+            site.engines.leaving.add("a2")
+            server = self._refuse(site)
+            await site.settle()
+            assert site.fleet.answers(server)
+            assert not site.fleet.has_ended("a2")
+
+        play(story)
+
+    def test_one_that_is_only_full_stays(self):
+        async def story(site):
+            server = self._refuse(site)
+            await site.settle()
+            assert site.fleet.is_up(server)
+
+        play(story)
+
+    def test_one_that_does_not_answer_is_examined(self):
+        async def story(site):
+            site.engines.silent.add("a2")
+            server = self._refuse(site)
+            await site.settle()
+            assert not site.fleet.answers(server)
+
+        play(story)
+
+
 class TestRecheck:
     """Servers that are down."""
 
+    def test_one_that_answers_but_takes_no_work_stays_down(self):
+        async def story(site):
+            server = site.fleet.servers["a2"]
+            site.engines.leaving.add("a2")
+            site.fleet.mark(server, down=True, refuses=True, reason="test")
+            await site.doctor.revive(server)
+            assert not site.fleet.is_up(server)
+            site.engines.leaving.clear()
+            await site.doctor.revive(server)
+            assert site.fleet.is_up(server)
+
+        play(story)
+
     def test_who_answers_again_is_up(self):
         async def story(site):
             site.fleet.mark(site.fleet.servers["a2"], down=True, reason="test")
