Take no servers from a chain that serves to mend another

The spare servers that were to fill the gaps were in a mixed chain that had just been found through both data centres and had filled up: they give up their layers only when the last of 48 requests has ended, so that the mixed chain was lost and nothing mended; then the busy ones were planned again each 0.6 s ('does not fit the server's state') though empty servers had come back. Traced with plans and reports written down, a trial. Ruled out: lost orders (each was answered 'begun'), full memory.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -252,13 +252,22 @@
         return server is not None and server.service == service
 
     def _slots(self, router: ModelRouter) -> list[Slot]:
+        used = {part.server.id for c in router.chains() for part in c.parts}
         slots = []
         for server in self.fleet.servers.values():
             if server.service != router.service or not self.fleet.is_up(server):
                 continue
             coming = self.intended.get(server.id) or self.pending.get(server.id)
             layers = coming.layers if coming else self.fleet.layers(server)
-            slots.append(Slot(server=server, layers=layers))
+            held = self.fleet.held.get(server.id)
+            slots.append(
+                Slot(
+                    server=server,
+                    layers=layers,
+                    in_use=server.id in used,
+                    busy=coming is None and held is not None and held.busy,
+                )
+            )
         return slots
 
     def _forget_lost(self) -> None:
--- a/packages/gateway/src/kumquatway_gateway/placement/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_pool.py
@@ -29,14 +29,17 @@
         self.members = members
         self.slots = {slot.server.id: slot for slot in members}
         self.moves: dict[str, Move] = {}
+        self.may_take_used = False
 
     def plan(self, may_rebuild: bool) -> list[Move]:
         """
         Fill the gaps; where there are none, make room and double layers.
 
-        :param may_rebuild: whether a chain that cannot be mended is laid out anew.
+        :param may_rebuild: whether a chain that cannot be mended is laid out anew, and
+            servers are taken from a chain that serves.
         :return: the moves.
         """
+        self.may_take_used = may_rebuild
         while (gap := self._first_gap()) is not None:
             filled = self._fill(gap)
             if not filled:
@@ -97,6 +100,8 @@
             grow = self._most(slot, room) - len(slot.layers)
             if slot.server.id in spare or not len(slot.layers) or grow <= 0:
                 continue
+            if slot.busy:
+                continue
             if slot.layers.stop == gap.start and (not left or grow > left.most):
                 left = Offer(slot=slot, most=grow, side=Side.LEFT)
             elif slot.layers.start == gap.stop and (not right or grow > right.most):
@@ -113,12 +118,14 @@
         Give the servers that can all be taken without leaving a gap.
 
         Empty ones go first, then those with the fewest layers; among equals the fast.
+        One that a chain goes through would first have to end what it serves, and the
+        chain would take nothing new: it comes last, and only after some patience.
         """
         counts = self._counts()
         free = []
         order = sorted(
-            self.slots.values(),
-            key=lambda s: (len(s.layers), self._slowness(s)),
+            (slot for slot in self.slots.values() if self._is_available(slot)),
+            key=lambda s: (s.in_use, len(s.layers), self._slowness(s)),
         )
         for slot in order:
             held = range(slot.layers.start, slot.layers.stop)
@@ -129,6 +136,9 @@
             free.append(slot)
         return free
 
+    def _is_available(self, slot: Slot) -> bool:
+        return not slot.busy and (self.may_take_used or not slot.in_use)
+
     def _share(self, offers: list[Offer], gap: LayerRange) -> list[Move]:
         """
         Share out a gap: a small one in short loads, a large one to the fast servers.
@@ -204,7 +214,7 @@
         counts = self._counts()
         for slot in list(self.slots.values()):
             over = self._over(slot)
-            if not over:
+            if not over or slot.busy:
                 continue
             start, stop = slot.layers.start, slot.layers.stop
             while over and start < stop and counts[stop - 1] > 1:
@@ -257,7 +267,7 @@
         """Give empty servers the layers of one whose loss would leave a gap."""
         for slot in list(self.slots.values()):
             most = self._most(slot, self.rooms[0])
-            if len(slot.layers) or not most:
+            if len(slot.layers) or not most or slot.busy:
                 continue
             alone = self._alone()
             if not alone:
--- a/packages/gateway/src/kumquatway_gateway/placement/_types.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_types.py
@@ -26,10 +26,14 @@
     A server that may hold layers.
 
     :param layers: what it holds, or will hold once its order is done.
+    :param in_use: whether a chain goes through it.
+    :param busy: whether it still carries out an order, and takes no other.
     """
 
     server: Server
     layers: LayerRange
+    in_use: bool = False
+    busy: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/gateway/tests/test_plan.py
+++ b/packages/gateway/tests/test_plan.py
@@ -151,6 +151,59 @@
             self.fleet.settle()
 
 
+class TestServersInUse:
+    """
+    Load pattern: two data centres lose servers under full load.
+
+    What is left of both serves as one chain, and fills up at once. A server of it that
+    is told to hold other layers gives up its own only when the last request through
+    it has ended, seconds later.
+    """
+
+    def setup_method(self):
+        spans = {"a": (0, 20), "b": (20, 40), "c": (20, 40), "d": (60, 80)}
+        self.slots = [
+            Slot(server=server(name, "a", "big"), layers=span(*held))
+            for name, held in spans.items()
+        ]
+
+    def _plan(self, used: set[str], **fields):
+        slots = [
+            Slot(
+                server=slot.server,
+                layers=slot.layers,
+                in_use=slot.server.id in used,
+            )
+            for slot in self.slots
+        ]
+        return plan(ENGINE, slots, **fields)
+
+    def test_of_two_that_hold_the_same_the_idle_one_is_taken(self):
+        for used, idle in (("b", "c"), ("c", "b")):
+            moves = self._plan({"a", used, "d"}, may_rebuild=False)
+            taken = {m.server.id for m in moves if m.layers.start >= 40}
+            assert idle in taken
+            assert used not in taken
+
+    def test_none_is_taken_from_a_chain_that_serves(self):
+        moves = self._plan({"a", "b", "c", "d"}, may_rebuild=False)
+        for move in moves:
+            [slot] = [s for s in self.slots if s.server.id == move.server.id]
+            assert move.layers.start <= slot.layers.start
+            assert move.layers.stop >= slot.layers.stop
+
+    def test_unless_nothing_else_came_for_long(self):
+        moves = self._plan({"a", "b", "c", "d"}, may_rebuild=True)
+        assert any(move.server.id in "bc" for move in moves)
+
+    def test_one_that_still_carries_out_an_order_gets_no_other(self):
+        slots = [
+            Slot(server=s.server, layers=s.layers, busy=s.server.id != "c")
+            for s in self.slots
+        ]
+        assert {m.server.id for m in plan(ENGINE, slots)} <= {"c"}
+
+
 class TestRoom:
     """Room for requests."""
 
