--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -252,7 +252,7 @@
         return server is not None and server.service == service
 
     def _slots(self, router: ModelRouter) -> list[Slot]:
-        used = {part.server.id for c in router.chains() for part in c.parts}
+        used = router.used()
         slots = []
         for server in self.fleet.servers.values():
             if server.service != router.service or not self.fleet.is_up(server):
--- a/packages/gateway/src/kumquatway_gateway/relay/_models.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_models.py
@@ -60,6 +60,7 @@
         self.emit = emit
         self.clock = clock
         self.own: dict[str, Load] = {}
+        self.claims: set[Claim] = set()
         self.first_events: dict[str, tuple[float, float]] = {}
         self.failures: dict[str, tuple[float, float]] = {}
         self.room: WaitingRoom[Claim] = WaitingRoom(
@@ -127,7 +128,9 @@
             return None
         self._count(chain.first.id, waiter.tokens, 1)
         self.room.begin(waiter)
-        return Claim(chain=chain, waiter=waiter)
+        claim = Claim(chain=chain, waiter=waiter)
+        self.claims.add(claim)
+        return claim
 
     def free(self, claim: Claim) -> None:
         """
@@ -138,9 +141,20 @@
         if claim.freed:
             return
         claim.freed = True
+        self.claims.discard(claim)
         self._count(claim.chain.first.id, -claim.waiter.tokens, -1)
         self.room.end(claim.waiter)
 
+    def used(self) -> set[str]:
+        """
+        Give the servers that chains go through, or requests of before still do.
+
+        :return: their ids.
+        """
+        chains = {claim.chain for claim in self.claims}
+        chains.update(self.chains())
+        return {part.server.id for chain in chains for part in chain.parts}
+
     def loads(self) -> dict[str, Load]:
         """
         Sum up what is in progress over all entries.
--- /dev/null
+++ b/packages/gateway/tests/test_models.py
@@ -0,0 +1,43 @@
+"""Tests of what a router knows of its chains and of the requests on them."""
+
+from engines import ENGINE, server, span
+
+from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.relay import ModelRouter
+from kumquatway_gateway.waiting import Waiter
+
+
+def _waiter() -> Waiter:
+    return Waiter(account="a", priority=1, tokens=900.0, arrived=0.0, give_up=1.0)
+
+
+class TestUsed:
+    """Servers that a plan must leave alone. Load pattern: a chain moves under load."""
+
+    def setup_method(self):
+        spans = {f"s{start}": (start, start + 16) for start in range(0, 80, 16)}
+        spans["spare"] = (64, 80)
+        self.fleet = Fleet()
+        members = {
+            name: server(name, "x", "big", span(*held)) for name, held in spans.items()
+        }
+        self.fleet.list(members)
+        self.router = ModelRouter(
+            service="model",
+            engine=ENGINE,
+            fleet=self.fleet,
+            home="x",
+            elsewhere=dict,
+        )
+
+    def test_of_two_that_hold_the_same_one_is_idle(self):
+        assert len(self.router.used()) == 5
+
+    def test_a_request_keeps_its_servers_used_after_the_chain_has_moved(self):
+        claim = self.router.claim(_waiter())
+        last = claim.chain.parts[-1].server
+        self.fleet.avoid(last)
+        assert len(self.router.used()) == 6
+        self.router.free(claim)
+        assert last.id not in self.router.used()
+        assert len(self.router.used()) == 5
