Let idle servers take over the layers of slow ones

Routing goes around a slow server only where another holds its layers. Change: where nothing is missing, the layers that only a slow server holds are given to idle servers (empty ones, and spare ones no chain goes through), if they can take them all.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -21,7 +21,12 @@
 from kumquatway_gateway.http1 import FetchFailed
 from kumquatway_gateway.model import NOTHING, Engine, Held, LayerRange, Server
 from kumquatway_gateway.placement import Aim, Move, Slot, plan
-from kumquatway_gateway.relay import Doctor, Engines, ModelRouter, OrderOutcome
+from kumquatway_gateway.relay import (
+    Doctor,
+    Engines,
+    ModelRouter,
+    OrderOutcome,
+)
 
 PERIOD_SECONDS = 0.1  # between looks at the fleet
 LEASE_MARGIN_SECONDS = 0.3  # that the lease must hold after an order is sent
@@ -266,6 +271,7 @@
                     layers=layers,
                     in_use=server.id in used,
                     busy=coming is None and held is not None and held.busy,
+                    slow=self.fleet.is_slow(server),
                 )
             )
         return slots
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -13,6 +13,7 @@
 
 # The list lags by a heartbeat of 1.2 s and the 0.8 s that the store adds (site files).
 LIST_LAG_SECONDS = 2.2
+SLOW_PACE = 1.5  # times the usual, above which a server counts as slow
 PACE_STEP = 0.2  # share by which a pace must change to count as a change
 AVOID_SECONDS = 0.4  # after a server said that it is full or gives layers up
 
@@ -289,6 +290,14 @@
         born, pace, _ = self.paces.get(server.id, (server.born, 1.0, 0.0))
         return pace if born == server.born else 1.0
 
+    def is_slow(self, server: Server) -> bool:
+        """
+        Tell whether a server's work takes much longer than usual.
+
+        :param server: in the list.
+        """
+        return self.pace(server) > SLOW_PACE
+
     def take_pace(self, server_id: str, born: int, pace: float, at: float) -> None:
         """
         Take a report of a server's pace; the newest counts.
--- a/packages/gateway/src/kumquatway_gateway/placement/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_pool.py
@@ -4,6 +4,8 @@
 The moves of one data centre's servers: gaps first, then room, then spare layers.
 """
 
+from dataclasses import replace
+
 from kumquatway_gateway.model import Engine, LayerRange
 from kumquatway_gateway.placement._gaps import Offer, Side, fill, level
 from kumquatway_gateway.placement._types import Aim, Move, Slot, most_layers
@@ -49,6 +51,7 @@
             for move in filled:
                 self._apply(move)
         if not self.moves:
+            self._bypass()
             self._shrink()
         self._relieve()
         self._double()
@@ -56,7 +59,8 @@
 
     def _apply(self, move: Move) -> None:
         self.moves[move.server.id] = move
-        self.slots[move.server.id] = Slot(server=move.server, layers=move.layers)
+        before = self.slots[move.server.id]
+        self.slots[move.server.id] = replace(before, layers=move.layers)
 
     def _most(self, slot: Slot, room: float) -> int:
         return most_layers(self.engine, slot, room)
@@ -64,10 +68,12 @@
     def _slowness(self, slot: Slot) -> float:
         return self.engine.accelerator(slot.server.accelerator).step_factor
 
-    def _counts(self) -> list[int]:
+    def _counts(self, *, with_slow: bool = True) -> list[int]:
         """Count for each layer the servers that hold it."""
         counts = [0] * self.engine.layers
         for slot in self.slots.values():
+            if slot.slow and not with_slow:
+                continue
             for layer in range(slot.layers.start, slot.layers.stop):
                 counts[layer] += 1
         return counts
@@ -207,6 +213,47 @@
                 )
             )
 
+    # servers that are slow
+
+    def _bypass(self) -> None:
+        """
+        Give idle servers the layers that only a slow one holds.
+
+        Nothing that runs is touched: routing goes around the slow server once they are
+        loaded, and those that helped are spare servers again when it is not slow.
+        """
+        for slow in [slot for slot in self.slots.values() if slot.slow]:
+            counts = self._counts(with_slow=False)
+            held = range(slow.layers.start, slow.layers.stop)
+            alone = [layer for layer in held if not counts[layer]]
+            if not alone:
+                continue
+            span = LayerRange(start=alone[0], stop=alone[-1] + 1)
+            idle = self._idle_offers()
+            if sum(offer.most for offer in idle) < len(span):
+                continue
+            position = span.start
+            for offer, count in zip(idle, level(idle, len(span)), strict=True):
+                taken = LayerRange(start=position, stop=position + count)
+                position = taken.stop
+                if count:
+                    self._apply(replace(fill(offer, taken), aim=Aim.RELIEF))
+
+    def _idle_offers(self) -> list[Offer]:
+        counts = self._counts(with_slow=False)
+        offers = []
+        for slot in self._free():
+            held = range(slot.layers.start, slot.layers.stop)
+            needed = any(counts[layer] < 2 for layer in held)
+            if needed or slot.in_use or slot.slow or slot.server.id in self.moves:
+                continue
+            for layer in held:
+                counts[layer] -= 1
+            most = self._most(slot, self.rooms[0])
+            if most:
+                offers.append(Offer(slot=slot, most=most, side=Side.FREE))
+        return offers
+
     # room
 
     def _shrink(self) -> None:
--- a/packages/gateway/src/kumquatway_gateway/placement/_types.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_types.py
@@ -28,12 +28,14 @@
     :param layers: what it holds, or will hold once its order is done.
     :param in_use: whether a chain goes through it.
     :param busy: whether it still carries out an order, and takes no other.
+    :param slow: whether its work takes much longer than usual.
     """
 
     server: Server
     layers: LayerRange
     in_use: bool = False
     busy: bool = False
+    slow: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
@@ -22,7 +22,6 @@
 WITNESSES = 2  # other servers asked before a server is taken for down
 AGAIN_SECONDS = 0.25  # between two examinations of a chain
 RECHECK_SECONDS = 0.8  # between probes of a server that is down or slow
-SLOW_PACE = 1.5  # times the usual, above which a server is asked again
 
 
 class Doctor:
@@ -107,9 +106,9 @@
                 server = self.fleet.servers.get(name)
                 if mark.down and server is not None:
                     self._spawn(self.revive(server))
-            for name, (_, pace, _) in list(self.fleet.paces.items()):
+            for name in list(self.fleet.paces):
                 server = self.fleet.servers.get(name)
-                if pace > SLOW_PACE and server is not None:
+                if server is not None and self.fleet.is_slow(server):
                     self.suspect(server)
             cutoff = self.clock() - AGAIN_SECONDS
             for name in [n for n, at in self.examined.items() if at < cutoff]:
--- a/packages/gateway/tests/test_plan.py
+++ b/packages/gateway/tests/test_plan.py
@@ -204,6 +204,59 @@
         assert {m.server.id for m in plan(ENGINE, slots)} <= {"c"}
 
 
+class TestSlowServers:
+    """Load pattern: servers take many times their time, and their chains with them."""
+
+    def setup_method(self):
+        self.slots = {
+            f"s{start}": Slot(
+                server=server(f"s{start}", "a", "big"),
+                layers=span(start, start + 16),
+                in_use=True,
+                slow=start == 32,
+            )
+            for start in range(0, 80, 16)
+        }
+
+    def _spare(self, name: str, start: int, stop: int, **fields) -> None:
+        one = server(name, "a", "middle")
+        self.slots[name] = Slot(server=one, layers=span(start, stop), **fields)
+
+    def _plan(self):
+        return plan(ENGINE, self.slots.values(), may_rebuild=False)
+
+    def test_idle_servers_take_over_the_layers(self):
+        self._spare("x", 0, 8)
+        self._spare("y", 8, 16)
+        taken = sorted(
+            (m.layers.start, m.layers.stop) for m in self._plan() if m.aim is Aim.RELIEF
+        )
+        assert taken == [(32, 40), (40, 48)]
+
+    def test_not_where_they_cannot_hold_them_all(self):
+        self._spare("x", 0, 8)
+        assert all(move.aim is not Aim.RELIEF for move in self._plan())
+
+    def test_not_from_a_chain_that_serves(self):
+        self._spare("x", 0, 8, in_use=True)
+        self._spare("y", 8, 16, in_use=True)
+        assert all(move.aim is not Aim.RELIEF for move in self._plan())
+
+    def test_once_they_hold_them_nothing_more_is_moved(self):
+        self._spare("x", 32, 40)
+        self._spare("y", 40, 48)
+        self._spare("z", 0, 8)
+        assert self._plan() == ()
+
+    def test_a_gap_comes_first(self):
+        self._spare("x", 0, 8)
+        self._spare("y", 8, 16)
+        del self.slots["s64"]
+        moves = self._plan()
+        assert moves
+        assert all(move.aim is Aim.GAP for move in moves)
+
+
 class TestRoom:
     """Room for requests."""
 
