Follow the orders that the last holder of the lease gave, and leave busy servers alone

Ruled out: the lease, which passed on within a second. Change: a new holder asks all servers; a busy one is asked each 0.15 s until it is done; a server that holds already what was ordered is asked at once; a report of an order in progress outlives a list that agrees on the layers, which says nothing of the order; a layout anew leaves busy servers out.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -10,7 +10,7 @@
 import asyncio
 import dataclasses
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 
 from loguru import logger
@@ -102,6 +102,7 @@
         self.pending: dict[str, _Pending] = {}
         self.intended: dict[str, Move] = {}  # planned, but not yet ordered
         self.tasks: set[asyncio.Task] = set()
+        self.awaited: set[str] = set()  # busy with orders of an earlier holder
         self.held = False
         self.released = False
         self.known: set[str] = set()
@@ -205,8 +206,7 @@
         """Ask what the last holder has ordered that the list does not tell yet."""
         names = {router.service for router in self.routers()}
         servers = [s for s in self.fleet.servers.values() if s.service in names]
-        placed = [server for server in servers if len(self.fleet.layers(server))]
-        await asyncio.gather(*(self._ask(server) for server in placed))
+        await asyncio.gather(*(self._ask(server) for server in servers))
 
     async def _ask(self, server: Server) -> Held | None:
         try:
@@ -265,12 +265,15 @@
             coming = self.intended.get(server.id) or self.pending.get(server.id)
             layers = coming.layers if coming else self.fleet.layers(server)
             held = self.fleet.held.get(server.id)
+            busy = coming is None and held is not None and held.busy
+            if busy:
+                self._await_idle(server)
             slots.append(
                 Slot(
                     server=server,
                     layers=layers,
                     in_use=server.id in used,
-                    busy=coming is None and held is not None and held.busy,
+                    busy=busy,
                     slow=self.fleet.is_slow(server),
                 )
             )
@@ -302,10 +305,30 @@
             due=now + seconds * waves,
             lost_at=now + seconds * waves * 2 + LATE_SECONDS,
         )
-        task = asyncio.get_running_loop().create_task(self._carry_out(server))
+        self._spawn(self._carry_out(server))
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def _await_idle(self, server: Server) -> None:
+        """Follow an order that this entry does not wait for, or no longer."""
+        if server.id not in self.awaited:
+            self.awaited.add(server.id)
+            self._spawn(self._ask_until_idle(server))
+
+    async def _ask_until_idle(self, server: Server) -> None:
+        try:
+            while self.fleet.is_up(server) and server.id not in self.pending:
+                await asyncio.sleep(POLL_SECONDS)
+                held = await self._ask(server)
+                if self._number() is None or held is None or not held.busy:
+                    break
+        finally:
+            self.awaited.discard(server.id)
+        self.spread()
+
     async def _carry_out(self, server: Server) -> None:
         pending = self.pending[server.id]
         number = self._number()
@@ -336,6 +359,8 @@
             await asyncio.sleep(MISFIT_SECONDS)
             self.pending.pop(server.id, None)
             return
+        if outcome is not OrderOutcome.HOLDS:
+            await asyncio.sleep(max(0.0, pending.due - self.clock()))
         await self._await_load(server, pending)
 
     def _keep_off(self, server: Server, pending: _Pending) -> None:
@@ -376,7 +401,6 @@
 
     async def _await_load(self, server: Server, pending: _Pending) -> None:
         """Ask until the layers are there, so that routing uses them at once."""
-        await asyncio.sleep(max(0.0, pending.due - self.clock()))
         while self.pending.get(server.id) is pending:
             held = await self._ask(server)
             if held is not None and held.layers == pending.layers and not held.busy:
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -111,7 +111,8 @@
             server = servers.get(name)
             if server is None or server.born != held.born:
                 continue
-            agrees = server.layers == held.layers
+            # The list does not say whether a server still carries out an order.
+            agrees = server.layers == held.layers and not held.busy
             changed = server.layers != self.listed_then.get(name)
             late = self.listed_at - held.at > LIST_LAG_SECONDS
             if agrees or (changed and late):
--- a/packages/gateway/src/kumquatway_gateway/placement/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_pool.py
@@ -186,7 +186,8 @@
         """
         before = {slot.server.id: slot.layers for slot in self.members}
         order = sorted(
-            self.members, key=lambda slot: (not len(slot.layers), slot.layers)
+            (slot for slot in self.members if not slot.busy),
+            key=lambda slot: (not len(slot.layers), slot.layers),
         )
         for room in self.rooms:
             most = [self._most(slot, room) for slot in order]
--- a/packages/gateway/tests/test_membership.py
+++ b/packages/gateway/tests/test_membership.py
@@ -1,5 +1,7 @@
 """Tests of the list of servers through outages of the store."""
 
+from dataclasses import replace
+
 from kumquatway_gateway.fleet import RETURN_SECONDS, Fleet, Mark, Membership
 from kumquatway_gateway.model import Held, LayerRange, Server, ServerState
 
@@ -106,6 +108,12 @@
             self.fleet.list({"one": self.one})
         assert self.fleet.layers(self.one) == LayerRange(start=0, stop=8)
 
+    def test_a_report_of_an_order_in_progress_outlives_a_list_that_agrees(self):
+        held = replace(self._held(0, 4, 1), busy=True)
+        self.fleet.take_held("one", held)
+        self.fleet.list({"one": self.one})
+        assert self.fleet.held["one"].busy
+
     def test_the_count_of_orders_outlives_a_lapsed_entry(self):
         self.fleet.take_held("one", self._held(0, 8, 3))
         self.fleet.list({})
