--- a/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
@@ -13,7 +13,7 @@
 from loguru import logger
 
 from kumquatway_gateway.chains import Chain
-from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.fleet import Fleet, Mark
 from kumquatway_gateway.http1 import FetchFailed, Pool, Unreachable
 from kumquatway_gateway.model import Held, Server
 from kumquatway_gateway.relay._engines import Engines, Report
@@ -21,6 +21,7 @@
 PROBE_SECONDS = 0.12  # 50 times the way to a server and back
 WITNESSES = 2  # other servers asked before a server is taken for down
 AGAIN_SECONDS = 0.25  # between two examinations of a chain
+REFUSING_SECONDS = 6.0  # after which one that says it takes no work is tried again
 RECHECK_SECONDS = 0.8  # between probes of a server that is down or slow
 
 
@@ -182,9 +183,7 @@
         """
         mark = self.fleet.marks[server.id]
         if mark.refuses:
-            with contextlib.suppress(FetchFailed):
-                if await self._takes_work(server):
-                    self.fleet.mark(server, down=False, reason="it takes work again")
+            await self._revive_refusing(server, mark)
         elif await self._answers(server) is None:
             self.fleet.mark(server, down=False, reason="it answers again")
 
@@ -217,6 +216,15 @@
             if other is not None and other.id != server.id:
                 self.suspect(other)
 
+    async def _revive_refusing(self, server: Server, mark: Mark) -> None:
+        # What a server says of its health may be wrong for long.
+        if self.clock() - mark.since > REFUSING_SECONDS:
+            self.fleet.mark(server, down=False, reason="it may take work again")
+            return
+        with contextlib.suppress(FetchFailed):
+            if await self._takes_work(server):
+                self.fleet.mark(server, down=False, reason="it takes work again")
+
     def _spawn(self, work) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
--- a/packages/gateway/tests/test_doctor.py
+++ b/packages/gateway/tests/test_doctor.py
@@ -9,6 +9,7 @@
 from kumquatway_gateway.http1 import FetchFailed, Pool
 from kumquatway_gateway.model import Server
 from kumquatway_gateway.relay import Doctor, Report, Stalled
+from kumquatway_gateway.relay._doctor import REFUSING_SECONDS
 
 
 class _Engines:
@@ -231,6 +232,20 @@
 class TestRecheck:
     """Servers that are down."""
 
+    def test_one_that_only_says_that_it_takes_no_work_is_tried_again(self):
+        """Load pattern: servers that are well say for long that they are not."""
+
+        async def story(site):
+            server = site.fleet.servers["a2"]
+            site.engines.leaving.add("a2")
+            site.fleet.mark(server, down=True, refuses=True, reason="test")
+            now = site.doctor.clock() + REFUSING_SECONDS + 0.1
+            site.doctor.clock = lambda: now
+            await site.doctor.revive(server)
+            assert site.fleet.is_up(server)
+
+        play(story)
+
     def test_one_that_answers_but_takes_no_work_stays_down(self):
         async def story(site):
             server = site.fleet.servers["a2"]
