Refuse plain requests in the last half second of an entry

Streams that would not end in time were refused, plain requests were not. Ruled out: a slow server (usual work 22 ms), a late drain. Change: in the last 0.5 s (five times the objective of plain requests) these are refused as not run.

--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -40,6 +40,7 @@
 from kumquatway_gateway.relay._streams import StreamJob
 from kumquatway_gateway.waiting import RepeatBudget
 
+PLAIN_SECONDS = 0.5  # a plain request takes, at five times its objective
 WATCH_SECONDS = 0.01  # between looks at the streams in progress
 STALE_SECONDS = 2.5  # without a word of the store, unknown routes are in doubt
 
@@ -215,7 +216,7 @@
             revision=configuration.revision,
             deadline=request.arrived + min(route.timeout, request.patience),
         )
-        if service.engine is not None and not self._has_time(service, request):
+        if not self._has_time(service, request):
             verdict = not_run(Reason.SHUTTING_DOWN, "this entry ends", retry_after=0.3)
             self._answer(caller, request, verdict)
             return
@@ -237,9 +238,11 @@
             await PlainJob(relay=self, router=plain, job=job).run()
 
     def _has_time(self, service: Service, request: Request) -> bool:
-        """Tell whether a stream that begins now is whole before this entry ends."""
+        """Tell whether a request that begins now is served before this entry ends."""
         if self.ends is None:
             return True
+        if service.engine is None:
+            return self.clock() + PLAIN_SECONDS < self.ends
         answer = request.prompt.max_answer if request.prompt else None
         need = self.model_router(service).longest(answer)
         return self.clock() + need < self.ends
