Count servers that left the list unannounced toward a route's attempts

Cause: Fleet.has_ended took every server that is no longer listed for ended, so that streams could be sent to one server more than their route's attempts. A server that leaves unannounced loses its entry at once and serves on for many seconds. Now a life is over if its VM refuses connections, if the server was silent until its entry was removed, or if its address is another's; that is remembered for 30 s.

Ruled out: dropping the exception whole (a third of the streams of a dead server could not move once more).

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -15,6 +15,7 @@
 LIST_LAG_SECONDS = 2.2
 SLOW_PACE = 1.5  # times the usual, above which a server counts as slow
 PACE_STEP = 0.2  # share by which a pace must change to count as a change
+REMEMBER_SECONDS = 30.0  # that a life is over: longer than callers wait (20 s, pages)
 AVOID_SECONDS = 0.4  # after a server said that it is full or gives layers up
 
 
@@ -60,6 +61,7 @@
         self.listed_then: dict[str, LayerRange] = {}  # as of each report
         self.sequences: dict[str, tuple[int, int]] = {}
         self.leaving: dict[str, int] = {}
+        self.ended: dict[str, float] = {}  # unlisted and surely over, since when
         self.avoided: dict[str, float] = {}
         self.paces: dict[str, tuple[int, float, float]] = {}  # born, pace, when
         self.listed_at = float("-inf")  # when the list was last known to be kept up
@@ -88,6 +90,7 @@
                 self.touch()
             return
         self._tell_changes(servers)
+        self._note_ended(servers)
         self.servers = dict(servers)
         self.by_address = {server.address: server for server in servers.values()}
         for name in [name for name in self.held if name not in servers]:
@@ -120,6 +123,23 @@
                 self._forget_held(name)
         return dropped
 
+    def _note_ended(self, servers: dict[str, Server]) -> None:
+        """
+        Remember which of the servers that are no longer listed have ended.
+
+        Some leave unannounced: they answer, and finish what they have.
+        """
+        now = self.clock()
+        taken = {server.address for server in servers.values()}
+        for name, server in self.servers.items():
+            if name in servers:
+                continue
+            if server.address in taken or not self.answers(server):
+                self.ended[name] = now
+        cutoff = now - REMEMBER_SECONDS
+        for name in [name for name, at in self.ended.items() if at < cutoff]:
+            del self.ended[name]
+
     def _forget_held(self, server_id: str) -> None:
         held = self.held.pop(server_id)
         self.sequences[server_id] = (held.born, held.sequence)
@@ -201,11 +221,13 @@
         Tell whether a server's life is surely over.
 
         :param server_id: of the server.
-        :return: True if it is not listed any more or its VM refuses connections.
+        :return: True if its VM refuses connections, if it was silent until its entry
+            was removed, or if its address is another's.
         """
+        if server_id in self.ended:
+            return True
         mark = self.marks.get(server_id)
-        ended = mark is not None and mark.down and mark.ended
-        return ended or server_id not in self.servers
+        return mark is not None and mark.down and mark.ended
 
     def mark(
         self,
--- a/packages/gateway/tests/test_membership.py
+++ b/packages/gateway/tests/test_membership.py
@@ -2,7 +2,13 @@
 
 from dataclasses import replace
 
-from kumquatway_gateway.fleet import RETURN_SECONDS, Fleet, Mark, Membership
+from kumquatway_gateway.fleet import (
+    REMEMBER_SECONDS,
+    RETURN_SECONDS,
+    Fleet,
+    Mark,
+    Membership,
+)
 from kumquatway_gateway.model import Held, LayerRange, Server, ServerState
 
 
@@ -151,6 +157,33 @@
         old = Mark(born=7, down=True, since=self.clock.now + 1, reason="late word")
         assert not self.fleet.take_mark("one", old)
 
+    def test_a_server_that_left_unannounced_may_still_serve(self):
+        """Its entry is removed, and it finishes what it has over many seconds."""
+        self.fleet.list({})
+        assert not self.fleet.has_ended("one")
+
+    def test_a_server_that_says_it_takes_no_work_still_serves_unlisted(self):
+        self.fleet.mark(self.one, down=True, refuses=True, reason="takes no work")
+        self.fleet.list({})
+        assert not self.fleet.has_ended("one")
+
+    def test_a_server_that_was_silent_has_ended_once_it_is_unlisted(self):
+        self.fleet.mark(self.one, down=True, reason="silent")
+        assert not self.fleet.has_ended("one")
+        self.fleet.list({})
+        assert self.fleet.has_ended("one")
+
+    def test_a_server_whose_address_is_anothers_has_ended(self):
+        self.fleet.list({"two": _server("two", address=self.one.address)})
+        assert self.fleet.has_ended("one")
+
+    def test_ended_servers_are_not_remembered_for_ever(self):
+        self.fleet.mark(self.one, down=True, reason="silent")
+        self.fleet.list({})
+        self.clock.now += REMEMBER_SECONDS + 1
+        self.fleet.list({"two": _server("two")})
+        assert not self.fleet.ended
+
     def test_each_change_of_what_routing_uses_is_counted(self):
         before = self.fleet.generation
         self.fleet.take_held("one", self._held(0, 4, 1))
