Take a server that refuses connections, but has requests of ours, for alive

An entry that probed it took the refusal for the end of its life: all streams left it (a third server, attempts 2), and their second server, still at work, was not counted. Now, of servers that refuse connections, one with an open connection and a request of this entry goes on: its streams stay. Toward the attempts, a server no longer counts only if it broke the connection off itself and its life is over.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -67,6 +67,7 @@
         self.listed_at = float("-inf")  # when the list was last known to be kept up
         self.generation = 0  # rises with each change that routing depends on
         self.changed: Callable[[], None] = lambda: None
+        self.is_at_work: Callable[[str], bool] = _never  # for this entry, by id
 
     def list(
         self,
@@ -191,11 +192,16 @@
         """
         Tell whether what a server has in progress goes on.
 
+        One that is full, or about to end, refuses connections and goes on with what it
+        has: a connection to it that is still open tells that from a crash.
+
         :param server: in the list.
         :return: False if it does not answer; one that leaves does.
         """
         mark = self.marks.get(server.id)
-        return mark is None or not mark.down or mark.refuses
+        if mark is None or not mark.down or mark.refuses:
+            return True
+        return mark.ended and self.is_at_work(server.id)
 
     def is_avoided(self, server: Server) -> bool:
         """
@@ -227,7 +233,8 @@
         if server_id in self.ended:
             return True
         mark = self.marks.get(server_id)
-        return mark is not None and mark.down and mark.ended
+        refuses = mark is not None and mark.down and mark.ended
+        return refuses and not self.is_at_work(server_id)
 
     def mark(
         self,
@@ -379,3 +386,7 @@
                 detail=f"{server.address} {detail}".rstrip(),
             )
         )
+
+
+def _never(server_id: str) -> bool:
+    return False
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -90,6 +90,7 @@
         self.plains: dict[str, PlainRouter] = {}
         self.budgets: dict[str, RepeatBudget] = {}
         self.watched: set[StreamJob] = set()
+        fleet.is_at_work = self.is_at_work
         self.ends: float | None = None  # when this entry ends, by `clock`
 
     def configure(self, configuration: Configuration) -> None:
@@ -151,6 +152,15 @@
             found = self.budgets[service] = self.open_budget()
         return found
 
+    def is_at_work(self, server_id: str) -> bool:
+        """
+        Tell whether a model server has a request of this entry.
+
+        :param server_id: of the server.
+        :return: True while a connection with a request is open to it.
+        """
+        return any(job.chain.first.id == server_id for job in self.watched)
+
     async def watch(self) -> None:
         """Look for streams that fell silent, and for room, for ever."""
         while True:
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -83,6 +83,7 @@
         self.failure: _Failure | None = None
         self.failed_at = 0.0
         self.avoid: set[str] = set()
+        self.broken_off: set[str] = set()  # ids of servers that ended their connection
         self.refusals = 0
 
     async def run(self) -> None:
@@ -237,7 +238,10 @@
 
     def _ended_early(self, end: End) -> _Step:
         self.doubt = True
-        return _Step.STALLED if end is End.ABANDONED else _Step.CUT
+        if end is End.ABANDONED:
+            return _Step.STALLED
+        self.broken_off.add(self.chain.first.id)
+        return _Step.CUT
 
     async def _refused(self, head: ResponseHead) -> _Step:
         end = await self.exchange.ended
@@ -344,13 +348,19 @@
         # Only events can be gone on with; any other body would begin anew.
         if self.streaming and job.route.kind is not RouteKind.STREAM:
             return False
-        # A server that is only out of reach may still be at work on the request.
-        fleet = self.relay.fleet
-        ran = [name for name in job.sent if not fleet.has_ended(name)]
+        ran = [name for name in job.sent if not self._has_ended(name)]
         if len(ran) >= job.route.attempts:
             return False
         return self.relay.budget(job.service.name).left() >= 1
 
+    def _has_ended(self, server_id: str) -> bool:
+        """
+        Tell whether a server is surely no longer at work on the request.
+
+        One that was left may be, also where it refuses connections: a full one does.
+        """
+        return server_id in self.broken_off and self.relay.fleet.has_ended(server_id)
+
     def _note_failure(self, step: _Step, chain: Chain) -> None:
         if step in (_Step.STALLED, _Step.FAILED) and not self.events.count:
             self.router.note_failure(chain)
