Leave the requests on the neighbours of a gap their memory

Cause: a plan that fills a gap weighed the room a server would have, not what is in use. Neighbours now take only what leaves the requests through them their memory, over all entries; chains with a server that does not answer are not counted.

Tests: test_plan.TestMemoryInUse (two red before), test_models.TestTokensThrough.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -258,6 +258,7 @@
 
     def _slots(self, router: ModelRouter) -> list[Slot]:
         used = router.used()
+        tokens = router.tokens_through()
         slots = []
         for server in self.fleet.servers.values():
             if server.service != router.service or not self.fleet.is_up(server):
@@ -275,6 +276,7 @@
                     in_use=server.id in used,
                     busy=busy,
                     slow=self.fleet.is_slow(server),
+                    tokens=tokens.get(server.id, 0.0),
                 )
             )
         return slots
--- a/packages/gateway/src/kumquatway_gateway/placement/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_pool.py
@@ -103,7 +103,8 @@
         free = self._free()
         spare = {slot.server.id for slot in free}
         for slot in self.slots.values():
-            grow = self._most(slot, room) - len(slot.layers)
+            # A load takes memory: requests without theirs would break off.
+            grow = self._most(slot, max(room, slot.tokens)) - len(slot.layers)
             if slot.server.id in spare or not len(slot.layers) or grow <= 0:
                 continue
             if slot.busy:
--- a/packages/gateway/src/kumquatway_gateway/placement/_types.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_types.py
@@ -29,6 +29,7 @@
     :param in_use: whether a chain goes through it.
     :param busy: whether it still carries out an order, and takes no other.
     :param slow: whether its work takes much longer than usual.
+    :param tokens: of the requests that run through it and go on.
     """
 
     server: Server
@@ -36,6 +37,7 @@
     in_use: bool = False
     busy: bool = False
     slow: bool = False
+    tokens: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/gateway/src/kumquatway_gateway/relay/_models.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_models.py
@@ -155,6 +155,33 @@
         chains.update(self.chains())
         return {part.server.id for chain in chains for part in chain.parts}
 
+    def tokens_through(self) -> dict[str, float]:
+        """
+        Sum up the requests that run through each server, over all entries.
+
+        Chains with a server that does not answer are left out: what ran there moves.
+
+        :return: tokens by id of the server.
+        """
+        by_first = {chain.first.id: chain for chain in self.chains()}
+        through: dict[str, float] = {}
+        for claim in self.claims:
+            by_first.setdefault(claim.chain.first.id, claim.chain)
+            self._add_through(through, claim.chain, claim.waiter.tokens)
+        for first, load in self.elsewhere().items():
+            if first in by_first:
+                self._add_through(through, by_first[first], load.tokens)
+        return through
+
+    def _add_through(
+        self, through: dict[str, float], chain: Chain, tokens: float
+    ) -> None:
+        servers = [part.server for part in chain.parts]
+        if not all(self.fleet.answers(server) for server in servers):
+            return
+        for server in servers:
+            through[server.id] = through.get(server.id, 0.0) + tokens
+
     def loads(self) -> dict[str, Load]:
         """
         Sum up what is in progress over all entries.
--- a/packages/gateway/tests/test_models.py
+++ b/packages/gateway/tests/test_models.py
@@ -2,6 +2,7 @@
 
 from engines import ENGINE, server, span
 
+from kumquatway_gateway.chains import Load
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.relay import ModelRouter
 from kumquatway_gateway.waiting import Waiter
@@ -41,3 +42,37 @@
         self.router.free(claim)
         assert last.id not in self.router.used()
         assert len(self.router.used()) == 5
+
+
+class TestTokensThrough:
+    """Request memory in use. Load pattern: a gap is filled beside what still runs."""
+
+    def setup_method(self):
+        spans = {f"s{start}": (start, start + 16) for start in range(0, 80, 16)}
+        self.members = {
+            name: server(name, "x", "big", span(*held)) for name, held in spans.items()
+        }
+        self.fleet = Fleet()
+        self.fleet.list(self.members)
+        self.elsewhere = {"s0": Load(tokens=500.0, requests=1)}
+        self.router = ModelRouter(
+            service="model",
+            engine=ENGINE,
+            fleet=self.fleet,
+            home="x",
+            elsewhere=lambda: self.elsewhere,
+        )
+        self.router.claim(_waiter())
+
+    def test_the_requests_of_all_entries_count(self):
+        assert self.router.tokens_through() == dict.fromkeys(self.members, 1400.0)
+
+    def test_they_go_on_through_a_server_that_is_no_longer_listed(self):
+        del self.members["s48"]
+        self.fleet.list(self.members)
+        assert self.router.chains() == ()
+        assert self.router.tokens_through()["s32"] == 1400.0
+
+    def test_nothing_goes_on_through_one_that_does_not_answer(self):
+        self.fleet.mark(self.members["s48"], down=True, reason="test")
+        assert self.router.tokens_through() == {}
--- a/packages/gateway/tests/test_plan.py
+++ b/packages/gateway/tests/test_plan.py
@@ -204,6 +204,40 @@
         assert {m.server.id for m in plan(ENGINE, slots)} <= {"c"}
 
 
+class TestMemoryInUse:
+    """
+    Load pattern: a server leaves while requests still run through it.
+
+    Its neighbours would take over its layers, and lose the memory of the requests on
+    them, which break off: four layers of 19 take three quarters of the room.
+    """
+
+    def _slots(self, **tokens: float) -> list[Slot]:
+        spans = {"a": (0, 15), "b": (15, 30), "c": (34, 49), "d": (49, 64)}
+        return [
+            Slot(
+                server=server(name, "x", "big"),
+                layers=span(*held),
+                in_use=True,
+                tokens=tokens.get(name, 0.0),
+            )
+            for name, held in {**spans, "e": (64, 80)}.items()
+        ]
+
+    def _loads(self, **tokens: float) -> dict[str, int]:
+        moves = plan(ENGINE, self._slots(**tokens), may_rebuild=False)
+        return {move.server.id: move.loads for move in moves}
+
+    def test_neighbours_share_a_gap_where_they_have_room(self):
+        assert self._loads(b=20_000, c=20_000) == {"b": 2, "c": 2}
+
+    def test_the_one_with_room_takes_it(self):
+        assert self._loads(b=45_000, c=5_000) == {"c": 4}
+
+    def test_where_none_has_room_the_gap_stays_until_requests_have_ended(self):
+        assert self._loads(b=40_000, c=40_000) == {}
+
+
 class TestSlowServers:
     """Load pattern: servers take many times their time, and their chains with them."""
 
