Stop the work for a caller whose answer is stuck, and tell peers only news

A caller that closes while bytes to it wait was closed by asyncio only once they were sent, if ever; the request went on, and was repeated on other servers. Paces are told where they differ from the usual or changed lately, lists and configurations are fetched apart, and two words are 50 ms apart at least.

Bytes told to peers are a metric now. Tests: test_http1 (a caller that leaves what was sent unread; red before), test_gossip (two), test_copies.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -161,7 +161,7 @@
 
     async def _fetch(self, address: str) -> None:
         try:
-            copy = await self.copies.fetch(address)
+            copy = await self.copies.configuration(address)
         finally:
             self._fetching.discard(address)
         if copy is not None and copy.revision:
@@ -276,7 +276,7 @@
 
         :param address: of the peer.
         """
-        copy = await self.copies.fetch(address)
+        copy = await self.copies.servers(address)
         if copy is not None and copy.age < self._age():
             self._adopt(copy.servers(), copy.age, copy.grace)
 
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -37,7 +37,6 @@
     Freshness,
     Gossip,
     Word,
-    is_copy_request,
 )
 from kumquatway_gateway.relay import Dialect, Doctor, Engines, ModelRouter, Relay
 from kumquatway_gateway.waiting import RepeatBudget
@@ -345,9 +344,14 @@
             "Peers heard lately.",
             lambda: float(len(self.gossip.live())),
         )
+        watch(
+            "kumquatway_peer_bytes_sent",
+            "Told to peers since the start, bytes.",
+            lambda: float(self.gossip.sent_bytes),
+        )
 
     async def _answer_peer(self, caller: CallerConnection, incoming: Incoming) -> None:
-        if is_copy_request(incoming):
+        if self.copy_server.answers(incoming):
             self.copy_server.answer(caller, incoming)
         else:
             caller.respond(404, [], b"", keep=False)
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -38,6 +38,34 @@
     refuses: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PaceNote:
+    """
+    How many times longer than usual a server's work takes.
+
+    :param born: the life that it is about.
+    :param at: when it was seen, monotonic seconds.
+    :param changed: when it was first seen to be about this, monotonic seconds.
+    """
+
+    born: int
+    pace: float
+    at: float
+    changed: float
+
+    def is_news(self, now: float, seconds: float) -> bool:
+        """
+        Tell whether others should hear of it.
+
+        :param now: monotonic seconds.
+        :param seconds: for which a sight or a change is news.
+        :return: False for a server that is well and was before.
+        """
+        if now - self.at >= seconds:
+            return False
+        return self.pace > SLOW_PACE or now - self.changed < seconds
+
+
 class Fleet:
     """
     The servers as routing and placement see them.
@@ -63,7 +91,7 @@
         self.leaving: dict[str, int] = {}
         self.ended: dict[str, float] = {}  # unlisted and surely over, since when
         self.avoided: dict[str, float] = {}
-        self.paces: dict[str, tuple[int, float, float]] = {}  # born, pace, when
+        self.paces: dict[str, PaceNote] = {}
         self.listed_at = float("-inf")  # when the list was last known to be kept up
         self.generation = 0  # rises with each change that routing depends on
         self.changed: Callable[[], None] = lambda: None
@@ -317,8 +345,8 @@
         :param server: in the list.
         :return: 1 where nothing else was reported.
         """
-        born, pace, _ = self.paces.get(server.id, (server.born, 1.0, 0.0))
-        return pace if born == server.born else 1.0
+        note = self.paces.get(server.id)
+        return note.pace if note and note.born == server.born else 1.0
 
     def is_slow(self, server: Server) -> bool:
         """
@@ -340,12 +368,16 @@
         server = self.servers.get(server_id)
         if server is None or server.born != born:
             return
-        _, _, known = self.paces.get(server_id, (0, 1.0, float("-inf")))
-        if at <= known:
+        known = self.paces.get(server_id)
+        if known is not None and at <= known.at:
             return
         before = self.pace(server)
-        self.paces[server_id] = (born, pace, at)
-        if abs(before - pace) > PACE_STEP * before:
+        differs = abs(before - pace) > PACE_STEP * before
+        since = known.changed if known is not None else float("-inf")
+        self.paces[server_id] = PaceNote(
+            born=born, pace=pace, at=at, changed=at if differs else since
+        )
+        if differs:
             self._tell(server, "slow" if pace > 1 else "usual", f"pace {pace:.1f}")
             self.touch()
 
--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -192,6 +192,9 @@
 
     def eof_received(self):
         """Take a half-closed connection for a caller that left."""
+        if self.busy:
+            # A close would wait until what was written before is sent, if ever.
+            self.transport.abort()
         return False
 
     def connection_lost(self, error):
--- a/packages/gateway/src/kumquatway_gateway/peers/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/__init__.py
@@ -5,21 +5,21 @@
 """
 
 from kumquatway_gateway.peers._copies import (
+    ConfigurationCopy,
     Copies,
-    Copy,
     CopyServer,
-    is_copy_request,
+    ServersCopy,
     stamp_servers,
 )
 from kumquatway_gateway.peers._gossip import Freshness, Gossip, Word
 
 __all__ = [
+    "ConfigurationCopy",
     "Copies",
-    "Copy",
     "CopyServer",
     "Freshness",
     "Gossip",
+    "ServersCopy",
     "Word",
-    "is_copy_request",
     "stamp_servers",
 ]
--- a/packages/gateway/src/kumquatway_gateway/peers/_copies.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_copies.py
@@ -6,6 +6,7 @@
 
 import time
 from collections.abc import Callable
+from typing import TypeVar
 
 import msgspec
 import xxhash
@@ -18,7 +19,8 @@
 )
 from kumquatway_gateway.model import LayerRange, Server, ServerState
 
-PATH = "/copy"
+CONFIGURATION_PATH = "/copy/configuration"
+SERVERS_PATH = "/copy/servers"
 MEDIA_TYPE = b"application/msgpack"
 TIMEOUT_SECONDS = 0.6
 
@@ -37,18 +39,25 @@
     slots: int
 
 
-class Copy(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+class ConfigurationCopy(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
-    What a peer has.
+    A peer's configuration.
 
-    :param revision: of the configuration.
     :param document: the configuration as the store keeps it.
-    :param age: seconds since the peer's list of servers was read.
-    :param grace: seconds for which entries that lapsed with the store stay listed.
     """
 
     revision: int
     document: bytes
+
+
+class ServersCopy(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """
+    A peer's list of servers.
+
+    :param age: seconds since it was read.
+    :param grace: seconds for which entries that lapsed with the store stay listed.
+    """
+
     age: float
     listed: tuple[_Server, ...]
     grace: float = 0.0
@@ -63,7 +72,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Copy)
+_T = TypeVar("_T")
 
 
 class CopyServer:
@@ -93,6 +102,19 @@
         self.read_at = read_at
         self.grace = grace
         self.clock = clock
+        self._copies = {
+            CONFIGURATION_PATH: self._configuration,
+            SERVERS_PATH: self._servers,
+        }
+
+    def answers(self, incoming: Incoming) -> bool:
+        """
+        Tell whether a peer asks for a copy.
+
+        :param incoming: a request on the peers' address.
+        :return: True if it does.
+        """
+        return incoming.method == "GET" and incoming.target in self._copies
 
     def answer(self, caller: CallerConnection, incoming: Incoming) -> None:
         """
@@ -101,15 +123,19 @@
         :param caller: the peer's connection.
         :param incoming: the request.
         """
-        copy = Copy(
-            revision=self.revision(),
-            document=self.document(),
+        copy = self._copies[incoming.target]()
+        fields = [(b"Content-Type", MEDIA_TYPE)]
+        caller.respond(200, fields, _encoder.encode(copy), keep=True)
+
+    def _configuration(self) -> ConfigurationCopy:
+        return ConfigurationCopy(revision=self.revision(), document=self.document())
+
+    def _servers(self) -> ServersCopy:
+        return ServersCopy(
             age=min(1e6, self.clock() - self.read_at()),
             listed=tuple(_from_server(one) for one in self.servers().values()),
             grace=self.grace(),
         )
-        fields = [(b"Content-Type", MEDIA_TYPE)]
-        caller.respond(200, fields, _encoder.encode(copy), keep=True)
 
 
 class Copies:
@@ -122,32 +148,36 @@
     def __init__(self, *, fetcher: Fetcher):
         self.fetcher = fetcher
 
-    async def fetch(self, address: str) -> Copy | None:
+    async def configuration(self, address: str) -> ConfigurationCopy | None:
         """
-        Ask a peer for what it has.
+        Ask a peer for its configuration.
 
         :param address: where the peer answers, `host:port`.
         :return: its copy, or None if it did not answer with one.
         """
+        return await self._fetch(address, CONFIGURATION_PATH, ConfigurationCopy)
+
+    async def servers(self, address: str) -> ServersCopy | None:
+        """
+        Ask a peer for its list of servers.
+
+        :param address: where the peer answers, `host:port`.
+        :return: its copy, or None if it did not answer with one.
+        """
+        return await self._fetch(address, SERVERS_PATH, ServersCopy)
+
+    async def _fetch(self, address: str, path: str, shape: type[_T]) -> _T | None:
         try:
             answer = await self.fetcher.fetch(
-                address, "GET", PATH, timeout=TIMEOUT_SECONDS
+                address, "GET", path, timeout=TIMEOUT_SECONDS
             )
-            return _decoder.decode(answer.body) if answer.status == 200 else None
+            if answer.status != 200:
+                return None
+            return msgspec.msgpack.decode(answer.body, type=shape)
         except (FetchFailed, msgspec.MsgspecError):
             return None
 
 
-def is_copy_request(incoming: Incoming) -> bool:
-    """
-    Tell whether a peer asks for a copy.
-
-    :param incoming: a request on the peers' address.
-    :return: True if it does.
-    """
-    return incoming.method == "GET" and incoming.target == PATH
-
-
 def stamp_servers(servers: dict[str, Server]) -> int:
     """
     Sum up a list of servers in a number, the same one at each entry.
@@ -190,4 +220,10 @@
     )
 
 
-__all__ = ["Copies", "Copy", "CopyServer", "is_copy_request", "stamp_servers"]
+__all__ = [
+    "ConfigurationCopy",
+    "Copies",
+    "CopyServer",
+    "ServersCopy",
+    "stamp_servers",
+]
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -20,6 +20,7 @@
 from kumquatway_gateway.model import Held, LayerRange
 
 PERIOD_SECONDS = 0.25
+LEAST_PERIOD_SECONDS = 0.05  # between words, however much happens
 FRESH_SECONDS = 1.5  # after which a peer's word on its load no longer counts
 SILENT_SECONDS = 1.6  # six words missed, after which a peer's duty may be taken
 PEER_SECONDS = 8.0  # without a word, after which a peer is no longer counted
@@ -154,6 +155,7 @@
         self.peers: dict[str, _Peer] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self.has_duty: Callable[[], bool] = lambda: False
+        self.sent_bytes = 0
         self._hurry = asyncio.Event()
 
     async def run(self) -> None:
@@ -167,8 +169,9 @@
             while True:
                 self._tell()
                 self._hurry.clear()
+                await asyncio.sleep(LEAST_PERIOD_SECONDS)
                 try:
-                    async with asyncio.timeout(PERIOD_SECONDS):
+                    async with asyncio.timeout(PERIOD_SECONDS - LEAST_PERIOD_SECONDS):
                         await self._hurry.wait()
                 except TimeoutError:
                     continue
@@ -176,7 +179,7 @@
             self.transport.close()
 
     def hurry(self) -> None:
-        """Tell the peers at once."""
+        """Tell the peers at once, or soon after the last word."""
         self._hurry.set()
 
     def know(self, addresses: set[str]) -> None:
@@ -312,6 +315,7 @@
         for target in targets:
             host, _, port = target.rpartition(":")
             self.transport.sendto(data, (host, int(port)))
+        self.sent_bytes += len(data) * len(targets)
 
     def _word(self) -> Word:
         now = self.clock()
@@ -355,9 +359,9 @@
                 if not fleet.is_up(server) and server.state.value == "leaving"
             ),
             slow=tuple(
-                _Slow(server=name, born=born, pace=pace, age=now - at)
-                for name, (born, pace, at) in fleet.paces.items()
-                if now - at < TELL_SECONDS
+                _Slow(server=name, born=note.born, pace=note.pace, age=now - note.at)
+                for name, note in fleet.paces.items()
+                if note.is_news(now, TELL_SECONDS)
             ),
             fresh=self.fresh(),
             has_duty=self.has_duty(),
--- /dev/null
+++ b/packages/gateway/tests/test_copies.py
@@ -0,0 +1,80 @@
+"""Tests of what entries fetch from each other, over real connections."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from engines import server, span
+
+from kumquatway_fakes import free_address
+from kumquatway_gateway.http1 import Fetcher, Listener, Pool
+from kumquatway_gateway.model import Limits
+from kumquatway_gateway.peers import Copies, CopyServer
+
+DOCUMENT = b"x" * 20_000
+
+
+class _Peer:
+    """An entry with a list of servers and a long configuration."""
+
+    def __init__(self):
+        self.sizes: list[int] = []
+        self.servers = {"s1": server("s1", "a", "big", span(0, 10))}
+        self.answers = CopyServer(
+            revision=lambda: 7,
+            document=lambda: DOCUMENT,
+            servers=lambda: self.servers,
+            read_at=lambda: 10.0,
+            grace=lambda: 1.5,
+            clock=lambda: 10.5,
+        )
+        self.address = free_address()
+        self.listener = Listener(bounds=Limits, serve=self._serve)
+
+    async def _serve(self, caller, incoming) -> None:
+        if self.answers.answers(incoming):
+            self.answers.answer(caller, incoming)
+        else:
+            caller.respond(404, [], b"", keep=False)
+
+
+def play(story: Callable[[_Peer, Copies], Awaitable[None]]) -> None:
+    async def run():
+        peer = _Peer()
+        await peer.listener.start(peer.address)
+        pool = Pool()
+        try:
+            await story(peer, Copies(fetcher=Fetcher(pool=pool)))
+        finally:
+            pool.close()
+            peer.listener.close()
+
+    asyncio.run(run())
+
+
+class TestCopies:
+    """Load pattern: many entries fetch a list that changes all the time."""
+
+    def test_the_configuration(self):
+        async def story(peer, copies):
+            copy = await copies.configuration(peer.address)
+            assert (copy.revision, copy.document) == (7, DOCUMENT)
+
+        play(story)
+
+    def test_the_servers_come_without_the_configuration(self):
+        async def story(peer, copies):
+            copy = await copies.servers(peer.address)
+            assert copy.servers() == peer.servers
+            assert (copy.age, copy.grace) == (0.5, 1.5)
+            answer = await copies.fetcher.fetch(peer.address, "GET", "/copy/servers")
+            assert len(answer.body) < 500
+
+        play(story)
+
+    def test_a_peer_of_another_release_has_none(self):
+        async def story(peer, copies):
+            peer.answers.answers = lambda incoming: False
+            assert await copies.configuration(peer.address) is None
+            assert await copies.servers(peer.address) is None
+
+        play(story)
--- a/packages/gateway/tests/test_follow.py
+++ b/packages/gateway/tests/test_follow.py
@@ -13,7 +13,7 @@
     ServerFollower,
 )
 from kumquatway_gateway.fleet import Fleet
-from kumquatway_gateway.peers import Copy, Freshness, Word, stamp_servers
+from kumquatway_gateway.peers import Freshness, ServersCopy, Word, stamp_servers
 from kumquatway_gateway.peers._copies import _from_server
 
 PEER = "10.0.0.1:9"
@@ -44,17 +44,15 @@
     """A peer with a list."""
 
     def __init__(self, *names: str, age: float = 0.0, grace: float = 0.0):
-        self.servers = _listed(*names)
+        self.listed = _listed(*names)
         self.age = age
         self.grace = grace
         self.asked: list[str] = []
 
-    async def fetch(self, address: str) -> Copy:
+    async def servers(self, address: str) -> ServersCopy:
         self.asked.append(address)
-        listed = tuple(_from_server(one) for one in self.servers.values())
-        return Copy(
-            revision=1, document=b"", age=self.age, listed=listed, grace=self.grace
-        )
+        listed = tuple(_from_server(one) for one in self.listed.values())
+        return ServersCopy(age=self.age, listed=listed, grace=self.grace)
 
 
 def _listed(*names: str) -> dict:
@@ -111,7 +109,7 @@
 
     def test_an_older_list_is_not_taken(self):
         self._hear("s1", "s2", read=0.0)
-        self.copies.servers = _listed("s1")
+        self.copies.listed = _listed("s1")
         self.copies.age = 0.5
         self._hear("s1", read=0.5)
         assert set(self.fleet.servers) == {"s1", "s2"}
@@ -119,7 +117,7 @@
     def test_a_copy_may_be_older_than_the_word_that_told_of_it(self):
         self._hear("s1", "s2", read=0.2)
         self.clock.now += 0.1
-        self.copies.servers = _listed("s1")
+        self.copies.listed = _listed("s1")
         self.copies.age = 0.4
         self._hear("s1", read=0.0)
         assert set(self.fleet.servers) == {"s1", "s2"}
--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -10,6 +10,7 @@
     FRESH_SECONDS,
     MAX_PEERS,
     SILENT_SECONDS,
+    TELL_SECONDS,
     Word,
     _encoder,
 )
@@ -162,6 +163,23 @@
         self.one.gossip._tell()
         assert len(self.one.gossip.transport.sent) == 30
 
+    def test_a_server_that_is_well_is_no_news(self):
+        """Load pattern: every entry asks every server, and all are well."""
+        before = len(self.one.word())
+        self.one.fleet.take_pace("s1", 1, 1.05, self.clock.now)
+        assert len(self.one.word()) == before
+
+    def test_one_that_is_well_again_is(self):
+        self.one.fleet.take_pace("s1", 1, 6.0, self.clock.now)
+        self.two.hear(self.one.word())
+        self.clock.now += 1.0
+        self.one.fleet.take_pace("s1", 1, 1.0, self.clock.now)
+        self.two.hear(self.one.word())
+        assert not self.two.fleet.is_slow(self.two.fleet.servers["s1"])
+        self.clock.now += TELL_SECONDS + 0.1
+        self.one.fleet.take_pace("s1", 1, 1.0, self.clock.now)
+        assert not self.one.gossip._word().slow
+
     def test_words_are_small(self):
         assert len(self.one.word()) < 200
         assert isinstance(self.one.gossip._word(), Word)
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -183,6 +183,34 @@
 
         play(story)
 
+    def test_so_does_one_that_leaves_what_was_sent_unread(self):
+        """Load pattern: callers behind a full link leave midway."""
+
+        async def story(callers):
+            async def stream(caller, incoming):
+                caller.start_stream(200, [], keep=True)
+                while not caller.paused:
+                    caller.write_chunk(bytes(65536))
+                callers.seen.append(incoming)
+                try:
+                    await asyncio.sleep(3600)
+                except asyncio.CancelledError:
+                    callers.cancelled = True
+                    raise
+
+            callers.listener.serve = stream
+            host, _, port = callers.address.rpartition(":")
+            with socket.create_connection((host, int(port))) as caller:
+                caller.sendall(_post(b"", b"Content-Length: 0"))
+                async with asyncio.timeout(5):
+                    while not callers.seen:
+                        await asyncio.sleep(0.01)
+                    caller.shutdown(socket.SHUT_WR)
+                    while not callers.cancelled:
+                        await asyncio.sleep(0.01)
+
+        play(story)
+
     def test_a_caller_of_http_1_0_gets_no_chunks(self):
         async def story(callers):
             async def stream(caller, incoming):
