Let who saw a change tell of it, and let a stalled process mark nobody

(a) Only who saw something tells of it at once, to up to 40 peers; the rest goes with the words that come anyway. (b) A configuration that many would fetch from a peer, above 600 KB together, is read from the store, unless that is away. (c) A probe without an answer proves nothing if this process ran 60 ms late meanwhile; a refused connection does.

Tests: test_gossip, test_follow (two), test_doctor (two); red before.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -37,6 +37,9 @@
 CONFIGURATION_TRUST_SECONDS = 1.4
 SERVERS_TRUST_SECONDS = 1.1
 RETRY_SECONDS = 0.25  # after a failed call
+# That a peer may have to send when all others fetch its configuration at once: half a
+# second of the thinnest link (10 Mbit/s, site files).
+MAX_COPIED_BYTES = 600_000
 PEER_AFTER_SECONDS = 0.6  # without the store, before a peer is asked
 ENTRIES_SECONDS = 20.0  # between reads of the entries, which also tell each other
 ALONE_SECONDS = 1.0  # the same while no peer was heard
@@ -70,8 +73,9 @@
         self.refused = 0
         self.away_since: float | None = None
         self.leads: Callable[[], bool] = lambda: True
-        self.changed: Callable[[], None] = lambda: None
+        self.changed: Callable[[], None] = lambda: None  # by what the store says
         self.peers: Callable[[], list[str]] = list
+        self._told = asyncio.Event()  # of a revision that the store has
         self._fetching: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
 
@@ -83,9 +87,9 @@
         """Follow the store, for ever."""
         while True:
             rest = self.rest()
-            if rest:
-                await asyncio.sleep(rest)
+            if rest and not await self._is_told(rest):
                 continue
+            self._told.clear()
             try:
                 found = await self.source.newest(CONFIGURATION_WAIT_SECONDS)
             except PlatformError as error:
@@ -95,8 +99,8 @@
                 continue
             self._regained()
             self.relay.confirmed = self.clock()
-            if found is not None:
-                self.offer(found, "the store")
+            if found is not None and self.offer(found, "the store"):
+                self.changed()
 
     def rest(self) -> float:
         """
@@ -116,26 +120,49 @@
         :param word: the peer's.
         """
         if word.revision > max(self.revision(), self.refused):
-            self.newer_at(word.address)
+            if self._is_long(word) and self.away_since is None:
+                self._told.set()
+            else:
+                self.newer_at(word.address)
         elif word.revision == self.revision() and word.fresh is not None:
             confirmed = self.clock() - word.fresh.confirmed
             self.relay.confirmed = max(self.relay.confirmed, confirmed)
 
-    def offer(self, document: Document, origin: str) -> None:
+    def _is_long(self, word: Word) -> bool:
+        """
+        Tell whether a peer's configuration is too long to be fetched from it.
+
+        Load pattern: a configuration with hundreds of routes comes, and every entry
+        wants it of the one that told of it, whose link also serves callers.
+        """
+        size = word.fresh.document if word.fresh is not None else 0
+        return size * len(self.peers()) > MAX_COPIED_BYTES
+
+    async def _is_told(self, seconds: float) -> bool:
+        """Wait until there is something to ask the store for, or some time."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self._told.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def offer(self, document: Document, origin: str) -> bool:
         """
         Take a document if it is newer.
 
         :param document: from the store or a peer.
         :param origin: for the log.
+        :return: whether it is in force now, and was not before.
         """
         if document.revision <= max(self.document.revision, self.refused):
-            return
+            return False
         try:
             configuration = self.source.decode(document.data)
         except ConfigurationError as error:
             self.refused = document.revision
             logger.error("revision {} is refused: {}", document.revision, error)
-            return
+            return False
         before = self.document.revision
         self.document = document
         self.relay.configure(configuration)
@@ -144,7 +171,7 @@
                 revision=document.revision, source=origin, detail=f"after {before}"
             )
         )
-        self.changed()
+        return True
 
     def newer_at(self, address: str) -> None:
         """
@@ -215,6 +242,7 @@
         self.membership = Membership(clock=clock)
         self.read_at = float("-inf")
         self.leads: Callable[[], bool] = lambda: True
+        self.changed: Callable[[], None] = lambda: None  # by what the store says
         self._stamp = 0
         self._stamped: dict[str, Server] | None = None
         self._fetching: asyncio.Task | None = None
@@ -232,7 +260,10 @@
                 self.membership.missed()
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            before = self.fleet.generation
             self._list(self.membership.take(listed), self.clock())
+            if self.fleet.generation != before:
+                self.changed()
             await asyncio.sleep(SERVERS_PAUSE_SECONDS)
 
     def rest(self) -> float:
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -171,7 +171,9 @@
         self.gossip.know(set(settings.known_peers))
         self.configuration.peers = self._peers
         self.configuration.changed = self.gossip.hurry
+        self.servers.changed = self.gossip.hurry
         self.fleet.changed = self._fleet_changed
+        self.fleet.news = self.gossip.hurry
         self.placer = Placer(
             lease=Lease(
                 table=sources.leases,
@@ -393,6 +395,7 @@
             stamp=self.servers.stamp(),
             read=self.clock() - self.servers.read_at,
             grace=self.servers.membership.grace_left(),
+            document=len(self.configuration.document.data),
         )
 
     def _heard(self, word: Word) -> None:
@@ -415,7 +418,6 @@
         )
 
     def _fleet_changed(self) -> None:
-        self.gossip.hurry()
         for router in self.relay.models.values():
             router.room.wake()
 
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -95,6 +95,7 @@
         self.listed_at = float("-inf")  # when the list was last known to be kept up
         self.generation = 0  # rises with each change that routing depends on
         self.changed: Callable[[], None] = lambda: None
+        self.news: Callable[[], None] = lambda: None  # of what was seen here
         self.is_at_work: Callable[[str], bool] = _never  # for this entry, by id
 
     def list(
@@ -290,7 +291,8 @@
             ended=ended,
             refuses=refuses,
         )
-        self.take_mark(server.id, mark)
+        if self.take_mark(server.id, mark):
+            self.news()
 
     def take_mark(self, server_id: str, mark: Mark) -> bool:
         """
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -26,6 +26,7 @@
 PEER_SECONDS = 8.0  # without a word, after which a peer is no longer counted
 TELL_SECONDS = 6.0  # for which a mark or a report is repeated
 MAX_PEERS = 8  # told in one period, drawn anew each time
+MAX_HURRIED = 40  # told of what was just seen here
 MAX_DATAGRAM = 60_000  # bytes
 
 
@@ -75,12 +76,14 @@
     :param stamp: of its list of servers, as `stamp_servers` gives it.
     :param read: seconds since the store had that list.
     :param grace: seconds for which entries that lapsed with the store stay listed.
+    :param document: size of its configuration, bytes.
     """
 
     confirmed: float
     stamp: int
     read: float
     grace: float = 0.0
+    document: int = 0
 
 
 class Word(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -167,7 +170,7 @@
         )
         try:
             while True:
-                self._tell()
+                self._tell(MAX_HURRIED if self._hurry.is_set() else MAX_PEERS)
                 self._hurry.clear()
                 await asyncio.sleep(LEAST_PERIOD_SECONDS)
                 try:
@@ -179,7 +182,13 @@
             self.transport.close()
 
     def hurry(self) -> None:
-        """Tell the peers at once, or soon after the last word."""
+        """
+        Tell the peers at once, or soon after the last word.
+
+        Load pattern: a server goes, and all entries hear of it. Only who saw it tells
+        of it at once: were it passed on at once as well, each change would cost a word
+        from every entry to every other.
+        """
         self._hurry.set()
 
     def know(self, addresses: set[str]) -> None:
@@ -303,15 +312,15 @@
             self.fleet.take_pace(slow.server, slow.born, slow.pace, now - slow.age)
         self.heard(word)
 
-    def _tell(self) -> None:
+    def _tell(self, most: int) -> None:
         data = _encoder.encode(self._word())
         if len(data) > MAX_DATAGRAM:
             logger.warning("a word of {} bytes is too long for peers", len(data))
             return
         targets = list(self.addresses)
         # Who holds a duty tells all: its silence would have the duty taken from it.
-        if len(targets) > MAX_PEERS and not self.has_duty():
-            targets = random.sample(targets, MAX_PEERS)
+        if len(targets) > most and not self.has_duty():
+            targets = random.sample(targets, most)
         for target in targets:
             host, _, port = target.rpartition(":")
             self.transport.sendto(data, (host, int(port)))
--- a/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
@@ -53,6 +53,7 @@
         self.health_path = health_path
         self.clock = clock
         self.examined: dict[str, float] = {}
+        self.stalled_at = float("-inf")  # when this process last ran late
         self.tasks: set[asyncio.Task] = set()
 
     def examine(self, chain: Chain) -> None:
@@ -119,7 +120,14 @@
         await asyncio.gather(*(self._examine(server) for server in servers))
 
     async def _examine(self, server: Server) -> None:
-        """Mark a server down if it does not answer while others do."""
+        """
+        Mark a server down if it does not answer while others do.
+
+        Load pattern: a small entry takes a long configuration, or has all of its core
+        used. Answers that came in time are read late, and its peers must not hear
+        that every server is gone.
+        """
+        began = self.clock()
         if await self._answers(server) is None:
             return
         failure, witnessed = await asyncio.gather(
@@ -130,6 +138,9 @@
         if not witnessed:
             logger.warning("{}, but no other server answers either", failure)
             return
+        if not failure.refused and self.stalled_at >= began:
+            logger.info("{}, but this process ran late", failure)
+            return
         self.fleet.mark(server, down=True, reason=str(failure), ended=failure.refused)
         self.pool.forget(server.id)
 
@@ -209,8 +220,11 @@
             busy=report.busy,
             at=self.clock(),
         )
+        before = self.fleet.generation
         self.fleet.take_held(server.id, held)
         self.fleet.take_pace(server.id, server.born, report.pace, self.clock())
+        if self.fleet.generation != before:
+            self.fleet.news()
         for stalled in report.stalled:
             other = self.fleet.by_address.get(stalled.address)
             if other is not None and other.id != server.id:
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -42,6 +42,7 @@
 
 PLAIN_SECONDS = 0.5  # a plain request takes, at five times its objective
 WATCH_SECONDS = 0.01  # between looks at the streams in progress
+STALL_SECONDS = 0.06  # that a look is late by, above which probes prove nothing
 STALE_SECONDS = 2.5  # without a word of the store, unknown routes are in doubt
 
 
@@ -163,8 +164,13 @@
 
     async def watch(self) -> None:
         """Look for streams that fell silent, and for room, for ever."""
+        last = self.clock()
         while True:
             await asyncio.sleep(WATCH_SECONDS)
+            now = self.clock()
+            if now - last > WATCH_SECONDS + STALL_SECONDS:
+                self.doctor.stalled_at = now
+            last = now
             self.look()
 
     def look(self) -> None:
--- a/packages/gateway/tests/test_doctor.py
+++ b/packages/gateway/tests/test_doctor.py
@@ -105,6 +105,31 @@
 
         play(story)
 
+    def test_a_process_that_ran_late_proves_nothing(self):
+        async def story(site):
+            site.engines.silent.add("a2")
+            site.doctor.stalled_at = float("inf")
+            site.doctor.examine(site.chain())
+            await site.settle()
+            assert site.down() == set()
+            site.doctor.stalled_at = float("-inf")
+            site.doctor.examined.clear()
+            site.doctor.examine(site.chain())
+            await site.settle()
+            assert site.down() == {"a2"}
+
+        play(story)
+
+    def test_but_a_refused_connection_does(self):
+        async def story(site):
+            site.engines.refusing.add("a2")
+            site.doctor.stalled_at = float("inf")
+            site.doctor.examine(site.chain())
+            await site.settle()
+            assert site.down() == {"a2"}
+
+        play(story)
+
     def test_silence_is_no_proof_that_a_life_is_over(self):
         async def story(site):
             site.engines.silent.add("a2")
--- a/packages/gateway/tests/test_follow.py
+++ b/packages/gateway/tests/test_follow.py
@@ -176,6 +176,24 @@
         assert self.fetched == [PEER]
         assert self.follower.rest() == 0
 
+    def _hear_long(self, revision: int) -> None:
+        fresh = Freshness(confirmed=0.0, stamp=0, read=0.0, document=200_000)
+        self.follower.hear(_word(fresh, revision))
+
+    def test_a_long_one_that_many_want_is_fetched_from_the_store(self):
+        self.follower.peers = lambda: [PEER] * 26
+        self._hear_long(5)
+        assert self.fetched == []
+        assert self.follower._told.is_set()
+
+    def test_from_the_peer_where_few_want_it_or_the_store_is_away(self):
+        self.follower.peers = lambda: [PEER] * 2
+        self._hear_long(5)
+        self.follower.peers = lambda: [PEER] * 26
+        self.follower.away_since = self.clock.now
+        self._hear_long(6)
+        assert self.fetched == [PEER, PEER]
+
     def test_a_revision_that_was_refused_is_not_fetched_again(self):
         self.follower.refused = 5
         self._hear(5, 0.0)
--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -156,11 +156,11 @@
 
     def test_in_a_large_deployment_a_few_are_told_but_all_by_who_holds_a_duty(self):
         self.one.gossip.know({f"10.0.1.{n}:9" for n in range(30)})
-        self.one.gossip._tell()
+        self.one.gossip._tell(MAX_PEERS)
         assert len(self.one.gossip.transport.sent) == MAX_PEERS
         self.one.gossip.transport.sent.clear()
         self.one.gossip.has_duty = lambda: True
-        self.one.gossip._tell()
+        self.one.gossip._tell(MAX_PEERS)
         assert len(self.one.gossip.transport.sent) == 30
 
     def test_a_server_that_is_well_is_no_news(self):
@@ -180,6 +180,15 @@
         self.one.fleet.take_pace("s1", 1, 1.0, self.clock.now)
         assert not self.one.gossip._word().slow
 
+    def test_only_what_was_seen_here_is_told_at_once(self):
+        self.one.fleet.news = self.one.gossip.hurry
+        self.two.fleet.news = self.two.gossip.hurry
+        self.one.fleet.mark(self.one.fleet.servers["s1"], down=True, reason="silent")
+        assert self.one.gossip._hurry.is_set()
+        self.two.hear(self.one.word())
+        assert not self.two.fleet.is_up(self.two.fleet.servers["s1"])
+        assert not self.two.gossip._hurry.is_set()
+
     def test_words_are_small(self):
         assert len(self.one.word()) < 200
         assert isinstance(self.one.gossip._word(), Word)
