Count what runs through each server of a chain, and memory that orders still take

(a) A chain laid anew takes in servers through which requests of the chain before still run; use was counted by first server alone. (b) A server told to give up two of twelve layers was given its new room at once, while the layers stay in its memory until what runs through them has ended; one that loads has less from the start. A chain's room is now that of its fullest server over all requests known, and an order in progress takes the layers of before and after.

Tests: test_models, test_membership (two), test_chains; red before.

--- a/packages/gateway/src/kumquatway_gateway/chains/_paths.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_paths.py
@@ -22,19 +22,26 @@
 
     :param layers: what it holds.
     :param slowness: how many times longer than usual its work takes.
+    :param loaded: layers that take its memory, where more than it holds.
     """
 
     server: Server
     layers: LayerRange
     slowness: float = 1.0
+    loaded: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Part:
-    """The layers that one server runs for a chain."""
+    """
+    The layers that one server runs for a chain.
+
+    :param tokens: its room for requests, tokens.
+    """
 
     server: Server
     layers: LayerRange
+    tokens: float = float("inf")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -213,17 +220,13 @@
 
 def _chain(engine: Engine, last: _Step) -> Chain | None:
     parts: list[Part] = []
-    room: list[float] = []
     read = 0.0
     stop = engine.layers
     step: _Step | None = last
     while step is not None:
         layers = LayerRange(start=step.start, stop=stop)
-        parts.append(Part(server=step.holder.server, layers=layers))
-        kind = engine.accelerator(step.holder.server.accelerator)
-        if kind is not None:
-            held = len(step.holder.layers)
-            room.append(room_tokens(engine, kind, held, len(layers)))
+        tokens = _room(engine, step.holder, len(layers))
+        parts.append(Part(server=step.holder.server, layers=layers, tokens=tokens))
         read += _read_seconds(engine, step.holder, len(layers))
         stop = step.start
         step = step.before
@@ -233,8 +236,16 @@
     centres = [part.server.data_centre for part in parts]
     return Chain(
         parts=tuple(parts),
-        tokens=min(room, default=engine.max_tokens),
+        tokens=min(engine.max_tokens, *(part.tokens for part in parts)),
         seconds=last.cost,
         read_seconds=read,
         crossings=sum(a != b for a, b in zip(centres, centres[1:], strict=False)),
     )
+
+
+def _room(engine: Engine, holder: Holder, used: int) -> float:
+    kind = engine.accelerator(holder.server.accelerator)
+    if kind is None:
+        return float("inf")
+    held = max(len(holder.layers), holder.loaded)
+    return room_tokens(engine, kind, held, used)
--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -215,11 +215,13 @@
             self.doctor.suspect(server)
             return None
         pending = self.pending.get(server.id)
+        loaded = 0
         if pending is not None and report.busy and report.sequence > pending.sequence:
             # It may still tell of layers that it gives up.
+            loaded = _hull(report.layers, pending.layers)
             common = _common(report.layers, pending.layers)
             report = dataclasses.replace(report, layers=common)
-        self.doctor.note(server, report)
+        self.doctor.note(server, report, loaded=loaded)
         return self.fleet.held.get(server.id)
 
     def _place(self, router: ModelRouter) -> None:
@@ -366,17 +368,16 @@
         await self._await_load(server, pending)
 
     def _keep_off(self, server: Server, pending: _Pending) -> None:
-        """Keep new work off layers that are being given up."""
+        """Keep new work off layers that are given up, and off memory in use."""
         before = self.fleet.layers(server)
         kept = _common(before, pending.layers)
-        if kept == before:
-            return
         held = Held(
             born=pending.born,
             layers=kept,
             sequence=pending.sequence + 1,
             busy=True,
             at=self.clock(),
+            loaded=_hull(before, pending.layers),
         )
         self.fleet.take_held(server.id, held)
         self.spread()
@@ -424,3 +425,10 @@
     start = max(one.start, other.start)
     stop = min(one.stop, other.stop)
     return LayerRange(start=start, stop=stop) if start < stop else NOTHING
+
+
+def _hull(one: LayerRange, other: LayerRange) -> int:
+    """Count the layers in either of two ranges, and between them."""
+    if not len(one) or not len(other):
+        return len(one) + len(other)
+    return max(one.stop, other.stop) - min(one.start, other.start)
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -192,6 +192,22 @@
             return server.layers
         return held.layers
 
+    def loaded(self, server: Server) -> int:
+        """
+        Count the layers that take a server's memory.
+
+        Those it gives up stay until what runs through them has ended, and those it
+        loads have their place from the start.
+
+        :param server: in the list.
+        :return: layers, at least what it offers.
+        """
+        offered = len(self.layers(server))
+        held = self.held.get(server.id)
+        if held is None or held.born != server.born or not held.busy:
+            return offered
+        return max(offered, held.loaded, len(server.layers))
+
     def sequence(self, server: Server) -> int:
         """
         Give the orders that a server has begun, as far as it has said so.
@@ -333,10 +349,10 @@
             return False
         if self.listed_at - held.at > LIST_LAG_SECONDS:
             return False
-        before = self.layers(server)
+        before = (self.layers(server), self.loaded(server))
         self.held[server_id] = held
         self.listed_then[server_id] = server.layers
-        if self.layers(server) != before:
+        if (self.layers(server), self.loaded(server)) != before:
             self.touch()
         return True
 
--- a/packages/gateway/src/kumquatway_gateway/model/_server.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_server.py
@@ -73,6 +73,8 @@
     :param sequence: orders that it had begun.
     :param busy: whether an order was in progress.
     :param at: when it said so, monotonic seconds.
+    :param loaded: layers that take memory while an order is in progress, where that is
+        more than it offers.
     """
 
     born: int
@@ -80,3 +82,4 @@
     sequence: int
     busy: bool
     at: float
+    loaded: int = 0
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -54,6 +54,7 @@
     sequence: int
     busy: bool
     age: float
+    loaded: int = 0
 
 
 class _Slow(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -304,6 +305,7 @@
                     sequence=held.sequence,
                     busy=held.busy,
                     at=now - held.age,
+                    loaded=held.loaded,
                 ),
             )
         for leaving in word.leaving:
@@ -359,6 +361,7 @@
                     sequence=held.sequence,
                     busy=held.busy,
                     age=now - held.at,
+                    loaded=held.loaded,
                 )
                 for name, held in fleet.held.items()
             ),
--- a/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
@@ -206,12 +206,13 @@
         report = await self.engines.report(server, PROBE_SECONDS)
         self.note(server, report)
 
-    def note(self, server: Server, report: Report) -> None:
+    def note(self, server: Server, report: Report, *, loaded: int = 0) -> None:
         """
         Take a report into what is believed of the fleet.
 
         :param server: that it came from.
         :param report: what it says.
+        :param loaded: layers that take memory, where more than it offers.
         """
         held = Held(
             born=report.born,
@@ -219,6 +220,7 @@
             sequence=report.sequence,
             busy=report.busy,
             at=self.clock(),
+            loaded=loaded,
         )
         before = self.fleet.generation
         self.fleet.take_held(server.id, held)
--- a/packages/gateway/src/kumquatway_gateway/relay/_models.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_models.py
@@ -186,11 +186,21 @@
         """
         Sum up what is in progress over all entries.
 
+        Load pattern: a chain is laid anew, and takes in servers through which the
+        requests of another one still run. Its room is that of its fullest server.
+
         :return: loads by id of the first server.
         """
         total = dict(self.own)
         for name, load in self.elsewhere().items():
             total[name] = total.get(name, Load()).plus(load)
+        through = self.tokens_through()
+        for chain in self.chains():
+            tokens = _tokens_used(chain, through)
+            load = total.get(chain.first.id, Load())
+            if tokens > load.tokens:
+                requests = max(1, load.requests)
+                total[chain.first.id] = Load(tokens=tokens, requests=requests)
         now = self.clock()
         for name in self.first_events.keys() | self.failures.keys():
             load = total.get(name, Load())
@@ -293,12 +303,19 @@
                     server=server,
                     layers=self.fleet.layers(server),
                     slowness=self.fleet.pace(server),
+                    loaded=self.fleet.loaded(server),
                 )
             )
         self._avoid_until = until
         return holders
 
 
+def _tokens_used(chain: Chain, through: dict[str, float]) -> float:
+    """Give what is used of a chain's room, by its fullest server."""
+    left = min(p.tokens - through.get(p.server.id, 0.0) for p in chain.parts)
+    return max(0.0, chain.tokens - left)
+
+
 def _paths(chains: tuple[Chain, ...]) -> tuple[tuple[Part, ...], ...]:
     return tuple(chain.parts for chain in chains)
 
--- a/packages/gateway/tests/test_chains.py
+++ b/packages/gateway/tests/test_chains.py
@@ -82,6 +82,19 @@
         assert 12_000 < chain.tokens < 13_000
 
 
+class TestRoom:
+    """Load pattern: layers are moved under load."""
+
+    def test_layers_that_are_loaded_or_given_up_take_room(self):
+        spans = [(start, start + 16) for start in range(0, 80, 16)]
+        still = [_holder(f"s{start}", "a", start, stop) for start, stop in spans]
+        moving = [_holder(f"m{start}", "b", *s) for s in spans for start in s[:1]]
+        moving[2] = _holder("m32", "b", 32, 48, loaded=19)
+        one, other = find_chains(ENGINE, [*still, *moving])
+        assert one.tokens > 40_000
+        assert other.tokens == other.parts[2].tokens < 15_000
+
+
 class TestChoice:
     """Load pattern: a third of the capacity is gone and the rest is in use."""
 
--- a/packages/gateway/tests/test_membership.py
+++ b/packages/gateway/tests/test_membership.py
@@ -141,6 +141,19 @@
         self.clock.now += 0.1
         assert not self.fleet.take_held("one", self._held(0, 6, 1))
 
+    def test_layers_take_memory_until_the_order_that_gives_them_up_is_done(self):
+        busy = replace(self._held(0, 2, 1), busy=True)
+        self.fleet.take_held("one", busy)
+        assert self.fleet.layers(self.one) == LayerRange(start=0, stop=2)
+        assert self.fleet.loaded(self.one) == 4
+        self.clock.now += 1.0
+        self.fleet.take_held("one", self._held(0, 2, 1))
+        assert self.fleet.loaded(self.one) == 2
+
+    def test_layers_that_are_loaded_take_memory_from_the_start(self):
+        self.fleet.take_held("one", replace(self._held(0, 4, 1), busy=True, loaded=9))
+        assert self.fleet.loaded(self.one) == 9
+
     def test_the_newest_mark_counts(self):
         now = self.clock.now
         down = Mark(born=7, down=True, since=now, reason="silent")
--- a/packages/gateway/tests/test_models.py
+++ b/packages/gateway/tests/test_models.py
@@ -76,3 +76,11 @@
     def test_nothing_goes_on_through_one_that_does_not_answer(self):
         self.fleet.mark(self.members["s48"], down=True, reason="test")
         assert self.router.tokens_through() == {}
+
+    def test_a_chain_laid_anew_has_the_room_that_requests_of_before_leave(self):
+        again = server("again", "x", "big", span(0, 16))
+        del self.members["s0"]
+        self.fleet.list({**self.members, "again": again})
+        [chain] = self.router.chains()
+        assert chain.first == again
+        assert self.router.loads()["again"].tokens == 1400.0
