Play copies, near chains and slow servers against the simple ways

Pure computation, the same figures each time: python -m benchmarks decisions, test_baselines.

Ruled out: nothing; a measurement.

--- a/benchmarks/decisions.py
+++ b/benchmarks/decisions.py
@@ -22,6 +22,7 @@
         *_waiting(replays),
         *_repeats(replays),
         *_chains(replays),
+        *_layouts(replays),
         *_placement(replays),
     ):
         print(f"| {' | '.join(row)} |")
@@ -93,6 +94,35 @@
         )
 
 
+def _layouts(replays):
+    layout, _ = replays.settle(replays.empty_layout())
+    filled = replays.fill_memory(replays.empty_layout())
+    yield (
+        "copies or room",
+        "usual requests a second that the room of all chains allows",
+        "as many copies as fit",
+        f"{replays.carried(filled):.1f}",
+        f"{replays.carried(layout):.1f}",
+    )
+    yield (
+        "near chains first",
+        "megabytes that a usual request moves between data centres",
+        "blind to data centres",
+        f"{replays.moved_megabytes(layout, near_first=False):.1f}",
+        f"{replays.moved_megabytes(layout):.1f}",
+    )
+    for slowness in (4.0, 12.0):
+        blind = replays.mean_seconds(layout, slowness=slowness, known=False)
+        ours = replays.mean_seconds(layout, slowness=slowness)
+        yield (
+            "slow servers",
+            f"seconds of a usual request; one server is {slowness:.0f} times slower",
+            "blind to the pace of servers",
+            f"{blind:.2f}",
+            f"{ours:.2f}",
+        )
+
+
 def _placement(replays):
     ours = replays.play_losses(replays.settle)
     equal = replays.play_losses(replays.split_equally)
--- a/packages/gateway/tests/replays.py
+++ b/packages/gateway/tests/replays.py
@@ -19,6 +19,7 @@
     Load,
     choose,
     find_chains,
+    layers_within,
     room_tokens,
 )
 from kumquatway_gateway.model import NOTHING, LayerRange, Server
@@ -436,3 +437,97 @@
         for one, held in layout.values()
         if held != NOTHING
     )
+
+
+# How many copies of the model: what its servers hold is no room for requests.
+
+
+TIGHT_TOKENS = 4_300.0  # room that is left where servers hold all that fits
+
+
+def fill_memory(layout: Layout) -> Layout:
+    """Hold all the layers that fit, in as many copies as that gives."""
+    found: Layout = {}
+    start = 0
+    for one, _ in layout.values():
+        kind = ENGINE.accelerator(one.accelerator)
+        most = layers_within(ENGINE, kind, TIGHT_TOKENS)
+        stop = min(ENGINE.layers, start + most)
+        found[one.id] = (one, span(start, stop))
+        start = stop % ENGINE.layers
+    return found
+
+
+def chains_of(layout: Layout) -> tuple[Chain, ...]:
+    """Find the chains of a layout."""
+    holders = [Holder(server=one, layers=held) for one, held in layout.values()]
+    return find_chains(ENGINE, holders)
+
+
+def carried(layout: Layout) -> float:
+    """Compute the usual requests a second that the room of all chains allows."""
+    tokens = ENGINE.usual_prompt + ENGINE.usual_answer
+    return sum(
+        min(ENGINE.slots, chain.tokens / tokens) / chain.seconds
+        for chain in chains_of(layout)
+    )
+
+
+# Chains within a data centre.
+
+
+def moved_megabytes(layout: Layout, *, near_first: bool = True) -> float:
+    """
+    Compute what a usual request moves between data centres, the mean over the chains.
+
+    :param near_first: whether chains within one data centre are looked for first.
+    """
+    home = {one.id: one.data_centre for one, _ in layout.values()}
+    if not near_first:
+        layout = {
+            name: (replace(one, data_centre="any"), held)
+            for name, (one, held) in layout.items()
+        }
+    steps = 0
+    chains = [chain for chain in chains_of(layout) if chain.tokens >= TIGHT_TOKENS][:3]
+    for chain in chains:
+        centres = [home[part.server.id] for part in chain.parts]
+        steps += sum(a != b for a, b in zip(centres, centres[1:], strict=False))
+    tokens = ENGINE.usual_prompt + ENGINE.usual_answer
+    return steps / len(chains) * tokens * ENGINE.activation_bytes / 1e6
+
+
+# Chains with a server that takes many times its time.
+
+
+def mean_seconds(layout: Layout, *, slowness: float, known: bool = True) -> float:
+    """
+    Compute how long a usual request takes where one server is slow, the mean over all.
+
+    :param known: whether chains are found and chosen by what servers say of their pace.
+    """
+    total = 0.0
+    for name, (slow, _) in layout.items():
+        holders = [
+            Holder(
+                server=one,
+                layers=held,
+                slowness=slowness if known and one.id == name else 1.0,
+            )
+            for one, held in layout.values()
+        ]
+        chains = find_chains(ENGINE, holders)
+        chosen = choose(chains, {}, tokens=900, slots=96, home=slow.data_centre)
+        [played] = find_chains(
+            ENGINE,
+            [
+                Holder(
+                    server=part.server,
+                    layers=part.layers,
+                    slowness=slowness if part.server.id == name else 1.0,
+                )
+                for part in chosen.parts
+            ],
+        )
+        total += played.seconds
+    return total / len(layout)
--- a/packages/gateway/tests/test_baselines.py
+++ b/packages/gateway/tests/test_baselines.py
@@ -1,8 +1,13 @@
 """Tests that each decision beats the simple way of taking it, by replayed loads."""
 
 from replays import (
+    carried,
+    chains_of,
     empty_layout,
     equal_returns,
+    fill_memory,
+    mean_seconds,
+    moved_megabytes,
     peak_of_returns,
     pick_by_room,
     pick_least_outstanding,
@@ -66,6 +71,34 @@
         assert ours.served > least.served
 
 
+class TestCopies:
+    """Against as many copies of the model as fit."""
+
+    def test_room_for_requests_carries_more_than_copies(self):
+        ours, _ = settle(empty_layout())
+        filled = fill_memory(empty_layout())
+        assert len(chains_of(filled)) > len(chains_of(ours))
+        assert carried(ours) > 2 * carried(filled)
+
+
+class TestDataCentres:
+    """Against chains that are found without regard to data centres."""
+
+    def test_little_is_moved_between_data_centres(self):
+        layout, _ = settle(empty_layout())
+        assert moved_megabytes(layout) == 0
+        assert moved_megabytes(layout, near_first=False) > 0
+
+
+class TestSlowServers:
+    """Against chains that are found and chosen blind to the pace of servers."""
+
+    def test_requests_go_around_a_slow_server(self):
+        layout, _ = settle(empty_layout())
+        ours = mean_seconds(layout, slowness=12.0)
+        assert ours < 0.7 * mean_seconds(layout, slowness=12.0, known=False)
+
+
 class TestPlacement:
     """Against an equal split of the layers of each data centre."""
 
