Share the probes of servers that are down or slow among the entries

Three entries of all ask one that is down in that time, drawn anew; one that is slow is asked where nobody has just told of it. Three entries or fewer do as before.

Tests: test_doctor.TestRecheck, two; red before.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -133,6 +133,7 @@
             pool=pool,
             is_model=self._is_model,
             health_path=self._health_path,
+            entries=self._entries,
             clock=clock,
         )
         self.relay = Relay(
--- a/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_doctor.py
@@ -23,6 +23,7 @@
 AGAIN_SECONDS = 0.25  # between two examinations of a chain
 REFUSING_SECONDS = 6.0  # after which one that says it takes no work is tried again
 RECHECK_SECONDS = 0.8  # between probes of a server that is down or slow
+RECHECKS = 3  # of a server that is down, over all entries, in that time
 
 
 class Doctor:
@@ -34,6 +35,7 @@
     :param pool: connects to plain servers.
     :param is_model: tells whether a server is a model server.
     :param health_path: gives where a server says whether it takes work.
+    :param entries: gives the number of entries, which share the work.
     """
 
     def __init__(
@@ -44,6 +46,7 @@
         pool: Pool,
         is_model: Callable[[Server], bool],
         health_path: Callable[[Server], str],
+        entries: Callable[[], int] = lambda: 1,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.fleet = fleet
@@ -51,6 +54,7 @@
         self.pool = pool
         self.is_model = is_model
         self.health_path = health_path
+        self.entries = entries
         self.clock = clock
         self.examined: dict[str, float] = {}
         self.stalled_at = float("-inf")  # when this process last ran late
@@ -101,20 +105,33 @@
         return True
 
     async def recheck(self) -> None:
-        """Probe the servers that are down, for ever."""
+        """Probe the servers that are down or slow, for ever."""
         while True:
             await asyncio.sleep(RECHECK_SECONDS)
-            for name, mark in list(self.fleet.marks.items()):
-                server = self.fleet.servers.get(name)
-                if mark.down and server is not None:
-                    self._spawn(self.revive(server))
-            for name in list(self.fleet.paces):
-                server = self.fleet.servers.get(name)
-                if server is not None and self.fleet.is_slow(server):
-                    self.suspect(server)
-            cutoff = self.clock() - AGAIN_SECONDS
-            for name in [n for n, at in self.examined.items() if at < cutoff]:
-                del self.examined[name]
+            self.look_again()
+
+    def look_again(self) -> None:
+        """
+        Probe servers that are down or slow, where no other entry is likely to.
+
+        Load pattern: some servers are slow or gone for long, and many entries would
+        each ask all of them all the time. One that finds a server well tells the rest.
+        """
+        share = RECHECKS / max(1, self.entries())
+        for name, mark in list(self.fleet.marks.items()):
+            server = self.fleet.servers.get(name)
+            if mark.down and server is not None and random.random() < share:
+                self._spawn(self.revive(server))
+        now = self.clock()
+        for name, note in list(self.fleet.paces.items()):
+            server = self.fleet.servers.get(name)
+            if server is None or not self.fleet.is_slow(server):
+                continue
+            if now - note.at >= RECHECK_SECONDS / 2:
+                self.suspect(server)
+        cutoff = now - AGAIN_SECONDS
+        for name in [n for n, at in self.examined.items() if at < cutoff]:
+            del self.examined[name]
 
     async def _examine_all(self, servers: Iterable[Server]) -> None:
         await asyncio.gather(*(self._examine(server) for server in servers))
--- a/packages/gateway/tests/test_doctor.py
+++ b/packages/gateway/tests/test_doctor.py
@@ -1,6 +1,7 @@
 """Tests of who is taken for down, and who is not."""
 
 import asyncio
+import random
 
 from engines import server, span
 
@@ -9,7 +10,7 @@
 from kumquatway_gateway.http1 import FetchFailed, Pool
 from kumquatway_gateway.model import Server
 from kumquatway_gateway.relay import Doctor, Report, Stalled
-from kumquatway_gateway.relay._doctor import REFUSING_SECONDS
+from kumquatway_gateway.relay._doctor import RECHECK_SECONDS, REFUSING_SECONDS
 
 
 class _Engines:
@@ -284,6 +285,38 @@
 
         play(story)
 
+    def test_many_entries_share_the_probes_of_a_server_that_is_down(self):
+        async def story(site):
+            site.engines.silent.add("a2")
+            site.fleet.mark(site.fleet.servers["a2"], down=True, reason="test")
+            for _ in range(20):
+                site.doctor.look_again()
+                await site.settle()
+            assert site.engines.asked.count("a2") == 20
+            site.engines.asked.clear()
+            random.seed(1)
+            site.doctor.entries = lambda: 30
+            for _ in range(200):
+                site.doctor.look_again()
+                await site.settle()
+            assert 0 < site.engines.asked.count("a2") < 60
+
+        play(story)
+
+    def test_a_slow_server_that_another_entry_just_asked_is_not_asked(self):
+        async def story(site):
+            now = site.doctor.clock()
+            site.fleet.take_pace("a2", site.fleet.servers["a2"].born, 6.0, now)
+            site.doctor.look_again()
+            await site.settle()
+            assert site.engines.asked == []
+            site.doctor.clock = lambda: now + RECHECK_SECONDS
+            site.doctor.look_again()
+            await site.settle()
+            assert site.engines.asked == ["a2"]
+
+        play(story)
+
     def test_who_answers_again_is_up(self):
         async def story(site):
             site.fleet.mark(site.fleet.servers["a2"], down=True, reason="test")
