--- a/packages/core/src/kumquatway_core/_supervise.py
+++ b/packages/core/src/kumquatway_core/_supervise.py
@@ -3,8 +3,8 @@
 
 A supervisor restarts a child that failed, with backoff and an intensity limit.
 
-It is built on asyncio alone: anyio's backend brings TLS and some 6 MB of modules to a
-gateway that needs neither.
+It is built on asyncio alone, since anyio's backend imports TLS, which a gateway does
+without.
 """
 
 import asyncio
