Take the lease at once that an earlier life of the same VM holds

The life before of an entry's own VM is surely over; where servers refuse old numbers it need not be waited out.

Ruled out: the start of the processes (they serve 0.1 s after it) and of the chains (model servers keep their layers).

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -384,7 +384,9 @@
         return self.gossip.loads()
 
     def _is_holder_gone(self, holder: str) -> bool:
-        life = holder.rpartition(HOLDER_MARK)[2]
+        name, _, life = holder.rpartition(HOLDER_MARK)
+        if name == self.settings.name:
+            return True  # an earlier life of this VM
         return life.isdigit() and self.gossip.is_gone(int(life))
 
     def _leads(self) -> bool:
