Draw the ports of tests from the system's random numbers

The test puts the generator's state back, and ports come from one that cannot be seeded.

Ruled out: a port given twice in one run (each is given once).

--- a/packages/fakes/src/kumquatway_fakes/_ports.py
+++ b/packages/fakes/src/kumquatway_fakes/_ports.py
@@ -14,6 +14,9 @@
 END_PORT = 32_000
 
 _given: set[int] = set()
+_random = (
+    random.SystemRandom()
+)  # no seed that a test sets gives two runs the same ports
 
 
 def free_address() -> str:
@@ -31,7 +34,7 @@
 
 
 def _draw() -> int:
-    return random.randrange(FIRST_PORT, END_PORT)
+    return _random.randrange(FIRST_PORT, END_PORT)
 
 
 def _is_free(port: int) -> bool:
--- a/packages/gateway/tests/test_doctor.py
+++ b/packages/gateway/tests/test_doctor.py
@@ -294,11 +294,13 @@
                 await site.settle()
             assert site.engines.asked.count("a2") == 20
             site.engines.asked.clear()
-            random.seed(1)
             site.doctor.entries = lambda: 30
+            drawn = random.getstate()
+            random.seed(1)
             for _ in range(200):
                 site.doctor.look_again()
                 await site.settle()
+            random.setstate(drawn)
             assert 0 < site.engines.asked.count("a2") < 60
 
         play(story)
