--- a/packages/gateway/src/kumquatway_gateway/placement/_gaps.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_gaps.py
@@ -91,3 +91,21 @@
     elif offer.side is Side.RIGHT:
         layers = LayerRange(start=taken.start, stop=offer.slot.layers.stop)
     return Move(server=offer.slot.server, layers=layers, loads=len(taken), aim=Aim.GAP)
+
+
+def hand_out(offers: list[Offer], counts: list[int], start: int) -> list[Move]:
+    """
+    Make the moves by which offers take layers that adjoin each other.
+
+    :param offers: in the order of their layers.
+    :param counts: layers for each offer.
+    :param start: the first layer.
+    :return: a move for each offer that takes any.
+    """
+    moves: list[Move] = []
+    for offer, count in zip(offers, counts, strict=True):
+        if count:
+            taken = LayerRange(start=start, stop=start + count)
+            moves.append(fill(offer, taken))
+            start = taken.stop
+    return moves
--- a/packages/gateway/src/kumquatway_gateway/placement/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_pool.py
@@ -7,7 +7,7 @@
 from dataclasses import replace
 
 from kumquatway_gateway.model import Engine, LayerRange
-from kumquatway_gateway.placement._gaps import Offer, Side, fill, level
+from kumquatway_gateway.placement._gaps import Offer, Side, hand_out, level
 from kumquatway_gateway.placement._types import Aim, Move, Slot, most_layers
 
 # Room for requests that a plan tries to leave, in turn, of all that an engine takes;
@@ -157,14 +157,7 @@
             counts = self._fastest_first(offers, len(gap))
         else:
             counts = level(offers, len(gap))
-        moves: list[Move] = []
-        position = gap.start
-        for offer, count in zip(offers, counts, strict=True):
-            if count:
-                taken = LayerRange(start=position, stop=position + count)
-                moves.append(fill(offer, taken))
-                position = taken.stop
-        return moves
+        return hand_out(offers, counts, gap.start)
 
     def _fastest_first(self, offers: list[Offer], need: int) -> list[int]:
         def factor(index: int) -> float:
@@ -234,12 +227,8 @@
             idle = self._idle_offers()
             if sum(offer.most for offer in idle) < len(span):
                 continue
-            position = span.start
-            for offer, count in zip(idle, level(idle, len(span)), strict=True):
-                taken = LayerRange(start=position, stop=position + count)
-                position = taken.stop
-                if count:
-                    self._apply(replace(fill(offer, taken), aim=Aim.RELIEF))
+            for move in hand_out(idle, level(idle, len(span)), span.start):
+                self._apply(replace(move, aim=Aim.RELIEF))
 
     def _idle_offers(self) -> list[Offer]:
         counts = self._counts(with_slow=False)
