Take from any answer that a server leaves, and the pause that it asks for

The gateway learned of leaving from the list alone, and of refusals for 0.4 s, which plain services took as a higher cost only.

The fleet marks the incarnation as leaving and tells peers; a restart under the same ID is not leaving. Pauses are kept for each server and incarnation by the entry that was asked: no request, stream, order or recheck reaches the server until then; one health check (two probes) may. Where no server is left, callers are refused at once, with the time at which the first pause ends.

Ruled out: taking a paused server as down. Placement would load its layers elsewhere. Left: a gap whose server is paused waits for it; it is not planned around.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -193,6 +193,7 @@
         self.servers.on_change = self.gossip.send_soon
         self.fleet.on_change = self._admit_waiting
         self.fleet.on_local_change = self.gossip.send_soon
+        sources.engines.on_notice = self.fleet.record_notice
         self.placer = Placer(
             lease=Lease(
                 table=sources.leases,
--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -233,6 +233,8 @@
         :param server: the server.
         :return: its newest report, or None if the server did not respond.
         """
+        if self.fleet.pauses.is_paused(server):
+            return self.fleet.layer_reports.get(server.id)
         try:
             report = await self.engines.report(server, REPORT_SECONDS)
         except FetchFailed:
@@ -274,6 +276,8 @@
                 return
             if move.server.id in self.pending:
                 continue
+            if self.fleet.pauses.is_paused(move.server):
+                continue
             self.planned_moves.pop(move.server.id, None)
             self._start_order(engine, move)
             busy += 1
--- a/packages/gateway/src/kumquatway_gateway/fleet/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/__init__.py
@@ -4,16 +4,25 @@
 Tracks the servers, the layers that they hold, and their health.
 """
 
-from kumquatway_gateway.fleet._fleet import ENDED_RETENTION_SECONDS, Fleet, HealthStatus
+from kumquatway_gateway.fleet._fleet import (
+    AVOID_SECONDS,
+    ENDED_RETENTION_SECONDS,
+    Fleet,
+    HealthStatus,
+)
 from kumquatway_gateway.fleet._membership import (
     REREGISTRATION_GRACE_SECONDS,
     Membership,
 )
+from kumquatway_gateway.fleet._pauses import MAX_PAUSE_SECONDS, Pauses
 
 __all__ = [
+    "AVOID_SECONDS",
     "ENDED_RETENTION_SECONDS",
     "REREGISTRATION_GRACE_SECONDS",
     "Fleet",
     "HealthStatus",
+    "MAX_PAUSE_SECONDS",
     "Membership",
+    "Pauses",
 ]
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -10,7 +10,14 @@
 from dataclasses import dataclass
 
 from kumquatway_core.events import Event, MembershipChanged
-from kumquatway_gateway.model import LayerRange, LayerReport, Server, ServerState
+from kumquatway_gateway.fleet._pauses import Pauses
+from kumquatway_gateway.model import (
+    LayerRange,
+    LayerReport,
+    Server,
+    ServerNotice,
+    ServerState,
+)
 
 # The list lags behind the servers by a heartbeat of 1.2 s and the 0.8 s that the store
 # adds in the users' deployments.
@@ -20,6 +27,7 @@
 # How long ended servers are remembered: longer than callers wait (20 s).
 ENDED_RETENTION_SECONDS = 30.0
 AVOID_SECONDS = 0.4  # after a server reported that it is full or gives up layers
+_NO_INCARNATION = -1  # of no server
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -96,7 +104,9 @@
         self.listed_at_report: dict[str, LayerRange] = {}
         # Incarnation and sequence of the last report that was dropped, by server.
         self.last_sequences: dict[str, tuple[int, int]] = {}
+        # Incarnations that are known to leave, whatever the list says.
         self.leaving: dict[str, int] = {}
+        self.pauses = Pauses(clock=clock)
         self.ended_at: dict[str, float] = {}  # of servers that ended and are unlisted
         self.avoided_until: dict[str, float] = {}
         self.slowdowns: dict[str, Slowdown] = {}
@@ -139,6 +149,7 @@
         for table in (self.health, self.leaving, self.avoided_until, self.slowdowns):
             for name in [name for name in table if name not in servers]:
                 del table[name]
+        self.pauses.forget_all_but(servers)
         for name in [
             n for n, status in self.health.items() if self._is_outdated(n, status)
         ]:
@@ -247,11 +258,22 @@
         :param server: a listed server.
         :return: False if it is leaving or down.
         """
-        if server.state is not ServerState.READY or server.id in self.leaving:
+        if self.is_leaving(server):
             return False
         status = self.health.get(server.id)
         return status is None or not status.down
 
+    def is_leaving(self, server: Server) -> bool:
+        """
+        Tell whether a server shuts down, from its registration or its own responses.
+
+        :param server: a listed server.
+        """
+        return (
+            server.state is ServerState.LEAVING
+            or self.leaving.get(server.id, _NO_INCARNATION) == server.incarnation
+        )
+
     def is_responding(self, server: Server) -> bool:
         """
         Tell whether a server still works on the requests that it has in progress.
@@ -435,22 +457,38 @@
             self._emit(server, "slow" if factor > 1 else "usual", f"pace {factor:.1f}")
             self.mark_changed()
 
-    def mark_leaving(self, server_id: str, incarnation: int) -> None:
+    def mark_leaving(self, server_id: str, incarnation: int) -> bool:
         """
-        Record a peer's message that a server is leaving.
+        Record that a server is leaving, as it or a peer says.
 
         :param server_id: ID of the server.
         :param incarnation: incarnation that is leaving.
+        :return: whether this was not known.
         """
         server = self.servers.get(server_id)
         if (
             server is None
             or server.incarnation != incarnation
-            or server_id in self.leaving
+            or self.is_leaving(server)
         ):
-            return
+            return False
         self.leaving[server_id] = incarnation
+        self._emit(server, "leaving", "before its registration said so")
         self.mark_changed()
+        return True
+
+    def record_notice(self, server: Server, notice: ServerNotice) -> None:
+        """
+        Record what a server said about itself in a response to this entry.
+
+        :param server: server that responded.
+        :param notice: what it said.
+        """
+        if notice.leaving and self.mark_leaving(server.id, server.incarnation):
+            self.on_local_change()
+        if notice.pause_seconds and self.pauses.start(server, notice.pause_seconds):
+            self._emit(server, "paused", f"asked for {notice.pause_seconds:.2f} s")
+            self.mark_changed()
 
     def _is_outdated(self, server_id: str, status: HealthStatus) -> bool:
         return self.servers[server_id].incarnation != status.incarnation
--- a/packages/gateway/src/kumquatway_gateway/model/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/model/__init__.py
@@ -20,14 +20,17 @@
 from kumquatway_gateway.model._request import GenerationSize, Request
 from kumquatway_gateway.model._server import (
     NO_LAYERS,
+    NO_NOTICE,
     LayerRange,
     LayerReport,
     Server,
+    ServerNotice,
     ServerState,
 )
 
 __all__ = [
     "NO_LAYERS",
+    "NO_NOTICE",
     "Account",
     "Accelerator",
     "Backend",
@@ -43,6 +46,7 @@
     "Route",
     "RouteKind",
     "Server",
+    "ServerNotice",
     "ServerState",
     "Service",
 ]
--- a/packages/gateway/src/kumquatway_gateway/model/_server.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_server.py
@@ -63,6 +63,22 @@
     slots: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerNotice:
+    """
+    What a server says about itself in the head of a response of any kind.
+
+    :param leaving: whether it shuts down and wants no new work from any entry.
+    :param pause_seconds: for how long it wants no request from this entry, or 0.
+    """
+
+    leaving: bool = False
+    pause_seconds: float = 0.0
+
+
+NO_NOTICE = ServerNotice()
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class LayerReport:
     """
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -405,7 +405,7 @@
             leaving_servers=tuple(
                 _LeavingServer(server=server.id, incarnation=server.incarnation)
                 for server in fleet.servers.values()
-                if not fleet.is_up(server) and server.state.value == "leaving"
+                if fleet.is_leaving(server)
             ),
             slowdowns=tuple(
                 _Slowdown(
--- a/packages/gateway/src/kumquatway_gateway/relay/_dialect.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_dialect.py
@@ -10,7 +10,7 @@
 from kumquatway_gateway.chains import Chain
 from kumquatway_gateway.http1 import Headers, IncomingRequest
 from kumquatway_gateway.http1._headers import Field
-from kumquatway_gateway.model import Request, Server
+from kumquatway_gateway.model import NO_NOTICE, Request, Server, ServerNotice
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -54,11 +54,13 @@
     :param not_run: whether the server guarantees that it did not run the request.
     :param faulty_address: address of the server that caused a refusal, or "".
     :param signed: whether the response carries the server's stamp.
+    :param notice: what the server says about itself.
     """
 
     not_run: bool
     faulty_address: str
     signed: bool
+    notice: ServerNotice = NO_NOTICE
 
 
 class Dialect(Protocol):
--- a/packages/gateway/src/kumquatway_gateway/relay/_engine_client.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_engine_client.py
@@ -5,10 +5,11 @@
 """
 
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
-from kumquatway_gateway.model import LayerRange, Server
+from kumquatway_gateway.model import LayerRange, Server, ServerNotice
 
 
 class OrderOutcome(enum.Enum):
@@ -61,7 +62,13 @@
 
 
 class EngineClient(Protocol):
-    """Fetches the state of model servers and sends orders to them."""
+    """
+    Fetches the state of model servers and sends orders to them.
+
+    :ivar on_notice: called with what a server says about itself in any response.
+    """
+
+    on_notice: Callable[[Server, ServerNotice], None]
 
     async def report(self, server: Server, timeout: float) -> ServerReport:
         """
--- a/packages/gateway/src/kumquatway_gateway/relay/_health.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_health.py
@@ -124,6 +124,8 @@
         for server_id, status in list(self.fleet.health.items()):
             server = self.fleet.servers.get(server_id)
             if status.down and server is not None and random.random() < probability:
+                if not self.fleet.pauses.may_check(server):
+                    continue
                 self._start_task(self.recheck_server(server))
         now = self.clock()
         for server_id, slowdown in list(self.fleet.slowdowns.items()):
@@ -148,6 +150,8 @@
         not tell its peers that all servers are down.
         """
         started_at = self.clock()
+        if not self.fleet.pauses.may_check(server):
+            return
         if await self._probe_failure(server) is None:
             return
         failure, others_respond = await asyncio.gather(
@@ -194,7 +198,9 @@
         others = [
             server
             for server in self.fleet.servers.values()
-            if self.fleet.is_up(server) and server.id not in self.checked_at
+            if self.fleet.is_up(server)
+            and server.id not in self.checked_at
+            and not self.fleet.pauses.is_paused(server)
         ]
         others.sort(key=lambda other: other.data_centre == suspect.data_centre)
         preferred = others[: max(CONFIRMING_SERVERS, len(others) // 2)]
@@ -207,6 +213,9 @@
         return None in failures
 
     async def _check_accepts_work(self, server: Server) -> None:
+        # The server just said that it accepts no work, and for how long.
+        if self.fleet.pauses.is_paused(server):
+            return
         try:
             accepts_work = await self._accepts_work(server)
         except FetchFailed:
--- a/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
@@ -74,6 +74,7 @@
             claim=self.claim,
             release=self.release,
             min_rate=self.min_token_rate,
+            blocked_seconds=self.seconds_paused,
             clock=clock,
         )
         self._chains: tuple[Chain, ...] = ()
@@ -304,10 +305,33 @@
 
         :return: seconds.
         """
+        paused = self.seconds_paused()
+        if paused:
+            return paused
         if not self.chains():
             return 1.0 + self.engine.load_seconds / 10
         return max(0.3, self.queue.expected_wait())
 
+    def seconds_paused(self) -> float:
+        """
+        Return for how long no chain can serve because servers asked for a pause.
+
+        :return: seconds until the first pause ends; 0 if there is a chain, or if no
+            server is paused.
+        """
+        if self.chains():
+            return 0.0
+        now = self.clock()
+        pauses = self.fleet.pauses
+        ends = [
+            pauses.end(server)
+            for server in self.fleet.servers.values()
+            if server.service == self.service
+            and self.fleet.is_up(server)
+            and pauses.is_paused(server)
+        ]
+        return max(0.0, min(ends) - now) if ends else 0.0
+
     def _add_load(self, server_id: str, tokens: float, requests: int) -> None:
         load = self.own_loads.get(server_id, ChainLoad())
         remaining = load.requests + requests
@@ -327,6 +351,9 @@
             if self.fleet.is_avoided(server):
                 avoid_until = min(avoid_until, self.fleet.avoided_until[server.id])
                 continue
+            if self.fleet.pauses.is_paused(server):
+                avoid_until = min(avoid_until, self.fleet.pauses.end(server))
+                continue
             candidates.append(
                 CandidateServer(
                     server=server,
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -33,6 +33,7 @@
 CHECK_DELAY_SECONDS = 0.3  # without a response, before the server's health is checked
 FULL_REQUESTS_PER_SLOT = 2  # of this entry, at which a server is full
 DEFAULT_SLOTS = 6  # of a server that reports none
+RETRY_SECONDS = 0.5  # until a refused caller should retry, unless servers are paused
 
 
 class PlainRouter:
@@ -66,7 +67,7 @@
         Choose the server with the lowest cost.
 
         :param avoid: IDs of servers that were already tried.
-        :return: the server, or None if all others are down or full.
+        :return: the server, or None if all others are down, full or paused.
         """
         best = None
         best_cost = float("inf")
@@ -75,11 +76,30 @@
                 continue
             if not self.fleet.is_up(server) or self._is_full(server):
                 continue
+            if self.fleet.pauses.is_paused(server):
+                continue
             cost = self._cost(server)
             if cost < best_cost:
                 best, best_cost = server, cost
         return best
 
+    def retry_delay(self) -> float:
+        """
+        Estimate after which time a refused caller should retry.
+
+        :return: seconds; until the first pause ends if every server that is up asked
+            for one.
+        """
+        pauses = self.fleet.pauses
+        servers = [
+            server
+            for server in self.fleet.servers.values()
+            if server.service == self.service and self.fleet.is_up(server)
+        ]
+        if not servers or not all(pauses.is_paused(server) for server in servers):
+            return RETRY_SECONDS
+        return min(pauses.end(server) for server in servers) - pauses.clock()
+
     def record_start(self, server: Server) -> None:
         """Count a request that is sent to a server."""
         self.outstanding[server.id] = self.outstanding.get(server.id, 0) + 1
@@ -183,7 +203,8 @@
         while True:
             if not self.running and not self._start_attempt():
                 self._give_up(
-                    Reason.OVERLOADED, "every server is down, full or already tried"
+                    Reason.OVERLOADED,
+                    "every server is down, full, paused or already tried",
                 )
                 return
             done = await self._wait_for_outcomes()
@@ -323,6 +344,7 @@
         if end is not ResponseEnd.COMPLETE or isinstance(head, ResponseEnd):
             return _Outcome(server=server, head=None, body=b"", not_run=False)
         info = dialect.parse_response(head.status, head.headers)
+        self.relay.fleet.record_notice(server, info.notice)
         if 200 <= head.status < 300 and not info.signed:
             return _Outcome(server=server, head=None, body=b"", not_run=False)
         return _Outcome(
@@ -360,4 +382,5 @@
         if self.may_have_run:
             cause = reason if reason is Reason.DEADLINE else Reason.RESET
             return may_have_run(cause, detail)
-        return not_run(Reason.OVERLOADED, detail, retry_after=retry_after(0.5))
+        delay = retry_after(self.router.retry_delay())
+        return not_run(Reason.OVERLOADED, detail, retry_after=delay)
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -10,6 +10,7 @@
 from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
 from kumquatway_core.events import StreamRecovered
 from kumquatway_gateway.chains import Chain, ChainLoad
+from kumquatway_gateway.fleet import AVOID_SECONDS
 from kumquatway_gateway.http1 import (
     Exchange,
     ResponseEnd,
@@ -19,7 +20,7 @@
 )
 from kumquatway_gateway.model import RouteKind
 from kumquatway_gateway.relay._chain_activity import ActivitySnapshot, StreamActivity
-from kumquatway_gateway.relay._dialect import Attempt
+from kumquatway_gateway.relay._dialect import Attempt, ResponseInfo
 from kumquatway_gateway.relay._event_relay import EventRelay
 from kumquatway_gateway.relay._job import Job
 from kumquatway_gateway.relay._model_router import Claim, ModelRouter
@@ -196,9 +197,11 @@
         head = await exchange.head
         if isinstance(head, ResponseEnd):
             return self._handle_early_end(head)
+        info = self.relay.dialect.parse_response(head.status, head.headers)
+        self.relay.fleet.record_notice(chain.first_server, info.notice)
         if head.status != 200:
-            return await self._handle_error(head)
-        if not self.relay.dialect.parse_response(head.status, head.headers).signed:
+            return await self._handle_error(head, info)
+        if not info.signed:
             self.may_have_run = True
             self.avoid.add(chain.first_server.id)
             return _AttemptOutcome.CUT
@@ -249,12 +252,13 @@
         self.closed_by.add(self.chain.first_server.id)
         return _AttemptOutcome.CUT
 
-    async def _handle_error(self, head: ResponseHead) -> _AttemptOutcome:
+    async def _handle_error(
+        self, head: ResponseHead, info: ResponseInfo
+    ) -> _AttemptOutcome:
         """Read a response with a status other than 200, and return the outcome."""
         end = await self.exchange.ended
-        info = self.relay.dialect.parse_response(head.status, head.headers)
         if info.not_run:
-            self._avoid_faulty_server(info.faulty_address)
+            self._avoid_faulty_server(info)
             return _AttemptOutcome.REFUSED
         self.may_have_run = True
         if end is ResponseEnd.COMPLETE:
@@ -264,13 +268,13 @@
         self.avoid.add(self.chain.first_server.id)
         return _AttemptOutcome.FAILED
 
-    def _avoid_faulty_server(self, address: str) -> None:
+    def _avoid_faulty_server(self, info: ResponseInfo) -> None:
         """Send no new work for a while to the server that caused a refusal."""
         fleet = self.relay.fleet
-        server = fleet.by_address.get(address, self.chain.first_server)
+        server = fleet.by_address.get(info.faulty_address, self.chain.first_server)
         self.refusals += 1
         self.avoid.add(server.id)
-        fleet.avoid(server)
+        fleet.avoid(server, max(AVOID_SECONDS, info.notice.pause_seconds))
         self.relay.health_checker.check_accepts_work(server)
         detail = (
             f"refused by {self.chain.first_server.address}, caused by {server.address}"
