Tell a stall of a chain from one of its long passes

In the grown ones a pass that prefills two chunks of 512 tokens beside a full batch takes 80 to 100 ms. 289 of 506 moves of streams were from chains with no server down; of these 215 were false (no entry saw a server of the chain down, slow or leaving within a second). Each spent a repeat, made another chain prefill (25 % of all prompt tokens were read again) and took its room: 61 of 103 cut streams still had repeats, but found every chain full.

Change: the limit is the chain's longest pass by the engine's timings (chunk, stride, slowdown) plus a quarter, until three seconds of the chain's own gaps were seen; then the longest of these plus a quarter, at least 60 ms. A gap that was not waited for counts, so a false alarm is not repeated. The check of a single stream's chain waits as long.

Ruled out: the estimate alone. It is 110 ms for chains of the first deployments, whose longest gap is 52 ms, and streams there must move within 200 ms.

--- a/packages/gateway/src/kumquatway_gateway/chains/_paths.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_paths.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from kumquatway_gateway.chains._capacity import token_capacity
+from kumquatway_gateway.chains._pass_time import StageShare, longest_pass_seconds
 from kumquatway_gateway.model import Engine, LayerRange, Server
 
 HOP_SECONDS = 0.0001  # per token, within a data centre in the users' deployments
@@ -54,6 +55,7 @@
     :param request_seconds: estimated time of an average request on an idle chain.
     :param prefill_seconds: estimated time to prefill an average prompt.
     :param crossings: number of hops between data centres.
+    :param pass_seconds: estimated longest time without an event on any stream.
     """
 
     stages: tuple[Stage, ...]
@@ -61,6 +63,7 @@
     request_seconds: float
     prefill_seconds: float
     crossings: int
+    pass_seconds: float = 0.0
 
     @property
     def first_server(self) -> Server:
@@ -253,6 +256,7 @@
 
 def _build_chain(engine: Engine, last: _PathNode) -> Chain | None:
     stages: list[Stage] = []
+    shares: list[StageShare] = []
     prefill_seconds = 0.0
     stop = engine.layers
     node: _PathNode | None = last
@@ -262,6 +266,13 @@
         stages.append(
             Stage(server=node.candidate.server, layers=layers, token_capacity=capacity)
         )
+        shares.append(
+            StageShare(
+                accelerator=engine.accelerator(node.candidate.server.accelerator),
+                layers=len(layers),
+                slowdown=node.candidate.slowdown,
+            )
+        )
         prefill_seconds += _prefill_seconds(engine, node.candidate, len(layers))
         stop = node.start
         node = node.previous
@@ -269,17 +280,29 @@
     if len(stages) > MAX_STAGES:
         return None
     centres = [stage.server.data_centre for stage in stages]
+    tokens = min(engine.max_kv_tokens, *(stage.token_capacity for stage in stages))
     return Chain(
         stages=tuple(stages),
-        token_capacity=min(
-            engine.max_kv_tokens, *(stage.token_capacity for stage in stages)
-        ),
+        token_capacity=tokens,
+        pass_seconds=longest_pass_seconds(engine, shares, tokens)
+        + _hop_seconds(engine, stages),
         request_seconds=last.cost,
         prefill_seconds=prefill_seconds,
         crossings=sum(a != b for a, b in zip(centres, centres[1:], strict=False)),
     )
 
 
+def _hop_seconds(engine: Engine, stages: list[Stage]) -> float:
+    """Return the time between servers in one pass."""
+    seconds = 0.0
+    for sender, receiver in zip(stages, stages[1:], strict=False):
+        if sender.server.data_centre == receiver.server.data_centre:
+            seconds += HOP_SECONDS
+        else:
+            seconds += CROSSING_SECONDS
+    return engine.timings.steps_per_pass * seconds
+
+
 def _stage_capacity(
     engine: Engine, candidate: CandidateServer, used_layers: int
 ) -> float:
--- a/packages/gateway/src/kumquatway_gateway/model/_configuration.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_configuration.py
@@ -91,12 +91,16 @@
     :param seconds_per_sequence: extra step time for each request that is decoding.
     :param seconds_per_context_token: extra step time for each token of context.
     :param prefill_tokens_per_second: prefill rate.
+    :param prefill_chunk_tokens: most prompt tokens that are prefilled in one step.
+    :param steps_per_pass: decode steps that a server runs before it sends their tokens.
     """
 
     step_seconds: float
     seconds_per_sequence: float
     seconds_per_context_token: float
     prefill_tokens_per_second: float
+    prefill_chunk_tokens: int = 512
+    steps_per_pass: int = 1
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -29,6 +29,7 @@
     Service,
 )
 from kumquatway_gateway.relay._chain_activity import ActivitySnapshot
+from kumquatway_gateway.relay._chain_pace import ChainPace
 from kumquatway_gateway.relay._dialect import Dialect, InvalidRequest
 from kumquatway_gateway.relay._health import HealthChecker
 from kumquatway_gateway.relay._job import Job
@@ -97,6 +98,7 @@
         self.plain_routers: dict[str, PlainRouter] = {}
         self.retry_budgets: dict[str, RetryBudget] = {}
         self.active_streams: set[StreamJob] = set()
+        self.chain_pace = ChainPace()
         fleet.has_request_in_progress = self.has_active_stream
         self.shutdown_at: float | None = None  # when this entry stops, by `clock`
 
@@ -186,6 +188,7 @@
         now = self.clock()
         activities = (job.activity() for job in self.active_streams)
         snapshot = ActivitySnapshot(each for each in activities if each is not None)
+        self.chain_pace.observe(snapshot, now)
         # Streams that move to the same chain are prefilled there one after the other.
         # Those with few tokens go first, so that most resume before their callers
         # notice the pause.
--- a/packages/gateway/src/kumquatway_gateway/relay/_stall_detection.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_stall_detection.py
@@ -5,6 +5,8 @@
 import enum
 from dataclasses import dataclass
 
+from kumquatway_gateway.relay._chain_pace import CHAIN_STALL_SECONDS
+
 MIN_IDLE_SECONDS = 0.06  # before a stream leaves a chain with a server that is down
 STALL_SECONDS = 0.075  # between events, before the chain is checked
 STALL_GAPS = 4.0  # the same, in typical gaps of the stream
@@ -14,9 +16,6 @@
 # another chain while retries are cheap.
 FIRST_EVENT_LEAVE_FACTOR = 1.5
 CHEAP_RETRY_SHARE = 0.5  # of the retry budget left, above which retries are cheap
-# The longest time for which all streams of a healthy chain were idle at once is 52 ms;
-# single streams have longer gaps.
-CHAIN_STALL_SECONDS = 0.06
 MIN_CHAIN_STREAMS = 3  # streams with events, for them to show that a chain has stalled
 MAX_IDLE_SECONDS = 0.9  # after which a stream leaves though no server is down
 
@@ -45,6 +44,7 @@
         from the chain, this one included.
     :param chain_idle_seconds: time since any of these streams had an event.
     :param other_chains_idle_seconds: time since any other chain sent an event.
+    :param chain_stall_seconds: idle time after which the whole chain has stalled.
     """
 
     idle_seconds: float
@@ -56,6 +56,7 @@
     chain_streams: int = 0
     chain_idle_seconds: float = 0.0
     other_chains_idle_seconds: float = 0.0
+    chain_stall_seconds: float = CHAIN_STALL_SECONDS
 
 
 def choose_stall_action(stream: StreamStatus) -> StallAction:
@@ -107,7 +108,7 @@
         stream.has_events
         and stream.chain_streams >= MIN_CHAIN_STREAMS
         and stream.chain_idle_seconds
-        >= CHAIN_STALL_SECONDS
+        >= stream.chain_stall_seconds
         > stream.other_chains_idle_seconds
         and stream.retry_budget_left > CHEAP_RETRY_SHARE
     )
@@ -116,5 +117,7 @@
 def _stall_threshold(stream: StreamStatus) -> float:
     """Return the idle time after which the chain is checked, seconds."""
     if stream.has_events:
-        return max(STALL_SECONDS, STALL_GAPS * stream.typical_gap)
+        return max(
+            STALL_SECONDS, STALL_GAPS * stream.typical_gap, stream.chain_stall_seconds
+        )
     return max(FIRST_EVENT_SECONDS, FIRST_EVENT_FACTOR * stream.mean_first_event)
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -318,6 +318,7 @@
         if action is StallAction.LEAVE:
             self._leave_chain({self.chain.first_server.id})
         elif action is StallAction.LEAVE_ALL:
+            self.relay.chain_pace.record_gap(self.chain, idle, now)
             self._leave_chain({stage.server.id for stage in self.chain.stages})
 
     def _stream_status(
@@ -336,6 +337,7 @@
             chain_streams=activity.stream_count(chain),
             chain_idle_seconds=activity.idle_seconds(chain, now),
             other_chains_idle_seconds=activity.idle_seconds_of_others(chain, now),
+            chain_stall_seconds=self.relay.chain_pace.stall_seconds(self.chain, now),
         )
 
     def _down_servers(self, chain: Chain) -> list[str]:
