--- a/packages/gateway/src/kumquatway_gateway/model/_configuration.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_configuration.py
@@ -23,6 +23,12 @@
     NO_ACCOUNT = "unknown key"
 
 
+# Callers of the users' platform leave a stream after the longest of these.
+MIN_PATIENCE_SECONDS = 2.0
+PATIENCE_OBJECTIVES = 4.0  # times to the first event that the route aims at
+PATIENCE_GAPS = 8.0  # pauses between two events that the route aims at
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Backend:
     """A service that receives a share of a route's requests, by weight."""
@@ -57,6 +63,15 @@
     public: bool = False
     resumable: bool = False
 
+    @property
+    def max_gap(self) -> float:
+        """Return the longest pause in a stream before callers disconnect, seconds."""
+        return max(
+            MIN_PATIENCE_SECONDS,
+            PATIENCE_OBJECTIVES * self.objective,
+            PATIENCE_GAPS * self.gap_objective,
+        )
+
     @property
     def idempotent(self) -> bool:
         """Tell whether a request may run more than once."""
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -33,7 +33,8 @@
 from kumquatway_gateway.relay._verdict_response import respond_with_verdict
 from kumquatway_gateway.waiting import MAX_WAIT_SECONDS, Waiter, retry_after
 
-CALLER_TIMEOUT_SECONDS = 1.9  # between events, before callers disconnect
+# Part of the pause that callers accept which is left for the first event of a chain.
+LAST_EVENT_SECONDS = 0.1
 
 
 class _AttemptOutcome(enum.Enum):
@@ -431,15 +432,14 @@
         claim = self.router.claim(waiter, frozenset(self.avoid))
         if claim is not None:
             return claim
-        time_left = CALLER_TIMEOUT_SECONDS - (
-            time.monotonic() - self.events.last_event_at
-        )
+        idle = time.monotonic() - self.events.last_event_at
+        time_left = self.job.route.max_gap - LAST_EVENT_SECONDS - idle
         retry_waiter = Waiter(
             account=waiter.account,
             priority=-1,
             tokens=waiter.tokens,
             arrived=waiter.arrived,
-            deadline=time.monotonic() + min(time_left, MAX_WAIT_SECONDS),
+            deadline=time.monotonic() + time_left,
         )
         return await self.router.queue.admit(retry_waiter)
 
--- /dev/null
+++ b/packages/gateway/tests/test_stream_retries.py
@@ -0,0 +1,91 @@
+"""Tests of how long an interrupted stream waits for another chain."""
+
+import asyncio
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from kumquatway_gateway.model import Backend, Route, RouteKind
+from kumquatway_gateway.relay._streams import (
+    LAST_EVENT_SECONDS,
+    StreamJob,
+    _AttemptOutcome,
+)
+from kumquatway_gateway.waiting import MAX_WAIT_SECONDS, Waiter
+
+
+def _route(objective: float = 0.5, gap_objective: float = 0.2) -> Route:
+    return Route(
+        name="stream",
+        host="h",
+        prefix="/",
+        kind=RouteKind.STREAM,
+        backends=(Backend(service="model", weight=1.0),),
+        timeout=20.0,
+        objective=objective,
+        gap_objective=gap_objective,
+        max_attempts=2,
+        resumable=True,
+    )
+
+
+class TestPatience:
+    """The longest pause that callers of a route accept."""
+
+    @pytest.mark.parametrize(
+        ("objective", "gap_objective", "seconds"),
+        [(0.5, 0.2, 2.0), (0.603, 0.25, 2.412), (0.5, 0.3, 2.4), (0.1, 0.05, 2.0)],
+    )
+    def test_follows_the_objectives(self, objective, gap_objective, seconds):
+        assert _route(objective, gap_objective).max_gap == pytest.approx(seconds)
+
+
+class TestWaitForAnotherChain:
+    """
+    A stream whose chain has failed while all others are full.
+
+    Load pattern: a third of the capacity is lost under load. Its streams wait until
+    others end; callers accept a longer pause within a stream than before its start.
+    """
+
+    def _wait(self, idle: float) -> float:
+        """Return for how long a stream that has been idle would wait."""
+        admitted: list[Waiter] = []
+
+        async def admit(waiter: Waiter) -> None:
+            admitted.append(waiter)
+
+        budget = SimpleNamespace(try_withdraw=lambda: True, remaining=lambda: 9.0)
+        route = _route(objective=0.603, gap_objective=0.25)
+        job = SimpleNamespace(
+            route=route,
+            service=SimpleNamespace(name="model"),
+            sent_to=["s0"],
+            caller=SimpleNamespace(write_chunk=lambda data: None),
+            request=SimpleNamespace(last_event_id=""),
+        )
+        stream = StreamJob(
+            relay=SimpleNamespace(retry_budget=lambda service: budget),
+            router=SimpleNamespace(
+                claim=lambda waiter, avoid: None, queue=SimpleNamespace(admit=admit)
+            ),
+            job=job,
+        )
+        now = time.monotonic()
+        stream.events.last_event_at = now - idle
+        first = Waiter(
+            account="a", priority=1, tokens=900.0, arrived=now - 3.0, deadline=now - 1.8
+        )
+        asyncio.run(stream._next_claim(_AttemptOutcome.STALLED, first))
+        [waiter] = admitted
+        assert waiter.priority < first.priority
+        return waiter.deadline - now
+
+    def test_lasts_as_long_as_callers_accept(self):
+        expected = 2.412 - 0.1 - LAST_EVENT_SECONDS
+        assert self._wait(idle=0.1) == pytest.approx(expected, abs=0.05)
+        assert expected > MAX_WAIT_SECONDS
+
+    def test_ends_when_the_caller_has_left(self):
+        assert self._wait(idle=3.0) < 0
