Survive a store that comes back from an older copy: leases, configuration, lists

Leases, the configuration, the lists and the change feeds took revisions and acknowledgements as final.

Change: clients of the store track its generation. A conditional write names the generation of what it expects. Leases wait out what an older copy may have forgotten, unless servers check fencing numbers, and start their numbers above all earlier ones. Configurations never go back, and a number that is given out again is taken, on all entries. Lists keep and drop what the copy lacks or still has; entries announce themselves again.

Ruled out: fencing numbers that count on from the found row: with a renewal in flight that replaces a new holder's row of the same revision, two holders get one number (found by test_leases, which failed with 1000001 > 1000001). They follow the row's revision instead.

--- a/packages/core/src/kumquatway_core/leases/_lease.py
+++ b/packages/core/src/kumquatway_core/leases/_lease.py
@@ -15,6 +15,8 @@
 from kumquatway_core.exceptions import Conflict, PlatformError
 from kumquatway_core.platform import (
     ABSENT,
+    FIRST_GENERATION,
+    UNKNOWN_GENERATION,
     Committed,
     Expectation,
     Key,
@@ -32,6 +34,9 @@
 RENEWAL_FRACTION = 0.5  # renew once less than this fraction of the duration is left
 MAX_CLOCK_DRIFT = 0.01  # fraction by which the rates of two monotonic clocks may differ
 EXPIRED = float("-inf")
+# Numbers of a generation of the store start above those of the earlier ones, as servers
+# may have seen numbers that the store has lost.
+NUMBERS_PER_GENERATION = 10**12
 
 
 def boot_clock() -> float:
@@ -51,12 +56,14 @@
     :param fencing_number: rises with each change of holder.
     :param duration: seconds that the holder may act, from when it sent the request.
     :param order_bound: most seconds until an order of the holder has taken effect.
+    :param generation: generation of the store in which the holder wrote the row.
     """
 
     holder: str
     fencing_number: int
     duration: float
     order_bound: float
+    generation: int = UNKNOWN_GENERATION
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -64,6 +71,7 @@
     """Row of another holder, and when this revision of the row was first read."""
 
     revision: int
+    generation: int
     first_seen_at: float
 
 
@@ -87,6 +95,8 @@
         probably ended; its lease is then taken over without waiting for the expiry.
         Only safe if every upstream of the duty refuses old fencing numbers, since a
         holder that is wrongly reported as gone may still act.
+    :param fenced: whether every upstream of the duty refuses old fencing numbers. Then
+        a holder that the store has forgotten need not be waited out.
     """
 
     def __init__(
@@ -99,6 +109,7 @@
         order_bound: float = 0.0,
         clock: Callable[[], float] = boot_clock,
         is_holder_gone: Callable[[str], bool] = lambda holder: False,
+        fenced: bool = False,
     ):
         self.table = table
         self.name = name
@@ -107,11 +118,13 @@
         self.order_bound = order_bound
         self.clock = clock
         self.is_holder_gone = is_holder_gone
+        self.fenced = fenced
         self.other_holder = ""  # the last other holder that was read
         self.fencing_number = 0
         self.expires = EXPIRED
         self.observed: _ObservedRow | None = None
         self.revision: int | None = None  # of the row after the last own write
+        self.generation = UNKNOWN_GENERATION  # of the store, at that write
         self.contested = False  # lost or released since the last own write
 
     async def acquire_or_renew(self) -> bool:
@@ -170,34 +183,57 @@
         :return: whether the release was stored; if not, the lease expires by itself.
         """
         self._mark_lost()
+        generation = self.table.generation
         try:
             row = await self._read()
             found = _decode_row(row)
             if row is None or found.holder != self.holder:
                 return False
+            # The generation stays: the store may have lost a later holder.
             released = msgspec.structs.replace(found, holder="")
-            await self._write(row.revision, released)
+            await self._write(row.revision, released, generation)
         except PlatformError:
             return False
         return True
 
     async def _try_acquire(self) -> None:
         # If the row has not changed since the last own write, one write renews it.
-        if self.revision is not None and await self._write_own_row(
-            self.revision, self.fencing_number
+        generation = self.table.generation
+        renewable = self.revision is not None and self.generation == generation
+        if renewable and await self._write_own_row(
+            self.revision, self.fencing_number, generation
         ):
             return
         row = await self._read()
+        generation = generation or self.table.generation
         found = _decode_row(row)
         if found is not None and found.holder != self.holder:
             self._mark_lost()
             self.other_holder = found.holder
-            if self._must_wait(row.revision, found):
-                return
-        number = _next_fencing_number(found, self.holder)
-        await self._write_own_row(row.revision if row else ABSENT, number)
+        if self._must_wait(row, found, generation):
+            return
+        number = self._next_fencing_number(row, found, generation)
+        await self._write_own_row(row.revision if row else ABSENT, number, generation)
+
+    def _next_fencing_number(
+        self, row: Row | None, found: LeaseRow | None, generation: int
+    ) -> int:
+        """
+        Return the number for the next holder of a row, which may be this process.
 
-    async def _write_own_row(self, revision: int, number: int) -> bool:
+        After the store has come back older, a write that was on its way may replace the
+        row of a new holder, if that has the expected revision. So the number of that
+        holder may be unknown. It is at most the row's revision, counted from the lowest
+        number of the generation: each change of holder raises both.
+        """
+        if not _may_have_lost_holder(found, generation):
+            if found is None:
+                return 1
+            return found.fencing_number + (found.holder != self.holder)
+        lowest = (generation - FIRST_GENERATION) * NUMBERS_PER_GENERATION
+        return lowest + (row.revision if row else ABSENT) + 1
+
+    async def _write_own_row(self, revision: int, number: int, generation: int) -> bool:
         """Write a row that names this holder; False if the row had changed."""
         self.revision = None
         requested_at = self.clock()
@@ -206,12 +242,14 @@
             fencing_number=number,
             duration=self.duration,
             order_bound=self.order_bound,
+            generation=generation,
         )
         try:
-            committed = await self._write(revision, own_row)
+            committed = await self._write(revision, own_row, generation)
         except Conflict:
             return False
         [self.revision] = committed.revisions
+        self.generation = generation
         self.fencing_number = number
         self.expires = requested_at + self.duration
         self.observed = None
@@ -223,30 +261,42 @@
         self.revision = None
         self.contested = True
 
-    def _must_wait(self, revision: int, found: LeaseRow) -> bool:
-        if not found.holder:
+    def _must_wait(
+        self, row: Row | None, found: LeaseRow | None, generation: int
+    ) -> bool:
+        """Tell whether another process may still act as holder."""
+        if not self.fenced and _may_have_lost_holder(found, generation):
+            return not self._has_expired(row, found, generation)
+        if found is None or found.holder in ("", self.holder):
             return False
-        expired = self._has_expired(revision, found)
+        expired = self._has_expired(row, found, generation)
         return not expired and not self.is_holder_gone(found.holder)
 
-    def _has_expired(self, revision: int, found: LeaseRow) -> bool:
+    def _has_expired(
+        self, row: Row | None, found: LeaseRow | None, generation: int
+    ) -> bool:
         """Tell whether the holder's lease and its last order have certainly ended."""
         now = self.clock()
-        if self.observed is None or self.observed.revision != revision:
-            self.observed = _ObservedRow(revision=revision, first_seen_at=now)
-        order_bound = max(found.order_bound, self.order_bound)
-        wait = found.duration * (1 + MAX_CLOCK_DRIFT) + order_bound
-        return now - self.observed.first_seen_at > wait
+        revision = row.revision if row else ABSENT
+        seen = self.observed
+        if seen is None or (seen.revision, seen.generation) != (revision, generation):
+            seen = self.observed = _ObservedRow(
+                revision=revision, generation=generation, first_seen_at=now
+            )
+        duration = max(found.duration, self.duration) if found else self.duration
+        order_bound = max(found.order_bound if found else 0.0, self.order_bound)
+        wait = duration * (1 + MAX_CLOCK_DRIFT) + order_bound
+        return now - seen.first_seen_at > wait
 
     async def _read(self) -> Row | None:
         rows = await self.table.read((Key(table=TABLE, key=self.name),))
         return rows[0] if rows else None
 
-    async def _write(self, revision: int, row: LeaseRow) -> Committed:
+    async def _write(self, revision: int, row: LeaseRow, generation: int) -> Committed:
         unchanged = Expectation(table=TABLE, key=self.name, revision=revision)
         put = Put(table=TABLE, key=self.name, value=_encoder.encode(row))
         return await self.table.commit(
-            Transaction(expectations=(unchanged,), puts=(put,))
+            Transaction(expectations=(unchanged,), puts=(put,)), generation
         )
 
 
@@ -263,10 +313,11 @@
     return _decode_row(rows[0] if rows else None)
 
 
-def _next_fencing_number(found: LeaseRow | None, holder: str) -> int:
-    if found is None:
-        return 1
-    return found.fencing_number if found.holder == holder else found.fencing_number + 1
+def _may_have_lost_holder(found: LeaseRow | None, generation: int) -> bool:
+    """Tell whether the store may have lost the row of a later holder."""
+    if generation <= FIRST_GENERATION:
+        return False
+    return found is None or found.generation != generation
 
 
 def _decode_row(row: Row | None) -> LeaseRow | None:
--- a/packages/core/src/kumquatway_core/platform/__init__.py
+++ b/packages/core/src/kumquatway_core/platform/__init__.py
@@ -3,6 +3,12 @@
 import importlib
 from typing import TYPE_CHECKING
 
+from kumquatway_core.platform._generation import (
+    FIRST_GENERATION,
+    GENERATION_HEADER,
+    UNKNOWN_GENERATION,
+    GenerationTracker,
+)
 from kumquatway_core.platform._messages import (
     ABSENT,
     VM,
@@ -55,6 +61,9 @@
 
 __all__ = [
     "ABSENT",
+    "FIRST_GENERATION",
+    "GENERATION_HEADER",
+    "UNKNOWN_GENERATION",
     "VM",
     "Applied",
     "Change",
@@ -62,6 +71,7 @@
     "Committed",
     "Conflicts",
     "Expectation",
+    "GenerationTracker",
     "GroupCommit",
     "Key",
     "ObjectNames",
--- a/packages/core/src/kumquatway_core/platform/_messages.py
+++ b/packages/core/src/kumquatway_core/platform/_messages.py
@@ -24,7 +24,8 @@
     """
     A row with its value and revision.
 
-    :param revision: increases with each write and is never reused for the same key.
+    :param revision: increases with each write. Within one generation of the store, it
+        is never reused for the same key.
     """
 
     table: str
--- a/packages/core/tests/test_leases.py
+++ b/packages/core/tests/test_leases.py
@@ -4,12 +4,14 @@
 
 import anyio
 import httpx
+import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from kumquatway_core.exceptions import PlatformUnavailable, ResponseLost
 from kumquatway_core.leases import Fence, Lease, StaleNumber
-from kumquatway_core.leases._lease import MAX_CLOCK_DRIFT
-from kumquatway_core.platform import Channel, Table
+from kumquatway_core.leases._lease import MAX_CLOCK_DRIFT, NUMBERS_PER_GENERATION
+from kumquatway_core.platform import UNKNOWN_GENERATION, Channel, Table
 from kumquatway_fakes import Faults, TableService
 
 DURATION = 10.0
@@ -114,9 +116,9 @@
         table = self.a.table
         commit = table.commit
 
-        async def slow_commit(transaction):
+        async def slow_commit(*arguments):
             self.contenders.now += 4.0
-            return await commit(transaction)
+            return await commit(*arguments)
 
         table.commit = slow_commit
         assert self.contenders.acquire_or_renew("a")
@@ -176,6 +178,107 @@
         assert self.contenders.acquire_or_renew("b")
 
 
+class TestStoreThatComesBackOlder:
+    """A store that loses what it acknowledged, and gives out revisions again."""
+
+    def setup_method(self):
+        self.contenders = _Contenders()
+        self.a = self.contenders.leases["a"]
+        self.b = self.contenders.leases["b"]
+        self.service = self.contenders.service
+        self.before = self.service.take_snapshot()
+
+    def teardown_method(self):
+        self.contenders.runner.close()
+
+    def test_a_forgotten_holder_is_waited_out(self):
+        assert self.contenders.acquire_or_renew("a")
+        self.service.restore(self.before)
+        assert not self.contenders.acquire_or_renew("b")
+        self.contenders.now = WAIT + 0.1
+        assert self.contenders.acquire_or_renew("b")
+        assert not self.a.is_held()
+
+    def test_a_forgotten_renewal_is_waited_out(self):
+        self.contenders.acquire_or_renew("a")
+        self.contenders.acquire_or_renew("b")
+        older = self.service.take_snapshot()
+        self.contenders.now = 9.0
+        assert self.contenders.acquire_or_renew("a")
+        self.service.restore(older)
+        self.contenders.now = WAIT + 0.1
+        assert self.a.is_held()
+        assert not self.contenders.acquire_or_renew("b")
+
+    def test_numbers_that_servers_have_seen_are_not_given_out_again(self):
+        self.a.fenced = self.b.fenced = True
+        assert self.contenders.acquire_or_renew("a")
+        self.service.restore(self.before)
+        assert self.contenders.acquire_or_renew("b")
+        assert self.b.fencing_number > self.a.fencing_number
+
+    def test_the_same_holder_gets_a_higher_number(self):
+        self.a.fenced = True
+        self.contenders.acquire_or_renew("a")
+        older = self.service.take_snapshot()
+        self.contenders.now = 6.0
+        self.contenders.acquire_or_renew("a")
+        self.service.restore(older)
+        self.contenders.now = 13.0
+        assert self.contenders.acquire_or_renew("a")  # held from before; learns of it
+        assert self.a.fencing_number == 1
+        assert self.contenders.acquire_or_renew("a")
+        assert self.a.fencing_number > NUMBERS_PER_GENERATION
+
+    def test_a_renewal_of_a_row_with_the_same_revision_is_not_trusted(self):
+        """The write of `a` replaces the row of `b`, which has the expected revision."""
+        self.a.fenced = self.b.fenced = True
+        self.contenders.acquire_or_renew("a")
+        self.service.restore(self.before)
+        self.contenders.acquire_or_renew("b")
+        assert self.service.get("leases", "planner").revision == self.a.revision
+        self.contenders.now = 6.0
+        self.contenders.acquire_or_renew("a")
+        assert self.a.expires == DURATION
+        assert self.contenders.acquire_or_renew("a")
+        self.contenders.now = DURATION + 0.1
+        assert self.contenders.acquire_or_renew("a")
+        assert self.a.fencing_number > self.b.fencing_number
+
+    def test_without_fencing_the_overwritten_holder_is_waited_out(self):
+        self.contenders.acquire_or_renew("a")
+        self.service.restore(self.before)
+        self.contenders.acquire_or_renew("b")
+        self.contenders.now = WAIT + 0.1
+        assert self.contenders.acquire_or_renew("b")
+        self.contenders.acquire_or_renew("a")
+        self.contenders.acquire_or_renew("a")
+        assert not self.a.is_held()
+
+    def test_a_release_of_an_older_row_does_not_free_a_forgotten_holder(self):
+        self.contenders.acquire_or_renew("a")
+        older = self.service.take_snapshot()
+        self.contenders.release("a")
+        assert self.contenders.acquire_or_renew("b")
+        self.service.restore(older)
+        self.contenders.release("a")
+        assert not self.contenders.acquire_or_renew("a")
+        assert self.b.is_held()
+
+    def test_a_response_of_the_generation_before_counts_as_lost(self):
+        tracker = self.a.table.generations
+        tracker.observe(3)
+        with pytest.raises(ResponseLost):
+            tracker.observe(2)
+        with pytest.raises(PlatformUnavailable):
+            tracker.check_before_write(2)
+        with pytest.raises(ResponseLost):
+            tracker.check_unchanged(2)
+        tracker.observe(UNKNOWN_GENERATION)
+        tracker.check_before_write(UNKNOWN_GENERATION)
+        assert tracker.current == 3
+
+
 class TestFence:
     """The agent's fence for an upstream that does not check fencing numbers."""
 
@@ -209,6 +312,7 @@
     def __init__(self):
         super().__init__()
         self.contenders = _Contenders()
+        self.snapshot = self.contenders.service.take_snapshot()
         self.last_orders: dict[str, float] = {}
         self.highest = 0
 
@@ -240,6 +344,14 @@
             down=down, lose_next=lost, late_next=late
         )
 
+    @rule()
+    def take_snapshot(self):
+        self.snapshot = self.contenders.service.take_snapshot()
+
+    @rule()
+    def restore_store(self):
+        self.contenders.service.restore(self.snapshot)
+
     @rule()
     def apply_late_writes(self):
         self.contenders.service.gate.land()
--- a/packages/fakes/src/kumquatway_fakes/_table.py
+++ b/packages/fakes/src/kumquatway_fakes/_table.py
@@ -4,6 +4,8 @@
 Rows in memory with revisions, and transactions over many of them.
 """
 
+from dataclasses import dataclass
+
 import msgspec
 from starlette.applications import Starlette
 from starlette.requests import Request
@@ -12,6 +14,8 @@
 
 from kumquatway_core.platform import (
     ABSENT,
+    FIRST_GENERATION,
+    GENERATION_HEADER,
     Committed,
     Conflicts,
     Expectation,
@@ -29,6 +33,14 @@
 _transaction = msgspec.msgpack.Decoder(Transaction)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Snapshot:
+    """A copy of the table service's rows, and the revision of the last write in it."""
+
+    rows: dict[Key, Row]
+    revision: int
+
+
 class TableService:
     """
     The stand-in of the transactional table service.
@@ -40,6 +52,7 @@
         self.gate = Gate(seed=seed)
         self.rows: dict[Key, Row] = {}
         self.revision = ABSENT
+        self.generation = FIRST_GENERATION
         self.app = Starlette(
             routes=[
                 Route("/rows/read", self._read, methods=["POST"]),
@@ -59,6 +72,24 @@
         """
         return self.rows.get(Key(table=table, key=key))
 
+    def take_snapshot(self) -> Snapshot:
+        """
+        Copy the rows, as a backup does.
+
+        :return: the copy.
+        """
+        return Snapshot(rows=dict(self.rows), revision=self.revision)
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """
+        Come back from a copy: what was written since is lost, in a new generation.
+
+        :param snapshot: the copy.
+        """
+        self.rows = dict(snapshot.rows)
+        self.revision = snapshot.revision
+        self.generation += 1
+
     def apply(self, transaction: Transaction) -> Committed | Conflicts:
         """
         Run a transaction at once.
@@ -93,21 +124,30 @@
 
     async def _read(self, request: Request) -> Response:
         question = _read.decode(await request.body())
-        return await self.gate.read(lambda: reply(Rows(rows=self._pick(question))))
+        return await self.gate.read(
+            lambda: self._reply(Rows(rows=self._pick(question)))
+        )
 
     async def _scan(self, request: Request) -> Response:
         question = _scan.decode(await request.body())
-        return await self.gate.read(lambda: reply(Rows(rows=self._page(question))))
+        return await self.gate.read(
+            lambda: self._reply(Rows(rows=self._page(question)))
+        )
 
     async def _commit(self, request: Request) -> Response:
         transaction = _transaction.decode(await request.body())
 
         def effect() -> Response:
             outcome = self.apply(transaction)
-            return reply(outcome, 200 if isinstance(outcome, Committed) else 409)
+            return self._reply(outcome, 200 if isinstance(outcome, Committed) else 409)
 
         return await self.gate.write(effect)
 
+    def _reply(self, message: msgspec.Struct, status: int = 200) -> Response:
+        response = reply(message, status)
+        response.headers[GENERATION_HEADER] = str(self.generation)
+        return response
+
     def _pick(self, question: ReadRequest) -> tuple[Row, ...]:
         return tuple(self.rows[key] for key in question.keys if key in self.rows)
 
--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -7,14 +7,17 @@
 """
 
 import asyncio
+import hashlib
 import random
 import time
+from collections import deque
 from collections.abc import Callable
 
 from loguru import logger
 
 from kumquatway_core.events import ConfigurationChanged, DependencyChanged, Event
 from kumquatway_core.exceptions import ConfigurationError, PlatformError
+from kumquatway_core.platform import UNKNOWN_GENERATION
 from kumquatway_gateway._sources import (
     ConfigurationDocument,
     ConfigurationSource,
@@ -40,6 +43,7 @@
 # Bytes that a peer may have to send if all others fetch its configuration at once: half
 # a second of the slowest link (10 Mbit/s in the users' deployments).
 MAX_COPIED_BYTES = 600_000
+MAX_REMEMBERED_DOCUMENTS = 64  # digests of configurations that are no longer in force
 PEER_AFTER_SECONDS = 0.6  # of a store outage, before a peer is asked
 # Between reads of the list of entries. Live peers also announce themselves by gossip.
 ENTRIES_SECONDS = 20.0
@@ -73,6 +77,10 @@
         self.clock = clock
         self.document = ConfigurationDocument(revision=0, data=b"")
         self.rejected_revision = 0
+        # Generation of the store in which it gave out a revision again that this entry
+        # or a peer had; what was read before it no longer counts.
+        self.reissued_in = 0
+        self.last_read: ConfigurationDocument | None = None  # from the store
         self.outage_since: float | None = None
         # Whether this entry reads the store regularly, without relying on peers.
         self.reads_store: Callable[[], bool] = lambda: True
@@ -82,6 +90,8 @@
         # Set when the store has a newer revision that is to be read from there.
         self._newer_in_store = asyncio.Event()
         self._fetching: set[str] = set()
+        # Digests of the documents that were in force before.
+        self._replaced: deque[bytes] = deque(maxlen=MAX_REMEMBERED_DOCUMENTS)
         self._tasks: set[asyncio.Task] = set()
 
     def revision(self) -> int:
@@ -104,7 +114,7 @@
                 continue
             self._record_recovery()
             self.relay.configuration_confirmed_at = self.clock()
-            if found is not None and self.apply_if_newer(found, "the store"):
+            if found is not None and self.apply_from_store(found):
                 self.on_change()
 
     def seconds_until_read(self) -> float:
@@ -126,6 +136,9 @@
 
         :param message: the peer's message.
         """
+        if message.reissued_in != self.reissued_in:
+            self._compare_reissue(message)
+            return
         if message.revision > max(self.revision(), self.rejected_revision):
             if self._is_too_long(message) and self.outage_since is None:
                 self._newer_in_store.set()
@@ -137,6 +150,72 @@
                 self.relay.configuration_confirmed_at, confirmed
             )
 
+    def _compare_reissue(self, message: GossipMessage) -> None:
+        """
+        Process a message of a peer that knows a newer or older reissue.
+
+        The revision of a peer that does not know of it may be forgotten by the store.
+        """
+        if message.reissued_in < self.reissued_in:
+            return
+        logger.warning(
+            "peer {} has revision {} that the store gave out again in generation {}",
+            message.address,
+            message.revision,
+            message.reissued_in,
+        )
+        self.reissued_in = message.reissued_in
+        last_read = self.last_read
+        if last_read is not None and last_read.read_in >= message.reissued_in:
+            self._apply_reissued(last_read, "the store")
+        else:
+            self._newer_in_store.set()
+
+    def apply_from_store(self, document: ConfigurationDocument) -> bool:
+        """
+        Put a document of the store into force if it is newer or a reissue.
+
+        Load pattern: the store comes back from a copy some seconds old. It shows a
+        revision that is no longer in force, until the operators write the newest one
+        again. They may then use a number again for another text.
+
+        :param document: the document.
+        :return: whether it was put into force.
+        """
+        self.last_read = document
+        if document.revision > max(self.revision(), self.rejected_revision):
+            return self.apply_if_newer(document, "the store")
+        if self._is_reissue(document):
+            self.reissued_in = document.read_in
+            return self._apply_reissued(document, "the store")
+        if document.data == self.document.data:
+            self.document = document
+        return False
+
+    def _is_reissue(self, document: ConfigurationDocument) -> bool:
+        """Tell whether the store gave out a revision again, with another text."""
+        known = self.document
+        if document.data == known.data or not known.read_in:
+            return False
+        if known.read_in < self.reissued_in <= document.read_in:
+            return True  # a peer has seen the reissue
+        if document.written_in > known.read_in:
+            return _digest(document.data) not in self._replaced
+        same_number = document.revision == known.revision
+        return same_number and document.read_in > known.read_in
+
+    def _apply_reissued(self, document: ConfigurationDocument, origin: str) -> bool:
+        if document.data == self.document.data:
+            self.document = document
+            return False
+        logger.warning(
+            "the store lost revision {}; revision {} of generation {} replaces it",
+            self.revision(),
+            document.revision,
+            document.read_in,
+        )
+        return self._apply(document, origin)
+
     def _is_too_long(self, message: GossipMessage) -> bool:
         """
         Tell whether a peer's configuration is too long to be fetched from the peer.
@@ -172,6 +251,9 @@
         """
         if document.revision <= max(self.document.revision, self.rejected_revision):
             return False
+        return self._apply(document, origin)
+
+    def _apply(self, document: ConfigurationDocument, origin: str) -> bool:
         try:
             configuration = self.source.decode(document.data)
         except ConfigurationError as error:
@@ -184,6 +266,7 @@
             )
             return False
         before = self.document.revision
+        self._replaced.append(_digest(self.document.data))
         self.document = document
         self.relay.configure(configuration)
         self.emit(
@@ -211,9 +294,12 @@
             copy = await self.copies.fetch_configuration(address)
         finally:
             self._fetching.discard(address)
-        if copy is not None and copy.revision:
-            found = ConfigurationDocument(revision=copy.revision, data=copy.document)
-            self.apply_if_newer(found, f"peer {address}")
+        if copy is None or not copy.revision or copy.reissued_in != self.reissued_in:
+            return
+        found = ConfigurationDocument(
+            revision=copy.revision, data=copy.document, read_in=copy.read_in
+        )
+        self.apply_if_newer(found, f"peer {address}")
 
     async def _fetch_from_any_peer(self) -> None:
         """Fetch from a random peer, if the outage has lasted long enough."""
@@ -267,6 +353,7 @@
         self.reads_store: Callable[[], bool] = lambda: True
         # Called when a list from the store changed the fleet.
         self.on_change: Callable[[], None] = lambda: None
+        self._store_generation = UNKNOWN_GENERATION
         self._digest = 0
         self._digested_servers: dict[str, Server] | None = None
         self._fetching: asyncio.Task | None = None
@@ -284,12 +371,20 @@
                 self.membership.record_store_failure()
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
+            if self.source.generation != self._store_generation:
+                self._record_generation()
             before = self.fleet.generation
             self._apply(self.membership.update(listed), self.clock())
             if self.fleet.generation != before:
                 self.on_change()
             await asyncio.sleep(SERVERS_PAUSE_SECONDS)
 
+    def _record_generation(self) -> None:
+        """Record that the list is from another generation of the store."""
+        if self._store_generation != UNKNOWN_GENERATION:
+            self.membership.record_restore()
+        self._store_generation = self.source.generation
+
     def seconds_until_read(self) -> float:
         """
         Return for how long the peers' messages are recent enough.
@@ -356,23 +451,40 @@
         )
 
 
-async def follow_entries(source: EntrySource, gossip: Gossip, address: str) -> None:
+async def follow_entries(
+    source: EntrySource,
+    gossip: Gossip,
+    address: str,
+    clock: Callable[[], float] = time.monotonic,
+) -> None:
     """
     Announce this entry in the store, and keep reading the addresses of the others.
 
+    The entry is announced again if the store came back from an older copy.
+
     :param source: source of the list of entries in the store.
     :param gossip: gossip that the addresses are passed to.
     :param address: address where peers reach this entry.
+    :param clock: monotonic seconds.
     """
     announced = False
     while True:
+        generation = source.generation
         try:
             if not announced:
                 await source.announce(address)
                 announced = True
+                generation = generation or source.generation
             gossip.set_addresses(gossip.addresses | await source.addresses())
             pause = ENTRIES_SECONDS if gossip.live_peers() else ALONE_SECONDS
         except PlatformError as error:
             logger.info("cannot read the list of entries from the store: {}", error)
             pause = ALONE_SECONDS
-        await asyncio.sleep(pause)
+        end = clock() + pause
+        while clock() < end and source.generation == generation:
+            await asyncio.sleep(ALONE_SECONDS)
+        announced = announced and source.generation == generation
+
+
+def _digest(data: bytes) -> bytes:
+    return hashlib.blake2b(data, digest_size=16).digest()
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -201,6 +201,7 @@
                 holder=f"{settings.name}{HOLDER_SEPARATOR}{self.incarnation}",
                 duration=LEASE_SECONDS,
                 is_holder_gone=self._is_holder_gone if settings.fenced else _never,
+                fenced=settings.fenced,
             ),
             engines=sources.engines,
             fleet=self.fleet,
@@ -213,6 +214,7 @@
             clock=clock,
         )
         self.gossip.has_duty = lambda: self.placer.holds_lease
+        self.gossip.reissued_in = lambda: self.configuration.reissued_in
         self.configuration.reads_store = self.servers.reads_store = self._reads_store
         self.copy_server = CopyServer(
             revision=self.configuration.revision,
@@ -220,6 +222,8 @@
             servers=lambda: self.fleet.servers,
             read_at=lambda: self.servers.read_at,
             grace=self.servers.membership.grace_left,
+            read_in=lambda: self.configuration.document.read_in,
+            reissued_in=lambda: self.configuration.reissued_in,
             clock=clock,
         )
         self.caller_listener = Listener(limits=self._limits, serve=self.relay.serve)
--- a/packages/gateway/src/kumquatway_gateway/_sources.py
+++ b/packages/gateway/src/kumquatway_gateway/_sources.py
@@ -16,12 +16,18 @@
     """
     An encoded configuration, as its source stores it.
 
-    :param revision: rises with each change.
+    :param revision: rises with each change, unless the store came back from an older
+        copy and gives out revisions again.
     :param data: the encoded configuration.
+    :param read_in: generation of the store that it was read in, 0 if unknown.
+    :param written_in: generation that it was certainly written in, 0 if it may be from
+        an older one.
     """
 
     revision: int
     data: bytes
+    read_in: int = 0
+    written_in: int = 0
 
 
 class StoreCallKind(enum.Enum):
@@ -78,7 +84,14 @@
 
 
 class ServerSource(Protocol):
-    """Reads the platform's list of servers."""
+    """
+    Reads the platform's list of servers.
+
+    :ivar generation: generation of the store that the list is from; it rises when the
+        store came back from an older copy.
+    """
+
+    generation: int
 
     async def poll(self, wait: float) -> tuple[Server, ...]:
         """
@@ -91,7 +104,13 @@
 
 
 class EntrySource(Protocol):
-    """Registers this entry and reads the addresses of all entries."""
+    """
+    Registers this entry and reads the addresses of all entries.
+
+    :ivar generation: generation of the store; an older copy may lack this entry.
+    """
+
+    generation: int
 
     async def announce(self, address: str) -> None:
         """
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -27,7 +27,7 @@
 # How long ended servers are remembered: longer than callers wait (20 s).
 ENDED_RETENTION_SECONDS = 30.0
 AVOID_SECONDS = 0.4  # after a server reported that it is full or gives up layers
-_NO_INCARNATION = -1  # of no server
+NO_INCARNATION = 0  # of a server that reports none
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -142,6 +142,7 @@
             return
         self._emit_changes(servers)
         self._record_ended(servers)
+        self._keep_leaving(servers)
         self.servers = dict(servers)
         self.by_address = {server.address: server for server in servers.values()}
         for name in [name for name in self.layer_reports if name not in servers]:
@@ -156,6 +157,22 @@
             del self.health[name]
         self.mark_changed()
 
+    def _keep_leaving(self, servers: dict[str, Server]) -> None:
+        """
+        Keep in mind which servers leave, if an older copy of the list says otherwise.
+
+        A server that leaves never returns within the same incarnation.
+        """
+        for name, known in self.servers.items():
+            server = servers.get(name)
+            if (
+                server is not None
+                and server.incarnation == known.incarnation != NO_INCARNATION
+                and known.state is ServerState.LEAVING
+                and server.state is ServerState.READY
+            ):
+                self.leaving[name] = known.incarnation
+
     def _drop_outdated_reports(self, servers: dict[str, Server]) -> bool:
         """
         Drop reports that the list agrees with, or has certainly caught up with.
@@ -271,7 +288,7 @@
         """
         return (
             server.state is ServerState.LEAVING
-            or self.leaving.get(server.id, _NO_INCARNATION) == server.incarnation
+            or self.leaving.get(server.id) == server.incarnation
         )
 
     def is_responding(self, server: Server) -> bool:
--- a/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
@@ -2,15 +2,25 @@
 
 import time
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass
 
 from kumquatway_gateway.model import Server, ServerState
 
 # After an outage of the store, servers write their lapsed registrations again within
 # two seconds (service discovery of the users' platform).
 REREGISTRATION_GRACE_SECONDS = 2.3
+REMEMBERED_SECONDS = 30.0  # longer than copies of the store are old
 OUTAGE_SECONDS = 1.0  # outages longer than this may have let registrations lapse
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _Removal:
+    """When an incarnation of a server left the list."""
+
+    incarnation: int
+    removed_at: float
+
+
 class Membership:
     """
     The servers of the list, and those whose registration lapsed in a store outage.
@@ -27,6 +37,20 @@
         self.servers: dict[str, Server] = {}
         self.outage_since: float | None = None
         self.grace_until = float("-inf")
+        # End of the time in which the list may be from an older copy of the store.
+        self.restored_until = float("-inf")
+        # Incarnations that left the list, by server; an older copy still has them.
+        self.removed: dict[str, _Removal] = {}
+
+    def record_restore(self) -> None:
+        """
+        Record that the store came back from a copy that is some seconds old.
+
+        Servers that registered or left since are not listed, or listed as before, until
+        they and the platform have written again.
+        """
+        self.restored_until = self.clock() + REREGISTRATION_GRACE_SECONDS
+        self.grace_until = self.restored_until
 
     def record_store_failure(self) -> None:
         """Record that the store did not respond."""
@@ -72,11 +96,31 @@
             self.grace_until = now + REREGISTRATION_GRACE_SECONDS
         self.outage_since = None
         found = {server.id: server for server in listed}
+        if now < self.restored_until:
+            self._drop_removed(found)
         if now < self.grace_until:
             self._keep_lapsed(found)
+        self._record_removed(found, now)
         self.servers = found
         return found
 
+    def _record_removed(self, found: dict[str, Server], now: float) -> None:
+        for server_id, server in self.servers.items():
+            if server_id not in found:
+                self.removed[server_id] = _Removal(
+                    incarnation=server.incarnation, removed_at=now
+                )
+        cutoff = now - REMEMBERED_SECONDS
+        for name in [n for n, r in self.removed.items() if r.removed_at < cutoff]:
+            del self.removed[name]
+
+    def _drop_removed(self, found: dict[str, Server]) -> None:
+        """Drop the servers that are listed again after they had left the list."""
+        for server_id, removal in self.removed.items():
+            server = found.get(server_id)
+            if server is not None and server.incarnation == removal.incarnation:
+                del found[server_id]
+
     def _keep_lapsed(self, found: dict[str, Server]) -> None:
         """Add the known servers that are not listed and whose address is free."""
         used_addresses = {server.address for server in found.values()}
--- a/packages/gateway/src/kumquatway_gateway/peers/_copies.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_copies.py
@@ -46,10 +46,14 @@
 
     :param revision: revision of the configuration.
     :param document: the configuration in the format of the store.
+    :param read_in: generation of the store in which the peer read it, 0 if unknown.
+    :param reissued_in: generation of the last reissue that the peer knows, or 0.
     """
 
     revision: int
     document: bytes
+    read_in: int = 0
+    reissued_in: int = 0
 
 
 class ServersCopy(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -89,6 +93,9 @@
     :param read_at: returns when the list was read from the store, seconds of `clock`.
     :param grace: returns the seconds for which registrations that expired during an
         outage of the store stay in the list.
+    :param read_in: returns the generation of the store that the configuration was read
+        in.
+    :param reissued_in: returns the generation of the last reissue known, or 0.
     :param clock: returns monotonic seconds.
     """
 
@@ -100,9 +107,13 @@
         servers: Callable[[], dict[str, Server]],
         read_at: Callable[[], float],
         grace: Callable[[], float],
+        read_in: Callable[[], int] = lambda: 0,
+        reissued_in: Callable[[], int] = lambda: 0,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.revision = revision
+        self.read_in = read_in
+        self.reissued_in = reissued_in
         self.document = document
         self.servers = servers
         self.read_at = read_at
@@ -134,7 +145,12 @@
         caller.respond(200, fields, _encoder.encode(copy), keep_alive=True)
 
     def _copy_configuration(self) -> ConfigurationCopy:
-        return ConfigurationCopy(revision=self.revision(), document=self.document())
+        return ConfigurationCopy(
+            revision=self.revision(),
+            document=self.document(),
+            read_in=self.read_in(),
+            reissued_in=self.reissued_in(),
+        )
 
     def _copy_servers(self) -> ServersCopy:
         return ServersCopy(
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -106,6 +106,8 @@
     :param slowdowns: servers that are, or recently were, slower than usual.
     :param freshness: ages of the sender's copies of the store's data.
     :param has_duty: whether the sender holds the placement lease.
+    :param reissued_in: generation of the store in which it gave out a revision again
+        that the sender or a peer had, or 0.
     """
 
     incarnation: int
@@ -118,6 +120,7 @@
     slowdowns: tuple[_Slowdown, ...] = ()
     freshness: Freshness | None = None
     has_duty: bool = False
+    reissued_in: int = 0
 
 
 class _Peer(msgspec.Struct, kw_only=True):
@@ -171,6 +174,7 @@
         self.peers: dict[str, _Peer] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self.has_duty: Callable[[], bool] = lambda: False
+        self.reissued_in: Callable[[], int] = lambda: 0
         self.sent_bytes = 0
         self._send_requested = asyncio.Event()
 
@@ -419,4 +423,5 @@
             ),
             freshness=self.freshness(),
             has_duty=self.has_duty(),
+            reissued_in=self.reissued_in(),
         )
--- a/packages/gateway/tests/test_membership.py
+++ b/packages/gateway/tests/test_membership.py
@@ -57,6 +57,35 @@
         self.clock.now += 4.0
         assert self.members.update([]) == {}
 
+    def test_servers_that_an_older_copy_lacks_are_kept_for_the_grace_period(self):
+        self.members.record_restore()
+        assert set(self.members.update([_server("one")])) == {"one", "two"}
+        self.clock.now += REREGISTRATION_GRACE_SECONDS + 0.1
+        assert set(self.members.update([_server("one")])) == {"one"}
+
+    def test_servers_that_had_left_are_dropped_from_an_older_copy(self):
+        one, two = _server("one"), _server("two")
+        self.members.update([one])
+        self.members.record_restore()
+        assert set(self.members.update([one, two])) == {"one"}
+        restarted = replace(two, incarnation=7)
+        assert set(self.members.update([one, restarted])) == {"one", "two"}
+
+    def test_after_the_grace_period_the_list_counts(self):
+        one, two = _server("one"), _server("two")
+        self.members.update([one])
+        self.members.record_restore()
+        self.members.update([one, two])
+        self.clock.now += REREGISTRATION_GRACE_SECONDS + 0.1
+        assert set(self.members.update([one, two])) == {"one", "two"}
+
+    def test_a_lapsed_registration_may_return_after_an_outage(self):
+        one, two = _server("one"), _server("two")
+        self.members.update([one])
+        self.members.record_store_failure()
+        self.clock.now += 4.0
+        assert set(self.members.update([one, two])) == {"one", "two"}
+
     def test_server_whose_address_is_reused_is_not_kept(self):
         self.members.record_store_failure()
         self.clock.now += 4.0
