Form a chain of each whole copy that the servers of a data centre can hold

Cause of most refusals on the grown deployments: one chain a data centre. Of 59 servers 26 were in no chain, while 363 to 579 of 3,700 requests were refused because every chain was full. Spare servers loaded copies of the spans of single servers; a span of ten layers took a server with room for six twice, so that the second copy was never whole. Where it was, the cheapest chain used parts of servers of both copies and left no second chain; and at most eight chains were looked for.

Change: if the empty servers of a pool have room for a whole further copy, it is laid out gap by gap over the layers with the fewest copies. Within a data centre chains of servers that run all that they hold are tried as well, and taken where they serve more. At most 256 chains. Where no whole copy fits, spares are loaded as before (the first deployments).

Ruled out: more tokens of room a chain: it is the engine's limit of 50,000 already.

--- a/packages/gateway/src/kumquatway_gateway/chains/_paths.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_paths.py
@@ -10,6 +10,7 @@
 HOP_SECONDS = 0.0001  # per token, within a data centre in the users' deployments
 CROSSING_SECONDS = 0.00025  # per token, between data centres in the users' deployments
 MAX_STAGES = 32  # limit of the engine
+MAX_CHAINS = 256  # 1,500 servers form about 150
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -94,7 +95,9 @@
 
 
 def find_chains(
-    engine: Engine, candidates: Iterable[CandidateServer], max_chains: int = 8
+    engine: Engine,
+    candidates: Iterable[CandidateServer],
+    max_chains: int = MAX_CHAINS,
 ) -> tuple[Chain, ...]:
     """
     Find chains that share no server, starting with those within one data centre.
@@ -116,14 +119,65 @@
     chains: list[Chain] = []
     centres = sorted({candidate.server.data_centre for candidate in unused.values()})
     for centre in centres:
+        local = [c for c in unused.values() if c.server.data_centre == centre]
+        found = _find_local_chains(engine, local, max_chains - len(chains))
+        chains += found
+        for chain in found:
+            for stage in chain.stages:
+                del unused[stage.server.id]
+    while len(chains) < max_chains:
+        if not _add_cheapest_chain(engine, list(unused.values()), unused, chains):
+            break
+    return tuple(chains)
+
+
+def _find_local_chains(
+    engine: Engine, candidates: list[CandidateServer], max_chains: int
+) -> list[Chain]:
+    """
+    Find chains within one data centre.
+
+    The cheapest chain may use only some layers of a server, and then no other chain can
+    use the rest. Where the servers hold several copies of the model, chains that use
+    whole servers leave the others a complete copy. Such chains are taken where they
+    serve more requests.
+    """
+    any_use = _find_disjoint_chains(engine, candidates, max_chains, whole=False)
+    if _copies(engine, candidates) <= len(any_use):
+        return any_use
+    whole_use = _find_disjoint_chains(engine, candidates, max_chains, whole=True)
+    return max(any_use, whole_use, key=_request_rate)
+
+
+def _find_disjoint_chains(
+    engine: Engine, candidates: list[CandidateServer], max_chains: int, *, whole: bool
+) -> list[Chain]:
+    """Find the cheapest chain, then the cheapest of the other servers, and so on."""
+    unused = {candidate.server.id: candidate for candidate in candidates}
+    chains: list[Chain] = []
+    if whole:
         while len(chains) < max_chains:
-            local = [c for c in unused.values() if c.server.data_centre == centre]
-            if not _add_cheapest_chain(engine, local, unused, chains):
+            local = list(unused.values())
+            if not _add_cheapest_chain(engine, local, unused, chains, whole=True):
                 break
     while len(chains) < max_chains:
         if not _add_cheapest_chain(engine, list(unused.values()), unused, chains):
             break
-    return tuple(chains)
+    return chains
+
+
+def _copies(engine: Engine, candidates: list[CandidateServer]) -> int:
+    """Return the number of servers that hold the rarest layer."""
+    counts = [0] * engine.layers
+    for candidate in candidates:
+        for layer in range(candidate.layers.start, candidate.layers.stop):
+            counts[layer] += 1
+    return min(counts)
+
+
+def _request_rate(chains: list[Chain]) -> float:
+    """Estimate the capacity of chains, in tokens per second."""
+    return sum(chain.token_capacity / chain.request_seconds for chain in chains)
 
 
 def _add_cheapest_chain(
@@ -131,9 +185,11 @@
     candidates: list[CandidateServer],
     unused: dict[str, CandidateServer],
     chains: list[Chain],
+    *,
+    whole: bool = False,
 ) -> bool:
     """Add the cheapest chain, if any, to `chains` and take its servers off `unused`."""
-    chain = _find_cheapest_chain(engine, candidates)
+    chain = _find_cheapest_chain(engine, candidates, whole=whole)
     if chain is None:
         return False
     chains.append(chain)
@@ -143,11 +199,13 @@
 
 
 def _find_cheapest_chain(
-    engine: Engine, candidates: list[CandidateServer]
+    engine: Engine, candidates: list[CandidateServer], *, whole: bool
 ) -> Chain | None:
     """
     Find the cheapest chain by a search from the first layer to the last.
 
+    If `whole` is set, each of its servers runs all the layers that it holds.
+
     For each layer at which a range starts or ends, the search keeps the cheapest path
     to that layer for each server that the path can end with.
     """
@@ -163,10 +221,13 @@
         for candidate in candidates:
             if not candidate.layers.start <= position < candidate.layers.stop:
                 continue
+            if whole and candidate.layers.start != position:
+                continue
             previous = _cheapest_predecessor(engine, arriving, candidate, position)
             if previous is None and position > 0:
                 continue
-            for stop in boundaries:
+            stops = (candidate.layers.stop,) if whole else boundaries
+            for stop in stops:
                 if position < stop <= candidate.layers.stop:
                     _keep_if_cheaper(engine, paths, candidate, position, stop, previous)
     complete = paths.get(engine.layers)
--- a/packages/gateway/src/kumquatway_gateway/placement/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_pool.py
@@ -363,7 +363,61 @@
     # Spare copies
 
     def _add_copies(self) -> None:
-        """Load layers that only one server holds on empty servers as well."""
+        """Load further copies of layers on empty servers, whole ones if they fit."""
+        empty = [
+            snapshot
+            for snapshot in self.snapshots.values()
+            if not len(snapshot.layers)
+            and not snapshot.busy
+            and self._max_layers(snapshot, self.capacity_targets[0])
+        ]
+        while self._add_whole_copy(empty):
+            pass
+        self._double_spans()
+
+    def _add_whole_copy(self, empty: list[ServerSnapshot]) -> bool:
+        """
+        Load one more copy of all layers on empty servers.
+
+        Load pattern: a pool has servers for several chains, and its requests fill one.
+        Copies of the spans of single servers would leave some of their layers without
+        one, so that the servers that hold the others never form a chain.
+
+        :param empty: empty servers; those that are used are removed.
+        :return: whether the servers have room for a whole copy.
+        """
+        counts = self._copy_counts()
+        fewest = min(counts)
+        missing = [layer for layer, count in enumerate(counts) if count == fewest]
+        room = {
+            snapshot.server.id: self._max_layers(snapshot, self.capacity_targets[0])
+            for snapshot in empty
+        }
+        if sum(room.values()) < len(missing) or not missing:
+            return False
+        # Small remainders of a run are left to servers that have room for few layers.
+        empty.sort(key=lambda snapshot: room[snapshot.server.id])
+        for run in _runs(missing):
+            start = run.start
+            while start < run.stop:
+                if not empty:
+                    return False
+                snapshot = empty.pop()
+                stop = min(run.stop, start + room[snapshot.server.id])
+                layers = LayerRange(start=start, stop=stop)
+                self._add_move(
+                    Move(
+                        server=snapshot.server,
+                        layers=layers,
+                        layers_to_load=len(layers),
+                        purpose=Purpose.DOUBLE,
+                    )
+                )
+                start = stop
+        return True
+
+    def _double_spans(self) -> None:
+        """Load layers that only one server holds on the remaining empty servers."""
         for snapshot in list(self.snapshots.values()):
             limit = self._max_layers(snapshot, self.capacity_targets[0])
             if len(snapshot.layers) or not limit or snapshot.busy:
@@ -396,3 +450,14 @@
             if single_copy:
                 spans.append(LayerRange(start=single_copy[0], stop=single_copy[-1] + 1))
         return spans
+
+
+def _runs(layers: list[int]) -> list[LayerRange]:
+    """Group ascending layers into ranges without gaps."""
+    runs: list[LayerRange] = []
+    for layer in layers:
+        if runs and runs[-1].stop == layer:
+            runs[-1] = LayerRange(start=runs[-1].start, stop=layer + 1)
+        else:
+            runs.append(LayerRange(start=layer, stop=layer + 1))
+    return runs
--- a/packages/gateway/tests/test_chains.py
+++ b/packages/gateway/tests/test_chains.py
@@ -58,6 +58,26 @@
         assert len(names) == len(set(names))
         assert all(_runs_all_layers(chain) for chain in chains)
 
+    def test_two_copies_with_other_boundaries_form_two_chains(self):
+        """The cheapest chain by itself would use parts of servers of both copies."""
+        coarse = [(start, start + 20, "big") for start in range(0, 80, 20)]
+        fine = [(start, start + 16, "small") for start in range(0, 80, 16)]
+        slow = {("big", 20), ("big", 60)}
+        candidates = [
+            _candidate(
+                f"{kind}{start}",
+                "x",
+                start,
+                stop,
+                kind=kind,
+                slowdown=9.0 if (kind, start) in slow else 1.0,
+            )
+            for start, stop, kind in coarse + fine
+        ]
+        chains = find_chains(ENGINE, candidates)
+        assert len(chains) == 2
+        assert all(_runs_all_layers(chain) for chain in chains)
+
     def test_chains_within_a_data_centre_come_first(self):
         candidates = [
             _candidate("a1", "a", 0, 40),
--- a/packages/gateway/tests/test_plan.py
+++ b/packages/gateway/tests/test_plan.py
@@ -1,6 +1,7 @@
 """Tests of placement planning: lost and returning servers, memory and slowness."""
 
 import random
+from collections import Counter
 
 import pytest
 from engines import ENGINE, FLEET, layer_range, server, servers
@@ -171,6 +172,70 @@
             self.fleet.apply_plan()
 
 
+class TestSeveralChains:
+    """
+    Data centres with servers for more than one chain.
+
+    Load pattern: the requests of a data centre fill one chain, while servers that could
+    form another one hold copies of a few layers, and refuse for want of room.
+    """
+
+    FLEET = {  # as in a larger deployment of the users
+        "a": {"big": 2, "middle": 5, "small": 9},
+        "b": {"big": 1, "middle": 8, "small": 13},
+        "c": {"big": 1, "middle": 13, "small": 7},
+    }
+
+    def _fleet(self) -> _Fleet:
+        fleet = _Fleet(servers(self.FLEET))
+        fleet.apply_plan()
+        return fleet
+
+    def test_each_whole_copy_forms_a_chain(self):
+        chains = self._fleet().chains()
+        counts = Counter(chain.data_centre for chain in chains)
+        assert counts == {"a": 1, "b": 2, "c": 2}
+        assert not any(chain.crossings for chain in chains)
+
+    def test_chains_have_full_token_capacity(self):
+        for chain in self._fleet().chains():
+            assert chain.token_capacity >= 0.9 * ENGINE.max_kv_tokens
+
+    def test_first_chain_of_each_data_centre_is_complete_before_spare_copies(self):
+        fleet = _Fleet(servers(self.FLEET))
+        moves = plan_moves(ENGINE, fleet.snapshots())
+        purposes = [move.purpose for move in moves]
+        assert purposes == sorted(purposes)
+        assert Purpose.DOUBLE in purposes
+
+    @pytest.mark.parametrize("seed", range(8))
+    def test_loss_of_a_server_breaks_at_most_one_chain(self, seed):
+        fleet = self._fleet()
+        name = random.Random(seed).choice(sorted(fleet.held))
+        fleet.remove(name)
+        assert len(fleet.chains()) >= 4
+        fleet.apply_plan()
+        assert len(fleet.chains()) >= 4
+        assert len(fleet.centres_with_chain()) >= 3
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_servers_that_return_empty_restore_all_chains(self, seed):
+        fleet = self._fleet()
+        lost = random.Random(seed).sample(sorted(fleet.held), 3)
+        members = [fleet.held[name][0] for name in lost]
+        for name in lost:
+            fleet.remove(name)
+        fleet.apply_plan()
+        for member in members:
+            fleet.held[member.id] = (member, NO_LAYERS)
+        fleet.apply_plan()
+        assert len(fleet.chains()) >= 4
+
+    def test_no_move_once_all_copies_are_there(self):
+        fleet = self._fleet()
+        assert not plan_moves(ENGINE, fleet.snapshots())
+
+
 class TestServersInUse:
     """
     Load pattern: two data centres lose servers under full load.
