Estimate the loads of peers that were not heard lately

Cause: an entry has a load of a peer for 1.5 s, and hears 86 % of 29 peers in that time, 53 % of 67 (8 of them are sent to each 0.25 s).

Change: the loads heard stand for all peers that live.

--- a/packages/gateway/src/kumquatway_gateway/chains/_choice.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_choice.py
@@ -48,6 +48,19 @@
             requests=self.requests + other.requests,
         )
 
+    def scaled(self, factor: float) -> "ChainLoad":
+        """
+        Multiply the requests.
+
+        :param factor: what the tokens and requests are multiplied by.
+        :return: the load; its first event time and failure rate stay.
+        """
+        if factor == 1.0:
+            return self
+        return replace(
+            self, tokens=self.tokens * factor, requests=round(self.requests * factor)
+        )
+
 
 NO_LOAD = ChainLoad()
 
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -261,18 +261,23 @@
 
     def peer_loads(self) -> dict[str, ChainLoad]:
         """
-        Return the total load of the peers.
+        Estimate the total load of the peers.
+
+        Load pattern: tens of entries, each of which sends to a few others at a time. At
+        any moment a part of the peers was not heard recently. Without their loads the
+        chains look emptier than they are, and refuse what is sent to them for want of
+        memory. So the others' loads stand for them too.
 
         :return: load by ID of the first server of the chain.
         """
         since = self.clock() - LOAD_EXPIRY_SECONDS
+        recent = [peer for peer in self.peers.values() if peer.received_at >= since]
         total: dict[str, ChainLoad] = {}
-        for peer in self.peers.values():
-            if peer.received_at < since:
-                continue
+        for peer in recent:
             for name, load in peer.loads.items():
                 total[name] = total.get(name, ChainLoad()).plus(load)
-        return total
+        factor = len(self.live_peers()) / len(recent) if recent else 1.0
+        return {name: load.scaled(factor) for name, load in total.items()}
 
     # asyncio.DatagramProtocol
 
--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -1,5 +1,8 @@
 """Tests of the gossip between entries, including lost and late messages."""
 
+import random
+
+import pytest
 from engines import layer_range, server
 
 from kumquatway_gateway.chains import ChainLoad
@@ -11,6 +14,7 @@
     MAX_TARGETS,
     PEER_FAILURE_SECONDS,
     REPEAT_SECONDS,
+    SEND_PERIOD_SECONDS,
     GossipMessage,
     _encoder,
 )
@@ -79,6 +83,27 @@
         self.clock.now += LOAD_EXPIRY_SECONDS + 0.1
         assert self.second.gossip.peer_loads() == {}
 
+    @pytest.mark.parametrize("peers", [3, 29, 67])
+    def test_loads_of_peers_that_were_not_heard_recently_are_estimated(self, peers):
+        """Load pattern: of 67 peers, a message of 35 arrives within the expiry."""
+        rng = random.Random(peers)
+        senders = [
+            _Entry(f"10.0.1.{number}:9", 100 + number, self.clock)
+            for number in range(peers)
+        ]
+        for sender in senders:
+            sender.loads = {"s1": ChainLoad(tokens=1000.0, requests=1)}
+        estimates = []
+        for tick in range(80):
+            self.clock.now += SEND_PERIOD_SECONDS
+            for sender in senders:
+                if rng.random() < MAX_TARGETS / peers:
+                    self.first.receive(sender.message())
+            if tick >= 40:
+                estimates.append(self.first.gossip.peer_loads()["s1"].tokens)
+        mean = sum(estimates) / len(estimates)
+        assert mean == pytest.approx(1000.0 * peers, rel=0.05)
+
     def test_repeated_health_status_is_applied_once(self):
         self.first.fleet.set_health(
             self.first.fleet.servers["s1"], down=True, reason="silent"
