Write claims again that the store has lost, and grant no key meanwhile

Cause: a claim is the promise that work with a key runs at most once. After the store came back from an older copy, a key whose claim it had lost was granted again at another entry.

A grant whose own response shows the new generation is none, and is released. Group commit sends no change that expects a revision of an older generation. Edits of the text name the generation of their base.

Test doubles of commit take the generation that it is now given.

--- a/packages/core/src/kumquatway_core/claims/_claims.py
+++ b/packages/core/src/kumquatway_core/claims/_claims.py
@@ -11,8 +11,10 @@
 
 import anyio
 import msgspec
+from loguru import logger
 
 from kumquatway_core._verdict import RAN, Reason, Verdict, may_have_run, not_run
+from kumquatway_core.claims._own_claims import OwnClaims
 from kumquatway_core.claims._results import (
     AlreadyClaimed,
     Claim,
@@ -35,6 +37,7 @@
 from kumquatway_core.exceptions import PlatformError
 from kumquatway_core.platform import (
     ABSENT,
+    UNKNOWN_GENERATION,
     Applied,
     Change,
     GroupCommit,
@@ -54,6 +57,7 @@
 MAX_INLINE_BYTES = 32 * 1024  # larger answers are stored as objects
 MAX_ANSWER_BYTES = 8 * 1024 * 1024  # larger answers are not stored
 MAX_PENDING_WRITES = 1000
+RESTORING = "the store came back from an older copy; its claims are written again"
 
 _encoder = msgspec.msgpack.Encoder()
 _answer_decoder = msgspec.msgpack.Decoder(Answer)
@@ -90,6 +94,7 @@
     :param clock: wall clock, seconds; only the expiry of claims depends on it.
     :param make_id: generates IDs, each a different one.
     :param group: commits the rows in batches; `run` runs it.
+    :param monotonic: monotonic clock, seconds.
     """
 
     def __init__(
@@ -100,12 +105,14 @@
         clock: Callable[[], float] = time.time,
         make_id: Callable[[], str] = new_id,
         group: GroupCommit | None = None,
+        monotonic: Callable[[], float] = time.monotonic,
     ):
         self.table = table
         self.objects = objects
         self.clock = clock
         self.make_id = make_id
         self.group = group or GroupCommit(table=table)
+        self.own_claims = OwnClaims(table=table, group=self.group, clock=monotonic)
         self.pending_writes: dict[tuple[Key, str], _PendingWrite] = {}
 
     async def run(self) -> None:
@@ -115,6 +122,7 @@
             while True:
                 await anyio.sleep(FLUSH_INTERVAL_SECONDS)
                 await self.flush_pending_writes()
+                await self.restore_forgotten()
 
     async def claim(
         self, *, account: str, key: str, digest: str, upstream: str, attempt: str
@@ -142,6 +150,8 @@
             return _refuse_store_down(
                 f"{MAX_PENDING_WRITES} final states of claims wait for the store"
             )
+        if not self.own_claims.may_grant():
+            return _refuse_store_down(RESTORING)
         try:
             with anyio.fail_after(CLAIM_TIMEOUT_SECONDS):
                 return await self._claim(table_key, row)
@@ -197,12 +207,25 @@
                 self.pending_writes.pop(pending_key, None)
         return len(self.pending_writes)
 
+    async def restore_forgotten(self) -> None:
+        """Write claims again that the store lost, unless the store fails."""
+        try:
+            await self.own_claims.restore()
+        except PlatformError as error:
+            logger.warning("claims cannot be written again yet: {}", error)
+
     async def _claim(self, table_key: Key, row: ClaimRow) -> ClaimResult:
         value = encode_row(row)
         expected = ABSENT
         holder = None
         for _ in range(MAX_WRITE_TRIES):
-            change = Change(key=table_key, expected_revision=expected, value=value)
+            generation = self.table.generation
+            change = Change(
+                key=table_key,
+                expected_revision=expected,
+                value=value,
+                generation=UNKNOWN_GENERATION if expected == ABSENT else generation,
+            )
             outcome = await self.group.submit(change)
             if not isinstance(outcome, Raced):
                 return self._decide(table_key, row, outcome)
@@ -217,7 +240,17 @@
 
     def _decide(self, table_key: Key, row: ClaimRow, outcome: Outcome) -> ClaimResult:
         if isinstance(outcome, Applied):
-            claim = Claim(table_key=table_key, row=row, revision=outcome.revision)
+            # The response may be the first one to show that the store lost claims.
+            if not self.own_claims.may_grant():
+                self._defer(table_key, _released(row))
+                return _refuse_store_down(RESTORING)
+            self.own_claims.remember(table_key, row)
+            claim = Claim(
+                table_key=table_key,
+                row=row,
+                revision=outcome.revision,
+                generation=self.table.generation,
+            )
             return Granted(claim=claim)
         if not isinstance(outcome, Unapplied):
             self._defer(table_key, _released(row))
@@ -242,7 +275,12 @@
             return await self._fetch_answer(holder)
         if holder.attempt == row.attempt:
             table_key = Key(table=found.table, key=found.key)
-            claim = Claim(table_key=table_key, row=holder, revision=found.revision)
+            claim = Claim(
+                table_key=table_key,
+                row=holder,
+                revision=found.revision,
+                generation=self.table.generation,
+            )
             return AlreadyClaimed(claim=claim)
         verdict = may_have_run(Reason.IN_PROGRESS, f"attempt {holder.attempt}")
         return Refused(verdict=verdict, holder=holder)
@@ -277,8 +315,13 @@
         return name
 
     async def _write_final_state(self, claim: Claim, row: ClaimRow) -> WriteResult:
+        # Also while it is not stored: the store may lose the claim before.
+        self.own_claims.remember(claim.table_key, row)
         change = Change(
-            key=claim.table_key, expected_revision=claim.revision, value=encode_row(row)
+            key=claim.table_key,
+            expected_revision=claim.revision,
+            value=encode_row(row),
+            generation=claim.generation,
         )
         try:
             with anyio.fail_after(CLAIM_TIMEOUT_SECONDS):
@@ -314,6 +357,7 @@
         An absent row is written too, so that a claim whose write is still on its way to
         the store finds the row and fails.
         """
+        generation = self.table.generation
         rows = await self.table.read((pending.table_key,))
         expected = ABSENT
         if rows:
@@ -326,6 +370,7 @@
             key=pending.table_key,
             expected_revision=expected,
             value=encode_row(pending.row),
+            generation=generation,
         )
         with anyio.move_on_after(CLAIM_TIMEOUT_SECONDS):
             return isinstance(await self.group.submit(change), Applied)
--- a/packages/core/src/kumquatway_core/claims/_results.py
+++ b/packages/core/src/kumquatway_core/claims/_results.py
@@ -7,7 +7,7 @@
 
 from kumquatway_core._verdict import Verdict
 from kumquatway_core.claims._rows import Answer, ClaimRow
-from kumquatway_core.platform import Key
+from kumquatway_core.platform import UNKNOWN_GENERATION, Key
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -18,11 +18,13 @@
     :param table_key: key of the claim's row in the table.
     :param row: content of the row.
     :param revision: revision of the row.
+    :param generation: generation of the store that the revision is of.
     """
 
     table_key: Key
     row: ClaimRow
     revision: int
+    generation: int = UNKNOWN_GENERATION
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/src/kumquatway_core/platform/_group.py
+++ b/packages/core/src/kumquatway_core/platform/_group.py
@@ -6,6 +6,7 @@
 import anyio
 
 from kumquatway_core.exceptions import Conflict, PlatformError, ResponseLost
+from kumquatway_core.platform._generation import UNKNOWN_GENERATION
 from kumquatway_core.platform._messages import (
     Committed,
     Expectation,
@@ -32,11 +33,14 @@
     :param expected_revision: revision that the row must have, or `ABSENT`.
     :param value: the new value. It must differ from that of every other change, because
         a retry recognizes an earlier write by its value.
+    :param generation: generation of the store in which the expected revision was read;
+        for a row that must not exist, it does not matter.
     """
 
     key: Key
     expected_revision: int
     value: bytes
+    generation: int = UNKNOWN_GENERATION
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -195,13 +199,18 @@
         Commit a batch and settle each of its changes.
 
         After a conflict, the conflicting changes are settled and the others are sent
-        again.
+        again. So are all if the store comes back from an older copy meanwhile, but for
+        those that expect a revision of the generation before.
         """
         response_lost = False
         retries = 0
-        while batch:
+        while True:
+            generation = self.table.generation
+            batch = _settle_outdated(batch, generation, response_lost)
+            if not batch:
+                return
             try:
-                committed = await self._send_transaction(batch)
+                committed = await self._send_transaction(batch, generation)
             except Conflict as conflict:
                 batch = await self._settle_conflicts(batch, conflict, response_lost)
             except ResponseLost as error:
@@ -215,10 +224,12 @@
             else:
                 return _settle_applied(batch, committed)
 
-    async def _send_transaction(self, batch: list[_PendingChange]) -> Committed:
+    async def _send_transaction(
+        self, batch: list[_PendingChange], generation: int
+    ) -> Committed:
         self.transaction_count += 1
         self.change_count += len(batch)
-        return await self.table.commit(_build_transaction(batch))
+        return await self.table.commit(_build_transaction(batch), generation)
 
     async def _settle_conflicts(
         self, batch: list[_PendingChange], conflict: Conflict, response_lost: bool
@@ -273,6 +284,26 @@
     )
 
 
+def _settle_outdated(
+    batch: list[_PendingChange], generation: int, response_lost: bool
+) -> list[_PendingChange]:
+    """
+    Settle the changes whose expected revision is of another generation of the store.
+
+    :return: the other changes of the batch.
+    """
+    current = [
+        pending
+        for pending in batch
+        if pending.change.generation in (UNKNOWN_GENERATION, generation)
+    ]
+    outdated = [pending for pending in batch if pending not in current]
+    failure = Unknown if response_lost else Unapplied
+    detail = "the store came back from an older copy since the row was read"
+    _settle_all(outdated, failure(detail=detail))
+    return current
+
+
 def _settle_all(batch: list[_PendingChange], outcome: Outcome) -> None:
     for pending in batch:
         pending.settle(outcome)
--- a/packages/core/src/kumquatway_core/revisions/_revisions.py
+++ b/packages/core/src/kumquatway_core/revisions/_revisions.py
@@ -13,6 +13,7 @@
 from kumquatway_core.exceptions import Conflict, PlatformError, ResponseLost
 from kumquatway_core.platform import (
     ABSENT,
+    UNKNOWN_GENERATION,
     Expectation,
     Put,
     Row,
@@ -92,11 +93,13 @@
     :param revision: revision that the edit creates.
     :param base_revision: store revision of the head row that the edit was based on.
     :param base_text: text that the edit was based on.
+    :param generation: generation of the store that the base revision is of.
     """
 
     revision: Revision
     base_revision: int
     base_text: str
+    generation: int = UNKNOWN_GENERATION
 
 
 EditResult = Accepted | RacedEdit | Invalid | NotStored | InDoubt
@@ -166,6 +169,7 @@
         problems = await anyio.to_thread.run_sync(self.validate, text)
         if problems:
             return Invalid(problems=problems)
+        generation = self.table.generation
         try:
             current, base_revision = await self._read_head()
         except PlatformError as error:
@@ -178,6 +182,7 @@
                 revision=self._make_revision(text, expected + 1, author),
                 base_revision=base_revision,
                 base_text=current.text if current else "",
+                generation=generation,
             ),
             in_doubt=False,
         )
@@ -224,7 +229,7 @@
         transaction = await anyio.to_thread.run_sync(_build_transaction, doubt)
         for _ in range(MAX_TRIES):
             try:
-                await self.table.commit(transaction)
+                await self.table.commit(transaction, doubt.generation)
             except Conflict:
                 return await self._resolve_conflict(doubt, in_doubt)
             except ResponseLost:
--- a/packages/core/tests/test_group_commit.py
+++ b/packages/core/tests/test_group_commit.py
@@ -102,7 +102,7 @@
     def test_outcome_is_unknown_if_retry_is_refused(self):
         errors = iter((ResponseLost("reset"), PlatformUnavailable("down")))
 
-        async def commit(transaction):
+        async def commit(transaction, generation):
             raise next(errors)
 
         self.group.table.commit = commit
--- a/packages/core/tests/test_revisions.py
+++ b/packages/core/tests/test_revisions.py
@@ -83,7 +83,7 @@
     def test_an_edit_refused_after_a_lost_response_is_in_doubt(self):
         errors = iter((ResponseLost("reset"), PlatformUnavailable("down")))
 
-        async def commit(transaction):
+        async def commit(transaction, generation):
             raise next(errors)
 
         self.revisions.table.commit = commit
--- a/packages/entry/tests/test_admin.py
+++ b/packages/entry/tests/test_admin.py
@@ -168,7 +168,7 @@
         table = deployment.table
         apply = table.apply
 
-        def lose(transaction):
+        def lose(transaction, generation):
             if not any(put.table == HEAD_KEY.table for put in transaction.puts):
                 return apply(transaction)
             table.gate.faults.lose_next = 1
--- a/packages/entry/tests/test_configuration.py
+++ b/packages/entry/tests/test_configuration.py
@@ -146,7 +146,7 @@
             commit = one.revisions.table.commit
             outage = anyio.Event()
 
-            async def fail(transaction):
+            async def fail(transaction, generation):
                 if not outage.is_set():
                     outage.set()
                     if landed:
@@ -173,7 +173,7 @@
         async def use(one, two):
             commit = one.revisions.table.commit
 
-            async def fail(transaction):
+            async def fail(transaction, generation):
                 raise errors.pop() if errors else PlatformUnavailable("down")
 
             errors = [ResponseLost("reset")]
