Answer callers until the exit of a stopping entry

In a rolling restart two of three entries of a data centre were out of rotation; the load balancer then sends callers to all of them, and 505 tries found no connection, many at an entry that could have served or refused them.

Change: it listens until it exits. Requests that it can finish are served, others are refused as not run, with a time to return. Test: test_callers_are_answered_until_the_exit, which got a refused connection before.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -304,8 +304,10 @@
         """
         Finish the requests in progress within the shutdown grace.
 
-        New callers are accepted until the load balancer has taken this entry out of
-        rotation.
+        This entry accepts callers until it exits, and refuses what it cannot finish.
+
+        Load pattern: a rolling restart. Once most entries of a data centre are out of
+        rotation, the load balancer sends callers to all of them, ready or not.
         """
         started = self.clock()
         deadline = started + self.settings.shutdown_grace - EXIT_SECONDS
@@ -313,9 +315,9 @@
         await self.placer.release()
         await asyncio.sleep(max(0.0, started + OUT_OF_ROTATION_SECONDS - self.clock()))
         self.relay.shutdown_at = deadline
-        self.caller_listener.close()
         while self.caller_listener.requests_in_progress and self.clock() < deadline:
             await asyncio.sleep(0.05)
+        self.caller_listener.close()
         self.caller_listener.close_when_idle()
         await asyncio.sleep(0.05)
 
