--- a/packages/gateway/src/kumquatway_gateway/relay/_chain_pace.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_chain_pace.py
@@ -9,7 +9,10 @@
 
 # The shortest idle time of a whole chain that counts as a stall.
 CHAIN_STALL_SECONDS = 0.06
-PASS_MARGIN = 1.25  # of the estimated longest pass, and of the longest gap seen
+GAP_MARGIN = 1.25  # of the longest gap seen
+# Of the estimated longest pass. A server that streams of a former chain still run
+# through works for two chains in turn.
+PASS_MARGIN = 1.75
 LEARNING_SECONDS = 3.0  # of observation, before the gaps seen replace the estimate
 WINDOW_SECONDS = 4.0  # a gap is remembered for one to two windows
 
@@ -105,5 +108,5 @@
         pace = self._paces.get(chain.first_server.id)
         if pace is None or now - pace.since < LEARNING_SECONDS:
             return estimate
-        seen = max(CHAIN_STALL_SECONDS, PASS_MARGIN * pace.longest_gap())
+        seen = max(CHAIN_STALL_SECONDS, GAP_MARGIN * pace.longest_gap())
         return min(estimate, seen)
