Let no load stand for peers that stopped

Cause: the loads heard stood for all peers of the last eight seconds.

Change: only peers that still send count, by how rarely each is heard: silent for at most four mean times between messages, at least 1.5 s. Test: a rolling restart of few entries.

--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -23,6 +23,7 @@
 LOAD_EXPIRY_SECONDS = 1.5  # a peer's last reported load is ignored after this time
 PEER_FAILURE_SECONDS = 1.6  # six messages missed; the peer's lease may be taken over
 PEER_EXPIRY_SECONDS = 8.0  # a peer is not counted after this time without a message
+MISSED_INTERVALS = 4.0  # mean times between messages; 1 in 50 of live peers
 REPEAT_SECONDS = 6.0  # an observation is repeated in messages for this time
 MAX_TARGETS = 8  # peers that a periodic message is sent to, chosen at random
 MAX_URGENT_TARGETS = 40  # peers that a message requested with `send_soon` is sent to
@@ -276,9 +277,21 @@
         for peer in recent:
             for name, load in peer.loads.items():
                 total[name] = total.get(name, ChainLoad()).plus(load)
-        factor = len(self.live_peers()) / len(recent) if recent else 1.0
+        factor = self._sending_peers() / len(recent) if recent else 1.0
         return {name: load.scaled(factor) for name, load in total.items()}
 
+    def _sending_peers(self) -> int:
+        """
+        Count the peers that still send, by how rarely each of them is heard.
+
+        Load pattern: a few entries hear each other all the time, and some of them stop.
+        Their requests have ended, and no other load stands for them.
+        """
+        mean_interval = SEND_PERIOD_SECONDS * len(self.live_peers()) / MAX_TARGETS
+        silence = max(LOAD_EXPIRY_SECONDS, MISSED_INTERVALS * mean_interval)
+        since = self.clock() - silence
+        return sum(peer.received_at >= since for peer in self.peers.values())
+
     # asyncio.DatagramProtocol
 
     def datagram_received(self, data, sender):
--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -104,6 +104,22 @@
         mean = sum(estimates) / len(estimates)
         assert mean == pytest.approx(1000.0 * peers, rel=0.05)
 
+    @pytest.mark.parametrize(("peers", "stopped"), [(3, 1), (7, 3)])
+    def test_no_load_stands_for_peers_that_stopped(self, peers, stopped):
+        """Load pattern: a rolling restart of a deployment with few entries."""
+        senders = [
+            _Entry(f"10.0.1.{number}:9", 100 + number, self.clock)
+            for number in range(peers)
+        ]
+        for sender in senders:
+            sender.loads = {"s1": ChainLoad(tokens=1000.0, requests=1)}
+            self.first.receive(sender.message())
+        self.clock.now += LOAD_EXPIRY_SECONDS + 0.1
+        for sender in senders[stopped:]:
+            self.first.receive(sender.message())
+        total = self.first.gossip.peer_loads()["s1"].tokens
+        assert total == 1000.0 * (peers - stopped)
+
     def test_repeated_health_status_is_applied_once(self):
         self.first.fleet.set_health(
             self.first.fleet.servers["s1"], down=True, reason="silent"
