Specify leases on a store that comes back older, and floor the number that agents read

Cause: an agent that restarts reads the lease's number from the store. After the store came back older, that number is below one that its upstream has obeyed, and an order of the forgotten holder would take effect after a newer one's. Found by the new step of the specification: orders 1 and 2 on their way, 2 takes effect, the store comes back before both, the agent restarts, learns and forwards 1.

Change: read_lease returns at least the lowest number of the store's generation. Test: test_an_agent_that_reads_an_older_number_refuses_forgotten_holders.

--- a/packages/core/src/kumquatway_core/leases/_lease.py
+++ b/packages/core/src/kumquatway_core/leases/_lease.py
@@ -230,8 +230,7 @@
             if found is None:
                 return 1
             return found.fencing_number + (found.holder != self.holder)
-        lowest = (generation - FIRST_GENERATION) * NUMBERS_PER_GENERATION
-        return lowest + (row.revision if row else ABSENT) + 1
+        return _lowest_number(generation) + (row.revision if row else ABSENT) + 1
 
     async def _write_own_row(self, revision: int, number: int, generation: int) -> bool:
         """Write a row that names this holder; False if the row had changed."""
@@ -304,13 +303,26 @@
     """
     Read a lease without trying to acquire it.
 
+    After the store has come back from an older copy, the row may have a number below
+    one that was in use. The lease then has the lowest number of the generation.
+
     :param table: client of the table service.
     :param name: name of the duty that the lease protects.
     :return: stored lease, or None if it was never held.
     :raises PlatformError: if the table service failed or the row is not a lease.
     """
     rows = await table.read((Key(table=TABLE, key=name),))
-    return _decode_row(rows[0] if rows else None)
+    found = _decode_row(rows[0] if rows else None)
+    if not _may_have_lost_holder(found, table.generation):
+        return found
+    if found is None:
+        found = LeaseRow(holder="", fencing_number=0, duration=0.0, order_bound=0.0)
+    number = max(found.fencing_number, _lowest_number(table.generation))
+    return msgspec.structs.replace(found, fencing_number=number)
+
+
+def _lowest_number(generation: int) -> int:
+    return max(0, generation - FIRST_GENERATION) * NUMBERS_PER_GENERATION
 
 
 def _may_have_lost_holder(found: LeaseRow | None, generation: int) -> bool:
--- a/packages/core/tests/test_leases.py
+++ b/packages/core/tests/test_leases.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from kumquatway_core.exceptions import PlatformUnavailable, ResponseLost
-from kumquatway_core.leases import Fence, Lease, StaleNumber
+from kumquatway_core.leases import Fence, Lease, StaleNumber, read_lease
 from kumquatway_core.leases._lease import MAX_CLOCK_DRIFT, NUMBERS_PER_GENERATION
 from kumquatway_core.platform import UNKNOWN_GENERATION, Channel, Table
 from kumquatway_fakes import Faults, TableService
@@ -265,6 +265,17 @@
         assert not self.contenders.acquire_or_renew("a")
         assert self.b.is_held()
 
+    def test_an_agent_that_reads_an_older_number_refuses_forgotten_holders(self):
+        """Numbers of an agent's fence start from the row that it reads."""
+        self.contenders.acquire_or_renew("a")
+        older = self.service.take_snapshot()
+        self.contenders.release("a")
+        self.contenders.acquire_or_renew("b")
+        for snapshot in (older, self.before):
+            self.service.restore(snapshot)
+            row = self.contenders.runner.run(read_lease(self.a.table, "planner"))
+            assert row.fencing_number > self.b.fencing_number
+
     def test_a_response_of_the_generation_before_counts_as_lost(self):
         tracker = self.a.table.generations
         tracker.observe(3)
--- a/specs/leases.py
+++ b/specs/leases.py
@@ -7,6 +7,9 @@
 or the agent may pause, for ever. Where a number is checked there is no time at all: a
 lease may change hands at any moment, the old holder may act on; numbers to three.
 
+There too, in models of their own, the store comes back once from an older copy of the
+row, in a new era; numbers to two, then to one. Those of an era start above those before.
+
 Before a bare upstream: a lease of three ticks, clocks with an error of one tick over
 it, one change of hand, any number of ticks and renewals (only ages are kept, as far as
 they matter). No order outlasts its bound, counted from the check; this is assumed, and
@@ -19,6 +22,7 @@
 """
 
 import enum
+import functools
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -32,6 +36,9 @@
 OVER_TICKS = LEASE_TICKS - CLOCK_ERROR_TICKS
 ORDER_TICKS = 1
 RESTARTS = 1
+ERAS = 1  # times that the store comes back older
+ERA_NUMBERS = 10  # above the numbers of an era
+MAX_NUMBER_OF_ERA = 2
 NONE = -1
 UNKNOWN = -1
 
@@ -57,6 +64,8 @@
     AGENT_WAITS = "a new agent waits out the orders of the one before"
     HOLDER_WAITS = "a new holder waits out the longest order"
     BOUNDED = "no order takes longer than its bound, from check to effect"
+    ERA_NUMBER = "numbers of an era start above those of the one before"
+    AGENT_ERA = "a new agent takes the lowest number of the era for an older one"
 
 
 class Row(NamedTuple):
@@ -101,6 +110,8 @@
     """All that the parties hold, and the orders in flight."""
 
     row: Row = Row()
+    copy: Row = Row()
+    era: int = 0
     holders: tuple[Holder, ...] = (Holder(),) * HOLDERS
     orders: frozenset[Order] = frozenset()
     agent: int = 0
@@ -113,11 +124,12 @@
 Steps = Iterator[tuple[str, State]]
 
 
-def spec(kind: Kind, *, without: Guard | None = None) -> Spec:
+def spec(kind: Kind, *, restored: bool = False, without: Guard | None = None) -> Spec:
     """
     Build the model.
 
     :param kind: of the upstream.
+    :param restored: whether the store comes back from an older copy.
     :param without: the guard to leave out.
     :return: the model.
     """
@@ -130,7 +142,8 @@
     }[kind]
 
     timed = kind is Kind.BARE
-    take = _lease if timed else _change_hands
+    last = MAX_NUMBER_OF_ERA if restored else MAX_NUMBER
+    take = _lease if timed else functools.partial(_change_hands, last=last)
 
     def believes(holder: Holder) -> bool:
         # The slowest clock that is allowed shows this much.
@@ -152,6 +165,8 @@
             return
         if timed:
             yield "tick", _ticked(state, without)
+        if restored:
+            yield from _restores(state)
         for index, holder in enumerate(state.holders):
             yield from take(state, index, without)
             if holder.number and may_act(holder):
@@ -163,17 +178,23 @@
         yield from deliver(state, without)
 
     return Spec(
-        name=f"leases: {kind}",
+        name=f"leases: {kind}{', older store' * restored}",
         initial=State(),
         transitions=transitions,
-        invariants=(no_late_effect, one_believer) if timed else (no_late_effect,),
+        invariants=(
+            (no_late_effect, one_believer) if timed else (no_late_effect, own_numbers)
+        ),
         goals=(newer_had_effect, old_order_outlived_its_lease),
     )
 
 
 def specs() -> tuple[Spec, ...]:
     """Build the model for each kind of upstream."""
-    return tuple(spec(kind) for kind in Kind)
+    checked = (Kind.CHECKS, Kind.GUARDED)
+    return (
+        *(spec(kind) for kind in Kind),
+        *(spec(kind, restored=True) for kind in checked),
+    )
 
 
 def mutants() -> tuple[Mutant, ...]:
@@ -189,9 +210,16 @@
         (Kind.BARE, Guard.CHECK_AT_ACT, "no_late_effect", "check"),
         (Kind.BARE, Guard.HOLDER_WAITS, "no_late_effect", "effect"),
         (Kind.BARE, Guard.BOUNDED, "no_late_effect", "tick"),
+        (Kind.CHECKS, Guard.ERA_NUMBER, "own_numbers", "store comes back"),
+        (Kind.GUARDED, Guard.AGENT_ERA, "no_late_effect", "agent restarts"),
     )
     return tuple(
-        Mutant(guard=g, spec=spec(k, without=g), breaks=i, step=s)
+        Mutant(
+            guard=g,
+            spec=spec(k, restored=g in (Guard.ERA_NUMBER, Guard.AGENT_ERA), without=g),
+            breaks=i,
+            step=s,
+        )
         for k, g, i, s in cases
     )
 
@@ -200,6 +228,12 @@
     return not state.late_effect
 
 
+def own_numbers(state: State) -> bool:
+    """No two holders have one number, which no upstream could tell apart."""
+    numbers = [n for h in state.holders for n in {h.number, h.landed} - {0}]
+    return len(numbers) == len(set(numbers))
+
+
 def newer_had_effect(state: State) -> bool:
     return state.newest_effect >= 2
 
@@ -233,18 +267,27 @@
     )
 
 
-def _change_hands(state: State, index: int, without: Guard | None) -> Steps:
+def _change_hands(state: State, index: int, without: Guard | None, last: int) -> Steps:
     number = state.holders[index].landed
     if number:
         granted = {"number": number, "landed": 0, "checked": NONE}
         yield f"grant {index}", _with_holder(state, index, **granted)
         yield f"answer lost {index}", _with_holder(state, index, landed=0)
-    elif state.row.number < MAX_NUMBER:
-        number = state.row.number + 1
+    elif state.row.number % ERA_NUMBERS < last - state.era:
+        lowest = 0 if without is Guard.ERA_NUMBER else state.era * ERA_NUMBERS
+        number = max(state.row.number, lowest) + 1
         landed = _with_holder(state, index, landed=number)
         yield f"land {index}", landed._replace(row=Row(number, index))
 
 
+def _restores(state: State) -> Steps:
+    if state.era == ERAS:
+        return
+    if state.copy != state.row:
+        yield "copy is made", state._replace(copy=state.row)
+        yield "store comes back", state._replace(row=state.copy, era=state.era + 1)
+
+
 def _lease(state: State, index: int, without: Guard | None) -> Steps:
     holder = state.holders[index]
     if holder.asked == NONE:
@@ -296,7 +339,9 @@
         restarted = state._replace(agent=state.agent + 1, agent_seen=seen)
         yield "agent restarts", restarted
     if state.agent_seen == UNKNOWN:
-        yield "agent learns", state._replace(agent_seen=state.row.number)
+        lowest = 0 if without is Guard.AGENT_ERA else state.era * ERA_NUMBERS
+        seen = max(state.row.number, lowest)
+        yield "agent learns", state._replace(agent_seen=seen)
     for order in state.orders:
         if _forwards(state, order, without):
             yield f"forward {order.number}", _forwarded(state, order)
--- a/specs/test_specs.py
+++ b/specs/test_specs.py
@@ -10,6 +10,8 @@
     "leases: upstream checks the number": 1_000,
     "leases: upstream ignores the number, its agent checks it": 10_000,
     "leases: upstream ignores the number, no agent before it": 15_000,
+    "leases: upstream checks the number, older store": 2_000,
+    "leases: upstream ignores the number, its agent checks it, older store": 30_000,
     "steps, 2 attempts, 1 failures": 15_000,
     "steps, 1 attempts, 2 failures": 1_000,
     "revisions": 10_000,
