--- a/specs/leases.py
+++ b/specs/leases.py
@@ -8,7 +8,7 @@
 lease may change hands at any moment, the old holder may act on; numbers to three.
 
 There too, in models of their own, the store comes back once from an older copy of the
-row, in a new era; numbers to two, then to one. Those of an era start above those before.
+row, in a new era; numbers to two, then to one. An era's are above those before.
 
 Before a bare upstream: a lease of three ticks, clocks with an error of one tick over
 it, one change of hand, any number of ticks and renewals (only ages are kept, as far as
