--- a/specs/claims.py
+++ b/specs/claims.py
@@ -10,6 +10,9 @@
 stay there for ever, so loss and a pause of any length at either end are covered.
 Claims do not expire here.
 
+In a model of its own, the store comes back once from an older copy, without the claim. The
+process that wrote it lives on, and writes it again before any key is granted.
+
 The guards stand in `kumquatway_core.claims`, `kumquatway.calls` and
 `kumquatway_agent.service`. The table GUARDS of docs/design/specs.md names each place.
 """
@@ -37,6 +40,8 @@
     SINGLE_SEND = "a refusal means not-run only if the call was sent once"
     RELEASE_UNSENT = "a claim is released only if its call cannot run"
     TIMEOUT_UNSURE = "a call that was sent and not answered may have run"
+    RESTORE = "a claim that the store lost is written again"
+    WAIT = "no key is granted until then"
 
 
 class Row(NamedTuple):
@@ -84,15 +89,19 @@
     agents: tuple[Agent, ...] = (Agent(),) * UPSTREAMS
     running: tuple[Call, ...] = ()
     executed: tuple[int, ...] = ()
+    lost: Row | None = None
+    restoring: bool = False
+    restored: bool = False
 
 
 Steps = Iterator[tuple[str, State]]
 
 
-def spec(*, without: Guard | None = None) -> Spec:
+def spec(*, older_store: bool = False, without: Guard | None = None) -> Spec:
     """
     Build the model.
 
+    :param older_store: whether the store comes back from an older copy.
     :param without: the guard to leave out.
     :return: the model.
     """
@@ -101,13 +110,15 @@
         if len(state.executed) > 1:
             return
         yield from _environment(state)
+        if older_store:
+            yield from _restores(state, without)
         for attempt in range(TRIES):
             yield from _entry(state, attempt, without)
         yield from _deliveries(state, without)
         yield from _services(state)
 
     return Spec(
-        name="claims",
+        name="claims, older store" if older_store else "claims",
         initial=State(),
         transitions=transitions,
         invariants=(at_most_once, not_run_is_true, ran_is_true),
@@ -117,7 +128,7 @@
 
 def specs() -> tuple[Spec, ...]:
     """Build the model with its bounds."""
-    return (spec(),)
+    return (spec(), spec(older_store=True))
 
 
 def mutants() -> tuple[Mutant, ...]:
@@ -131,9 +142,16 @@
         (Guard.SINGLE_SEND, not_run_is_true, "resend"),
         (Guard.RELEASE_UNSENT, at_most_once, "release"),
         (Guard.TIMEOUT_UNSURE, not_run_is_true, "timeout"),
+        (Guard.RESTORE, at_most_once, "store comes back"),
+        (Guard.WAIT, at_most_once, "store comes back"),
     )
     return tuple(
-        Mutant(guard=g, spec=spec(without=g), breaks=i.__name__, step=s)
+        Mutant(
+            guard=g,
+            spec=spec(older_store=g in (Guard.RESTORE, Guard.WAIT), without=g),
+            breaks=i.__name__,
+            step=s,
+        )
         for g, i, s in cases
     )
 
@@ -180,6 +198,19 @@
             yield f"agent restarts {index}", after
 
 
+def _restores(state: State, without: Guard | None) -> Steps:
+    if not state.restored:
+        after = state._replace(row=None, lost=state.row, restoring=True, restored=True)
+        yield "store comes back", after
+    if not state.restoring:
+        return
+    if without is Guard.RESTORE or not state.lost:
+        yield "wait ends", state._replace(lost=None, restoring=False)
+    elif not state.row:
+        after = state._replace(row=state.lost, lost=None, restoring=False)
+        yield "claim is written again", after
+
+
 def _entry(state: State, attempt: int, without: Guard | None) -> Steps:
     one = state.tries[attempt]
     if one.phase not in ("new", "ended"):
@@ -211,7 +242,10 @@
 
 
 def _await_claim(state: State, attempt: int, without: Guard | None) -> Steps:
-    if attempt in state.writes:
+    if attempt in state.writes and state.restoring and without is not Guard.WAIT:
+        landed = _landed(state, attempt)
+        yield from _release(landed, attempt)
+    elif attempt in state.writes:
         landed = _landed(state, attempt)
         phase = "claimed" if landed.row.attempt == attempt else "following"
         yield f"claim answered {attempt}", _with_try(landed, attempt, phase=phase)
@@ -222,7 +256,7 @@
 
 def _read_back(state: State, attempt: int, without: Guard | None) -> Steps:
     # A write that is still in flight may land later: the try then never dispatches.
-    if state.row:
+    if state.row and not state.restoring:
         mine = state.row.attempt == attempt or without is Guard.COMPARE_ID
         phase = "claimed" if mine else "following"
         yield f"read back {attempt}", _with_try(state, attempt, phase=phase)
@@ -247,6 +281,8 @@
 
 def _release(state: State, attempt: int) -> Steps:
     after = _tell(state, attempt, "not-run")
+    if state.lost and state.lost.attempt == attempt:
+        after = after._replace(lost=None)
     yield f"refuse {attempt}", after
     if state.row and state.row.attempt == attempt:
         yield f"release {attempt}", after._replace(row=None)
--- a/specs/test_specs.py
+++ b/specs/test_specs.py
@@ -7,6 +7,7 @@
 
 MIN_STATES = {
     "claims": 30_000,
+    "claims, older store": 100_000,
     "leases: upstream checks the number": 1_000,
     "leases: upstream ignores the number, its agent checks it": 10_000,
     "leases: upstream ignores the number, no agent before it": 15_000,
