--- a/specs/claims.py
+++ b/specs/claims.py
@@ -10,8 +10,8 @@
 stay there for ever, so loss and a pause of any length at either end are covered.
 Claims do not expire here.
 
-In a model of its own, the store comes back once from an older copy, without the claim. The
-process that wrote it lives on, and writes it again before any key is granted.
+In a model of its own, the store comes back once from an older copy, without the claim.
+The process that wrote it lives on, and writes it again before any key is granted.
 
 The guards stand in `kumquatway_core.claims`, `kumquatway.calls` and
 `kumquatway_agent.service`. The table GUARDS of docs/design/specs.md names each place.
