Log and count how responses of servers are framed and how they end

The events of a request now name the framing and the end of the last response, and how much of an event was incomplete; kumquatway_responses_total counts them. What is decided does not change.

--- a/packages/gateway/src/kumquatway_gateway/_metrics.py
+++ b/packages/gateway/src/kumquatway_gateway/_metrics.py
@@ -35,6 +35,10 @@
         self.attempt_failures = self._counter(
             "kumquatway_attempt_failures_total", "Attempts that failed, by reason."
         )
+        self.responses = self._counter(
+            "kumquatway_responses_total",
+            "Responses of servers to callers' requests, by framing and end.",
+        )
         self.recoveries = self._counter(
             "kumquatway_recoveries_total", "Streams that went on elsewhere."
         )
@@ -113,6 +117,15 @@
         if call.kind is not StoreCallKind.FOLLOW:
             self.store_seconds.observe({}, call.seconds)
 
+    def observe_response(self, framing: str, end: str) -> None:
+        """
+        Count a response of a server, or its absence.
+
+        :param framing: what marks the end of its body, or "" if it had no head.
+        :param end: how it ended.
+        """
+        self.responses.inc({"framing": framing, "end": end})
+
     def render(self) -> tuple[bytes, Iterable[tuple[str, str]]]:
         """
         Render the metrics in the Prometheus text format.
--- a/packages/gateway/src/kumquatway_gateway/http1/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/__init__.py
@@ -11,6 +11,7 @@
 from kumquatway_gateway.http1._upstream import (
     Exchange,
     ResponseEnd,
+    ResponseFraming,
     ResponseHead,
     UpstreamConnection,
 )
@@ -26,6 +27,7 @@
     "IncomingRequest",
     "Listener",
     "ConnectionPool",
+    "ResponseFraming",
     "ResponseHead",
     "Unreachable",
     "UpstreamConnection",
--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -26,12 +26,22 @@
     ABANDONED = "abandoned here"
 
 
+class ResponseFraming(enum.Enum):
+    """What marks the end of a response's body."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"  # the end of the connection
+    NO_BODY = "no body"
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ResponseHead:
     """Status and header fields of a response."""
 
     status: int
     headers: Headers
+    framing: ResponseFraming
 
 
 def accept_any(status: int, headers: Headers) -> bool:
@@ -89,6 +99,23 @@
         self.body.append(data)
         self.buffered_bytes += len(data)
 
+    def framing(self) -> str:
+        """Return what marks the end of the body, or "" without a head."""
+        if not self.head.done() or self.head.cancelled():
+            return ""
+        head = self.head.result()
+        return head.framing.value if isinstance(head, ResponseHead) else ""
+
+    def end(self) -> str:
+        """Return how the response ended, or "not ended"."""
+        if not self.ended.done() or self.ended.cancelled():
+            return "not ended"
+        return self.ended.result().value
+
+    def describe(self) -> str:
+        """Return how the response was framed and how it ended, for a log line."""
+        return f"framing {self.framing() or 'unknown'}, {self.end()}"
+
     def finish(self, end: ResponseEnd) -> None:
         """Set how the response ended."""
         if not self.head.done():
@@ -100,13 +127,18 @@
 class _Message:
     """The response that is being parsed."""
 
-    __slots__ = ("fields", "has_framing", "skipped")
+    __slots__ = ("fields", "framing", "skipped")
 
     def __init__(self):
         self.fields: list[tuple[bytes, bytes]] = []
-        self.has_framing = False
+        self.framing = ResponseFraming.CLOSE
         self.skipped = False
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the body."""
+        return self.framing is ResponseFraming.CLOSE
+
 
 class UpstreamConnection(asyncio.Protocol):
     """
@@ -176,7 +208,9 @@
     def eof_received(self):
         """Complete a response without framing; any other one is truncated."""
         if self.exchange is not None:
-            until_close = self.exchange.head.done() and not self.message.has_framing
+            until_close = (
+                self.exchange.head.done() and self.message.ends_with_connection
+            )
             self._finish(ResponseEnd.COMPLETE if until_close else ResponseEnd.CLOSED)
         self.reusable = False
         return False
@@ -205,7 +239,8 @@
         if status < 200:
             return
         headers = Headers(self.message.fields)
-        self._read_framing(status, headers)
+        self.message.framing = _find_framing(status, headers)
+        self.keep_alive_seconds = _keep_alive_timeout(headers.get(b"keep-alive"))
         exchange = self.exchange
         if exchange is None or exchange.head.done():
             self.reusable = False
@@ -215,7 +250,10 @@
             self.reusable = False
             self.message.skipped = True
             return
-        exchange.set_head(ResponseHead(status=status, headers=headers))
+        head = ResponseHead(
+            status=status, headers=headers, framing=self.message.framing
+        )
+        exchange.set_head(head)
         if exchange.bodyless:
             # The parser would wait for the body that the header fields announce.
             self.reusable = False
@@ -235,7 +273,7 @@
         """Complete the response and make the connection available for reuse."""
         if self.message.skipped or self.parser.get_status_code() < 200:
             return
-        if not self.message.has_framing:
+        if self.message.ends_with_connection:
             return
         if not self.parser.should_keep_alive():
             self.reusable = False
@@ -247,12 +285,6 @@
         else:
             self.transport.close()
 
-    def _read_framing(self, status: int, headers: Headers) -> None:
-        chunked = b"chunked" in (headers.get(b"transfer-encoding") or b"").lower()
-        has_length = headers.get(b"content-length") is not None
-        self.message.has_framing = chunked or has_length or status in (204, 304)
-        self.keep_alive_seconds = _keep_alive_timeout(headers.get(b"keep-alive"))
-
     def _fail(self, end: ResponseEnd) -> None:
         self.reusable = False
         self._finish(end)
@@ -265,6 +297,17 @@
             exchange.finish(end)
 
 
+def _find_framing(status: int, headers: Headers) -> ResponseFraming:
+    """Return what ends the body of a response (RFC 9112, 6.3)."""
+    if status in (204, 304):
+        return ResponseFraming.NO_BODY
+    if b"chunked" in (headers.get(b"transfer-encoding") or b"").lower():
+        return ResponseFraming.CHUNKED
+    if headers.get(b"content-length") is not None:
+        return ResponseFraming.LENGTH
+    return ResponseFraming.CLOSE
+
+
 def _keep_alive_timeout(value: bytes | None) -> float:
     """Return the timeout of a `Keep-Alive` field in seconds, or 0 if it has none."""
     for part in (value or b"").lower().split(b","):
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -149,6 +149,7 @@
     :param body: body of the response.
     :param not_run: whether the server certainly did not run the request.
     :param reached: whether a connection to the server was opened.
+    :param detail: how the response was framed and ended, for the event.
     """
 
     server: Server
@@ -156,6 +157,7 @@
     body: bytes
     not_run: bool
     reached: bool = True
+    detail: str = ""
 
     @property
     def succeeded(self) -> bool:
@@ -282,9 +284,8 @@
             return
         self.may_have_run = True
         if outcome.head is None:
-            self.relay.record_failure(
-                self.job, outcome.server.id, "reset", "no complete and signed response"
-            )
+            detail = f"no complete and signed response: {outcome.detail}"
+            self.relay.record_failure(self.job, outcome.server.id, "reset", detail)
         if outcome.is_deliverable:
             self.failed_response = outcome
 
@@ -340,18 +341,24 @@
         finally:
             if connection.exchange is exchange:
                 connection.abandon()
+            self.relay.record_response(exchange)
+        detail = exchange.describe()
+        invalid = _Outcome(
+            server=server, head=None, body=b"", not_run=False, detail=detail
+        )
         head = exchange.head.result()
         if end is not ResponseEnd.COMPLETE or isinstance(head, ResponseEnd):
-            return _Outcome(server=server, head=None, body=b"", not_run=False)
+            return invalid
         info = dialect.parse_response(head.status, head.headers)
         self.relay.fleet.record_notice(server, info.notice)
         if 200 <= head.status < 300 and not info.signed:
-            return _Outcome(server=server, head=None, body=b"", not_run=False)
+            return invalid
         return _Outcome(
             server=server,
             head=head,
             body=b"".join(exchange.body),
             not_run=info.not_run,
+            detail=detail,
         )
 
     def _describe(self, server: Server) -> str:
@@ -366,7 +373,8 @@
         status = outcome.head.status
         self.job.caller.respond(status, fields, outcome.body, keep_alive=True)
         reason = Reason.NONE if outcome.succeeded else Reason.UPSTREAM_ERROR
-        self.relay.record_end(self.job, Verdict(ran=RAN, reason=reason), status)
+        verdict = Verdict(ran=RAN, reason=reason, detail=outcome.detail)
+        self.relay.record_end(self.job, verdict, status)
 
     def _give_up(self, reason: Reason, detail: str) -> None:
         """Relay the last failed response, or send a verdict if there is none."""
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -19,7 +19,12 @@
 from kumquatway_gateway._metrics import GatewayMetrics
 from kumquatway_gateway.chains import ChainLoad
 from kumquatway_gateway.fleet import Fleet
-from kumquatway_gateway.http1 import CallerConnection, ConnectionPool, IncomingRequest
+from kumquatway_gateway.http1 import (
+    CallerConnection,
+    ConnectionPool,
+    Exchange,
+    IncomingRequest,
+)
 from kumquatway_gateway.model import (
     Account,
     Configuration,
@@ -323,6 +328,14 @@
             )
         )
 
+    def record_response(self, exchange: Exchange) -> None:
+        """
+        Count a server's response to a request by its framing and its end.
+
+        :param exchange: the request that was sent, and its response.
+        """
+        self.metrics.observe_response(exchange.framing(), exchange.end())
+
     def record_route(self, job: Job, vms: tuple[str, ...], detail: str) -> None:
         """
         Emit the event of an attempt's route.
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -149,6 +149,7 @@
             return await self._relay_response(chain)
         finally:
             self.relay.active_streams.discard(self)
+            self.relay.record_response(self.exchange)
 
     def _set_reading(self, enabled: bool) -> None:
         """Stop reading from the server while the caller is slow, and resume after."""
@@ -213,7 +214,8 @@
         if self.events.partial_event:
             self.job.caller.write_chunk(self.events.partial_event)
         self.job.caller.end_stream()
-        self.relay.record_end(self.job, Verdict(ran=RAN), head.status)
+        verdict = Verdict(ran=RAN, detail=self._describe_response())
+        self.relay.record_end(self.job, verdict, head.status)
         return _AttemptOutcome.DONE
 
     def _begin_relaying(self, head: ResponseHead) -> None:
@@ -417,7 +419,15 @@
             down[0] if down else chain.first_server.id,
             "silence" if outcome is _AttemptOutcome.STALLED else outcome.value,
             f"after {self.events.count} events, idle for {idle:.0f} ms, "
-            f"{len(down)} server(s) of the chain down, {retries:.0f} retries left",
+            f"{len(down)} server(s) of the chain down, {retries:.0f} retries left, "
+            f"{self._describe_response()}",
+        )
+
+    def _describe_response(self) -> str:
+        """Return how the current response was framed and ended, for the event."""
+        partial = len(self.events.partial_event)
+        return self.exchange.describe() + (
+            f" with {partial} bytes of an incomplete event" if partial else ""
         )
 
     async def _next_claim(
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -425,3 +425,30 @@
             assert not failure.value.sent
 
         asyncio.run(run())
+
+
+class TestDescription:
+    """What the log tells of a response."""
+
+    @pytest.mark.parametrize(
+        ("response", "options", "description"),
+        [
+            (OK_RESPONSE, {}, "framing length, complete"),
+            (
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                {"close": True},
+                "framing chunked, closed early",
+            ),
+            (b"HTTP/1.1 200 OK\r\n\r\nok", {"close": True}, "framing close, complete"),
+            (b"HTTP/1.1 200 OK\r\n\r\nok", {"reset": True}, "framing close, reset"),
+            (b"HTTP/1.1 204 No Content\r\n\r\n", {}, "framing no body, complete"),
+            (b"", {"close": True}, "framing unknown, closed early"),
+        ],
+    )
+    def test_names_framing_and_end(self, response, options, description):
+        async def run():
+            async with _Server(response, **options) as server:
+                exchange, _ = await _request(ConnectionPool(), server)
+                assert exchange.describe() == description
+
+        asyncio.run(run())
