Take a stream that ends inside an event as broken off, whatever its framing says

Cause: a stream counted as complete when its response did. But the framing of a response says only where its bytes end: a connection that delimits a response is closed in the same orderly way by a process that dies, and a server may write the last chunk or the full length after half an event. StreamJob then wrote the incomplete event and the last chunk of its own.

Change: a response to a stream route, or one of type text/event-stream, that is complete but ends inside an event is handled as one that was cut: resumed on another chain, or broken off towards the caller. Empty lines and comments may follow the last event. Other bodies are as before.

Ruled out: a reset that is read as an orderly close; it is recognized on each framing.

It works on each framing, since the check does not depend on it.

--- a/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
@@ -3,7 +3,8 @@
 import time
 from collections.abc import Callable
 
-EVENT_END = b"\n\n"
+from kumquatway_gateway.relay._event_stream import find_last_event_end, split_events
+
 ID_FIELD = b"id:"
 GAP_WEIGHT = 0.1  # of the newest gap in the moving average
 INITIAL_GAP_SECONDS = 0.03  # typical gap before any was measured
@@ -71,11 +72,10 @@
         self.last_event_at = now
         if self.partial_event:
             data = self.partial_event + data
-        end = data.rfind(EVENT_END)
-        if end < 0:
+        end = find_last_event_end(data)
+        if not end:
             self.partial_event = data
             return
-        end += len(EVENT_END)
         self.partial_event = data[end:]
         complete = data[:end] if self.partial_event else data
         if self.resuming:
@@ -97,11 +97,9 @@
 
     def _new_events(self, complete: bytes) -> bytes:
         """Return the events that the caller does not have yet."""
-        new = []
-        for event in complete.split(EVENT_END)[:-1]:
-            event_id = _last_id(event + EVENT_END)
-            if self._is_new(event_id):
-                new.append(event + EVENT_END)
+        new = [
+            event for event in split_events(complete) if self._is_new(_last_id(event))
+        ]
         if new:
             self.resuming = False
         return b"".join(new)
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -22,6 +22,7 @@
 from kumquatway_gateway.relay._chain_activity import ActivitySnapshot, StreamActivity
 from kumquatway_gateway.relay._dialect import Attempt, ResponseInfo
 from kumquatway_gateway.relay._event_relay import EventRelay
+from kumquatway_gateway.relay._event_stream import is_event_stream, is_inside_event
 from kumquatway_gateway.relay._job import Job
 from kumquatway_gateway.relay._model_router import Claim, ModelRouter
 from kumquatway_gateway.relay._stall_detection import (
@@ -209,7 +210,7 @@
             return _AttemptOutcome.CUT
         self._begin_relaying(head)
         end = await exchange.ended
-        if end is not ResponseEnd.COMPLETE:
+        if end is not ResponseEnd.COMPLETE or self._is_broken_off(head):
             return self._handle_early_end(end)
         if self.events.partial_event:
             self.job.caller.write_chunk(self.events.partial_event)
@@ -247,6 +248,12 @@
         if self.interrupted_at and events.count:
             self._record_recovery()
 
+    def _is_broken_off(self, head: ResponseHead) -> bool:
+        """Tell whether the stream ended too early, although its framing is complete."""
+        if self.job.route.kind is not RouteKind.STREAM and not is_event_stream(head):
+            return False
+        return is_inside_event(self.events.partial_event)
+
     def _handle_early_end(self, end: ResponseEnd) -> _AttemptOutcome:
         """Return the outcome of a response that ended before it was complete."""
         self.may_have_run = True
