Take a stream without events that ends with its connection as broken off

What callers would see: a complete, empty 200 from a server that closes its connection right after the head.

Cause: the connection's end is the only sign of completeness there, and a process that dies gives it too. A request that was sent to a model has at least one event.

A stream without events whose chunks or length say that it is complete stays complete.

--- a/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from kumquatway_gateway.http1 import ResponseHead
+from kumquatway_gateway.http1 import ResponseFraming, ResponseHead
 
 MEDIA_TYPE = b"text/event-stream"
 _EVENT_END = b"\n\n"
@@ -27,10 +27,19 @@
         yield event + _EVENT_END
 
 
-def is_inside_event(rest: bytes) -> bool:
+def is_broken_off(framing: ResponseFraming, *, has_events: bool, rest: bytes) -> bool:
     """
-    Tell whether a stream that ends here was broken off, whatever its framing says.
+    Tell whether a stream ended too early, although its response is complete.
 
+    :param framing: what ended the body. A connection that ends says least: that of a
+        process that crashes ends in the same way.
+    :param has_events: whether the body held an event.
     :param rest: what followed the last event.
     """
+    if _is_inside_event(rest):
+        return True
+    return framing is ResponseFraming.CLOSE and not has_events
+
+
+def _is_inside_event(rest: bytes) -> bool:
     return any(line and not line.startswith(_COMMENT) for line in rest.splitlines())
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -22,7 +22,7 @@
 from kumquatway_gateway.relay._chain_activity import ActivitySnapshot, StreamActivity
 from kumquatway_gateway.relay._dialect import Attempt, ResponseInfo
 from kumquatway_gateway.relay._event_relay import EventRelay
-from kumquatway_gateway.relay._event_stream import is_event_stream, is_inside_event
+from kumquatway_gateway.relay._event_stream import is_broken_off, is_event_stream
 from kumquatway_gateway.relay._job import Job
 from kumquatway_gateway.relay._model_router import Claim, ModelRouter
 from kumquatway_gateway.relay._stall_detection import (
@@ -252,7 +252,9 @@
         """Tell whether the stream ended too early, although its framing is complete."""
         if self.job.route.kind is not RouteKind.STREAM and not is_event_stream(head):
             return False
-        return is_inside_event(self.events.partial_event)
+        return is_broken_off(
+            head.framing, has_events=self.has_events, rest=self.events.partial_event
+        )
 
     def _handle_early_end(self, end: ResponseEnd) -> _AttemptOutcome:
         """Return the outcome of a response that ended before it was complete."""
