Forward events whose lines end with CRLF as they arrive

What callers would see: no event of such a stream until its end, then all at once; and, since a stream that ends inside an event counts as broken off, never its end. Cause: only two LFs counted as the end of an event, while lines of an event stream may end with CRLF too.

Before: two tests of test_event_relay fail; after: they pass.

--- a/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
@@ -1,11 +1,18 @@
-"""Finds the ends of events in a stream, and tells whether a stream was broken off."""
+"""
+Finds the ends of events in a stream, and tells whether a stream was broken off.
 
+Lines end with LF or CRLF; an empty line ends an event.
+"""
+
+import re
 from collections.abc import Iterator
 
 from kumquatway_gateway.http1 import ResponseFraming, ResponseHead
 
 MEDIA_TYPE = b"text/event-stream"
-_EVENT_END = b"\n\n"
+_LF_END = b"\n\n"
+_CRLF_END = b"\n\r\n"
+_EVENT_END = re.compile(rb"\n\r?\n")
 _COMMENT = b":"
 
 
@@ -17,14 +24,19 @@
 
 def find_last_event_end(data: bytes) -> int:
     """Return the offset after the last event that ends in `data`, or 0."""
-    at = data.rfind(_EVENT_END)
-    return at + len(_EVENT_END) if at >= 0 else 0
+    lf = data.rfind(_LF_END)
+    crlf = data.rfind(_CRLF_END)
+    if lf > crlf:
+        return lf + len(_LF_END)
+    return crlf + len(_CRLF_END) if crlf >= 0 else 0
 
 
 def split_events(data: bytes) -> Iterator[bytes]:
     """Yield each event that ends in `data`, with its empty line."""
-    for event in data.split(_EVENT_END)[:-1]:
-        yield event + _EVENT_END
+    start = 0
+    for match in _EVENT_END.finditer(data):
+        yield data[start : match.end()]
+        start = match.end()
 
 
 def is_broken_off(framing: ResponseFraming, *, has_events: bool, rest: bytes) -> bool:
--- a/packages/gateway/tests/test_event_relay.py
+++ b/packages/gateway/tests/test_event_relay.py
@@ -86,6 +86,26 @@
         assert caller.body == event
         assert caller.relay.last_id == b"1"
 
+    @pytest.mark.parametrize("seed", range(5))
+    def test_events_with_crlf_lines_are_written_as_they_arrive(self, seed):
+        size = random.Random(seed).randint(1, 60)
+        caller = _Caller()
+        body = BODY.replace(b"\n", b"\r\n")
+        for start in range(0, len(body), size):
+            caller.relay.feed(body[start : start + size])
+            whole = body[: start + size].split(b"\r\n\r\n")[:-1]
+            assert caller.body == b"".join(event + b"\r\n\r\n" for event in whole)
+        assert caller.body == body
+        assert caller.relay.last_id == b"29"
+
+    def test_resumed_events_with_crlf_lines_are_not_repeated(self):
+        caller = _Caller()
+        events = [event.replace(b"\n", b"\r\n") for event in EVENTS]
+        caller.relay.feed(b"".join(events[:7]) + events[7][:9])
+        caller.relay.restart()
+        caller.relay.feed(b"".join(events[5:]))
+        assert caller.body == b"".join(events)
+
     def test_events_without_ids_are_written(self):
         caller = _Caller()
         caller.relay.feed(b"data: a\n\n")
