Take a stream of a plain service that ends inside an event as broken off

What callers would see: a complete 200 with half an event, from a stream route whose service runs no engine. Cause: the same as on model services; PlainJob takes a response as complete by its framing alone. The check is the same function, on the whole body.

Before: both cases of TestStreamOfAPlainServiceThatEndsInsideAnEvent fail (200 with half an event); after: 502 may-have-run from one server, a retry where there is another. The failure's event says what is wrong with the response. Adapter and gateway tests: all pass.

--- a/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator
 
 from kumquatway_gateway.http1 import ResponseFraming, ResponseHead
+from kumquatway_gateway.model import Route, RouteKind
 
 MEDIA_TYPE = b"text/event-stream"
 _LF_END = b"\n\n"
@@ -16,8 +17,10 @@
 _COMMENT = b":"
 
 
-def is_event_stream(head: ResponseHead) -> bool:
-    """Tell whether the header fields of a response announce an event stream."""
+def is_event_stream(route: Route, head: ResponseHead) -> bool:
+    """Tell whether a response is an event stream, by its route or its media type."""
+    if route.kind is RouteKind.STREAM:
+        return True
     content_type = head.headers.get(b"content-type") or b""
     return content_type.partition(b";")[0].strip().lower() == MEDIA_TYPE
 
@@ -53,5 +56,16 @@
     return framing is ResponseFraming.CLOSE and not has_events
 
 
+def is_body_broken_off(framing: ResponseFraming, body: bytes) -> bool:
+    """
+    Tell whether the whole body of a stream ended too early.
+
+    :param framing: what ended the body.
+    :param body: all of it.
+    """
+    end = find_last_event_end(body)
+    return is_broken_off(framing, has_events=end > 0, rest=body[end:])
+
+
 def _is_inside_event(rest: bytes) -> bool:
     return any(line and not line.startswith(_COMMENT) for line in rest.splitlines())
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -19,6 +19,7 @@
 )
 from kumquatway_gateway.model import Server
 from kumquatway_gateway.relay._dialect import Attempt
+from kumquatway_gateway.relay._event_stream import is_body_broken_off, is_event_stream
 from kumquatway_gateway.relay._job import Job
 from kumquatway_gateway.relay._verdict_response import respond_with_verdict
 from kumquatway_gateway.waiting import retry_after
@@ -170,6 +171,11 @@
         return self.head is not None and not self.not_run
 
 
+def _invalid(server: Server, detail: str) -> _Outcome:
+    """Return the outcome of an attempt without a complete, valid response."""
+    return _Outcome(server=server, head=None, body=b"", not_run=False, detail=detail)
+
+
 class PlainJob:
     """
     Serves one request to a plain service.
@@ -284,7 +290,7 @@
             return
         self.may_have_run = True
         if outcome.head is None:
-            detail = f"no complete and signed response: {outcome.detail}"
+            detail = f"no valid response: {outcome.detail}"
             self.relay.record_failure(self.job, outcome.server.id, "reset", detail)
         if outcome.is_deliverable:
             self.failed_response = outcome
@@ -343,22 +349,25 @@
                 connection.abandon()
             self.relay.record_response(exchange)
         detail = exchange.describe()
-        invalid = _Outcome(
-            server=server, head=None, body=b"", not_run=False, detail=detail
-        )
         head = exchange.head.result()
         if end is not ResponseEnd.COMPLETE or isinstance(head, ResponseEnd):
-            return invalid
+            return _invalid(server, detail)
         info = dialect.parse_response(head.status, head.headers)
         self.relay.fleet.record_notice(server, info.notice)
-        if 200 <= head.status < 300 and not info.signed:
-            return invalid
+        body = b"".join(exchange.body)
+        if 200 <= head.status < 300:
+            if not info.signed:
+                return _invalid(server, f"{detail}, not signed")
+            if self._is_broken_off(head, body):
+                return _invalid(server, f"{detail}, but the stream is broken off")
         return _Outcome(
-            server=server,
-            head=head,
-            body=b"".join(exchange.body),
-            not_run=info.not_run,
-            detail=detail,
+            server=server, head=head, body=body, not_run=info.not_run, detail=detail
+        )
+
+    def _is_broken_off(self, head: ResponseHead, body: bytes) -> bool:
+        """Tell whether a stream ended too early, although its framing is complete."""
+        return is_event_stream(self.job.route, head) and is_body_broken_off(
+            head.framing, body
         )
 
     def _describe(self, server: Server) -> str:
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -250,9 +250,7 @@
 
     def _is_broken_off(self, head: ResponseHead) -> bool:
         """Tell whether the stream ended too early, although its framing is complete."""
-        if self.job.route.kind is not RouteKind.STREAM and not is_event_stream(head):
-            return False
-        return is_broken_off(
+        return is_event_stream(self.job.route, head) and is_broken_off(
             head.framing, has_events=self.has_events, rest=self.events.partial_event
         )
 
