Reset the connection of an HTTP/1.0 caller whose response is broken off

What callers would see: half a body that looks complete. A caller without chunks gets a body that ends with its connection; CallerConnection.abort closed that in an orderly way, which completes the body.

The connection now resets on close from the head of such a body to its end, so that the kernel also resets it when the process is killed. Chunked bodies stay as they are: they lack their last chunk, and what was sent is still delivered, so that the caller can resume.

Before: test_broken_off_http_1_0_response_does_not_look_complete receives an end of file; after: a reset.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -6,6 +6,8 @@
 """
 
 import asyncio
+import socket
+import struct
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
@@ -140,6 +142,8 @@
         head_fields = list(fields)
         if self.accepts_chunked:
             head_fields.append((b"Transfer-Encoding", b"chunked"))
+        else:
+            self._reset_on_close(True)
         if not self._decide_keep_alive(keep_alive and self.accepts_chunked):
             head_fields.append((b"Connection", b"close"))
         self.transport.write(render_response(status, head_fields))
@@ -154,8 +158,12 @@
 
     def end_stream(self) -> None:
         """Write the end of a streamed body."""
-        if not self.lost and self.accepts_chunked:
+        if self.lost:
+            return
+        if self.accepts_chunked:
             self.transport.write(b"0\r\n\r\n")
+        else:
+            self._reset_on_close(False)
 
     def abort(self) -> None:
         """Abort the connection, so that a truncated body cannot look complete."""
@@ -163,6 +171,16 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def _reset_on_close(self, enabled: bool) -> None:
+        """
+        Choose how the connection ends, also if this process is killed.
+
+        An orderly close would complete a body that ends with the connection.
+        """
+        linger = struct.pack("ii", enabled, 0)
+        raw = self.transport.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def close_when_idle(self) -> None:
         """Close after the request in progress, or now if there is none."""
         self.closing = True
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -227,6 +227,20 @@
 
         run_scenario(scenario)
 
+    def test_broken_off_http_1_0_response_does_not_look_complete(self):
+        async def scenario(echo):
+            async def break_off(caller, incoming):
+                caller.start_stream(200, [], keep_alive=True)
+                caller.write_chunk(b"half")
+                await asyncio.sleep(0.02)
+                caller.abort()
+
+            echo.listener.serve = break_off
+            with pytest.raises(ConnectionResetError):
+                await echo.send(b"GET /x HTTP/1.0\r\n\r\n")
+
+        run_scenario(scenario)
+
     def test_response_during_drain_closes_the_connection(self):
         async def scenario(echo):
             echo.listener.drain()
