Let stand-ins end connections as their faults say

'reset' of the plain fake and of test_verdicts closed in an orderly way (asyncio's abort sends FIN unless bytes were not read), and nothing checked it.

No fault of the product was found by it: 'without length, reset' is may-have-run at the agent, as it should be.

--- a/packages/fakes/src/kumquatway_fakes/__init__.py
+++ b/packages/fakes/src/kumquatway_fakes/__init__.py
@@ -11,6 +11,7 @@
 from kumquatway_fakes._ports import HOST, free_address
 from kumquatway_fakes._relay import LinkFaults, Relay
 from kumquatway_fakes._service import PlainService, service_app
+from kumquatway_fakes._sockets import reset_on_close
 from kumquatway_fakes._table import TableService
 from kumquatway_fakes._vms import VMListService
 from kumquatway_fakes._weights import WeightStore
@@ -31,5 +32,6 @@
     "answer",
     "engine_app",
     "free_address",
+    "reset_on_close",
     "service_app",
 ]
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -2,12 +2,11 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 
 import pytest
 
-from kumquatway_fakes import free_address
+from kumquatway_fakes import free_address, reset_on_close
 from kumquatway_gateway.http1 import (
     CallerConnection,
     ConnectionPool,
@@ -276,9 +275,7 @@
             await writer.drain()
         if self.reset:
             await asyncio.sleep(0.02)
-            linger = struct.pack("ii", 1, 0)
-            raw = writer.get_extra_info("socket")
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            reset_on_close(writer.get_extra_info("socket"))
             writer.transport.abort()
         elif self.close:
             writer.close()
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -6,6 +6,7 @@
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 
 from kumquatway.calls import Answer, Calls, Dispatcher, ServiceAsk
 from kumquatway.membership import Member
@@ -15,11 +16,13 @@
 from kumquatway_core.claims import Granted
 from kumquatway_core.mesh import Mesh, OutgoingMessage, Peer, PeerState
 from kumquatway_core.wire import Call, CallReply, Status, VMState
+from kumquatway_fakes import reset_on_close
 from kumquatway_fakes.fleet import free_address
 
 pytestmark = pytest.mark.anyio
 LIMIT = 10.0  # seconds
 BOUND = 0.5  # seconds of a call that gets no answer
+UNFRAMED_ANSWER = b"HTTP/1.1 200 X\r\n\r\nok"
 ANSWER = b"HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\nok"
 incarnations = itertools.count(1)
 
@@ -44,8 +47,16 @@
     Case(fault="status 500", outcome=500, executions=1),
     Case(fault="no listener", outcome=NOT_RUN, reason=Reason.UNREACHABLE),
     Case(fault="close at once", outcome=MAY_HAVE_RUN, reason=Reason.RESET),
+    Case(fault="close", outcome=MAY_HAVE_RUN, reason=Reason.RESET, executions=1),
     Case(fault="reset", outcome=MAY_HAVE_RUN, reason=Reason.RESET, executions=1),
     Case(fault="half", outcome=MAY_HAVE_RUN, reason=Reason.RESET, executions=1),
+    Case(fault="without length", outcome=200, executions=1),
+    Case(
+        fault="without length, reset",
+        outcome=MAY_HAVE_RUN,
+        reason=Reason.RESET,
+        executions=1,
+    ),
     Case(fault="silent", outcome=MAY_HAVE_RUN, executions=1),
     Case(fault="leaving", outcome=NOT_RUN, reason=Reason.SHUTTING_DOWN),
     Case(fault="other service", outcome=NOT_RUN, reason=Reason.REFUSED),
@@ -81,13 +92,18 @@
                 pass
             self.executions += 1
             await self._answer(stream)
+            if self.fault.endswith("reset"):
+                await anyio.sleep(0.02)  # a reset may overtake what was sent before
+                reset_on_close(stream.extra(SocketAttribute.raw_socket))
 
     async def _answer(self, stream) -> None:
         if self.fault in ("silent", "dies", "restarts"):
             await anyio.sleep_forever()
         if self.fault == "half":
             await stream.send(ANSWER[:30])
-        elif self.fault != "reset":
+        elif self.fault.startswith("without length"):
+            await stream.send(UNFRAMED_ANSWER)
+        elif self.fault not in ("close", "reset"):
             await stream.send(ANSWER % (500 if self.fault == "status 500" else 200))
 
 
