Give up a response whose head, chunk extensions or trailers do not end

What callers would see: nothing until their deadline; the entry stores fields until its memory is used up, or parses chunk extensions and interim responses for as long.

Cause: only a buffered body had a limit. Change: 64 KiB in a row without any of the body end the response as 'too large' and close the connection; so does a buffered body over its limit, which was called 'not HTTP' before. That covers the store, peers, engines and services, since all are read by this connection.

Before: test_endless_responses, nine cases fail (timeout; eight of them read on without a bound); after: they pass.

--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -14,6 +14,9 @@
 from kumquatway_gateway.http1._headers import Headers
 
 MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024  # of a response without a sink
+# Received in a row without any of the body: heads, chunk extensions, trailers, and
+# responses to other requests.
+MAX_OVERHEAD_BYTES = 64 * 1024
 
 
 class ResponseEnd(enum.Enum):
@@ -23,6 +26,7 @@
     CLOSED = "closed early"
     RESET = "reset"
     GARBLED = "not HTTP"
+    TOO_LARGE = "too large"
     ABANDONED = "abandoned here"
 
 
@@ -158,6 +162,7 @@
         self.closed = False
         self.keep_alive_seconds = 0.0  # as sent by the server, 0 if it sent none
         self.idle_since = 0.0
+        self._overhead_bytes = 0
 
     def send(self, exchange: Exchange, data: bytes) -> None:
         """
@@ -167,6 +172,7 @@
         :param data: head and body of the request.
         """
         self.exchange = exchange
+        self._overhead_bytes = 0
         self.transport.write(data)
 
     def set_reading(self, enabled: bool) -> None:
@@ -182,10 +188,14 @@
         else:
             self.transport.pause_reading()
 
-    def abandon(self) -> None:
-        """Abort the connection and the exchange in progress."""
+    def abandon(self, end: ResponseEnd = ResponseEnd.ABANDONED) -> None:
+        """
+        Abort the connection and the exchange in progress.
+
+        :param end: how the response counts as ended.
+        """
         self.reusable = False
-        self._finish(ResponseEnd.ABANDONED)
+        self._finish(end)
         if self.transport is not None:
             self.transport.abort()
 
@@ -200,10 +210,13 @@
         if self.exchange is None:
             self.abandon()
             return
+        self._overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
-            self._fail(ResponseEnd.GARBLED)
+            self.abandon(ResponseEnd.GARBLED)
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES and self.exchange is not None:
+            self.abandon(ResponseEnd.TOO_LARGE)
 
     def eof_received(self):
         """Complete a response without framing; any other one is truncated."""
@@ -265,9 +278,10 @@
         exchange = self.exchange
         if exchange is None or self.message.skipped:
             return
+        self._overhead_bytes = 0
         exchange.feed(data)
         if exchange.buffered_bytes > MAX_BUFFERED_BODY_BYTES:
-            self._fail(ResponseEnd.GARBLED)
+            self.abandon(ResponseEnd.TOO_LARGE)
 
     def on_message_complete(self):
         """Complete the response and make the connection available for reuse."""
@@ -285,12 +299,6 @@
         else:
             self.transport.close()
 
-    def _fail(self, end: ResponseEnd) -> None:
-        self.reusable = False
-        self._finish(end)
-        if self.transport is not None:
-            self.transport.abort()
-
     def _finish(self, end: ResponseEnd) -> None:
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
--- /dev/null
+++ b/packages/gateway/tests/test_endless_responses.py
@@ -0,0 +1,106 @@
+"""Tests that bytes which a server sends without end are given up, and not stored."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from kumquatway_fakes import free_address
+from kumquatway_gateway.http1 import (
+    ConnectionPool,
+    Exchange,
+    Fetcher,
+    FetchFailed,
+    ResponseEnd,
+    render_request,
+)
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+PADDING = b"x" * 1024
+# What a server sends once, and what it then repeats until the connection is closed.
+ENDLESS_OVERHEAD = {
+    "status line": (b"HTTP/1.1 200 ", PADDING),
+    "field": (b"HTTP/1.1 200 OK\r\nPad: ", PADDING),
+    "fields": (b"HTTP/1.1 200 OK\r\n", b"Pad: x\r\n" * 100),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+    "responses to others": (
+        b"",
+        b"HTTP/1.1 200 OK\r\nOf: other\r\nContent-Length: 0\r\n\r\n" * 20,
+    ),
+    "chunk extension": (CHUNKED + b"1;", PADDING),
+    "trailer": (CHUNKED + b"1\r\na\r\n0\r\n", b"Pad: x\r\n" * 100),
+}
+MAX_OVERHEAD_BYTES = 8 << 20  # that arrive, those in the kernel's buffers included
+
+
+class _EndlessServer:
+    """A server that answers with bytes until the connection is closed."""
+
+    def __init__(self, prefix: bytes, filler: bytes):
+        self.prefix = prefix
+        self.filler = filler
+        self.bytes_sent = 0
+        self.closed = asyncio.Event()
+        self.address = free_address()
+
+    async def __aenter__(self):
+        host, _, port = self.address.rpartition(":")
+        self.server = await asyncio.start_server(self._serve, host, int(port))
+        return self
+
+    async def __aexit__(self, *_):
+        self.server.close()
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(ConnectionError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.prefix)
+            while True:
+                writer.write(self.filler)
+                await writer.drain()
+                self.bytes_sent += len(self.filler)
+        self.closed.set()
+
+
+async def _exchange(server: _EndlessServer, **options) -> ResponseEnd:
+    connection = await ConnectionPool().connect("s", server.address)
+    exchange = Exchange(**options)
+    connection.send(exchange, render_request("GET", "/", [(b"Host", b"a")]))
+    async with asyncio.timeout(20):
+        end = await exchange.ended
+        await server.closed.wait()
+    return end
+
+
+class TestEndlessResponse:
+    """The connection is closed; neither the bytes nor the time grow without bound."""
+
+    @pytest.mark.parametrize("where", ENDLESS_OVERHEAD)
+    def test_overhead_is_bounded(self, where):
+        async def scenario():
+            async with _EndlessServer(*ENDLESS_OVERHEAD[where]) as server:
+                end = await _exchange(
+                    server, accepts=lambda _, headers: headers.get(b"of") is None
+                )
+                assert end is ResponseEnd.TOO_LARGE
+                assert server.bytes_sent < MAX_OVERHEAD_BYTES
+
+        asyncio.run(scenario())
+
+    def test_buffered_body_is_bounded(self):
+        async def scenario():
+            async with _EndlessServer(b"HTTP/1.1 200 OK\r\n\r\n", PADDING) as server:
+                assert await _exchange(server) is ResponseEnd.TOO_LARGE
+
+        asyncio.run(scenario())
+
+    def test_fetch_fails_as_sent(self):
+        async def scenario():
+            async with _EndlessServer(*ENDLESS_OVERHEAD["fields"]) as server:
+                fetcher = Fetcher(pool=ConnectionPool())
+                with pytest.raises(FetchFailed) as failure:
+                    await fetcher.fetch(server.address, "GET", "/", timeout=20.0)
+                assert failure.value.sent
+                assert ResponseEnd.TOO_LARGE.value in str(failure.value)
+
+        asyncio.run(scenario())
