Bound what is held back of a model server's response

What callers would see: a 504 at their deadline, or no answer at all once the entry is killed for its memory. A refusal with a body without end filled 1.1 GB within 4 s in the test; an event without end grew until the deadline.

Cause: a stream's response was read through a sink, which the limit of buffered bodies did not cover: StreamJob stored what was not relayed, and EventRelay the event that was not complete.

Change: the exchange itself stores the body until it has a sink, so that one limit covers both (1 MiB before a stream is relayed); an event may have 2 MiB. What is over ends as 'too large': a refusal stays a refusal, a stream resumes on another chain or is broken off.

Before: all five cases of test_endless_streams fail (peak memory 32 MB to 1.1 GB, bound 24 MiB; 504 in place of the refusal); after: they pass. Gateway and adapter tests: 553 pass.

--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -13,7 +13,7 @@
 
 from kumquatway_gateway.http1._headers import Headers
 
-MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024  # of a response without a sink
+MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024  # of a response without a sink, by default
 # Received in a row without any of the body: heads, chunk extensions, trailers, and
 # responses to other requests.
 MAX_OVERHEAD_BYTES = 64 * 1024
@@ -59,9 +59,8 @@
 
     :param accepts: returns whether a response belongs to the request; a server may
         first send a late response to another request.
-    :param sink: called with each part of the body; without a sink the parts are
-        stored in `body`.
     :param bodyless: whether the response has no body, whatever its header fields say.
+    :param max_buffered_bytes: limit of the body while it has no sink.
     """
 
     __slots__ = (
@@ -71,6 +70,7 @@
         "ended",
         "head",
         "buffered_bytes",
+        "max_buffered_bytes",
         "sink",
     )
 
@@ -78,14 +78,15 @@
         self,
         *,
         accepts: Callable[[int, Headers], bool] = accept_any,
-        sink: Callable[[bytes], None] | None = None,
         bodyless: bool = False,
+        max_buffered_bytes: int = MAX_BUFFERED_BODY_BYTES,
     ):
         self.bodyless = bodyless
+        self.max_buffered_bytes = max_buffered_bytes
         loop = asyncio.get_running_loop()
         self.accepts = accepts
-        self.sink = sink
-        self.body: list[bytes] = []
+        self.sink: Callable[[bytes], None] | None = None
+        self.body: list[bytes] = []  # what arrived without a sink
         self.buffered_bytes = 0
         self.head: asyncio.Future[ResponseHead | ResponseEnd] = loop.create_future()
         self.ended: asyncio.Future[ResponseEnd] = loop.create_future()
@@ -95,6 +96,18 @@
         if not self.head.done():
             self.head.set_result(head)
 
+    def relay_to(self, sink: Callable[[bytes], None]) -> None:
+        """
+        Pass on the body as it arrives, with what was stored so far.
+
+        :param sink: called with each part of the body.
+        """
+        self.sink = sink
+        stored, self.body = self.body, []
+        self.buffered_bytes = 0
+        for data in stored:
+            sink(data)
+
     def feed(self, data: bytes) -> None:
         """Store a part of the body, or pass it to the sink."""
         if self.sink is not None:
@@ -280,7 +293,7 @@
             return
         self._overhead_bytes = 0
         exchange.feed(data)
-        if exchange.buffered_bytes > MAX_BUFFERED_BODY_BYTES:
+        if exchange.buffered_bytes > exchange.max_buffered_bytes:
             self.abandon(ResponseEnd.TOO_LARGE)
 
     def on_message_complete(self):
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -36,6 +36,8 @@
 
 # Part of the pause that callers accept which is left for the first event of a chain.
 LAST_EVENT_SECONDS = 0.1
+MAX_EVENT_BYTES = 2 * 1024 * 1024  # held back until an event is complete
+MAX_ERROR_BODY_BYTES = 1024 * 1024  # of a response with a status other than 200
 
 
 class _AttemptOutcome(enum.Enum):
@@ -176,7 +178,7 @@
         self.relaying = self.has_events = False
         self.exchange = Exchange(
             accepts=lambda status, headers: dialect.accepts(request, status, headers),
-            sink=self._on_body,
+            max_buffered_bytes=MAX_ERROR_BODY_BYTES,
         )
         self.sent_at = self.events.last_event_at = time.monotonic()
         self._record_route(chain)
@@ -196,7 +198,6 @@
     async def _relay_response(self, chain: Chain) -> _AttemptOutcome:
         """Wait for the response, and relay it to the caller if its status is 200."""
         exchange = self.exchange
-        self._buffered_body: list[bytes] = []
         head = await exchange.head
         if isinstance(head, ResponseEnd):
             return self._handle_early_end(head)
@@ -226,18 +227,15 @@
             self.streaming = True
             fields = head.headers.forwardable()
             self.job.caller.start_stream(head.status, fields, keep_alive=True)
-        buffered, self._buffered_body = self._buffered_body, []
-        for data in buffered:
-            self._on_body(data)
+        self.exchange.relay_to(self._on_body)
 
     def _on_body(self, data: bytes) -> None:
-        """Relay or buffer a piece of the body; called for every event."""
-        if not self.relaying:
-            self._buffered_body.append(data)
-            return
+        """Relay a piece of the body; called for every event."""
         events = self.events
         before = events.count
         events.feed(data)
+        if len(events.partial_event) > MAX_EVENT_BYTES:
+            self.connection.abandon(ResponseEnd.TOO_LARGE)
         if not self.has_events and events.count > before:
             self.has_events = True
         if not before and events.count:
@@ -273,7 +271,7 @@
         self.may_have_run = True
         if end is ResponseEnd.COMPLETE:
             self.error_response = _ErrorResponse(
-                head=head, body=b"".join(self._buffered_body)
+                head=head, body=b"".join(self.exchange.body)
             )
         self.avoid.add(self.chain.first_server.id)
         return _AttemptOutcome.FAILED
