Answer a refusal by its head

What callers would see: 504 (may have run) at their deadline, although the server had said in its head that it did not run the request: the body of the refusal did not end, and it was waited for.

On model services and plain ones.

Before: test_is_a_refusal_before_its_body_arrives and the case 'full, body without end' of plain services fail with 504; after: 503, not run.

--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -21,6 +21,7 @@
 from kumquatway_gateway.relay._dialect import Attempt
 from kumquatway_gateway.relay._event_stream import is_body_broken_off, is_event_stream
 from kumquatway_gateway.relay._job import Job
+from kumquatway_gateway.relay._refusal import wait_for_refusal_body
 from kumquatway_gateway.relay._verdict_response import respond_with_verdict
 from kumquatway_gateway.waiting import retry_after
 
@@ -343,17 +344,25 @@
         self.relay.record_route(job, (server.id,), self._describe(server))
         connection.send(exchange, dialect.encode(job.request, attempt))
         try:
-            end = await exchange.ended
+            return await self._read_response(server, exchange)
         finally:
             if connection.exchange is exchange:
                 connection.abandon()
             self.relay.record_response(exchange)
+
+    async def _read_response(self, server: Server, exchange: Exchange) -> _Outcome:
+        head = await exchange.head
+        if isinstance(head, ResponseEnd):
+            return _invalid(server, exchange.describe())
+        info = self.relay.dialect.parse_response(head.status, head.headers)
+        self.relay.fleet.record_notice(server, info.notice)
+        if info.not_run:
+            await wait_for_refusal_body(exchange)
+            return _Outcome(server=server, head=head, body=b"", not_run=True)
+        end = await exchange.ended
         detail = exchange.describe()
-        head = exchange.head.result()
-        if end is not ResponseEnd.COMPLETE or isinstance(head, ResponseEnd):
+        if end is not ResponseEnd.COMPLETE:
             return _invalid(server, detail)
-        info = dialect.parse_response(head.status, head.headers)
-        self.relay.fleet.record_notice(server, info.notice)
         body = b"".join(exchange.body)
         if 200 <= head.status < 300:
             if not info.signed:
@@ -361,7 +370,7 @@
             if self._is_broken_off(head, body):
                 return _invalid(server, f"{detail}, but the stream is broken off")
         return _Outcome(
-            server=server, head=head, body=body, not_run=info.not_run, detail=detail
+            server=server, head=head, body=body, not_run=False, detail=detail
         )
 
     def _is_broken_off(self, head: ResponseHead, body: bytes) -> bool:
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -25,6 +25,7 @@
 from kumquatway_gateway.relay._event_stream import is_broken_off, is_event_stream
 from kumquatway_gateway.relay._job import Job
 from kumquatway_gateway.relay._model_router import Claim, ModelRouter
+from kumquatway_gateway.relay._refusal import wait_for_refusal_body
 from kumquatway_gateway.relay._stall_detection import (
     MIN_IDLE_SECONDS,
     StallAction,
@@ -264,10 +265,11 @@
         self, head: ResponseHead, info: ResponseInfo
     ) -> _AttemptOutcome:
         """Read a response with a status other than 200, and return the outcome."""
-        end = await self.exchange.ended
         if info.not_run:
+            await wait_for_refusal_body(self.exchange)
             self._avoid_faulty_server(info)
             return _AttemptOutcome.REFUSED
+        end = await self.exchange.ended
         self.may_have_run = True
         if end is ResponseEnd.COMPLETE:
             self.error_response = _ErrorResponse(
