Forward a body of a model service that is no event stream as it arrives

What callers would see: a body cut where it has more than 2 MiB without an empty line, the limit of an event; before that limit, nothing until such a line or the end.

--- a/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
@@ -85,11 +85,23 @@
         event_id = _last_id(complete)
         if event_id:
             self.last_id = event_id
+        self._write(complete, now)
+
+    def forward(self, data: bytes) -> None:
+        """
+        Write a piece of a body that is no event stream.
+
+        :param data: any bytes.
+        """
+        self.last_event_at = self.clock()
+        self._write(data, self.last_event_at)
+
+    def _write(self, data: bytes, now: float) -> None:
         if self.count:
             self.longest_gap = max(self.longest_gap, now - self.last_write_at)
         self.last_write_at = now
         self.count += 1
-        self.write(complete)
+        self.write(data)
 
     def reset_gap(self) -> None:
         """Start measuring the gap anew, after a pause that the caller caused."""
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -82,6 +82,7 @@
         self.streaming = False  # the caller has the head of the response
         self.relaying = False  # the current server's body goes to the caller
         self.has_events = False  # the current server has sent an event
+        self.is_event_stream = False  # the current response
         self.sent_at = 0.0
         self.may_have_run = False  # a server may have run the request
         self.error_response: _ErrorResponse | None = None
@@ -228,13 +229,17 @@
             self.streaming = True
             fields = head.headers.forwardable()
             self.job.caller.start_stream(head.status, fields, keep_alive=True)
+        self.is_event_stream = is_event_stream(self.job.route, head)
         self.exchange.relay_to(self._on_body)
 
     def _on_body(self, data: bytes) -> None:
         """Relay a piece of the body; called for every event."""
         events = self.events
         before = events.count
-        events.feed(data)
+        if self.is_event_stream:
+            events.feed(data)
+        else:
+            events.forward(data)
         if len(events.partial_event) > MAX_EVENT_BYTES:
             self.connection.abandon(ResponseEnd.TOO_LARGE)
         if not self.has_events and events.count > before:
@@ -249,7 +254,7 @@
 
     def _is_broken_off(self, head: ResponseHead) -> bool:
         """Tell whether the stream ended too early, although its framing is complete."""
-        return is_event_stream(self.job.route, head) and is_broken_off(
+        return self.is_event_stream and is_broken_off(
             head.framing, has_events=self.has_events, rest=self.events.partial_event
         )
 
