Count a server toward the attempts although its response is not HTTP

What callers would see: nothing; a request could reach more servers than its route's attempts (BUDGET). Cause: a response that is not HTTP, or too large, counted as one whose connection the server had closed, while it is this entry that closes it; a server that then refuses connections counted as ended.

Before: two cases of TestServersThatEnded fail; after: they pass.

--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -37,6 +37,8 @@
 
 # Part of the pause that callers accept which is left for the first event of a chain.
 LAST_EVENT_SECONDS = 0.1
+# Ends of a response that this entry did not cause by closing the connection.
+ENDS_BY_SERVER = (ResponseEnd.COMPLETE, ResponseEnd.CLOSED, ResponseEnd.RESET)
 MAX_EVENT_BYTES = 2 * 1024 * 1024  # held back until an event is complete
 MAX_ERROR_BODY_BYTES = 1024 * 1024  # of a response with a status other than 200
 
@@ -88,7 +90,7 @@
         self.error_response: _ErrorResponse | None = None
         self.interrupted_at = 0.0  # when the stream was interrupted, 0 while it is not
         self.avoid: set[str] = set()  # IDs of servers that get no further attempt
-        self.closed_by: set[str] = set()  # IDs of servers that closed their connection
+        self.closed_by: set[str] = set()  # IDs of servers that ended their response
         self.refusals = 0
 
     async def run(self) -> None:
@@ -263,7 +265,8 @@
         self.may_have_run = True
         if end is ResponseEnd.ABANDONED:
             return _AttemptOutcome.STALLED
-        self.closed_by.add(self.chain.first_server.id)
+        if end in ENDS_BY_SERVER:
+            self.closed_by.add(self.chain.first_server.id)
         return _AttemptOutcome.CUT
 
     async def _handle_error(
--- a/packages/gateway/tests/test_stream_retries.py
+++ b/packages/gateway/tests/test_stream_retries.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from kumquatway_gateway.http1 import ResponseEnd
 from kumquatway_gateway.model import Backend, Route, RouteKind
 from kumquatway_gateway.relay._streams import (
     LAST_EVENT_SECONDS,
@@ -89,3 +90,24 @@
 
     def test_ends_when_the_caller_has_left(self):
         assert self._wait(idle=3.0) < 0
+
+
+class TestServersThatEnded:
+    """
+    A server that ended its response counts less toward the attempts of a route.
+
+    Load pattern: a server sends bytes that are no response, and is full or leaving, so
+    that it refuses connections too. It may still work on the request.
+    """
+
+    @pytest.mark.parametrize("end", list(ResponseEnd))
+    def test_a_server_whose_connection_this_entry_closed_does_not(self, end):
+        job = SimpleNamespace(
+            caller=SimpleNamespace(write_chunk=lambda data: None),
+            request=SimpleNamespace(last_event_id=""),
+        )
+        stream = StreamJob(relay=None, router=None, job=job)
+        stream.chain = SimpleNamespace(first_server=SimpleNamespace(id="s0"))
+        stream._handle_early_end(end)
+        ended = (ResponseEnd.COMPLETE, ResponseEnd.CLOSED, ResponseEnd.RESET)
+        assert ("s0" in stream.closed_by) is (end in ended)
