Bound the responses that the core and the agent read

What callers would see: an agent or entry that is killed for its memory, or an engine call that never ends. Cause: httpx bounds the head of a response, not its body, and its timeouts are for each read. The agent checked its 32 MiB after the body was in memory; an engine's call had no limit in time while bytes arrived.

Change: each client of kumquatway_core.http breaks off a body over its limit (64 MiB by default, 32 MiB of a plain service, 1 GiB of an exported KV cache) as a protocol error, which is may-have-run as before; a call of an engine has a total time too.

Before: two cases of TestEngine fail (they time out), and 'endless' of test_verdicts under a limit of memory; the platform's cases passed by their 1 s timeout, at the cost of what arrives in it. After: all pass; core and agent tests pass. Cut bodies without a length were no fault here: each reply is decoded, and none decodes when it is cut (test_cut_responses).

--- a/packages/agent/src/kumquatway_agent/service/_caller.py
+++ b/packages/agent/src/kumquatway_agent/service/_caller.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
-from kumquatway_core.http import open_client
+from kumquatway_core.http import LIMIT_EXTENSION, open_client
 from kumquatway_core.wire import Call, CallReply
 
 CONNECT_TIMEOUT = 1.0  # seconds
@@ -125,7 +125,11 @@
     """Make the request, while no byte can have left."""
     try:
         return http.build_request(
-            call.method, call.path, content=call.body, headers=list(call.headers)
+            call.method,
+            call.path,
+            content=call.body,
+            headers=list(call.headers),
+            extensions={LIMIT_EXTENSION: MAX_BODY},
         )
     except (ValueError, TypeError, httpx.InvalidURL) as error:
         return not_run(Reason.BAD_REQUEST, str(error))
--- a/packages/core/src/kumquatway_core/engine/_client.py
+++ b/packages/core/src/kumquatway_core/engine/_client.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+import anyio
 import httpx
 import msgspec
 
@@ -14,11 +15,14 @@
     StepReply,
     StepRequest,
 )
-from kumquatway_core.http import open_transport
+from kumquatway_core.http import LIMIT_EXTENSION, open_transport
 
 CONNECT_TIMEOUT = 1.0  # seconds
 CALL_TIMEOUT = 5.0  # seconds
 ORDER_TIMEOUT = 120.0  # seconds; loading layers transfers their weights
+KV_TRANSFER_TIMEOUT = 60.0  # seconds
+MAX_REPLY_BYTES = 64 * 1024 * 1024
+MAX_KV_EXPORT_BYTES = 1024 * 1024 * 1024
 KEEPALIVE_EXPIRY = 30.0  # seconds until an idle pooled connection is closed
 MEDIA_TYPE = "application/msgpack"
 
@@ -34,6 +38,30 @@
     verdict: Verdict
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class _CallLimits:
+    """
+    Limits of a call.
+
+    :param silence: longest time in which nothing arrives, seconds.
+    :param total: time until the reply is complete, seconds.
+    :param max_bytes: size of the reply.
+    """
+
+    silence: float
+    total: float
+    max_bytes: int = MAX_REPLY_BYTES
+
+
+_KV_TRANSFER = _CallLimits(
+    silence=CALL_TIMEOUT, total=KV_TRANSFER_TIMEOUT, max_bytes=MAX_KV_EXPORT_BYTES
+)
+
+
+def _limits(timeout: float) -> _CallLimits:
+    return _CallLimits(silence=timeout, total=CONNECT_TIMEOUT + timeout)
+
+
 class EngineClient:
     """
     Client of one engine.
@@ -65,7 +93,7 @@
         :param timeout: seconds until the engine counts as hung.
         :return: the results, or the failure.
         """
-        return await self._post("/step", request, StepReply, timeout)
+        return await self._post("/step", request, StepReply, _limits(timeout))
 
     async def order(
         self, order: EngineOrder, timeout: float = ORDER_TIMEOUT
@@ -77,7 +105,7 @@
         :param timeout: seconds to wait for the reply.
         :return: the reply, or the failure.
         """
-        return await self._post("/orders", order, EngineOrderReply, timeout)
+        return await self._post("/orders", order, EngineOrderReply, _limits(timeout))
 
     async def state(self) -> EngineState | EngineFailure:
         """
@@ -85,7 +113,8 @@
 
         :return: the state, or the failure.
         """
-        return await self._call("GET", "/state", b"", EngineState, CALL_TIMEOUT)
+        limits = _limits(CALL_TIMEOUT)
+        return await self._call("GET", "/state", b"", EngineState, limits)
 
     async def cancel(self, streams: tuple[str, ...]) -> EngineFailure | None:
         """
@@ -94,7 +123,7 @@
         :param streams: names of the streams at the engine.
         :return: None, or the failure.
         """
-        reply = await self._post("/cancel", streams, bool, CALL_TIMEOUT)
+        reply = await self._post("/cancel", streams, bool, _limits(CALL_TIMEOUT))
         return reply if isinstance(reply, EngineFailure) else None
 
     async def export_kv(self, stream: str) -> KVExport | EngineFailure:
@@ -104,7 +133,7 @@
         :param stream: name of the stream at the engine.
         :return: the cache, or the failure.
         """
-        return await self._post("/kv/export", (stream,), KVExport, CALL_TIMEOUT)
+        return await self._post("/kv/export", (stream,), KVExport, _KV_TRANSFER)
 
     async def import_kv(self, cache: KVExport) -> EngineFailure | None:
         """
@@ -113,7 +142,7 @@
         :param cache: the cache, as exported by another engine.
         :return: None, or the failure.
         """
-        reply = await self._post("/kv/import", cache, bool, CALL_TIMEOUT)
+        reply = await self._post("/kv/import", cache, bool, _KV_TRANSFER)
         return reply if isinstance(reply, EngineFailure) else None
 
     async def close(self) -> None:
@@ -126,23 +155,22 @@
         self.http = self._open()
         await old.aclose()
 
-    async def _post(self, path, body, kind, timeout):
+    async def _post(self, path, body, kind, limits):
         data = msgspec.msgpack.encode(body)
-        return await self._call("POST", path, data, kind, timeout)
+        return await self._call("POST", path, data, kind, limits)
 
-    async def _call(self, method, path, data, kind, timeout):
+    async def _call(self, method, path, data, kind, limits):
         try:
-            response = await self._send(method, path, data, timeout)
-            if response.status_code != httpx.codes.OK:
+            with anyio.fail_after(limits.total):
+                response = await self._send(method, path, data, limits)
+                if response.status_code == httpx.codes.OK:
+                    return msgspec.msgpack.decode(await response.aread(), type=kind)
                 await response.aclose()
-                detail = f"engine answered {path} with {response.status_code}"
-                return EngineFailure(
-                    verdict=may_have_run(Reason.UPSTREAM_ERROR, detail)
-                )
-            return msgspec.msgpack.decode(await response.aread(), type=kind)
+            detail = f"engine answered {path} with {response.status_code}"
+            verdict = may_have_run(Reason.UPSTREAM_ERROR, detail)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             verdict = not_run(Reason.UNREACHABLE, f"engine call {path}: {error!r}")
-        except httpx.TimeoutException as error:
+        except (TimeoutError, httpx.TimeoutException) as error:
             verdict = may_have_run(Reason.SILENCE, f"engine call {path}: {error!r}")
         except httpx.HTTPError as error:
             verdict = may_have_run(Reason.RESET, f"engine call {path}: {error!r}")
@@ -153,14 +181,17 @@
         return EngineFailure(verdict=verdict)
 
     async def _send(
-        self, method: str, path: str, data: bytes, timeout: float
+        self, method: str, path: str, data: bytes, limits: _CallLimits
     ) -> httpx.Response:
-        limits = httpx.Timeout(timeout, connect=CONNECT_TIMEOUT)
+        timeout = httpx.Timeout(limits.silence, connect=CONNECT_TIMEOUT)
         request = httpx.Request(
             method,
             self.url + path,
             headers={"Content-Type": MEDIA_TYPE},
             content=data,
-            extensions={"timeout": limits.as_dict()},
+            extensions={
+                "timeout": timeout.as_dict(),
+                LIMIT_EXTENSION: limits.max_bytes,
+            },
         )
         return await self.http.handle_async_request(request)
--- a/packages/core/src/kumquatway_core/http/_client.py
+++ b/packages/core/src/kumquatway_core/http/_client.py
@@ -1,10 +1,16 @@
-"""Opens HTTP clients that share one TLS context, which is slow to create."""
+"""
+Opens HTTP clients with limited responses.
+
+They share one TLS context, which is slow to create.
+"""
 
 import functools
 import ssl
 
 import httpx
 
+from kumquatway_core.http._limits import LimitedTransport
+
 
 @functools.cache
 def _tls_context() -> ssl.SSLContext:
@@ -27,13 +33,12 @@
     :param transport: transport to use instead of the network, for tests.
     :return: the client; the caller must close it.
     """
+    if transport is None:
+        transport = open_transport(limits)
+    else:
+        transport = LimitedTransport(transport=transport)
     return httpx.AsyncClient(
-        base_url=url,
-        transport=transport,
-        timeout=timeout,
-        limits=limits,
-        verify=_tls_context(),
-        trust_env=False,
+        base_url=url, transport=transport, timeout=timeout, trust_env=False
     )
 
 
@@ -44,6 +49,7 @@
     :param limits: limits of the connection pool.
     :return: the transport; the caller must close it.
     """
-    return httpx.AsyncHTTPTransport(
+    transport = httpx.AsyncHTTPTransport(
         verify=_tls_context(), limits=limits, trust_env=False
     )
+    return LimitedTransport(transport=transport)
--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -1,5 +1,6 @@
 """Tests of the verdict of a plain call at each fault on its way."""
 
+import contextlib
 import itertools
 import socket
 from dataclasses import dataclass
@@ -57,6 +58,7 @@
         reason=Reason.RESET,
         executions=1,
     ),
+    Case(fault="endless", outcome=MAY_HAVE_RUN, reason=Reason.RESET, executions=1),
     Case(fault="silent", outcome=MAY_HAVE_RUN, executions=1),
     Case(fault="leaving", outcome=NOT_RUN, reason=Reason.SHUTTING_DOWN),
     Case(fault="other service", outcome=NOT_RUN, reason=Reason.REFUSED),
@@ -85,6 +87,10 @@
         await listener.serve(self._serve)
 
     async def _serve(self, stream) -> None:
+        with contextlib.suppress(anyio.BrokenResourceError):
+            await self._take(stream)
+
+    async def _take(self, stream) -> None:
         async with stream:
             if self.fault == "close at once":
                 return
@@ -101,6 +107,10 @@
             await anyio.sleep_forever()
         if self.fault == "half":
             await stream.send(ANSWER[:30])
+        elif self.fault == "endless":
+            await stream.send(UNFRAMED_ANSWER)
+            while True:
+                await stream.send(b"x" * 65536)
         elif self.fault.startswith("without length"):
             await stream.send(UNFRAMED_ANSWER)
         elif self.fault not in ("close", "reset"):
