Do not call a stored answer gone that arrived cut

What callers would see: 410, the answer of their keyed call is gone, although it is stored; the object's response had no length and its connection ended early. Any body that did not decode counted as gone for good. Now only an object that is not there does; otherwise the caller is asked to come back.

Before: test_a_stored_answer_that_arrives_cut_is_not_gone fails; after: it passes.

--- a/packages/core/src/kumquatway_core/claims/_claims.py
+++ b/packages/core/src/kumquatway_core/claims/_claims.py
@@ -294,10 +294,14 @@
             data = await self.objects.get(holder.answer_object)
         except PlatformError as error:
             return _refuse_answer_unavailable(holder, str(error))
-        try:
-            return Finished(answer=_answer_decoder.decode(data or b""))
-        except msgspec.MsgspecError:
+        if data is None:
             return _refuse_answer_gone(holder)
+        try:
+            return Finished(answer=_answer_decoder.decode(data))
+        except msgspec.MsgspecError as error:
+            # The store's response may have been cut; the object may still be whole.
+            detail = f"object {holder.answer_object} cannot be decoded: {error}"
+            return _refuse_answer_unavailable(holder, detail)
 
     async def _store_object(self, claim: Claim, answer: Answer) -> str:
         """Store an answer in the object store; return its name, "" if that failed."""
--- a/packages/core/tests/test_claims.py
+++ b/packages/core/tests/test_claims.py
@@ -320,6 +320,24 @@
 
         self.run(scenario)
 
+    def test_a_stored_answer_that_arrives_cut_is_not_gone(self):
+        large = Answer(status=200, body=b"x" * (_claims.MAX_INLINE_BYTES + 1))
+
+        async def scenario():
+            granted = await claim(self.a, "1")
+            await self.a.complete(granted.claim, large)
+            [(name, stored)] = self.platform.store.objects.items()
+            self.platform.store.objects[name] = stored[:-1]
+            refused = await claim(self.b, "2")
+            assert refused.verdict.reason is Reason.STORE_DOWN
+            assert refused.verdict.retry_after
+            self.platform.store.objects[name] = stored
+            assert (await claim(self.b, "3")).answer == large
+            del self.platform.store.objects[name]
+            assert (await claim(self.b, "4")).verdict.reason is Reason.ANSWER_GONE
+
+        self.run(scenario)
+
 
 class TestSweep:
     """Expired claims are deleted page by page."""
