Bound the large response bodies of all connections together

What callers would see: all requests of an entry fail at once, when it is killed for its memory. Each body has a limit of 16 MiB, but a service whose servers all send bytes without end gets as many requests as it takes, twelve for each server with six slots: 192 MiB a server.

Change: bodies of more than 1 MiB count together, up to 32 MiB, a quarter of what a node may use; the largest is given up as too large. Small ones are never given up. The parts of a body that is too large are freed at once (those of any incomplete body at first: it broke the tests' view of what a caller received, so that is not done).

--- a/packages/gateway/src/kumquatway_gateway/http1/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_pool.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 
+from kumquatway_gateway.http1._large_bodies import LargeBodies
 from kumquatway_gateway.http1._upstream import UpstreamConnection
 
 CONNECT_TIMEOUT_SECONDS = 0.3  # 100 times the round-trip time to a server
@@ -38,6 +39,7 @@
     def __init__(self, *, clock: Callable[[], float] = time.monotonic):
         self.clock = clock
         self.idle: dict[str, list[UpstreamConnection]] = {}
+        self.large_bodies = LargeBodies()
 
     async def connect(
         self, server: str, address: str, timeout: float = CONNECT_TIMEOUT_SECONDS
@@ -63,7 +65,9 @@
             self._add_idle(server, connection)
 
         def protocol() -> UpstreamConnection:
-            return UpstreamConnection(on_reusable=on_reusable)
+            return UpstreamConnection(
+                on_reusable=on_reusable, large_bodies=self.large_bodies
+            )
 
         try:
             async with asyncio.timeout(timeout):
--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -12,6 +12,7 @@
 import httptools
 
 from kumquatway_gateway.http1._headers import Headers
+from kumquatway_gateway.http1._large_bodies import LargeBodies
 
 MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024  # of a response without a sink, by default
 # Received in a row without any of the body: heads, chunk extensions, trailers, and
@@ -134,7 +135,9 @@
         return f"framing {self.framing() or 'unknown'}, {self.end()}"
 
     def finish(self, end: ResponseEnd) -> None:
-        """Set how the response ended."""
+        """Set how the response ended; a body that is too large is dropped."""
+        if end is ResponseEnd.TOO_LARGE:
+            self.body = []
         if not self.head.done():
             self.head.set_result(end)
         if not self.ended.done():
@@ -163,10 +166,17 @@
 
     :param on_reusable: called with the connection when a response is complete and the
         connection can be used for another request.
+    :param large_bodies: bounds the bodies of all connections.
     """
 
-    def __init__(self, *, on_reusable: Callable[["UpstreamConnection"], None]):
+    def __init__(
+        self,
+        *,
+        on_reusable: Callable[["UpstreamConnection"], None],
+        large_bodies: LargeBodies,
+    ):
         self.on_reusable = on_reusable
+        self.large_bodies = large_bodies
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.message = _Message()
@@ -212,6 +222,14 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def buffered_bytes(self) -> int:
+        """Return how much of the current response is buffered."""
+        return self.exchange.buffered_bytes if self.exchange is not None else 0
+
+    def give_up(self) -> None:
+        """Abort the connection, as its response is too large."""
+        self.abandon(ResponseEnd.TOO_LARGE)
+
     # asyncio.Protocol
 
     def connection_made(self, transport):
@@ -229,7 +247,7 @@
         except httptools.HttpParserError:
             self.abandon(ResponseEnd.GARBLED)
         if self._overhead_bytes > MAX_OVERHEAD_BYTES and self.exchange is not None:
-            self.abandon(ResponseEnd.TOO_LARGE)
+            self.give_up()
 
     def eof_received(self):
         """Complete a response without framing; any other one is truncated."""
@@ -294,7 +312,9 @@
         self._overhead_bytes = 0
         exchange.feed(data)
         if exchange.buffered_bytes > exchange.max_buffered_bytes:
-            self.abandon(ResponseEnd.TOO_LARGE)
+            self.give_up()
+        else:
+            self.large_bodies.observe(self)
 
     def on_message_complete(self):
         """Complete the response and make the connection available for reuse."""
@@ -314,6 +334,7 @@
 
     def _finish(self, end: ResponseEnd) -> None:
         exchange, self.exchange = self.exchange, None
+        self.large_bodies.discard(self)
         if exchange is not None:
             exchange.finish(end)
 
--- a/packages/gateway/tests/test_endless_responses.py
+++ b/packages/gateway/tests/test_endless_responses.py
@@ -30,6 +30,8 @@
     "chunk extension": (CHUNKED + b"1;", PADDING),
     "trailer": (CHUNKED + b"1\r\na\r\n0\r\n", b"Pad: x\r\n" * 100),
 }
+LARGE_BYTES = 10 << 20  # of a body
+MAX_LARGE_BODIES_BYTES = 32 << 20  # a quarter of what an entry may use for control
 MAX_OVERHEAD_BYTES = 8 << 20  # that arrive, those in the kernel's buffers included
 
 
@@ -104,3 +106,51 @@
                 assert ResponseEnd.TOO_LARGE.value in str(failure.value)
 
         asyncio.run(scenario())
+
+
+class TestManyLargeBodies:
+    """
+    Bodies that are all within the limit of one.
+
+    Load pattern: every server of a service sends bodies without end, to as many
+    requests as it takes.
+    """
+
+    def test_total_is_bounded_and_others_are_served(self):
+        async def serve(reader, writer):
+            request = await reader.readuntil(b"\r\n\r\n")
+            if request.startswith(b"GET /small"):
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            else:
+                writer.write(b"HTTP/1.1 200 OK\r\n\r\n" + bytes(LARGE_BYTES))
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+
+        async def send(pool: ConnectionPool, address: str, target: str) -> Exchange:
+            connection = await pool.connect(target, address)
+            exchange = Exchange()
+            fields = [(b"Host", b"a")]
+            connection.send(exchange, render_request("GET", target, fields))
+            return exchange
+
+        async def scenario():
+            address = free_address()
+            host, _, port = address.rpartition(":")
+            pool = ConnectionPool()
+            async with await asyncio.start_server(serve, host, int(port)):
+                sent = [await send(pool, address, f"/large{n}") for n in range(8)]
+                async with asyncio.timeout(20):
+                    while any(
+                        not one.ended.done() and one.buffered_bytes < LARGE_BYTES
+                        for one in sent
+                    ):
+                        await asyncio.sleep(0.01)
+                    small = await send(pool, address, "/small")
+                    assert await small.ended is ResponseEnd.COMPLETE
+                held = [one for one in sent if not one.ended.done()]
+                assert sum(one.buffered_bytes for one in held) <= MAX_LARGE_BODIES_BYTES
+                assert held
+                ends = {one.ended.result() for one in sent if one not in held}
+                assert ends == {ResponseEnd.TOO_LARGE}
+
+        asyncio.run(scenario())
