Let the stand-in link end connections as its far end does

A link dropped what was under way when its source closed, so that an orderly close cut the tail of an answer, and turned a reset into an orderly close. It delivers what is under way first, and resets what was reset.

Before: the three cases of test_relay fail; after: they pass, and so do the tests of the mesh, which use the link.

--- a/packages/fakes/src/kumquatway_fakes/_relay.py
+++ b/packages/fakes/src/kumquatway_fakes/_relay.py
@@ -9,7 +9,9 @@
 from dataclasses import dataclass
 
 import anyio
-from anyio.abc import ByteStream
+from anyio.abc import ByteStream, SocketAttribute
+
+from kumquatway_fakes._sockets import reset_on_close
 
 
 @dataclass(kw_only=True, slots=True)
@@ -32,6 +34,7 @@
 
     def __init__(self):
         self.silent = False
+        self.was_reset = False  # by either end
 
 
 class Relay:
@@ -86,6 +89,9 @@
                     await self._join(near, far, connection)
                 finally:
                     self.connections.discard(connection)
+                    for stream in (near, far):
+                        raw = stream.extra(SocketAttribute.raw_socket)
+                        reset_on_close(raw, connection.was_reset)
 
     async def _join(
         self, near: ByteStream, far: ByteStream, connection: _Connection
@@ -103,22 +109,31 @@
     async def _pump(
         self, source: ByteStream, sink: ByteStream, connection: _Connection
     ) -> None:
-        """Carry bytes one way; what is under way does not hold up the reading."""
+        """
+        Carry bytes one way until their source ends.
+
+        What is under way does not hold up the reading, and is delivered in the end.
+        """
         under_way: deque[tuple[float, bytes]] = deque()
         wake = anyio.Event()
+        ended = False
         free_at = 0.0
 
         async def deliver() -> None:
             nonlocal wake
-            while True:
-                while not under_way:
+            while under_way or not ended:
+                if not under_way:
                     wake = anyio.Event()
                     await wake.wait()
+                    continue
                 due, data = under_way.popleft()
                 await anyio.sleep(max(due - time.monotonic(), 0))
                 if connection.silent:
                     await anyio.sleep_forever()
-                await sink.send(data)
+                try:
+                    await sink.send(data)
+                except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    return
 
         async with anyio.create_task_group() as group:
             group.start_soon(deliver)
@@ -128,11 +143,14 @@
                     free_at = max(free_at, now) + self._seconds(len(data))
                     under_way.append((free_at + self.faults.delay, data))
                     wake.set()
-            except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            except anyio.BrokenResourceError:
+                connection.was_reset = True
+            except anyio.ClosedResourceError:
                 pass
             if connection.silent:
                 await anyio.sleep_forever()
-            group.cancel_scope.cancel()
+            ended = True
+            wake.set()
 
     def _seconds(self, size: int) -> float:
         if not self.faults.bytes_per_second:
