Count only complete events as progress of a stream

What callers would see: a stream that stands still until they leave, on a chain whose server sends a few bytes at a time that never complete an event. Any byte counted as an event, so that the stream was never idle and did not move. Callers get complete events only, so only these count.

Before: test_resumes_on_another_chain_though_few_bytes_arrive_at_a_time fails on both framings (broken off at the deadline); after: the stream resumes on another chain. Gateway tests pass.

--- a/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
@@ -46,7 +46,7 @@
         self.last_id = last_id.encode()
         self.clock = clock
         self.partial_event = b""
-        self.last_event_at = clock()  # when data of an event last arrived
+        self.last_event_at = clock()  # when an event last became complete
         self.last_write_at = self.last_event_at
         self.longest_gap = 0.0  # seconds between two writes to the caller
         self.count = 0  # writes to the caller, each of one or more events
@@ -64,18 +64,18 @@
 
         :param data: bytes that may begin and end anywhere within an event.
         """
-        now = self.clock()
-        if self.count:
-            self.typical_gap += GAP_WEIGHT * (
-                now - self.last_event_at - self.typical_gap
-            )
-        self.last_event_at = now
         if self.partial_event:
             data = self.partial_event + data
         end = find_last_event_end(data)
         if not end:
             self.partial_event = data
             return
+        now = self.clock()
+        if self.count:
+            self.typical_gap += GAP_WEIGHT * (
+                now - self.last_event_at - self.typical_gap
+            )
+        self.last_event_at = now
         self.partial_event = data[end:]
         complete = data[:end] if self.partial_event else data
         if self.resuming:
