--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -40,7 +40,8 @@
 # Ends of a response that this entry did not cause by closing the connection.
 ENDS_BY_SERVER = (ResponseEnd.COMPLETE, ResponseEnd.CLOSED, ResponseEnd.RESET)
 MAX_EVENT_BYTES = 2 * 1024 * 1024  # held back until an event is complete
-MAX_ERROR_BODY_BYTES = 1024 * 1024  # of a response with a status other than 200
+# Of an error response, or of any other before it is relayed.
+MAX_BUFFERED_BYTES = 1024 * 1024
 
 
 class _AttemptOutcome(enum.Enum):
@@ -182,7 +183,7 @@
         self.relaying = self.has_events = False
         self.exchange = Exchange(
             accepts=lambda status, headers: dialect.accepts(request, status, headers),
-            max_buffered_bytes=MAX_ERROR_BODY_BYTES,
+            max_buffered_bytes=MAX_BUFFERED_BYTES,
         )
         self.sent_at = self.events.last_event_at = time.monotonic()
         self._record_route(chain)
@@ -243,7 +244,7 @@
         else:
             events.forward(data)
         if len(events.partial_event) > MAX_EVENT_BYTES:
-            self.connection.abandon(ResponseEnd.TOO_LARGE)
+            self.connection.give_up()
         if not self.has_events and events.count > before:
             self.has_events = True
         if not before and events.count:
