Frame the response to a HEAD request as one without a body

What callers would see: 502 for a HEAD on a stream route of a plain service whose response has neither length nor chunks: a stream without events that ends with its connection counts as broken off since today, and this one has no body at all.

Before: test_response_to_a_head_request_is_framed_as_without_body fails; after: it passes.

--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -294,6 +294,8 @@
             self.reusable = False
             self.message.skipped = True
             return
+        if exchange.bodyless:
+            self.message.framing = ResponseFraming.NO_BODY
         head = ResponseHead(
             status=status, headers=headers, framing=self.message.framing
         )
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -16,6 +16,7 @@
     IncomingRequest,
     Listener,
     ResponseEnd,
+    ResponseFraming,
     Unreachable,
     render_request,
 )
@@ -371,6 +372,14 @@
         assert (body, end) == (b"", ResponseEnd.COMPLETE)
         assert not pool.idle.get("s")
 
+    def test_response_to_a_head_request_is_framed_as_without_body(self):
+        async def run():
+            async with _Server(b"HTTP/1.1 200 OK\r\n\r\n", close=True) as server:
+                exchange, _ = await _request(ConnectionPool(), server, bodyless=True)
+                assert exchange.head.result().framing is ResponseFraming.NO_BODY
+
+        asyncio.run(run())
+
     def test_interim_response_is_skipped(self):
         body, end, _ = self._receive(
             _Server(b"HTTP/1.1 100 Continue\r\n\r\n" + OK_RESPONSE)
