--- a/packages/gateway/src/kumquatway_gateway/model/_request.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_request.py
@@ -30,6 +30,8 @@
     :param arrived_at: when its headers were read, monotonic seconds.
     :param timeout: how long the caller will wait, seconds.
     :param last_event_id: ID of the last event that the caller received, or "".
+    :param prompt_parts: IDs of the parts of the prompt in their order, of which other
+        prompts may share some; empty where the caller named none.
     """
 
     id: str
@@ -43,6 +45,7 @@
     api_key: str = ""
     last_event_id: str = ""
     generation_size: GenerationSize | None = None
+    prompt_parts: tuple[str, ...] = ()
 
     @property
     def path(self) -> str:
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -46,6 +46,7 @@
 
 # Time that a plain request may need until this entry stops: five times its objective.
 PLAIN_REQUEST_SECONDS = 0.5
+MAX_LOGGED_PARTS = 8  # of a prompt, in its event
 CHECK_INTERVAL_SECONDS = 0.01  # between checks of the active streams
 # Delay of a check above which this process counts as late: health checks that failed
 # meanwhile then prove nothing about the servers.
@@ -324,7 +325,8 @@
                 request=job.request.id,
                 account=job.account_name,
                 target=job.service.name,
-                detail=f"route {job.route.name}, revision {job.revision}",
+                detail=f"route {job.route.name}, revision {job.revision}"
+                + _describe_parts(job.request),
             )
         )
 
@@ -406,6 +408,13 @@
         respond_with_verdict(caller, self.dialect.gateway_fields(request), verdict)
 
 
+def _describe_parts(request: Request) -> str:
+    """Return the parts of the prompt for the event, or "" if none is known."""
+    if not request.prompt_parts:
+        return ""
+    return f", prompt parts {' '.join(request.prompt_parts[:MAX_LOGGED_PARTS])}"
+
+
 def _prefill_tokens(job: StreamJob) -> float:
     return job.prefill_tokens()
 
