Keep requests that crash servers away from them, over all entries

Cause: requests with one part in their prompts crash each server that begins to answer them. Nothing remembered what was in progress when a server ended: each new request was taken for unrelated, its retries too (a server that ended does not count toward the attempts), and each entry saw the ends of its own requests only. Change: a response that breaks off on a server that then proves to have ended is evidence against the features of its request, shared by gossip. Three crashes at the beginning of answers, with one feature in common that explains them and did not get through, block requests with it: at the entry, before each attempt, and while waiting. Blocks are told to peers and kept in the store. A request that was at its beginning when two servers ended is not sent to a third.

--- a/packages/core/src/kumquatway_core/_verdict.py
+++ b/packages/core/src/kumquatway_core/_verdict.py
@@ -46,6 +46,7 @@
     ANSWER_GONE = "answer_gone"
     SHUTTING_DOWN = "shutting_down"
     CANCELLED = "cancelled"
+    QUARANTINED = "quarantined"
     INTERNAL = "internal"
 
 
@@ -71,6 +72,7 @@
     Reason.ANSWER_GONE: 410,
     Reason.SHUTTING_DOWN: 503,
     Reason.CANCELLED: 499,
+    Reason.QUARANTINED: 503,
     Reason.INTERNAL: 500,
 }
 
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -38,6 +38,7 @@
     Gossip,
     GossipMessage,
 )
+from kumquatway_gateway.quarantine import BlockKeeper, BlockSource, Quarantine
 from kumquatway_gateway.relay import (
     Dialect,
     EngineClient,
@@ -105,6 +106,7 @@
     :param dialect: how requests of callers and to servers are encoded.
     :param engines: client that sends orders to servers and reads their reports.
     :param leases: table of the leases.
+    :param blocks: the requests that reach no server, as the store keeps them.
     """
 
     configuration: ConfigurationSource
@@ -113,6 +115,7 @@
     dialect: Dialect
     engines: EngineClient
     leases: object
+    blocks: BlockSource
 
 
 class Gateway:
@@ -154,11 +157,19 @@
             entry_count=self._entry_count,
             clock=clock,
         )
+        self.quarantine = Quarantine(fleet=self.fleet, clock=clock)
+        self.block_keeper = BlockKeeper(
+            source=sources.blocks,
+            quarantine=self.quarantine,
+            entry_count=self._entry_count,
+            clock=clock,
+        )
         self.relay = Relay(
             dialect=sources.dialect,
             fleet=self.fleet,
             pool=pool,
             health_checker=self.health_checker,
+            quarantine=self.quarantine,
             home=settings.data_centre,
             create_retry_budget=self._create_retry_budget,
             peer_loads=self._peer_loads,
@@ -181,6 +192,7 @@
             address=settings.peer_address,
             incarnation=self.incarnation,
             fleet=self.fleet,
+            quarantine=self.quarantine,
             own_loads=self._own_loads,
             revision=self.configuration.revision,
             freshness=self._freshness,
@@ -193,6 +205,7 @@
         self.servers.on_change = self.gossip.send_soon
         self.fleet.on_change = self._admit_waiting
         self.fleet.on_local_change = self.gossip.send_soon
+        self.quarantine.on_local_change = self._report_crash
         sources.engines.on_notice = self.fleet.record_notice
         self.placer = Placer(
             lease=Lease(
@@ -297,6 +310,7 @@
         supervisor.add("recheck", self.health_checker.run_rechecks)
         supervisor.add("lease", self.placer.maintain_lease)
         supervisor.add("placer", self.placer.run)
+        supervisor.add("blocks", self.block_keeper.run)
         supervisor.add("sweep", self._sweep)
         return supervisor
 
@@ -383,6 +397,11 @@
                 budget.remaining() for budget in self.relay.retry_budgets.values()
             ),
         )
+        add_gauge(
+            "kumquatway_blocks",
+            "Sets of request features that reach no server, as they crash servers.",
+            lambda: float(len(self.quarantine.blocks)),
+        )
         add_gauge(
             "kumquatway_peers",
             "Peers heard lately.",
@@ -464,6 +483,10 @@
             clock=self.clock,
         )
 
+    def _report_crash(self) -> None:
+        self.gossip.send_soon()
+        self.block_keeper.request_read()
+
     def _admit_waiting(self) -> None:
         for router in self.relay.model_routers.values():
             router.queue.admit_waiting()
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -17,6 +17,7 @@
 from kumquatway_gateway.chains import ChainLoad
 from kumquatway_gateway.fleet import Fleet, HealthStatus
 from kumquatway_gateway.model import LayerRange, LayerReport
+from kumquatway_gateway.quarantine import Quarantine
 
 SEND_PERIOD_SECONDS = 0.25
 MIN_SEND_INTERVAL_SECONDS = 0.05  # between messages, also when more are requested
@@ -28,6 +29,8 @@
 MAX_TARGETS = 8  # peers that a periodic message is sent to, chosen at random
 MAX_URGENT_TARGETS = 40  # peers that a message requested with `send_soon` is sent to
 MAX_DATAGRAM_BYTES = 60_000
+MAX_CRASHES = 6  # in a message, the newest ones
+MAX_BLOCKS = 4  # in a message
 
 
 class _Load(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -69,6 +72,24 @@
     incarnation: int
 
 
+class _Suspect(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    features: tuple[str, ...]
+    weight: int
+
+
+class _Crash(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    server: str
+    incarnation: int
+    age: float
+    suspects: tuple[_Suspect, ...]
+
+
+class _Block(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    features: tuple[str, ...]
+    age: float
+    stored: bool
+
+
 class Freshness(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
     Ages of an entry's copies of the store's data.
@@ -109,6 +130,9 @@
     :param has_duty: whether the sender holds the placement lease.
     :param reissued_in: generation of the store in which it gave out a revision again
         that the sender or a peer had, or 0.
+    :param crashes: recent crashes, with the requests in progress at them; also those
+        that the sender heard of.
+    :param blocks: some of the sets of features whose requests reach no server.
     """
 
     incarnation: int
@@ -122,6 +146,8 @@
     freshness: Freshness | None = None
     has_duty: bool = False
     reissued_in: int = 0
+    crashes: tuple[_Crash, ...] = ()
+    blocks: tuple[_Block, ...] = ()
 
 
 class _Peer(msgspec.Struct, kw_only=True):
@@ -143,6 +169,7 @@
     :param address: address of this entry for datagrams, `host:port`.
     :param incarnation: incarnation of this process.
     :param fleet: source of the observations to send; updated with those received.
+    :param quarantine: crashes and blocked requests to tell of; updated likewise.
     :param own_loads: returns this entry's requests in progress, by first server of the
         chain.
     :param revision: returns the revision of the configuration that this entry uses.
@@ -157,6 +184,7 @@
         address: str,
         incarnation: int,
         fleet: Fleet,
+        quarantine: Quarantine,
         own_loads: Callable[[], dict[str, ChainLoad]],
         revision: Callable[[], int],
         freshness: Callable[[], Freshness],
@@ -166,6 +194,7 @@
         self.address = address
         self.incarnation = incarnation
         self.fleet = fleet
+        self.quarantine = quarantine
         self.own_loads = own_loads
         self.revision = revision
         self.freshness = freshness
@@ -366,8 +395,18 @@
                 slowdown.factor,
                 now - slowdown.age,
             )
+        self._apply_crashes(message)
         self.on_message(message)
 
+    def _apply_crashes(self, message: GossipMessage) -> None:
+        for block in message.blocks:
+            features = frozenset(block.features)
+            self.quarantine.receive_block(features, block.age, stored=block.stored)
+        for crash in message.crashes:
+            suspects = [(frozenset(s.features), s.weight) for s in crash.suspects]
+            server = (crash.server, crash.incarnation)
+            self.quarantine.receive_crash(server, suspects, crash.age)
+
     def _send(self, max_targets: int) -> None:
         data = _encoder.encode(self._build_message())
         if len(data) > MAX_DATAGRAM_BYTES:
@@ -442,4 +481,26 @@
             freshness=self.freshness(),
             has_duty=self.has_duty(),
             reissued_in=self.reissued_in(),
+            crashes=tuple(
+                _Crash(
+                    server=server_id,
+                    incarnation=incarnation,
+                    age=now - crash.seen_at,
+                    suspects=tuple(
+                        _Suspect(features=tuple(features), weight=weight)
+                        for features, weight in crash.suspects.items()
+                    ),
+                )
+                for (server_id, incarnation), crash in self.quarantine.recent_crashes(
+                    REPEAT_SECONDS
+                )[:MAX_CRASHES]
+            ),
+            blocks=tuple(
+                _Block(
+                    features=tuple(features),
+                    age=now - block.since,
+                    stored=block.stored,
+                )
+                for features, block in self.quarantine.sample_blocks(MAX_BLOCKS)
+            ),
         )
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_culprits.py
@@ -0,0 +1,67 @@
+"""
+Decides which features of requests crash servers.
+"""
+
+from collections.abc import Callable, Collection
+
+from kumquatway_gateway.quarantine._evidence import Crash, Progress
+
+MIN_CRASHES = 3  # of different servers or incarnations
+# Sum of the weights: three crashes at the beginning of an answer, or six before it.
+MIN_WEIGHT = MIN_CRASHES * Progress.BEGINNING
+
+
+def find_culprits(
+    crashes: Collection[Crash], survivals: Callable[[str], int]
+) -> set[frozenset[str]]:
+    """
+    Find the sets of features that explain crashes.
+
+    Load pattern: requests that share a part of their prompts crash each server that
+    begins to answer them, and come at any entry. Tens of others are in progress on each
+    server that crashes; they move together to the next one, and share their account and
+    all other parts with sound requests.
+
+    The feature that weighs most explains its crashes, so that what was merely there is
+    not blamed for them. Each survival of a feature raises the weight that it takes.
+    What was part of each suspect with that feature and never got through either cannot
+    be told apart from it, so only requests with all of these are blamed.
+
+    Load pattern: servers end of themselves. In none of these crashes is the same
+    feature on a request that was just beginning.
+
+    :param crashes: crashes, with the requests that were in progress.
+    :param survivals: returns how often requests with a feature recently got through.
+    :return: sets of features; a request with all features of a set crashes servers.
+    """
+    culprits = set()
+    unexplained = list(crashes)
+    while culprit := _find_heaviest(unexplained, survivals):
+        unexplained = [crash for crash in unexplained if not crash.weight(culprit)]
+        culprits.add(_signature(culprit, crashes, survivals))
+    return culprits
+
+
+def _find_heaviest(
+    crashes: Collection[Crash], survivals: Callable[[str], int]
+) -> str | None:
+    """Return the feature that weighs most, or None if none weighs enough."""
+    weights: dict[str, list[int]] = {}
+    for crash in crashes:
+        for feature in frozenset().union(*crash.suspects):
+            weights.setdefault(feature, []).append(crash.weight(feature))
+    best, best_weight = None, 0.0
+    for feature, found in sorted(weights.items()):
+        weight = sum(found) / (1 + survivals(feature))
+        if len(found) >= MIN_CRASHES and weight >= max(MIN_WEIGHT, best_weight + 1e-9):
+            best, best_weight = feature, weight
+    return best
+
+
+def _signature(
+    culprit: str, crashes: Collection[Crash], survivals: Callable[[str], int]
+) -> frozenset[str]:
+    """Return the culprit and what cannot be told apart from it."""
+    suspects = [s for crash in crashes for s in crash.suspects if culprit in s]
+    shared = frozenset.intersection(*suspects)
+    return frozenset(f for f in shared if f == culprit or not survivals(f))
--- /dev/null
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_evidence.py
@@ -0,0 +1,166 @@
+"""
+Remembers which requests were in progress when servers crashed, and which got through.
+"""
+
+import enum
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+EVIDENCE_SECONDS = 600.0  # for which a crash is remembered
+MAX_CRASHES = 64  # that are remembered; the oldest one is dropped first
+MAX_SUSPECTS = 16  # requests of one crash, of all entries
+MAX_SUSPECT_FEATURES = 8  # of one request
+SURVIVAL_SECONDS = 30.0  # survivals count for this time, and up to twice as long
+MAX_SURVIVING_FEATURES = 8192  # that are remembered in one such period
+# Survivals after which a feature is no longer named as a suspect to other entries.
+INNOCENT_SURVIVALS = 3
+
+
+class Progress(enum.IntEnum):
+    """
+    How far an answer was when its server ended; the value is the weight of suspicion.
+
+    A request that crashes servers does so as its answer begins. One whose answer was in
+    full flow is a bystander.
+    """
+
+    FLOWING = 0
+    WAITING = 1  # nothing had arrived, or the answer was just past its beginning
+    BEGINNING = 2  # the head of the answer had arrived, but none of its content
+
+
+# Sum of the weights of one request's broken-off answers, after which it is not sent to
+# one more server.
+MAX_SUSPICION = 2 * Progress.BEGINNING
+
+
+@dataclass(kw_only=True, slots=True)
+class Crash:
+    """
+    The end of one incarnation of a server, and the requests that may have caused it.
+
+    :param seen_at: when it was first known, monotonic seconds.
+    :param suspects: weights of the requests in progress, by their features.
+    """
+
+    seen_at: float
+    suspects: dict[frozenset[str], int] = field(default_factory=dict)
+
+    def add(self, features: frozenset[str], weight: int) -> bool:
+        """
+        Add a request, or raise its weight; of too many, the lightest is dropped.
+
+        :param features: features of the request.
+        :param weight: a value of `Progress`.
+        :return: whether this changed anything.
+        """
+        if not features or self.suspects.get(features, 0) >= weight:
+            return False
+        self.suspects[features] = weight
+        if len(self.suspects) <= MAX_SUSPECTS:
+            return True
+        lightest = min(self.suspects, key=self.suspects.get)
+        del self.suspects[lightest]
+        return lightest != features
+
+    def weight(self, feature: str) -> int:
+        """Return the highest weight of a request with a feature, 0 if there is none."""
+        weights = (w for names, w in self.suspects.items() if feature in names)
+        return max(weights, default=0)
+
+
+class Survivals:
+    """
+    Counts the recent answers that got past their beginning, by feature.
+
+    Memory is bounded: counts are kept in two periods, and the older one is dropped.
+
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
+        self.clock = clock
+        self.current: dict[str, int] = {}
+        self.previous: dict[str, int] = {}
+        self.began_at = clock()
+
+    def record(self, features: Iterable[str]) -> None:
+        """Count an answer that got past its beginning while its server lived on."""
+        self._rotate()
+        for feature in features:
+            self.current[feature] = self.current.get(feature, 0) + 1
+
+    def count(self, feature: str) -> int:
+        """Return the number of recent survivals of requests with a feature."""
+        self._rotate()
+        return self.current.get(feature, 0) + self.previous.get(feature, 0)
+
+    def _rotate(self) -> None:
+        age = self.clock() - self.began_at
+        if age < SURVIVAL_SECONDS and len(self.current) < MAX_SURVIVING_FEATURES:
+            return
+        self.previous = self.current if age < 2 * SURVIVAL_SECONDS else {}
+        self.current = {}
+        self.began_at = self.clock()
+
+
+class Evidence:
+    """
+    The crashes that this entry and its peers saw.
+
+    :param survivals: the survivals that this entry saw.
+    :param clock: monotonic seconds.
+    """
+
+    def __init__(
+        self, *, survivals: Survivals, clock: Callable[[], float] = time.monotonic
+    ):
+        self.survivals = survivals
+        self.clock = clock
+        # By ID and incarnation of the server.
+        self.crashes: dict[tuple[str, int], Crash] = {}
+
+    def add(
+        self,
+        server: tuple[str, int],
+        suspects: Iterable[tuple[frozenset[str], int]],
+        seen_at: float,
+    ) -> bool:
+        """
+        Add what this entry or a peer knows of a crash.
+
+        :param server: ID and incarnation of the server.
+        :param suspects: features and weights of requests that were in progress there.
+        :param seen_at: when the crash was first known, monotonic seconds.
+        :return: whether this is news.
+        """
+        self._drop_old()
+        if self.clock() - seen_at > EVIDENCE_SECONDS:
+            return False
+        crash = self.crashes.get(server)
+        if crash is None:
+            crash = self.crashes[server] = Crash(seen_at=seen_at)
+            if len(self.crashes) > MAX_CRASHES:
+                oldest = min(self.crashes, key=lambda key: self.crashes[key].seen_at)
+                del self.crashes[oldest]
+        news = [crash.add(features, weight) for features, weight in suspects]
+        return any(news)
+
+    def without_innocents(self, features: frozenset[str]) -> frozenset[str]:
+        """
+        Leave out features that often got through, so that peers need not know that.
+
+        :param features: features of a request.
+        :return: the rest, at most `MAX_SUSPECT_FEATURES`, those with the fewest
+            survivals; all of them are kept if each of them often got through.
+        """
+        counts = {feature: self.survivals.count(feature) for feature in features}
+        kept = [f for f in counts if counts[f] < INNOCENT_SURVIVALS] or list(counts)
+        kept.sort(key=lambda feature: (counts[feature], feature))
+        return frozenset(kept[:MAX_SUSPECT_FEATURES])
+
+    def _drop_old(self) -> None:
+        cutoff = self.clock() - EVIDENCE_SECONDS
+        for key in [k for k, crash in self.crashes.items() if crash.seen_at < cutoff]:
+            del self.crashes[key]
--- a/packages/gateway/src/kumquatway_gateway/relay/_job.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_job.py
@@ -18,6 +18,7 @@
     :param account: the client account, or None on a public route.
     :param revision: revision of the configuration that admitted the request.
     :param deadline: when the response must be complete, monotonic seconds.
+    :param features: what the request may share with others that crash servers.
     :param sent_to: IDs of the servers that the request was sent to, one for each
         attempt, in order.
     """
@@ -29,6 +30,7 @@
     account: Account | None
     revision: int
     deadline: float
+    features: frozenset[str] = frozenset()
     sent_to: list[str] = field(default_factory=list)
 
     @property
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -13,11 +13,13 @@
 from kumquatway_gateway.http1 import (
     Exchange,
     ResponseEnd,
+    ResponseFraming,
     ResponseHead,
     Unreachable,
     UpstreamConnection,
 )
 from kumquatway_gateway.model import Server
+from kumquatway_gateway.quarantine import MAX_SUSPICION, Progress
 from kumquatway_gateway.relay._dialect import Attempt
 from kumquatway_gateway.relay._event_stream import is_body_broken_off, is_event_stream
 from kumquatway_gateway.relay._job import Job
@@ -35,6 +37,8 @@
 CHECK_DELAY_SECONDS = 0.3  # without a response, before the server's health is checked
 FULL_REQUESTS_PER_SLOT = 2  # of this entry, at which a server is full
 DEFAULT_SLOTS = 6  # of a server that reports none
+# Ends of a response that its server caused.
+ENDS_BY_SERVER = (ResponseEnd.CLOSED, ResponseEnd.RESET)
 RETRY_SECONDS = 0.5  # until a refused caller should retry, unless servers are paused
 
 
@@ -152,6 +156,7 @@
     :param not_run: whether the server certainly did not run the request.
     :param reached: whether a connection to the server was opened.
     :param detail: how the response was framed and ended, for the event.
+    :param broken_off: whether the server ended the connection before the response.
     """
 
     server: Server
@@ -160,6 +165,7 @@
     not_run: bool
     reached: bool = True
     detail: str = ""
+    broken_off: bool = False
 
     @property
     def succeeded(self) -> bool:
@@ -172,9 +178,16 @@
         return self.head is not None and not self.not_run
 
 
-def _invalid(server: Server, detail: str) -> _Outcome:
+def _invalid(server: Server, detail: str, *, broken_off: bool = False) -> _Outcome:
     """Return the outcome of an attempt without a complete, valid response."""
-    return _Outcome(server=server, head=None, body=b"", not_run=False, detail=detail)
+    return _Outcome(
+        server=server,
+        head=None,
+        body=b"",
+        not_run=False,
+        detail=detail,
+        broken_off=broken_off,
+    )
 
 
 class PlainJob:
@@ -194,6 +207,7 @@
         self.may_have_run = False
         self.failed_response: _Outcome | None = None
         self.running: dict[asyncio.Task, Server] = {}
+        self.suspicion = 0  # of having crashed the servers that took the request
 
     async def run(self) -> None:
         """Serve the request until its caller has a response."""
@@ -263,6 +277,8 @@
         """Check the slow server, and send the request to a second one if allowed."""
         for server in self.running.values():
             self.relay.health_checker.check_server(server)
+        if self.relay.is_blocked(self.job):
+            return
         if len(self.tried) < self.job.route.max_attempts and self._withdraw_retry():
             self._start_attempt()
 
@@ -271,6 +287,8 @@
 
     def _may_retry(self) -> bool:
         """Tell whether to try again; draws on the budget if the server was reached."""
+        if self.suspicion >= MAX_SUSPICION or self.relay.is_blocked(self.job):
+            return False
         if not self.last_failure.reached:
             return True
         if self.last_failure.not_run or self.job.route.idempotent:
@@ -290,12 +308,21 @@
             self.relay.fleet.avoid(outcome.server)
             return
         self.may_have_run = True
+        if outcome.broken_off:
+            self._record_suspicion(outcome.server)
         if outcome.head is None:
             detail = f"no valid response: {outcome.detail}"
             self.relay.record_failure(self.job, outcome.server.id, "reset", detail)
         if outcome.is_deliverable:
             self.failed_response = outcome
 
+    def _record_suspicion(self, server: Server) -> None:
+        """Record that the request was in progress when a response broke off."""
+        self.suspicion += Progress.BEGINNING
+        self.relay.quarantine.record_broken_off(
+            (server,), self.job.features, Progress.BEGINNING
+        )
+
     async def _send(self, server: Server) -> _Outcome:
         job = self.job
         try:
@@ -353,7 +380,9 @@
     async def _read_response(self, server: Server, exchange: Exchange) -> _Outcome:
         head = await exchange.head
         if isinstance(head, ResponseEnd):
-            return _invalid(server, exchange.describe())
+            return _invalid(
+                server, exchange.describe(), broken_off=head in ENDS_BY_SERVER
+            )
         info = self.relay.dialect.parse_response(head.status, head.headers)
         self.relay.fleet.record_notice(server, info.notice)
         if info.not_run:
@@ -362,8 +391,10 @@
         end = await exchange.ended
         detail = exchange.describe()
         if end is not ResponseEnd.COMPLETE:
-            return _invalid(server, detail)
+            return _invalid(server, detail, broken_off=end in ENDS_BY_SERVER)
         body = b"".join(exchange.body)
+        if head.framing is not ResponseFraming.CLOSE:
+            self.relay.quarantine.record_survival(self.job.features)
         if 200 <= head.status < 300:
             if not info.signed:
                 return _invalid(server, f"{detail}, not signed")
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -33,6 +33,7 @@
     Route,
     Service,
 )
+from kumquatway_gateway.quarantine import Quarantine, features_of
 from kumquatway_gateway.relay._chain_activity import ActivitySnapshot
 from kumquatway_gateway.relay._chain_pace import ChainPace
 from kumquatway_gateway.relay._dialect import Dialect, InvalidRequest
@@ -64,6 +65,7 @@
     :param fleet: the servers.
     :param pool: connections to servers.
     :param health_checker: checks servers that fail or stall.
+    :param quarantine: requests that reach no server, since they crash it.
     :param home: this entry's data centre.
     :param create_retry_budget: makes the retry budget of a service.
     :param peer_loads: returns the load of other entries on each chain, by the ID of
@@ -80,6 +82,7 @@
         fleet: Fleet,
         pool: ConnectionPool,
         health_checker: HealthChecker,
+        quarantine: Quarantine,
         home: str,
         create_retry_budget: Callable[[], RetryBudget],
         peer_loads: Callable[[], dict[str, ChainLoad]],
@@ -91,6 +94,8 @@
         self.fleet = fleet
         self.pool = pool
         self.health_checker = health_checker
+        self.quarantine = quarantine
+        self.quarantine_generation = 0  # that the active streams were checked against
         self.home = home
         self.create_retry_budget = create_retry_budget
         self.peer_loads = peer_loads
@@ -192,6 +197,8 @@
     def check_streams(self) -> None:
         """Check the active streams for stalls, and admit waiting requests."""
         now = self.clock()
+        self.quarantine.confirm_crashes()
+        self._recall_blocked_streams()
         activities = (job.activity() for job in self.active_streams)
         snapshot = ActivitySnapshot(each for each in activities if each is not None)
         self.chain_pace.observe(snapshot, now)
@@ -203,6 +210,14 @@
         for router in self.model_routers.values():
             router.queue.admit_waiting()
 
+    def _recall_blocked_streams(self) -> None:
+        """Take requests back that were sent to a server before they were blocked."""
+        if self.quarantine_generation == self.quarantine.generation:
+            return
+        self.quarantine_generation = self.quarantine.generation
+        for job in self.active_streams:
+            job.recall_if_blocked()
+
     async def serve(self, caller: CallerConnection, incoming: IncomingRequest) -> None:
         """
         Serve one request.
@@ -253,7 +268,11 @@
             account=account,
             revision=configuration.revision,
             deadline=request.arrived_at + min(route.timeout, request.timeout),
+            features=features_of(service.name, request),
         )
+        if self.is_blocked(job):
+            self._respond_not_run(caller, request, self.blocked_verdict(job))
+            return
         if not self._has_time(service, request):
             verdict = not_run(
                 Reason.SHUTTING_DOWN, "this entry is shutting down", retry_after=0.3
@@ -293,6 +312,26 @@
         duration = self.model_router(service).max_duration(output_tokens)
         return self.clock() + duration < self.shutdown_at
 
+    def is_blocked(self, job: Job) -> bool:
+        """
+        Tell whether a request must reach no server, since requests like it crash them.
+
+        :param job: the request.
+        """
+        return self.quarantine.seconds_blocked(job.features) > 0
+
+    def blocked_verdict(self, job: Job) -> Verdict:
+        """
+        Return the verdict of a blocked request that was sent to no server.
+
+        :param job: the request.
+        """
+        return not_run(
+            Reason.QUARANTINED,
+            "requests like this one crash the servers that take them",
+            retry_after=self.quarantine.seconds_blocked(job.features),
+        )
+
     def record_end(self, job: Job, verdict: Verdict, status: int | None = None) -> None:
         """
         Emit the event of a request's end, and observe its duration.
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -14,11 +14,13 @@
 from kumquatway_gateway.http1 import (
     Exchange,
     ResponseEnd,
+    ResponseFraming,
     ResponseHead,
     Unreachable,
     UpstreamConnection,
 )
 from kumquatway_gateway.model import RouteKind
+from kumquatway_gateway.quarantine import MAX_SUSPICION, Progress
 from kumquatway_gateway.relay._chain_activity import ActivitySnapshot, StreamActivity
 from kumquatway_gateway.relay._dialect import Attempt, ResponseInfo
 from kumquatway_gateway.relay._event_relay import EventRelay
@@ -39,6 +41,9 @@
 LAST_EVENT_SECONDS = 0.1
 # Ends of a response that this entry did not cause by closing the connection.
 ENDS_BY_SERVER = (ResponseEnd.COMPLETE, ResponseEnd.CLOSED, ResponseEnd.RESET)
+# Writes to the caller after which an answer has certainly got past its beginning.
+FLOWING_WRITES = 8
+BEGINNING_WRITES = 3  # up to here it may still be at its beginning
 MAX_EVENT_BYTES = 2 * 1024 * 1024  # held back until an event is complete
 # Of an error response, or of any other before it is relayed.
 MAX_BUFFERED_BYTES = 1024 * 1024
@@ -93,6 +98,8 @@
         self.avoid: set[str] = set()  # IDs of servers that get no further attempt
         self.closed_by: set[str] = set()  # IDs of servers that ended their response
         self.refusals = 0
+        self.writes_before = 0  # to the caller, by earlier attempts
+        self.suspicion = 0  # of having crashed the servers that took the request
 
     async def run(self) -> None:
         """Serve the request until its response has ended."""
@@ -127,6 +134,8 @@
     async def _serve(self, claim: Claim | None, waiter: Waiter) -> None:
         while claim is not None:
             try:
+                if self.relay.is_blocked(self.job):
+                    break
                 outcome = await self._run_attempt(claim.chain)
             finally:
                 self._drop_connection()
@@ -158,6 +167,8 @@
         finally:
             self.relay.active_streams.discard(self)
             self.relay.record_response(self.exchange)
+            if self._writes() >= FLOWING_WRITES:
+                self.relay.quarantine.record_survival(self.job.features)
 
     def _set_reading(self, enabled: bool) -> None:
         """Stop reading from the server while the caller is slow, and resume after."""
@@ -181,6 +192,7 @@
         request = job.request
         dialect = self.relay.dialect
         self.relaying = self.has_events = False
+        self.writes_before = self.events.count
         self.exchange = Exchange(
             accepts=lambda status, headers: dialect.accepts(request, status, headers),
             max_buffered_bytes=MAX_BUFFERED_BYTES,
@@ -221,6 +233,8 @@
         if self.events.partial_event:
             self.job.caller.write_chunk(self.events.partial_event)
         self.job.caller.end_stream()
+        if head.framing is not ResponseFraming.CLOSE:
+            self.relay.quarantine.record_survival(self.job.features)
         verdict = Verdict(ran=RAN, detail=self._describe_response())
         self.relay.record_end(self.job, verdict, head.status)
         return _AttemptOutcome.DONE
@@ -300,6 +314,34 @@
         )
         self.relay.record_failure(self.job, server.id, "refused", detail)
 
+    # crashes
+
+    def _writes(self) -> int:
+        """Return the number of writes to the caller in the current attempt."""
+        return self.events.count - self.writes_before
+
+    def _progress(self) -> Progress:
+        """Return how far the current server's answer is."""
+        if self._writes() >= BEGINNING_WRITES:
+            return Progress.FLOWING
+        if self.relaying and not self._writes():
+            return Progress.BEGINNING
+        return Progress.WAITING
+
+    def _record_suspicion(self, outcome: _AttemptOutcome, chain: Chain) -> None:
+        """Record that the request was in progress when a response broke off."""
+        progress = self._progress()
+        servers = tuple(stage.server for stage in chain.stages)
+        if outcome is _AttemptOutcome.CUT:
+            servers = servers[:1]
+            self.suspicion += progress
+        self.relay.quarantine.record_broken_off(servers, self.job.features, progress)
+
+    def recall_if_blocked(self) -> None:
+        """End an attempt whose answer has not begun, if the request is now blocked."""
+        if not self._writes() and self.relay.is_blocked(self.job):
+            self.connection.abandon()
+
     # stalls
 
     def activity(self) -> StreamActivity | None:
@@ -389,6 +431,8 @@
     def _may_retry(self) -> bool:
         """Tell whether a retry is safe, and within the attempts and the budget."""
         job = self.job
+        if self.suspicion >= MAX_SUSPICION or self.relay.is_blocked(job):
+            return False
         if (self.may_have_run or self.relaying) and not job.route.idempotent:
             return False
         # Only an event stream can be resumed; any other body would start from the top.
@@ -421,6 +465,7 @@
         if outcome not in (_AttemptOutcome.UNREACHED, _AttemptOutcome.REFUSED):
             self._record_failure(outcome, chain)
         if outcome in (_AttemptOutcome.STALLED, _AttemptOutcome.CUT):
+            self._record_suspicion(outcome, chain)
             self.avoid |= set(self._down_servers(chain))
             self.avoid.add(chain.first_server.id)
         if outcome is _AttemptOutcome.CUT:
@@ -519,6 +564,9 @@
         if self.may_have_run:
             self._respond(may_have_run(Reason.RESET, detail))
             return
+        if self.relay.is_blocked(self.job):
+            self._respond(self.relay.blocked_verdict(self.job))
+            return
         wait = retry_after(self.router.retry_delay())
         self._respond(not_run(Reason.OVERLOADED, detail, retry_after=wait))
 
--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -18,6 +18,7 @@
     GossipMessage,
     _encoder,
 )
+from kumquatway_gateway.quarantine import Quarantine
 
 
 class _Clock:
@@ -49,7 +50,9 @@
             configuration_age=0.1, servers_digest=5, servers_age=0.2
         )
         self.messages: list[GossipMessage] = []
+        self.quarantine = Quarantine(fleet=self.fleet, clock=clock)
         self.gossip = Gossip(
+            quarantine=self.quarantine,
             address=name,
             incarnation=incarnation,
             fleet=self.fleet,
--- a/packages/gateway/tests/test_stream_retries.py
+++ b/packages/gateway/tests/test_stream_retries.py
@@ -67,7 +67,9 @@
             request=SimpleNamespace(last_event_id=""),
         )
         stream = StreamJob(
-            relay=SimpleNamespace(retry_budget=lambda service: budget),
+            relay=SimpleNamespace(
+                retry_budget=lambda service: budget, is_blocked=lambda job: False
+            ),
             router=SimpleNamespace(
                 claim=lambda waiter, avoid: None, queue=SimpleNamespace(admit=admit)
             ),
