Send no order under a lease that ran out after it was checked

What would be seen: an entry that is paused, or whose order gets no answer, gives further copies of an order after its lease has expired, where servers do not refuse old fencing numbers. Cause: the lease was checked once for up to four copies over some seconds, and before connecting. Change: it is asked again for each copy, on an open connection, just before the bytes are written.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -399,6 +399,9 @@
             self.rejected_numbers.add(number)
             self.pending.pop(server.id, None)
             return
+        if outcome is OrderOutcome.WITHDRAWN:
+            self.pending.pop(server.id, None)
+            return
         if outcome is OrderOutcome.BEGUN:
             self._record_started(server, pending)
         if outcome in (OrderOutcome.MISFIT, OrderOutcome.OTHER):
@@ -441,7 +444,11 @@
         """
         for _ in range(ORDER_TRIES):
             outcome = await self.engines.order_layers(
-                server, pending.layers, fence=number, sequence=pending.sequence
+                server,
+                pending.layers,
+                fence=number,
+                sequence=pending.sequence,
+                is_permitted=lambda: self._fencing_number() == number,
             )
             if outcome is not OrderOutcome.UNKNOWN or not self.fleet.is_up(server):
                 return outcome
--- a/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from kumquatway_gateway.http1._headers import Headers, render_request
@@ -60,6 +61,7 @@
         fields: tuple[tuple[bytes, bytes], ...] = (),
         timeout: float = 1.0,
         pool_key: str = "",
+        is_permitted: Callable[[], bool] = lambda: True,
     ) -> FetchedResponse:
         """
         Send a request, without retries, and wait for the response.
@@ -73,8 +75,11 @@
         :param timeout: for the connection and then again for the response, seconds;
             connecting takes at most `CONNECT_TIMEOUT_SECONDS`.
         :param pool_key: key of the connection in the pool; the address by default.
+        :param is_permitted: tells whether the request may still be sent; called just
+            before, as connecting takes time and the process may have been paused.
         :return: the response.
-        :raises FetchFailed: if no complete response arrived.
+        :raises FetchFailed: if no complete response arrived, or the request was no
+            longer permitted.
         """
         connect_timeout = min(timeout, CONNECT_TIMEOUT_SECONDS)
         try:
@@ -88,6 +93,9 @@
         if body or method in ("POST", "PUT"):
             head.append((b"Content-Type", content_type))
             head.append((b"Content-Length", b"%d" % len(body)))
+        if not is_permitted():
+            connection.abandon()
+            raise FetchFailed(f"{address}: no longer permitted", sent=False)
         exchange = Exchange()
         connection.send(exchange, render_request(method, target, head) + body)
         try:
--- a/packages/gateway/src/kumquatway_gateway/relay/_engine_client.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_engine_client.py
@@ -21,6 +21,7 @@
     FENCED = "a newer holder of the lease has given orders"
     UNKNOWN = "not answered"
     OTHER = "another server, or refused"
+    WITHDRAWN = "not sent, as the lease had run out"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -89,7 +90,13 @@
         """
 
     async def order_layers(
-        self, server: Server, layers: LayerRange, *, fence: int, sequence: int
+        self,
+        server: Server,
+        layers: LayerRange,
+        *,
+        fence: int,
+        sequence: int,
+        is_permitted: Callable[[], bool],
     ) -> OrderOutcome:
         """
         Order a server to hold a range of layers.
@@ -98,4 +105,6 @@
         :param fence: fencing token of the lease that the order is given under.
         :param sequence: number of orders that the server must have begun; otherwise
             it rejects this one.
+        :param is_permitted: tells whether the lease is still held; asked just before
+            the order is sent.
         """
