Never reuse a connection that has no key in the pool

Cause: the key '' says that a connection is not to be reused. It was pooled under that key all the same, so the next connection without a key, whatever its address, was the idle one of another server. That holds for non-idempotent plain requests (an Expect-Instance that does not fit is a 421, and only that kept them from running elsewhere) and for the probes of plain servers, which then prove nothing.

--- a/packages/gateway/src/kumquatway_gateway/http1/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_pool.py
@@ -49,7 +49,7 @@
 
         :param server: key of the server in the pool. The ID of a server names one
             incarnation, so that a connection is never reused for another server at the
-            same address.
+            same address. With "" the connection is new, and closed after its response.
         :param address: `host:port`.
         :param timeout: for opening a new connection, seconds.
         :return: a connection for one request.
@@ -109,7 +109,7 @@
             self.close_idle(server)
 
     def _take_idle(self, server: str) -> UpstreamConnection | None:
-        idle = self.idle.get(server)
+        idle = self.idle.get(server) if server else None
         now = self.clock()
         while idle:
             connection = idle.pop()
@@ -125,6 +125,9 @@
         return now - connection.idle_since < limit
 
     def _add_idle(self, server: str, connection: UpstreamConnection) -> None:
+        if not server:
+            connection.transport.close()
+            return
         connection.idle_since = self.clock()
         idle = self.idle.setdefault(server, [])
         if len(idle) >= MAX_IDLE_PER_SERVER:
