Answer requests that are still being read when an entry stops

What callers saw: an entry that stops, and has no request in progress at the moment when it looks, closed connections whose request was half read, and those accepted in the same instant. Cause: only requests in progress were waited for, not those being read or waiting on a connection.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -53,6 +53,9 @@
 # A little more than two failed readiness checks of the load balancer.
 OUT_OF_ROTATION_SECONDS = 2.8
 EXIT_SECONDS = 0.7  # part of the shutdown grace, reserved for the exit of the process
+DRAIN_CHECK_SECONDS = 0.05  # between checks for requests in progress
+LAST_REQUEST_SECONDS = 0.1  # for the first bytes on connections that were accepted last
+LAST_RESPONSE_SECONDS = 0.05  # for the last responses to leave
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
 HEALTH_PATH = "/health"  # for servers whose service is not known yet
@@ -329,11 +332,18 @@
         await self.placer.release()
         await asyncio.sleep(max(0.0, started + OUT_OF_ROTATION_SECONDS - self.clock()))
         self.relay.shutdown_at = deadline
-        while self.caller_listener.requests_in_progress and self.clock() < deadline:
-            await asyncio.sleep(0.05)
+        await self._finish_requests(deadline)
         self.caller_listener.close()
+        # A connection that was accepted just before has yet to send its request.
+        await asyncio.sleep(LAST_REQUEST_SECONDS)
+        await self._finish_requests(deadline)
         self.caller_listener.close_when_idle()
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(LAST_RESPONSE_SECONDS)
+
+    async def _finish_requests(self, deadline: float) -> None:
+        """Wait until no request is being read or is in progress."""
+        while self.caller_listener.unfinished_requests and self.clock() < deadline:
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
 
     async def _follow_entries(self) -> None:
         source = self.sources.entries
--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -104,6 +104,12 @@
         self._body_bytes = 0
         self._arrived = 0.0
 
+    @property
+    def is_unfinished(self) -> bool:
+        """Whether a request is being read, waits or is in progress."""
+        reading = self._reading_body or bool(self._head_started_at)
+        return self.busy or bool(self.pending) or reading
+
     # called by request handlers and by the listener
 
     def respond(
@@ -429,6 +435,11 @@
         """Number of requests in progress."""
         return sum(connection.busy for connection in self.connections)
 
+    @property
+    def unfinished_requests(self) -> int:
+        """Number of requests that are being read, wait or are in progress."""
+        return sum(connection.is_unfinished for connection in self.connections)
+
     def _open(self) -> CallerConnection:
         connection = CallerConnection(
             limits=self.limits,
