Give orders and readiness checks on connections of their own

What would be seen: a server repeats the answer to an order late, on its kept connection; the next order to it counts as begun although it was refused, and routing uses layers that are not there. Cause: calls to engines carry no id that their answers echo, and went over pooled connections.

--- a/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
@@ -61,6 +61,7 @@
         fields: tuple[tuple[bytes, bytes], ...] = (),
         timeout: float = 1.0,
         pool_key: str = "",
+        reuse: bool = True,
         is_permitted: Callable[[], bool] = lambda: True,
     ) -> FetchedResponse:
         """
@@ -75,6 +76,8 @@
         :param timeout: for the connection and then again for the response, seconds;
             connecting takes at most `CONNECT_TIMEOUT_SECONDS`.
         :param pool_key: key of the connection in the pool; the address by default.
+        :param reuse: whether to use and keep a pooled connection. On a new one, the
+            response cannot be a late copy of an earlier one.
         :param is_permitted: tells whether the request may still be sent; called just
             before, as connecting takes time and the process may have been paused.
         :return: the response.
@@ -84,7 +87,7 @@
         connect_timeout = min(timeout, CONNECT_TIMEOUT_SECONDS)
         try:
             connection = await self.pool.connect(
-                pool_key or address, address, connect_timeout
+                (pool_key or address) if reuse else "", address, connect_timeout
             )
         except Unreachable as error:
             refused = error.refused
