Let an error in the check of one stream end that stream alone

What would be seen: an error that one stream causes in the task that checks all streams ends the task; started anew, it meets the same stream, and after 21 times within a minute the supervisor ends the process with all its requests. Evidence: TestErrorInTheCheckOfAStream failed before (ZeroDivisionError).

--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -7,6 +7,8 @@
 import time
 from collections.abc import Callable
 
+from loguru import logger
+
 from kumquatway_core import Reason, Verdict, may_have_run, not_run
 from kumquatway_core.events import (
     Event,
@@ -206,10 +208,22 @@
         # Those with few tokens go first, so that most resume before their callers
         # notice the pause.
         for job in sorted(self.active_streams, key=_prefill_tokens):
-            job.check_for_stall(now, snapshot)
+            self._check_stream(job, now, snapshot)
         for router in self.model_routers.values():
             router.queue.admit_waiting()
 
+    def _check_stream(
+        self, job: StreamJob, now: float, snapshot: ActivitySnapshot
+    ) -> None:
+        """Check one stream; an error ends its attempt and leaves all others alone."""
+        try:
+            job.check_for_stall(now, snapshot)
+        except Exception as error:
+            logger.opt(exception=error).error(
+                "the check of request {} failed: {}", job.job.request.id, error
+            )
+            job.connection.abandon()
+
     def _recall_blocked_streams(self) -> None:
         """Take requests back that were sent to a server before they were blocked."""
         if self.quarantine_generation == self.quarantine.generation:
--- a/packages/gateway/tests/test_stream_retries.py
+++ b/packages/gateway/tests/test_stream_retries.py
@@ -5,9 +5,13 @@
 from types import SimpleNamespace
 
 import pytest
+from test_gossip import _Clock
 
+from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.http1 import ResponseEnd
 from kumquatway_gateway.model import Backend, Route, RouteKind
+from kumquatway_gateway.quarantine import Quarantine
+from kumquatway_gateway.relay import Relay
 from kumquatway_gateway.relay._streams import (
     LAST_EVENT_SECONDS,
     StreamJob,
@@ -113,3 +117,55 @@
         stream._handle_early_end(end)
         ended = (ResponseEnd.COMPLETE, ResponseEnd.CLOSED, ResponseEnd.RESET)
         assert ("s0" in stream.closed_by) is (end in ended)
+
+
+class _Stream:
+    """A stream whose check may fail."""
+
+    def __init__(self, *, fails: bool = False):
+        self.fails = fails
+        self.job = SimpleNamespace(request=SimpleNamespace(id="r"))
+        self.connection = SimpleNamespace(abandon=self._abandon)
+        self.abandoned = False
+        self.checks = 0
+
+    def _abandon(self) -> None:
+        self.abandoned = True
+
+    def activity(self):
+        return None
+
+    def prefill_tokens(self) -> float:
+        return 0.0
+
+    def check_for_stall(self, now, snapshot) -> None:
+        self.checks += 1
+        if self.fails:
+            raise ZeroDivisionError
+
+
+class TestErrorInTheCheckOfAStream:
+    """An error that one stream causes in the task that checks all of them."""
+
+    def test_ends_this_stream_and_no_other(self):
+        clock = _Clock()
+        fleet = Fleet(clock=clock)
+        relay = Relay(
+            dialect=None,
+            fleet=fleet,
+            pool=None,
+            health_checker=None,
+            quarantine=Quarantine(fleet=fleet, clock=clock),
+            home="a",
+            create_retry_budget=lambda: None,
+            peer_loads=dict,
+            emit=lambda event: None,
+            metrics=None,
+            clock=clock,
+        )
+        failing = _Stream(fails=True)
+        sound = [_Stream() for _ in range(5)]
+        relay.active_streams.update([failing, *sound])
+        relay.check_streams()
+        assert failing.abandoned
+        assert all(stream.checks == 1 and not stream.abandoned for stream in sound)
