--- a/packages/gateway/tests/test_crash_replay.py
+++ b/packages/gateway/tests/test_crash_replay.py
@@ -40,17 +40,25 @@
         assert outcome.message_bytes <= MAX_MESSAGE_BYTES
 
 
-@pytest.mark.parametrize(
-    ("load", "seed"), [("fatal-from-the-first-request-on", 6)], ids=["cold-start-6"]
-)
-class TestSeedThatFailed:
-    """Replays in which too many requests with the fatal part reached servers."""
+class TestSeedsThatFailed:
+    """Replays in which too much reached servers, or too much was blocked."""
 
+    @pytest.mark.parametrize(
+        ("load", "seed"), [("fatal-from-the-first-request-on", 6)], ids=["cold-start-6"]
+    )
     def test_reaches_few_servers(self, load, seed):
         outcome = CrashReplay(LOADS[load], seed).run()
         late = outcome.late_fatal_arrivals(crashes=5, window=WINDOW_SECONDS)
         assert late <= MAX_LATE_ARRIVALS
 
+    @pytest.mark.parametrize(
+        ("load", "seed"),
+        [("fatal-from-the-first-request-on", 30)],
+        ids=["cold-start-30"],
+    )
+    def test_blocks_no_sound_request(self, load, seed):
+        assert CrashReplay(LOADS[load], seed).run().blocked_sound == 0
+
 
 QUIET = {
     "servers-end-of-themselves": Load(fatal_rate=0.0, own_ends=1.5),
