--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -107,6 +107,8 @@
         # Incarnations that are known to leave, whatever the list says.
         self.leaving: dict[str, int] = {}
         self.pauses = Pauses(clock=clock)
+        # Requests per second that servers last said they take, by server ID.
+        self.named_limits: dict[str, float] = {}
         self.ended_at: dict[str, float] = {}  # of servers that ended and are unlisted
         self.avoided_until: dict[str, float] = {}
         self.slowdowns: dict[str, Slowdown] = {}
@@ -147,7 +149,13 @@
         self.by_address = {server.address: server for server in servers.values()}
         for name in [name for name in self.layer_reports if name not in servers]:
             self._drop_report(name)
-        for table in (self.health, self.leaving, self.avoided_until, self.slowdowns):
+        for table in (
+            self.health,
+            self.leaving,
+            self.avoided_until,
+            self.slowdowns,
+            self.named_limits,
+        ):
             for name in [name for name in table if name not in servers]:
                 del table[name]
         self.pauses.forget_all_but(servers)
@@ -503,10 +511,21 @@
         """
         if notice.leaving and self.mark_leaving(server.id, server.incarnation):
             self.on_local_change()
+        self._record_limit(server, notice.max_request_rate)
         if notice.pause_seconds and self.pauses.start(server, notice.pause_seconds):
             self._emit(server, "paused", f"asked for {notice.pause_seconds:.2f} s")
             self.mark_changed()
 
+    def _record_limit(self, server: Server, limit: float | None) -> None:
+        if server.id not in self.servers or self.named_limits.get(server.id) == limit:
+            return
+        if limit is None:
+            del self.named_limits[server.id]
+            self._emit(server, "unlimited", "names no limit any more")
+        else:
+            self.named_limits[server.id] = limit
+            self._emit(server, "limited", f"takes {limit:g} requests/s of all entries")
+
     def _is_outdated(self, server_id: str, status: HealthStatus) -> bool:
         return self.servers[server_id].incarnation != status.incarnation
 
--- a/packages/gateway/src/kumquatway_gateway/model/_server.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_server.py
@@ -70,10 +70,13 @@
 
     :param leaving: whether it shuts down and wants no new work from any entry.
     :param pause_seconds: for how long it wants no request from this entry, or 0.
+    :param max_request_rate: requests per second that it takes from all entries
+        together, or None if it names no limit.
     """
 
     leaving: bool = False
     pause_seconds: float = 0.0
+    max_request_rate: float | None = None
 
 
 NO_NOTICE = ServerNotice()
--- a/packages/gateway/tests/test_notices.py
+++ b/packages/gateway/tests/test_notices.py
@@ -95,6 +95,18 @@
         assert fleet.is_leaving(listed)
 
 
+class TestLimits:
+    """A server that names the request rate that it takes from all entries."""
+
+    def test_time_line_tells_when_a_limit_is_named_and_when_it_ends(self):
+        site = _Servers()
+        for rate in (2.0, 2.0, 1.5, None, None):
+            notice = ServerNotice(max_request_rate=rate)
+            site.fleet.record_notice(site.one, notice)
+        states = [(e.vm, e.state) for e in site.events if "limited" in e.state]
+        assert states == [("one", "limited")] * 2 + [("one", "unlimited")]
+
+
 class TestPauses:
     """Bookkeeping of the pauses that servers ask for."""
 
