--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -30,6 +30,7 @@
     IncomingRequest,
     Listener,
 )
+from kumquatway_gateway.limits import Permits
 from kumquatway_gateway.model import Limits, Server
 from kumquatway_gateway.peers import (
     CopyClient,
@@ -203,6 +204,17 @@
             clock=clock,
         )
         self.gossip.set_addresses(set(settings.seed_peers))
+        self.fleet.permits = Permits(
+            limits=self.fleet.limits,
+            find_server=self.fleet.find_server,
+            learn=self.fleet.update_limit,
+            address=settings.peer_address,
+            addresses=lambda: self.gossip.addresses,
+            send=self.gossip.send_to,
+            on_issued=self._admit_waiting,
+            on_outcome=self.metrics.observe_permit,
+            clock=clock,
+        )
         self.configuration.peers = self._peers
         self.configuration.on_change = self.gossip.send_soon
         self.servers.on_change = self.gossip.send_soon
@@ -412,6 +424,11 @@
             "Sets of request features that reach no server, as they crash servers.",
             lambda: float(len(self.quarantine.blocks)),
         )
+        add_gauge(
+            "kumquatway_limited_servers",
+            "Servers that name the request rate that they take.",
+            lambda: float(self.fleet.limits.in_force()),
+        )
         add_gauge(
             "kumquatway_peers",
             "Peers heard lately.",
--- a/packages/gateway/src/kumquatway_gateway/_metrics.py
+++ b/packages/gateway/src/kumquatway_gateway/_metrics.py
@@ -39,6 +39,10 @@
             "kumquatway_responses_total",
             "Responses of servers to callers' requests, by framing and end.",
         )
+        self.permits = self._counter(
+            "kumquatway_permits_total",
+            "Requests for permits for servers that have a limit, by outcome.",
+        )
         self.recoveries = self._counter(
             "kumquatway_recoveries_total", "Streams that went on elsewhere."
         )
@@ -126,6 +130,14 @@
         """
         self.responses.inc({"framing": framing, "end": end})
 
+    def observe_permit(self, outcome: str) -> None:
+        """
+        Count a request for permits for a server that has a limit.
+
+        :param outcome: `issued`, `denied` or `unanswered`.
+        """
+        self.permits.inc({"outcome": outcome})
+
     def render(self) -> tuple[bytes, Iterable[tuple[str, str]]]:
         """
         Render the metrics in the Prometheus text format.
--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -35,6 +35,8 @@
 REPORT_SECONDS = 0.5  # timeout for a server's report
 ORDER_TRIES = 4  # attempts to send an order that gets no response
 MISFIT_SECONDS = 0.6  # after an order that did not fit, before the server's next order
+PERMIT_PATIENCE_SECONDS = 0.5  # for a permit to call a server that has a limit
+POLL_RATE_SHARE = 0.25  # of a server's limit, for reports while it carries out an order
 POLL_SECONDS = 0.15  # between two reports of a server that is carrying out an order
 LATE_SECONDS = 3.0  # beyond twice the expected load time, before an order is lost
 # Servers that start together appear in the list over three seconds.
@@ -237,6 +239,8 @@
         """
         if self.fleet.pauses.is_paused(server):
             return self.fleet.layer_reports.get(server.id)
+        if not await self.fleet.permits.take(server, PERMIT_PATIENCE_SECONDS):
+            return self.fleet.layer_reports.get(server.id)
         try:
             report = await self.engines.report(server, REPORT_SECONDS)
         except FetchFailed:
@@ -382,7 +386,7 @@
     async def _poll_reports(self, server: Server) -> None:
         try:
             while self.fleet.is_up(server) and server.id not in self.pending:
-                await asyncio.sleep(POLL_SECONDS)
+                await asyncio.sleep(self._poll_seconds(server))
                 report = await self._fetch_report(server)
                 if self._fencing_number() is None or report is None or not report.busy:
                     break
@@ -415,7 +419,8 @@
             self.pending.pop(server.id, None)
             return
         if outcome is OrderOutcome.WITHDRAWN:
-            self.pending.pop(server.id, None)
+            if self.pending.get(server.id) is pending:
+                del self.pending[server.id]
             return
         if outcome is OrderOutcome.BEGUN:
             self._record_started(server, pending)
@@ -458,6 +463,8 @@
         server has counted it, and therefore refuses any copy that arrives later.
         """
         for _ in range(ORDER_TRIES):
+            if not await self._wait_for_permit(server, pending):
+                return OrderOutcome.WITHDRAWN
             outcome = await self.engines.order_layers(
                 server,
                 pending.layers,
@@ -493,7 +500,24 @@
                 self._record_end(server.id, pending)
                 self.pending.pop(server.id, None)
                 return
-            await asyncio.sleep(POLL_SECONDS)
+            await asyncio.sleep(self._poll_seconds(server))
+
+    async def _wait_for_permit(self, server: Server, pending: _PendingOrder) -> bool:
+        """Wait for a permit for an order, for as long as the order is pending."""
+        permits = self.fleet.permits
+        while self.pending.get(server.id) is pending:
+            if await permits.take(server, PERMIT_PATIENCE_SECONDS):
+                return True
+            wait = max(POLL_SECONDS, permits.seconds_exhausted(server))
+            await asyncio.sleep(min(wait, PERMIT_PATIENCE_SECONDS))
+        return False
+
+    def _poll_seconds(self, server: Server) -> float:
+        """Return the time between two reports, which use a small part of a limit."""
+        limit = self.fleet.limits.rate(server)
+        if not limit:
+            return POLL_SECONDS
+        return max(POLL_SECONDS, 1 / (POLL_RATE_SHARE * limit))
 
 
 def _intersection(one: LayerRange, other: LayerRange) -> LayerRange:
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -11,6 +11,7 @@
 
 from kumquatway_core.events import Event, MembershipChanged
 from kumquatway_gateway.fleet._pauses import Pauses
+from kumquatway_gateway.limits import NamedLimit, NamedLimits, Permits
 from kumquatway_gateway.model import (
     LayerRange,
     LayerReport,
@@ -27,6 +28,7 @@
 # How long ended servers are remembered: longer than callers wait (20 s).
 ENDED_RETENTION_SECONDS = 30.0
 AVOID_SECONDS = 0.4  # after a server reported that it is full or gives up layers
+LIMIT_NOTICE_SECONDS = 1.0  # least time between sending changed limits to peers
 NO_INCARNATION = 0  # of a server that reports none
 
 
@@ -107,8 +109,15 @@
         # Incarnations that are known to leave, whatever the list says.
         self.leaving: dict[str, int] = {}
         self.pauses = Pauses(clock=clock)
-        # Requests per second that servers last said they take, by server ID.
-        self.named_limits: dict[str, float] = {}
+        self.limits = NamedLimits(clock=clock)
+        self.limits_sent_at = float("-inf")
+        # An entry with peers replaces these by permits that it shares with them.
+        self.permits = Permits(
+            limits=self.limits,
+            find_server=self.find_server,
+            learn=self.update_limit,
+            clock=clock,
+        )
         self.ended_at: dict[str, float] = {}  # of servers that ended and are unlisted
         self.avoided_until: dict[str, float] = {}
         self.slowdowns: dict[str, Slowdown] = {}
@@ -149,16 +158,11 @@
         self.by_address = {server.address: server for server in servers.values()}
         for name in [name for name in self.layer_reports if name not in servers]:
             self._drop_report(name)
-        for table in (
-            self.health,
-            self.leaving,
-            self.avoided_until,
-            self.slowdowns,
-            self.named_limits,
-        ):
+        for table in (self.health, self.leaving, self.avoided_until, self.slowdowns):
             for name in [name for name in table if name not in servers]:
                 del table[name]
         self.pauses.forget_all_but(servers)
+        self.permits.forget_all_but(servers)
         for name in [
             n for n, status in self.health.items() if self._is_outdated(n, status)
         ]:
@@ -502,29 +506,58 @@
         self.mark_changed()
         return True
 
-    def record_notice(self, server: Server, notice: ServerNotice) -> None:
+    def find_server(self, server_id: str) -> Server | None:
+        """Return a listed server by its ID, or None."""
+        return self.servers.get(server_id)
+
+    def record_notice(
+        self, server: Server, notice: ServerNotice, asked_at: float | None = None
+    ) -> None:
         """
         Record what a server said about itself in a response to this entry.
 
         :param server: server that responded.
         :param notice: what it said.
+        :param asked_at: when the request was sent, monotonic seconds; by default now.
         """
         if notice.leaving and self.mark_leaving(server.id, server.incarnation):
             self.on_local_change()
-        self._record_limit(server, notice.max_request_rate)
+        if not notice.may_be_of_another:
+            asked_at = self.clock() if asked_at is None else asked_at
+            self._record_limit(server, notice.max_request_rate, asked_at)
         if notice.pause_seconds and self.pauses.start(server, notice.pause_seconds):
             self._emit(server, "paused", f"asked for {notice.pause_seconds:.2f} s")
             self.mark_changed()
 
-    def _record_limit(self, server: Server, limit: float | None) -> None:
-        if server.id not in self.servers or self.named_limits.get(server.id) == limit:
+    def update_limit(self, server_id: str, limit: NamedLimit) -> None:
+        """
+        Store what a peer knows about a server's limit, if it is newer.
+
+        :param server_id: ID of the server.
+        :param limit: the peer's knowledge.
+        """
+        server = self.servers.get(server_id)
+        if server is not None and self.limits.receive(server, limit):
+            self._emit_limit(server, "as a peer says")
+
+    def _record_limit(
+        self, server: Server, rate: float | None, asked_at: float
+    ) -> None:
+        if server.id not in self.servers:
             return
-        if limit is None:
-            del self.named_limits[server.id]
-            self._emit(server, "unlimited", "names no limit any more")
+        if self.limits.observe(server, rate, asked_at):
+            self._emit_limit(server, "as it says")
+            if self.clock() - self.limits_sent_at >= LIMIT_NOTICE_SECONDS:
+                self.limits_sent_at = self.clock()
+                self.on_local_change()
+
+    def _emit_limit(self, server: Server, source: str) -> None:
+        rate = self.limits.rate(server)
+        if rate is None:
+            self._emit(server, "unlimited", source)
         else:
-            self.named_limits[server.id] = limit
-            self._emit(server, "limited", f"takes {limit:g} requests/s of all entries")
+            detail = f"takes {rate:g} requests/s from all entries, {source}"
+            self._emit(server, "limited", detail)
 
     def _is_outdated(self, server_id: str, status: HealthStatus) -> bool:
         return self.servers[server_id].incarnation != status.incarnation
--- a/packages/gateway/src/kumquatway_gateway/model/_server.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_server.py
@@ -72,11 +72,13 @@
     :param pause_seconds: for how long it wants no request from this entry, or 0.
     :param max_request_rate: requests per second that it takes from all entries
         together, or None if it names no limit.
+    :param may_be_of_another: whether another server may have responded at its address.
     """
 
     leaving: bool = False
     pause_seconds: float = 0.0
     max_request_rate: float | None = None
+    may_be_of_another: bool = False
 
 
 NO_NOTICE = ServerNotice()
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -17,6 +17,7 @@
 
 from kumquatway_gateway.chains import ChainLoad
 from kumquatway_gateway.fleet import Fleet, HealthStatus
+from kumquatway_gateway.limits import NamedLimit, is_permit_message
 from kumquatway_gateway.model import LayerRange, LayerReport
 from kumquatway_gateway.quarantine import Crash, Quarantine
 
@@ -39,6 +40,7 @@
 MAX_SUSPECT_FEATURES = 4  # of a suspect in a message
 MAX_SURVIVORS = 4  # features of suspects in a message that got through nevertheless
 MAX_BLOCKS = 3  # in a message
+MAX_LIMITS = 4  # of servers in a message, chosen at random
 
 
 class _Load(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -75,6 +77,13 @@
     age: float
 
 
+class _Limit(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    server: str
+    incarnation: int
+    rate: float | None
+    age: float
+
+
 class _LeavingServer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     server: str
     incarnation: int
@@ -143,6 +152,7 @@
     :param survivors: features of suspects that got through at the sender, and how
         often.
     :param blocks: some of the sets of features whose requests reach no server.
+    :param limits: some of the request rates that servers take, and limits that ended.
     """
 
     incarnation: int
@@ -159,6 +169,7 @@
     crashes: tuple[_Crash, ...] = ()
     blocks: tuple[_Block, ...] = ()
     survivors: dict[str, int] = {}
+    limits: tuple[_Limit, ...] = ()
 
 
 class _Peer(msgspec.Struct, kw_only=True):
@@ -278,6 +289,19 @@
             logger.warning("ignored invalid addresses of peers: {}", sorted(invalid))
         self.addresses = addresses - invalid - {self.address}
 
+    def send_to(self, address: str, data: bytes) -> None:
+        """
+        Send a message to one peer; it may get lost.
+
+        :param address: address of the peer, `host:port`.
+        :param data: the message.
+        """
+        target = _parse_address(address)
+        if target is None or self.transport is None:
+            return
+        self.transport.sendto(data, target)
+        self.sent_bytes += len(data)
+
     def live_peers(self) -> list[str]:
         """
         Return the peers that recently sent a message.
@@ -351,6 +375,9 @@
 
     def datagram_received(self, data, sender):
         """Decode and apply a peer's message."""
+        if is_permit_message(data):
+            self.fleet.permits.receive(data)
+            return
         try:
             message = _decoder.decode(data)
         except msgspec.MsgspecError as error:
@@ -382,6 +409,7 @@
             for load in message.loads
         }
         self.addresses.add(message.address)
+        self.fleet.permits.ranking.record_alive(message.address)
         previous = self.peers.get(message.address)
         incarnations = previous.incarnations if previous else set()
         incarnations.add(message.incarnation)
@@ -428,6 +456,15 @@
                 slowdown.factor,
                 now - slowdown.age,
             )
+        for limit in message.limits:
+            self.fleet.update_limit(
+                limit.server,
+                NamedLimit(
+                    incarnation=limit.incarnation,
+                    rate=limit.rate,
+                    observed_at=now - limit.age,
+                ),
+            )
         self._apply_crashes(message)
         self.on_message(message)
 
@@ -550,4 +587,13 @@
                 for features, block in self.quarantine.sample_blocks(MAX_BLOCKS)
             ),
             survivors=self.quarantine.evidence.surviving_suspects(MAX_SURVIVORS),
+            limits=tuple(
+                _Limit(
+                    server=name,
+                    incarnation=limit.incarnation,
+                    rate=limit.rate,
+                    age=now - limit.observed_at,
+                )
+                for name, limit in fleet.limits.sample(MAX_LIMITS)
+            ),
         )
--- a/packages/gateway/src/kumquatway_gateway/relay/_engine_client.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_engine_client.py
@@ -66,10 +66,11 @@
     """
     Fetches the state of model servers and sends orders to them.
 
-    :ivar on_notice: called with what a server says about itself in any response.
+    :ivar on_notice: called with what a server says about itself in any response, and
+        with the time at which it was asked, monotonic seconds.
     """
 
-    on_notice: Callable[[Server, ServerNotice], None]
+    on_notice: Callable[[Server, ServerNotice, float], None]
 
     async def report(self, server: Server, timeout: float) -> ServerReport:
         """
--- a/packages/gateway/src/kumquatway_gateway/relay/_health.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_health.py
@@ -18,6 +18,7 @@
 CONFIRMING_SERVERS = 2  # other servers probed before a server is marked down
 MIN_CHECK_INTERVAL_SECONDS = 0.25  # between two checks of the same chain or server
 REFUSAL_EXPIRY_SECONDS = 6.0  # until a server that refuses work is tried again
+PERMIT_PATIENCE_SECONDS = 0.2  # for a permit to probe a server that has a limit
 RECHECK_INTERVAL_SECONDS = 0.8  # between probes of a server that is down or slow
 RECHECKS_PER_INTERVAL = 3  # probes of each server that is down, over all entries
 
@@ -152,7 +153,12 @@
         started_at = self.clock()
         if not self.fleet.pauses.may_check(server):
             return
-        if await self._probe_failure(server) is None:
+        if not await self._may_probe(server):
+            return
+        failure = await self._probe_failure(server)
+        if failure is None:
+            return
+        if not failure.refused and not await self._may_probe(server):
             return
         failure, others_respond = await asyncio.gather(
             self._probe_failure(server), self._other_servers_respond(server)
@@ -176,6 +182,12 @@
         )
         self.pool.close_idle(server.id)
 
+    async def _may_probe(self, server: Server) -> bool:
+        """Take a permit for a probe; those of plain servers send no request."""
+        if not self.is_model_server(server):
+            return True
+        return await self.fleet.permits.take(server, PERMIT_PATIENCE_SECONDS)
+
     async def _probe_failure(self, server: Server) -> FetchFailed | Unreachable | None:
         """Probe a server and return the error, or None if it responded."""
         try:
@@ -201,6 +213,7 @@
             if self.fleet.is_up(server)
             and server.id not in self.checked_at
             and not self.fleet.pauses.is_paused(server)
+            and not self.fleet.permits.needs(server)
         ]
         others.sort(key=lambda other: other.data_centre == suspect.data_centre)
         preferred = others[: max(CONFIRMING_SERVERS, len(others) // 2)]
@@ -216,6 +229,8 @@
         # The server just said that it accepts no work, and for how long.
         if self.fleet.pauses.is_paused(server):
             return
+        if not await self.fleet.permits.take(server, PERMIT_PATIENCE_SECONDS):
+            return
         try:
             accepts_work = await self._accepts_work(server)
         except FetchFailed:
@@ -238,6 +253,8 @@
         status = self.fleet.health[server.id]
         if status.refuses_work:
             await self._recheck_refusing(server, status)
+        elif not await self._may_probe(server):
+            return
         elif await self._probe_failure(server) is None:
             self.fleet.set_health(server, down=False, reason="server responds again")
 
@@ -291,6 +308,8 @@
                 server, down=False, reason="refusal of work expired; trying again"
             )
             return
+        if not await self.fleet.permits.take(server, PERMIT_PATIENCE_SECONDS):
+            return
         with contextlib.suppress(FetchFailed):
             if await self._accepts_work(server):
                 self.fleet.set_health(
--- a/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
@@ -14,6 +14,7 @@
     find_chains,
 )
 from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.limits import TRIAL_RATE
 from kumquatway_gateway.model import Engine, GenerationSize
 from kumquatway_gateway.waiting import AdmissionQueue, Waiter
 
@@ -74,7 +75,8 @@
             claim=self.claim,
             release=self.release,
             min_rate=self.min_token_rate,
-            blocked_seconds=self.seconds_paused,
+            blocked_seconds=self.seconds_blocked,
+            max_rate=self.max_token_rate,
             clock=clock,
         )
         self._chains: tuple[Chain, ...] = ()
@@ -127,16 +129,10 @@
 
         :param waiter: the request.
         :param avoid: IDs of servers that the chain must not contain.
-        :return: the claim, or None if no chain has enough free capacity.
+        :return: the claim, or None if no chain has enough free capacity, or the first
+            servers of those that have it are at their limits.
         """
-        chain = choose_chain(
-            self.chains(),
-            self.loads(),
-            tokens=waiter.tokens,
-            slots=self.engine.slots,
-            home=self.home,
-            avoid=avoid,
-        )
+        chain = self._choose_permitted_chain(waiter, avoid)
         if chain is None:
             return None
         self._add_load(chain.first_server.id, waiter.tokens, 1)
@@ -145,6 +141,29 @@
         self.claims.add(claim)
         return claim
 
+    def _choose_permitted_chain(
+        self, waiter: Waiter, avoid: frozenset[str]
+    ) -> Chain | None:
+        """Choose a chain, and take a permit if its first server has a limit."""
+        chains = [c for c in self.chains() if not self._seconds_exhausted(c)]
+        loads = self.loads()
+        while chains:
+            chain = choose_chain(
+                chains,
+                loads,
+                tokens=waiter.tokens,
+                slots=self.engine.slots,
+                home=self.home,
+                avoid=avoid,
+            )
+            if chain is None or self.fleet.permits.try_take(chain.first_server):
+                return chain
+            chains.remove(chain)
+        return None
+
+    def _seconds_exhausted(self, chain: Chain) -> float:
+        return self.fleet.permits.seconds_exhausted(chain.first_server)
+
     def release(self, claim: Claim) -> None:
         """
         Release the capacity that a claim reserved; does nothing the second time.
@@ -292,12 +311,27 @@
         total_rate = sum(
             chain.token_capacity / chain.request_seconds for chain in self.chains()
         )
+        return MIN_RATE_SHARE * self._own_share() * total_rate
+
+    def _own_share(self) -> float:
+        """Return this entry's share of the tokens in progress over all entries."""
         own_tokens = sum(load.tokens for load in self.own_loads.values())
         peer_tokens = sum(load.tokens for load in self.peer_loads().values())
-        share = (
-            own_tokens / (own_tokens + peer_tokens) if own_tokens + peer_tokens else 1.0
-        )
-        return MIN_RATE_SHARE * share * total_rate
+        total = own_tokens + peer_tokens
+        return own_tokens / total if total else 1.0
+
+    def max_token_rate(self) -> float:
+        """
+        Estimate the rate that the limits of the chains' first servers allow this entry.
+
+        :return: tokens per second; infinite if a chain has no limit.
+        """
+        rates = [self.fleet.limits.rate(c.first_server) for c in self.chains()]
+        if not rates or None in rates:
+            return float("inf")
+        request_tokens = self.engine.mean_prompt_tokens + self.engine.mean_output_tokens
+        rate = sum(max(rate, TRIAL_RATE) for rate in rates)
+        return rate * request_tokens * (self._own_share() or 1.0)
 
     def retry_delay(self) -> float:
         """
@@ -305,22 +339,22 @@
 
         :return: seconds.
         """
-        paused = self.seconds_paused()
-        if paused:
-            return paused
+        blocked = self.seconds_blocked()
+        if blocked:
+            return blocked
         if not self.chains():
             return 1.0 + self.engine.load_seconds / 10
         return max(0.3, self.queue.expected_wait())
 
-    def seconds_paused(self) -> float:
+    def seconds_blocked(self) -> float:
         """
-        Return for how long no chain can serve because servers asked for a pause.
+        Return for how long servers let no chain serve, by a pause or by their limit.
 
-        :return: seconds until the first pause ends; 0 if there is a chain, or if no
-            server is paused.
+        :return: seconds until the first chain may serve again; 0 if one may serve now,
+            or if there is none for another reason.
         """
         if self.chains():
-            return 0.0
+            return min(self._seconds_exhausted(chain) for chain in self.chains())
         now = self.clock()
         pauses = self.fleet.pauses
         ends = [
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -40,6 +40,9 @@
 # Ends of a response that its server caused.
 ENDS_BY_SERVER = (ResponseEnd.CLOSED, ResponseEnd.RESET)
 RETRY_SECONDS = 0.5  # until a refused caller should retry, unless servers are paused
+# For a permit, before another server is tried; requests for permits that get lost and
+# go to the next entry take less.
+PERMIT_PATIENCE_SECONDS = 0.2
 
 
 class PlainRouter:
@@ -73,7 +76,8 @@
         Choose the server with the lowest cost.
 
         :param avoid: IDs of servers that were already tried.
-        :return: the server, or None if all others are down, full or paused.
+        :return: the server, or None if all others are down, full, paused or at their
+            limit.
         """
         best = None
         best_cost = float("inf")
@@ -82,7 +86,7 @@
                 continue
             if not self.fleet.is_up(server) or self._is_full(server):
                 continue
-            if self.fleet.pauses.is_paused(server):
+            if self._seconds_blocked(server):
                 continue
             cost = self._cost(server)
             if cost < best_cost:
@@ -93,18 +97,23 @@
         """
         Estimate after which time a refused caller should retry.
 
-        :return: seconds; until the first pause ends if every server that is up asked
-            for one.
+        :return: seconds; until the first server takes requests again if every server
+            that is up asked for a pause or is at its limit.
         """
-        pauses = self.fleet.pauses
-        servers = [
-            server
+        waits = [
+            self._seconds_blocked(server)
             for server in self.fleet.servers.values()
             if server.service == self.service and self.fleet.is_up(server)
         ]
-        if not servers or not all(pauses.is_paused(server) for server in servers):
-            return RETRY_SECONDS
-        return min(pauses.end(server) for server in servers) - pauses.clock()
+        return min(waits, default=0.0) or RETRY_SECONDS
+
+    def _seconds_blocked(self, server: Server) -> float:
+        """Return for how long a server asked to get no request, 0 if it takes some."""
+        pauses = self.fleet.pauses
+        return max(
+            pauses.end(server) - pauses.clock(),
+            self.fleet.permits.seconds_exhausted(server),
+        )
 
     def record_start(self, server: Server) -> None:
         """Count a request that is sent to a server."""
@@ -155,6 +164,7 @@
     :param body: body of the response.
     :param not_run: whether the server certainly did not run the request.
     :param reached: whether a connection to the server was opened.
+    :param denied: whether there was no permit to send it to the server.
     :param detail: how the response was framed and ended, for the event.
     :param broken_off: whether the server ended the connection before the response.
     """
@@ -164,6 +174,7 @@
     body: bytes
     not_run: bool
     reached: bool = True
+    denied: bool = False
     detail: str = ""
     broken_off: bool = False
 
@@ -190,6 +201,13 @@
     )
 
 
+def _not_sent(server: Server, *, denied: bool = False) -> _Outcome:
+    """Return the outcome of an attempt whose request was not sent."""
+    return _Outcome(
+        server=server, head=None, body=b"", not_run=True, reached=False, denied=denied
+    )
+
+
 class PlainJob:
     """
     Serves one request to a plain service.
@@ -227,7 +245,7 @@
             if not self.running and not self._start_attempt():
                 self._give_up(
                     Reason.OVERLOADED,
-                    "every server is down, full, paused or already tried",
+                    "every server is down, full, paused, at its limit or already tried",
                 )
                 return
             done = await self._wait_for_outcomes()
@@ -301,6 +319,8 @@
 
     def _record_failure(self, outcome: _Outcome) -> None:
         self.last_failure = outcome
+        if outcome.denied:
+            return
         if not outcome.reached:
             self.relay.health_checker.check_server(outcome.server)
             return
@@ -326,13 +346,15 @@
 
     async def _send(self, server: Server) -> _Outcome:
         job = self.job
+        permits = self.relay.fleet.permits
+        if not await permits.take(server, PERMIT_PATIENCE_SECONDS):
+            return _not_sent(server, denied=True)
         try:
             connection = await self._connect(server)
         except Unreachable as error:
+            permits.give_back(server)
             self.relay.record_failure(job, server.id, "unreachable", str(error))
-            return _Outcome(
-                server=server, head=None, body=b"", not_run=True, reached=False
-            )
+            return _not_sent(server)
         started = time.monotonic()
         self.router.record_start(server)
         failed = True
@@ -370,22 +392,25 @@
             server=server, account=job.account_name, seconds_left=job.seconds_left()
         )
         self.relay.record_route(job, (server.id,), self._describe(server))
+        sent_at = time.monotonic()
         connection.send(exchange, dialect.encode(job.request, attempt))
         try:
-            return await self._read_response(server, exchange)
+            return await self._read_response(server, exchange, sent_at)
         finally:
             if connection.exchange is exchange:
                 connection.abandon()
             self.relay.record_response(exchange)
 
-    async def _read_response(self, server: Server, exchange: Exchange) -> _Outcome:
+    async def _read_response(
+        self, server: Server, exchange: Exchange, sent_at: float
+    ) -> _Outcome:
         head = await exchange.head
         if isinstance(head, ResponseEnd):
             return _invalid(
                 server, exchange.describe(), broken_off=head in ENDS_BY_SERVER
             )
         info = self.relay.dialect.parse_response(head.status, head.headers)
-        self.relay.fleet.record_notice(server, info.notice)
+        self.relay.fleet.record_notice(server, info.notice, sent_at)
         if info.not_run:
             await wait_for_refusal_body(exchange)
             return _Outcome(server=server, head=head, body=b"", not_run=True)
@@ -413,9 +438,11 @@
 
     def _describe(self, server: Server) -> str:
         """Return the figures that the server was picked by, for the event."""
+        limit = self.relay.fleet.limits.rate(server)
         return (
             f"{self.router.outstanding.get(server.id, 0)} in progress, mean latency "
             f"{self.router.mean_latency(server) * 1000:.0f} ms"
+            + (f", limit {limit:g} requests/s" if limit is not None else "")
         )
 
     def _deliver(self, outcome: _Outcome) -> None:
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -199,6 +199,7 @@
     def check_streams(self) -> None:
         """Check the active streams for stalls, and admit waiting requests."""
         now = self.clock()
+        self.fleet.permits.check()
         self.quarantine.confirm_crashes()
         self._recall_blocked_streams()
         activities = (job.activity() for job in self.active_streams)
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -115,7 +115,7 @@
         self.relay.metrics.waits.observe({}, self.job.age())
         if claim is None:
             self._respond_overloaded(
-                "every chain is full"
+                "every chain is full or at its limit"
                 if self.router.chains()
                 else "no complete chain is up"
             )
@@ -154,6 +154,7 @@
         try:
             self.connection = await self.relay.pool.connect(first.id, first.address)
         except Unreachable as error:
+            self.relay.fleet.permits.give_back(first)
             self.avoid.add(first.id)
             self.relay.health_checker.check_server(first)
             self.relay.record_failure(self.job, first.id, "unreachable", str(error))
@@ -205,11 +206,16 @@
             self.job,
             tuple(stage.server.id for stage in chain.stages),
             f"{load.tokens:.0f} of {chain.token_capacity:.0f} tokens used, "
+            f"{self._describe_limit(chain)}"
             f"fleet generation {self.relay.fleet.generation}, server list "
             f"{time.monotonic() - self.relay.fleet.listed_at:.1f} s old, "
             f"after event {self.events.last_id.decode('latin-1') or 0}",
         )
 
+    def _describe_limit(self, chain: Chain) -> str:
+        limit = self.relay.fleet.limits.rate(chain.first_server)
+        return "" if limit is None else f"limit {limit:g} requests/s, "
+
     async def _relay_response(self, chain: Chain) -> _AttemptOutcome:
         """Wait for the response, and relay it to the caller if its status is 200."""
         exchange = self.exchange
@@ -217,7 +223,7 @@
         if isinstance(head, ResponseEnd):
             return self._handle_early_end(head)
         info = self.relay.dialect.parse_response(head.status, head.headers)
-        self.relay.fleet.record_notice(chain.first_server, info.notice)
+        self.relay.fleet.record_notice(chain.first_server, info.notice, self.sent_at)
         if head.status != 200:
             return await self._handle_error(head, info)
         if not info.signed:
--- a/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
@@ -24,6 +24,8 @@
     :param release: frees the capacity reserved for a request that was cancelled.
     :param min_rate: returns the lowest rate at which requests are expected to end,
         tokens per second.
+    :param max_rate: returns the highest rate at which requests may begin, tokens per
+        second.
     :param blocked_seconds: returns for how long there will certainly be no capacity.
     :param clock: returns monotonic seconds.
     """
@@ -34,12 +36,14 @@
         claim: Callable[[Waiter], T | None],
         release: Callable[[T], None],
         min_rate: Callable[[], float] = lambda: MIN_RATE,
+        max_rate: Callable[[], float] = lambda: float("inf"),
         blocked_seconds: Callable[[], float] = lambda: 0.0,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.claim = claim
         self.release = release
         self.min_rate = min_rate
+        self.max_rate = max_rate
         self.blocked_seconds = blocked_seconds
         self.clock = clock
         self.waiting: dict[Waiter, asyncio.Future[T | None]] = {}
@@ -60,7 +64,8 @@
         ahead = self.queued_tokens
         if waiter is not None:
             ahead = tokens_ahead(waiter, self.waiting, self.in_service)
-        queueing = ahead / max(self.rate, self.min_rate(), MIN_RATE)
+        rate = min(max(self.rate, self.min_rate(), MIN_RATE), self.max_rate())
+        queueing = ahead / rate if ahead else 0.0
         return self.blocked_seconds() + queueing
 
     async def admit(self, waiter: Waiter) -> T | None:
