--- a/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
@@ -308,9 +308,7 @@
 
         :return: tokens per second: this entry's share of the chains' throughput.
         """
-        total_rate = sum(
-            chain.token_capacity / chain.request_seconds for chain in self.chains()
-        )
+        total_rate = sum(self._token_rate(chain) for chain in self.chains())
         return MIN_RATE_SHARE * self._own_share() * total_rate
 
     def _own_share(self) -> float:
@@ -326,12 +324,25 @@
 
         :return: tokens per second; infinite if a chain has no limit.
         """
-        rates = [self.fleet.limits.rate(c.first_server) for c in self.chains()]
-        if not rates or None in rates:
+        rates = [self._limited_token_rate(chain) for chain in self.chains()]
+        if not rates or float("inf") in rates:
+            return float("inf")
+        return sum(rates) * (self._own_share() or 1.0)
+
+    def _token_rate(self, chain: Chain) -> float:
+        """Estimate the throughput of a chain, tokens per second."""
+        return min(
+            chain.token_capacity / chain.request_seconds,
+            self._limited_token_rate(chain),
+        )
+
+    def _limited_token_rate(self, chain: Chain) -> float:
+        """Return the tokens per second that the first server's limit allows."""
+        limit = self.fleet.limits.rate(chain.first_server)
+        if limit is None:
             return float("inf")
         request_tokens = self.engine.mean_prompt_tokens + self.engine.mean_output_tokens
-        rate = sum(max(rate, TRIAL_RATE) for rate in rates)
-        return rate * request_tokens * (self._own_share() or 1.0)
+        return max(limit, TRIAL_RATE) * request_tokens
 
     def retry_delay(self) -> float:
         """
