--- a/packages/gateway/src/kumquatway_gateway/chains/_paths.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_paths.py
@@ -10,6 +10,9 @@
 HOP_SECONDS = 0.0001  # per token, within a data centre in the users' deployments
 CROSSING_SECONDS = 0.00025  # per token, between data centres in the users' deployments
 MAX_STAGES = 32  # limit of the engine
+# Added to the cost of paths that begin at a limited server: another server goes first,
+# if one holds its layers.
+LIMITED_START_SECONDS = 60.0
 MAX_CHAINS = 256  # 1,500 servers form about 150
 
 
@@ -23,12 +26,15 @@
     :param slowdown: factor by which its work takes longer than normal.
     :param layers_in_memory: number of layers that occupy its memory, if more than it
         holds.
+    :param limited: whether it takes only a limited rate of requests, which are those
+        that it gets as the first stage.
     """
 
     server: Server
     layers: LayerRange
     slowdown: float = 1.0
     layers_in_memory: int = 0
+    limited: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -272,7 +278,9 @@
     previous: _PathNode | None,
 ) -> None:
     cost = _run_seconds(engine, candidate, stop - start)
-    if previous is not None:
+    if previous is None:
+        cost += _start_cost(candidate)
+    else:
         cost += previous.cost
         cost += _transfer_seconds(engine, previous.candidate.server, candidate.server)
     ending_here = paths.setdefault(stop, {})
@@ -283,6 +291,10 @@
         )
 
 
+def _start_cost(candidate: CandidateServer) -> float:
+    return LIMITED_START_SECONDS if candidate.limited else 0.0
+
+
 def _run_seconds(engine: Engine, candidate: CandidateServer, layers: int) -> float:
     return _decode_seconds(engine, candidate, layers) + _prefill_seconds(
         engine, candidate, layers
@@ -322,6 +334,7 @@
     stop = engine.layers
     node: _PathNode | None = last
     while node is not None:
+        first = node.candidate
         layers = LayerRange(start=node.start, stop=stop)
         capacity = _stage_capacity(engine, node.candidate, len(layers))
         stages.append(
@@ -347,7 +360,7 @@
         token_capacity=tokens,
         pass_seconds=longest_pass_seconds(engine, shares, tokens)
         + _hop_seconds(engine, stages),
-        request_seconds=last.cost,
+        request_seconds=last.cost - _start_cost(first),
         prefill_seconds=prefill_seconds,
         crossings=sum(a != b for a, b in zip(centres, centres[1:], strict=False)),
     )
--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -322,7 +322,8 @@
                     layers=layers,
                     in_use=server.id in in_use,
                     busy=busy,
-                    slow=self.fleet.is_slow(server),
+                    slow=self.fleet.is_slow(server)
+                    or self.fleet.permits.is_short(server),
                     used_tokens=tokens.get(server.id, 0.0),
                 )
             )
--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -552,6 +552,7 @@
                 self.on_local_change()
 
     def _emit_limit(self, server: Server, source: str) -> None:
+        self.mark_changed()
         rate = self.limits.rate(server)
         if rate is None:
             self._emit(server, "unlimited", source)
--- a/packages/gateway/src/kumquatway_gateway/limits/_permits.py
+++ b/packages/gateway/src/kumquatway_gateway/limits/_permits.py
@@ -32,6 +32,8 @@
 MAX_COUNT = 16  # permits in one request
 MIN_WAIT_SECONDS = 0.02  # after a denial
 MAX_WAIT_SECONDS = 8.0
+# Since the last denial, in which a server's limit counts as too low for its requests.
+SHORTAGE_SECONDS = 3.0
 UNKNOWN_SERVER_SECONDS = 0.3  # until the issuer has probably read the newest list
 
 
@@ -61,6 +63,7 @@
     :param in_hand: ends of the validity of unused permits, monotonic seconds.
     :param question: request for permits that has no response yet.
     :param exhausted_until: until when the issuer has no permit.
+    :param denied_at: when the issuer last had none.
     """
 
     server: Server
@@ -68,6 +71,7 @@
     waiters: deque[_Waiter] = field(default_factory=deque)
     question: _Question | None = None
     exhausted_until: float = float("-inf")
+    denied_at: float = float("-inf")
 
 
 class Permits:
@@ -139,6 +143,17 @@
             return 0.0
         return max(0.0, account.exhausted_until - self.clock())
 
+    def is_short(self, server: Server) -> bool:
+        """
+        Tell whether a server recently had fewer permits than this entry wanted.
+
+        :param server: a listed server.
+        """
+        account = self.accounts.get(server.id)
+        if account is None or not self.needs(server):
+            return False
+        return self.clock() - account.denied_at < SHORTAGE_SECONDS
+
     def try_take(self, server: Server) -> bool:
         """
         Take a permit that is in hand, or ask for one for a later call.
@@ -337,6 +352,7 @@
         if issue.count < asked:
             wait = min(MAX_WAIT_SECONDS, max(MIN_WAIT_SECONDS, issue.wait))
             account.exhausted_until = now + wait
+            account.denied_at = now
         self._serve_waiters(account)
 
     def _serve_waiters(self, account: _Account) -> None:
--- a/packages/gateway/src/kumquatway_gateway/placement/_types.py
+++ b/packages/gateway/src/kumquatway_gateway/placement/_types.py
@@ -25,7 +25,8 @@
     :param layers: layers that it holds, or will hold once its current order is done.
     :param in_use: whether a chain contains it.
     :param busy: whether it is executing an order and accepts no other.
-    :param slow: whether its work takes much longer than normal.
+    :param slow: whether its work takes much longer than normal, or it takes fewer
+        requests than there are.
     :param used_tokens: tokens of the requests in progress that run through it.
     """
 
--- a/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
@@ -405,6 +405,7 @@
                     layers=self.fleet.layers(server),
                     slowdown=self.fleet.slowdown(server),
                     layers_in_memory=self.fleet.loaded(server),
+                    limited=self.fleet.permits.needs(server),
                 )
             )
         self._avoid_until = avoid_until
--- a/packages/gateway/tests/test_limits.py
+++ b/packages/gateway/tests/test_limits.py
@@ -6,6 +6,7 @@
 from engines import ENGINE, layer_range, server
 from replays import Clock
 
+from kumquatway_gateway.duties import Placer
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.limits import (
     MAX_RATE,
@@ -465,6 +466,51 @@
         self.fleet.record_notice(self.near, _limit(1.0))
         assert self._first_servers(5).count("x0") == 1
 
+    def test_chains_begin_at_a_server_without_a_limit_if_one_holds_the_layers(self):
+        spare = server("spare", "x", "big", layer_range(0, 16))
+        self.fleet.update_servers({**self.fleet.servers, "spare": spare})
+        before = {chain.first_server.id for chain in self.router.chains()}
+        limited = self.fleet.servers[(before - {"y0"}).pop()]
+        self.fleet.record_notice(limited, _limit(1.0))
+        after = {chain.first_server.id for chain in self.router.chains()}
+        assert after == {"x0", "spare", "y0"} - {limited.id}
+        self.fleet.record_notice(limited, _limit(None))
+        assert {chain.first_server.id for chain in self.router.chains()} == before
+
+    def test_duration_of_a_chain_does_not_depend_on_a_limit(self):
+        before = [chain.request_seconds for chain in self.router.chains()]
+        self.fleet.record_notice(self.near, _limit(1.0))
+        assert [c.request_seconds for c in self.router.chains()] == pytest.approx(
+            before
+        )
+
+    def test_limit_is_short_while_permits_are_denied(self):
+        permits = self.fleet.permits
+        self.fleet.record_notice(self.near, _limit(2.0))
+        assert not permits.is_short(self.near)
+        self._first_servers(3)
+        assert permits.is_short(self.near)
+        self.clock.now += 3.0
+        assert not permits.is_short(self.near)
+
+    def test_placement_sees_a_server_whose_limit_is_short_as_slow(self):
+        placer = Placer(
+            lease=None,
+            engines=None,
+            fleet=self.fleet,
+            health_checker=None,
+            routers=lambda: [self.router],
+            notify_peers=lambda: None,
+            is_held_by_peer=lambda: False,
+            fenced=False,
+            emit=lambda event: None,
+            clock=self.clock,
+        )
+        self.fleet.record_notice(self.near, _limit(1.0))
+        self._first_servers(3)
+        slow = [s.server.id for s in placer._snapshots(self.router) if s.slow]
+        assert slow == ["x0"]
+
     def test_limit_of_a_later_stage_does_not_hold_back_a_chain(self):
         self.fleet.record_notice(self.later, _limit(1.0))
         assert "x0" in self._first_servers(3)
