--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -499,7 +499,7 @@
         return self.gossip.live_peers() or list(self.gossip.addresses)
 
     def _entry_count(self) -> int:
-        return max(self.settings.min_entries, len(self.gossip.live_peers()) + 1)
+        return max(self.settings.min_entries, self.gossip.count_entries())
 
     def _create_retry_budget(self) -> RetryBudget:
         return RetryBudget(
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -234,6 +234,7 @@
         self.freshness = freshness
         self.on_message = on_message
         self.clock = clock
+        self.started_at = clock()
         self.addresses: set[str] = set()
         self.peers: dict[str, _Peer] = {}
         self.transport: asyncio.DatagramTransport | None = None
@@ -311,6 +312,24 @@
         since = self.clock() - PEER_EXPIRY_SECONDS
         return [name for name, peer in self.peers.items() if peer.received_at > since]
 
+    def count_entries(self) -> int:
+        """
+        Count the entries that run, for what all of them share in equal parts.
+
+        Load pattern: hundreds of entries, each of which hears another one every ten
+        seconds or so; or all entries start at once, and have heard none yet. An entry
+        that counts too few takes more than its part.
+
+        :return: this entry and the peers, as long as several messages of theirs may
+            have been missed; all known ones until then.
+        """
+        interval = SEND_PERIOD_SECONDS * len(self.addresses) / MAX_TARGETS
+        silence = max(PEER_EXPIRY_SECONDS, MISSED_INTERVALS * interval)
+        if self.clock() - self.started_at < silence:
+            return 1 + max(len(self.addresses), len(self.peers))
+        since = self.clock() - silence
+        return 1 + sum(peer.received_at > since for peer in self.peers.values())
+
     def is_gone(self, incarnation: int) -> bool:
         """
         Return whether a peer's process has ended or is no longer sending messages.
--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -267,3 +267,37 @@
     def test_messages_are_small(self):
         assert len(self.first.message()) < 200
         assert isinstance(self.first.gossip._build_message(), GossipMessage)
+
+
+class TestSharesOfManyEntries:
+    """What all entries share in equal parts, such as the budget of retries."""
+
+    @pytest.mark.parametrize("entries", [3, 30, 68, 380])
+    def test_together_are_no_more_than_the_whole(self, entries):
+        clock = _Clock()
+        names = [f"10.0.{n // 250}.{n % 250}:9" for n in range(entries)]
+        # Only the first entry is played: all others are heard as often as it is.
+        first = _Entry(names[0], 1, clock)
+        first.gossip.set_addresses(set(names))
+        peers = [_Entry(name, 1, clock) for name in names[1:]]
+        messages = [peer.message() for peer in peers]
+        chance = min(1.0, MAX_TARGETS / (entries - 1))
+        draw = random.Random(1).random
+        counts = [first.gossip.count_entries()]
+        while clock.now < 110.0:
+            clock.now += SEND_PERIOD_SECONDS
+            for message in messages:
+                if draw() < chance:
+                    first.receive(message)
+            counts.append(first.gossip.count_entries())
+        assert 0.95 * entries <= min(counts) <= max(counts) <= entries
+
+    def test_entries_that_are_gone_are_not_counted_for_long(self):
+        clock = _Clock()
+        names = [f"10.0.0.{n}:9" for n in range(5)]
+        first = _Entry(names[0], 1, clock)
+        first.gossip.set_addresses(set(names))
+        for name in names[1:]:
+            first.receive(_Entry(name, 1, clock).message())
+        clock.now += 8.1
+        assert first.gossip.count_entries() == 1
