--- a/packages/gateway/src/kumquatway_gateway/limits/_permits.py
+++ b/packages/gateway/src/kumquatway_gateway/limits/_permits.py
@@ -120,6 +120,8 @@
             limits=limits, ranking=self.ranking, clock=clock, random=random
         )
         self.accounts: dict[str, _Account] = {}  # by server ID
+        # Those that wait for a response or have requests waiting.
+        self.unsettled: dict[str, _Account] = {}
         self.pings: dict[str, float] = {}  # when they were sent, by address
         self._last_number = 0
 
@@ -189,6 +191,7 @@
         future = asyncio.get_running_loop().create_future()
         waiter = _Waiter(future=future, until=until)
         account.waiters.append(waiter)
+        self.unsettled[server.id] = account
         try:
             async with asyncio.timeout(patience):
                 return await asyncio.shield(future)
@@ -220,15 +223,22 @@
             if now - sent_at >= RESPONSE_SECONDS:
                 del self.pings[address]
                 self.ranking.record_failure(address)
-        for server_id, account in list(self.accounts.items()):
-            if self.find_server(server_id) is not account.server:
-                self._move_account(account)
-            elif not self.needs(account.server):
-                self._release(account)
-            else:
-                self._check_question(account, now)
-                if account.waiters:
-                    self._ask(account)
+        for account in list(self.unsettled.values()):
+            self._check_account(account, now)
+            settled = account.question is None and not account.waiters
+            if settled and self.unsettled.get(account.server.id) is account:
+                del self.unsettled[account.server.id]
+
+    def _check_account(self, account: _Account, now: float) -> None:
+        if self.find_server(account.server.id) is not account.server:
+            self._move_account(account)
+        elif not self.needs(account.server):
+            self._drop(account, permitted=True)
+            self.on_issued()
+        else:
+            self._check_question(account, now)
+            if account.waiters:
+                self._ask(account)
 
     def receive(self, data: bytes) -> None:
         """
@@ -256,7 +266,7 @@
         self.issuer.forget_all_but(server_ids)
         self.ranking.forget_all_but(server_ids)
         for name in [name for name in self.accounts if name not in server_ids]:
-            self._refuse(self.accounts.pop(name))
+            self._drop(self.accounts[name], permitted=False)
 
     # this entry asks
 
@@ -265,7 +275,7 @@
         if account is None:
             account = self.accounts[server.id] = _Account(server=server)
         elif account.server.incarnation != server.incarnation:
-            self._refuse(account)
+            self._drop(account, permitted=False)
             account = self.accounts[server.id] = _Account(server=server)
         return account
 
@@ -296,6 +306,7 @@
             count=count,
             sent_at=self.clock(),
         )
+        self.unsettled[account.server.id] = account
         self._send_request(issuer, account.server, self._last_number, count)
 
     def _send_request(
@@ -374,21 +385,18 @@
         server = self.find_server(account.server.id)
         if server is not None and server.incarnation == account.server.incarnation:
             account.server = server
-            return
-        self._refuse(self.accounts.pop(account.server.id))
-
-    def _release(self, account: _Account) -> None:
-        """Let all requests go on to a server whose limit has ended."""
-        del self.accounts[account.server.id]
-        for waiter in account.waiters:
-            if not waiter.future.done():
-                waiter.future.set_result(True)
-        self.on_issued()
+        else:
+            self._drop(account, permitted=False)
 
-    def _refuse(self, account: _Account) -> None:
-        for waiter in account.waiters:
+    def _drop(self, account: _Account, *, permitted: bool) -> None:
+        """Forget an account, and let its waiting requests go on or refuse them."""
+        for table in (self.accounts, self.unsettled):
+            if table.get(account.server.id) is account:
+                del table[account.server.id]
+        waiters, account.waiters = account.waiters, deque()
+        for waiter in waiters:
             if not waiter.future.done():
-                waiter.future.set_result(False)
+                waiter.future.set_result(permitted)
 
     def _learn(self, server: Server, rate: float | None, age: float) -> None:
         """Take over what another entry knows about a server's limit."""
--- a/packages/gateway/src/kumquatway_gateway/limits/_ranking.py
+++ b/packages/gateway/src/kumquatway_gateway/limits/_ranking.py
@@ -30,7 +30,8 @@
     not respond is passed over for a while.
 
     :param address: address of this entry for peers, `host:port`.
-    :param addresses: returns the addresses of the other entries.
+    :param addresses: returns the addresses of the other entries, in a set that only
+        grows or is replaced.
     :param clock: monotonic seconds.
     """
 
@@ -45,7 +46,8 @@
         self.addresses = addresses
         self.clock = clock
         self.failures: dict[str, _Failures] = {}  # by address
-        self._ranked: frozenset[str] = frozenset()
+        self._ranked: Collection[str] = ()
+        self._ranked_count = 0
         self._rankings: dict[str, tuple[str, ...]] = {}  # by server ID
 
     def issuer(self, server: Server) -> str:
@@ -68,17 +70,19 @@
         :param server: a listed server.
         :return: addresses, at most `MAX_CANDIDATES`.
         """
-        current = frozenset(self.addresses()) | {self.address}
-        if current != self._ranked:
-            self._ranked = current
+        addresses = self.addresses()
+        if addresses is not self._ranked or len(addresses) != self._ranked_count:
+            self._ranked, self._ranked_count = addresses, len(addresses)
             self._rankings.clear()
-            for address in [a for a in self.failures if a not in current]:
+            for address in [a for a in self.failures if a not in addresses]:
                 del self.failures[address]
         ranking = self._rankings.get(server.id)
         if ranking is None:
             ranking = tuple(
                 heapq.nlargest(
-                    MAX_CANDIDATES, current, key=lambda a: _weight(a, server.id)
+                    MAX_CANDIDATES,
+                    {*addresses, self.address},
+                    key=lambda a: _weight(a, server.id),
                 )
             )
             self._rankings[server.id] = ranking
