--- a/packages/gateway/src/kumquatway_gateway/limits/_permits.py
+++ b/packages/gateway/src/kumquatway_gateway/limits/_permits.py
@@ -156,6 +156,16 @@
             return False
         return self.clock() - account.denied_at < SHORTAGE_SECONDS
 
+    def is_ready(self, server: Server) -> bool:
+        """
+        Tell whether a request may be sent to a server without asking for a permit.
+
+        :param server: a listed server.
+        """
+        account = self.accounts.get(server.id)
+        in_hand = account is not None and self._in_hand(account)
+        return in_hand or not self.needs(server)
+
     def try_take(self, server: Server) -> bool:
         """
         Take a permit that is in hand, or ask for one for a later call.
--- a/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
@@ -144,9 +144,16 @@
     def _choose_permitted_chain(
         self, waiter: Waiter, avoid: frozenset[str]
     ) -> Chain | None:
-        """Choose a chain, and take a permit if its first server has a limit."""
+        """
+        Choose a chain, and take a permit if its first server has a limit.
+
+        Load pattern: all first servers have limits. Of the chains without a permit in
+        hand, only the best one is asked for: the permits of the others would expire.
+        """
+        permits = self.fleet.permits
         chains = [c for c in self.chains() if not self._seconds_exhausted(c)]
         loads = self.loads()
+        has_asked = False
         while chains:
             chain = choose_chain(
                 chains,
@@ -156,8 +163,13 @@
                 home=self.home,
                 avoid=avoid,
             )
-            if chain is None or self.fleet.permits.try_take(chain.first_server):
-                return chain
+            if chain is None:
+                return None
+            first = chain.first_server
+            if not has_asked or permits.is_ready(first):
+                if permits.try_take(first):
+                    return chain
+                has_asked = True
             chains.remove(chain)
         return None
 
--- a/packages/gateway/tests/test_limits.py
+++ b/packages/gateway/tests/test_limits.py
@@ -511,6 +511,24 @@
         slow = [s.server.id for s in placer._snapshots(self.router) if s.slow]
         assert slow == ["x0"]
 
+    def test_one_request_asks_for_the_permit_of_one_chain(self):
+        sent: list[str] = []
+        peer = "10.0.0.1:9"
+        self.fleet.permits = Permits(
+            limits=self.fleet.limits,
+            find_server=self.fleet.find_server,
+            learn=self.fleet.update_limit,
+            address="10.0.0.2:9",
+            addresses=lambda: {peer},
+            send=lambda address, data: sent.append(decode(data).server),
+            clock=self.clock,
+        )
+        self.fleet.permits.ranking.issuer = lambda server: peer
+        for first in (self.near, self.far):
+            self.fleet.record_notice(first, _limit(1.0))
+        assert self.router.claim(self._waiter()) is None
+        assert sent == ["x0"]
+
     def test_limit_of_a_later_stage_does_not_hold_back_a_chain(self):
         self.fleet.record_notice(self.later, _limit(1.0))
         assert "x0" in self._first_servers(3)
