--- a/packages/gateway/src/kumquatway_gateway/limits/_issuer.py
+++ b/packages/gateway/src/kumquatway_gateway/limits/_issuer.py
@@ -16,7 +16,7 @@
 # together stay below the 1.5 times that the users' platform tolerates.
 STANDBY_SHARE = 0.3
 START_SECONDS = 2.0  # after its start, an entry may not know of all others
-DENIED_PER_SECOND = 20.0  # requests for permits of one server that are denied
+DENIED_PER_SECOND = 10.0  # requests for permits of one server that are denied
 REQUESTER_SECONDS = 2.0  # since its last request, in which an entry counts
 
 
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -40,7 +40,7 @@
 MAX_SUSPECT_FEATURES = 4  # of a suspect in a message
 MAX_SURVIVORS = 4  # features of suspects in a message that got through nevertheless
 MAX_BLOCKS = 3  # in a message
-MAX_LIMITS = 4  # of servers in a message, chosen at random
+MAX_LIMITS = 2  # of servers in a message, chosen at random
 
 
 class _Load(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
