--- a/packages/gateway/src/kumquatway_gateway/limits/_permits.py
+++ b/packages/gateway/src/kumquatway_gateway/limits/_permits.py
@@ -140,7 +140,7 @@
         :param server: a listed server.
         :return: seconds, 0 if one may be had at once.
         """
-        account = self.accounts.get(server.id)
+        account = self._known_account(server)
         if account is None or not self.needs(server) or self._in_hand(account):
             return 0.0
         return max(0.0, account.exhausted_until - self.clock())
@@ -151,7 +151,7 @@
 
         :param server: a listed server.
         """
-        account = self.accounts.get(server.id)
+        account = self._known_account(server)
         if account is None or not self.needs(server):
             return False
         return self.clock() - account.denied_at < SHORTAGE_SECONDS
@@ -162,7 +162,7 @@
 
         :param server: a listed server.
         """
-        account = self.accounts.get(server.id)
+        account = self._known_account(server)
         in_hand = account is not None and self._in_hand(account)
         return in_hand or not self.needs(server)
 
@@ -280,12 +280,17 @@
 
     # this entry asks
 
-    def _account(self, server: Server) -> _Account:
+    def _known_account(self, server: Server) -> _Account | None:
         account = self.accounts.get(server.id)
+        if account is None or account.server.incarnation != server.incarnation:
+            return None
+        return account
+
+    def _account(self, server: Server) -> _Account:
+        account = self._known_account(server)
         if account is None:
-            account = self.accounts[server.id] = _Account(server=server)
-        elif account.server.incarnation != server.incarnation:
-            self._drop(account, permitted=False)
+            if server.id in self.accounts:
+                self._drop(self.accounts[server.id], permitted=False)
             account = self.accounts[server.id] = _Account(server=server)
         return account
 
--- a/packages/gateway/tests/test_limits.py
+++ b/packages/gateway/tests/test_limits.py
@@ -177,6 +177,19 @@
         permits = self.entries.permits[entry]
         return permits.try_take(self.server) or permits.try_take(self.server)
 
+    def test_restarted_server_is_not_exhausted(self):
+        entries = self.entries
+        entries.name_limit(1.0, entries.last)
+        while self._take(entries.last):
+            pass
+        permits = entries.permits[entries.last]
+        assert permits.seconds_exhausted(self.server)
+        restarted = _plain_server("one", incarnation=2)
+        entries.fleets[entries.last].update_servers({"one": restarted})
+        entries.fleets[entries.last].record_notice(restarted, _limit(1.0))
+        assert not permits.seconds_exhausted(restarted)
+        assert not permits.is_short(restarted)
+
     def test_none_is_needed_without_a_limit(self):
         assert all(self._take(self.entries.last) for _ in range(100))
 
