--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -93,19 +93,19 @@
                 best, best_cost = server, cost
         return best
 
-    def retry_delay(self) -> float:
+    def seconds_blocked(self) -> float:
         """
-        Estimate after which time a refused caller should retry.
+        Return for how long every server that is up asked to get no request.
 
-        :return: seconds; until the first server takes requests again if every server
-            that is up asked for a pause or is at its limit.
+        :return: seconds until the first one takes requests again, after a pause or at
+            its limit; 0 if one takes some now, or if none is up.
         """
         waits = [
             self._seconds_blocked(server)
             for server in self.fleet.servers.values()
             if server.service == self.service and self.fleet.is_up(server)
         ]
-        return min(waits, default=0.0) or RETRY_SECONDS
+        return min(waits, default=0.0)
 
     def _seconds_blocked(self, server: Server) -> float:
         """Return for how long a server asked to get no request, 0 if it takes some."""
@@ -467,5 +467,5 @@
         if self.may_have_run:
             cause = reason if reason is Reason.DEADLINE else Reason.RESET
             return may_have_run(cause, detail)
-        delay = retry_after(self.router.retry_delay())
+        delay = retry_after(RETRY_SECONDS, earliest=self.router.seconds_blocked())
         return not_run(Reason.OVERLOADED, detail, retry_after=delay)
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -574,7 +574,9 @@
         if self.relay.is_blocked(self.job):
             self._respond(self.relay.blocked_verdict(self.job))
             return
-        wait = retry_after(self.router.retry_delay())
+        wait = retry_after(
+            self.router.retry_delay(), earliest=self.router.seconds_blocked()
+        )
         self._respond(not_run(Reason.OVERLOADED, detail, retry_after=wait))
 
     def _respond(self, verdict: Verdict) -> None:
--- a/packages/gateway/tests/test_limits.py
+++ b/packages/gateway/tests/test_limits.py
@@ -431,7 +431,7 @@
         self._exhaust(self.one)
         self._exhaust(self.two)
         assert self.router.pick() is None
-        assert 0.5 < self.router.retry_delay() <= 1.0
+        assert 0.5 < self.router.seconds_blocked() <= 1.0
         self.clock.now += 1.0
         assert self.router.pick() is not None
 
--- a/packages/gateway/tests/test_notices.py
+++ b/packages/gateway/tests/test_notices.py
@@ -170,7 +170,7 @@
         self.site.fleet.record_notice(self.site.two, _pause(4.0))
         assert self.site.router.pick() is None
         self.site.clock.now = 1.0
-        assert self.site.router.retry_delay() == 3.0
+        assert self.site.router.seconds_blocked() == 3.0
 
 
 class TestModelService:
--- a/packages/gateway/tests/test_waiting.py
+++ b/packages/gateway/tests/test_waiting.py
@@ -130,6 +130,12 @@
         assert min(times) < 1.2 < 2.8 < max(times)
         assert 1.8 < sum(times) / len(times) < 2.2
 
+    def test_nobody_returns_while_there_is_certainly_no_capacity(self):
+        rng = random.Random(1)
+        times = [retry_after(0.5, earliest=2.0, random=rng.random) for _ in range(200)]
+        assert 2.0 <= min(times) < 2.1
+        assert 3.9 < max(times) <= 4.0
+
     def test_never_immediately(self):
         assert retry_after(0.0, random=lambda: 0.0) > 0.1
 
