--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -522,7 +522,7 @@
         """
         if notice.leaving and self.mark_leaving(server.id, server.incarnation):
             self.on_local_change()
-        if not notice.may_be_of_another:
+        if not notice.limit_is_unknown:
             asked_at = self.clock() if asked_at is None else asked_at
             self._record_limit(server, notice.max_request_rate, asked_at)
         if notice.pause_seconds and self.pauses.start(server, notice.pause_seconds):
--- a/packages/gateway/src/kumquatway_gateway/model/_server.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_server.py
@@ -72,13 +72,14 @@
     :param pause_seconds: for how long it wants no request from this entry, or 0.
     :param max_request_rate: requests per second that it takes from all entries
         together, or None if it names no limit.
-    :param may_be_of_another: whether another server may have responded at its address.
+    :param limit_is_unknown: whether the response does not tell if there is a limit, as
+        its value is invalid or another server may have responded at the address.
     """
 
     leaving: bool = False
     pause_seconds: float = 0.0
     max_request_rate: float | None = None
-    may_be_of_another: bool = False
+    limit_is_unknown: bool = False
 
 
 NO_NOTICE = ServerNotice()
--- a/packages/gateway/tests/test_notices.py
+++ b/packages/gateway/tests/test_notices.py
@@ -106,6 +106,13 @@
         states = [(e.vm, e.state) for e in site.events if "limited" in e.state]
         assert states == [("one", "limited")] * 2 + [("one", "unlimited")]
 
+    def test_limit_stays_if_a_response_does_not_tell(self):
+        site = _Servers()
+        site.fleet.record_notice(site.one, ServerNotice(max_request_rate=2.0))
+        site.clock.now += 1.0
+        site.fleet.record_notice(site.one, ServerNotice(limit_is_unknown=True))
+        assert site.fleet.limits.rate(site.one) == 2.0
+
 
 class TestPauses:
     """Bookkeeping of the pauses that servers ask for."""
