--- a/packages/gateway/tests/limit_replay.py
+++ b/packages/gateway/tests/limit_replay.py
@@ -60,7 +60,6 @@
     def __init__(self, name: str, number: int, replay: "LimitReplay"):
         clock = replay.clock
         self.name = name
-        self.started_at = replay.now
         self.waiting: list[float] = []  # ends of the patience of requests
         self.running = True
         self.frozen = False
@@ -158,6 +157,7 @@
         )
         self.numbers = itertools.count()
         self.entries: dict[str, _Entry] = {}
+        self.cut_off: set[str] = set()  # names of entries
         for number in range(load.entries):
             self._start(f"10.0.{number // 250}.{number % 250}:9")
         for entry in self.entries.values():
@@ -224,7 +224,7 @@
         return entry
 
     def _is_cut(self, entry: _Entry) -> bool:
-        return entry.name in getattr(self, "cut_off", ())
+        return entry.name in self.cut_off
 
     def _issuer(self) -> _Entry:
         """Return the entry that issues the permits, as another one sees it."""
