Log what requests are known by, and which were in progress when a server ended

Now the events of a request name its features, each suspect is logged with its crashes and survivals (four of a crash), and kumquatway_broken_off_total counts whether the server ended. No decision is changed.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -221,6 +221,7 @@
         self.fleet.on_change = self._admit_waiting
         self.fleet.on_local_change = self.gossip.send_soon
         self.quarantine.on_local_change = self._report_crash
+        self.quarantine.on_outcome = self.metrics.observe_broken_off
         sources.engines.on_notice = self.fleet.record_notice
         self.placer = Placer(
             lease=Lease(
--- a/packages/gateway/src/kumquatway_gateway/_metrics.py
+++ b/packages/gateway/src/kumquatway_gateway/_metrics.py
@@ -43,6 +43,10 @@
             "kumquatway_permits_total",
             "Requests for permits for servers that have a limit, by outcome.",
         )
+        self.broken_off = self._counter(
+            "kumquatway_broken_off_total",
+            "Responses that broke off, by what became known of their server.",
+        )
         self.recoveries = self._counter(
             "kumquatway_recoveries_total", "Streams that went on elsewhere."
         )
@@ -138,6 +142,14 @@
         """
         self.permits.inc({"outcome": outcome})
 
+    def observe_broken_off(self, outcome: str) -> None:
+        """
+        Count a response that broke off, once it is known whether its server ended.
+
+        :param outcome: `crash` or `server lives`.
+        """
+        self.broken_off.inc({"outcome": outcome})
+
     def render(self) -> tuple[bytes, Iterable[tuple[str, str]]]:
         """
         Render the metrics in the Prometheus text format.
--- a/packages/gateway/src/kumquatway_gateway/quarantine/_evidence.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_evidence.py
@@ -14,6 +14,7 @@
 MAX_SUSPECT_FEATURES = 64  # of one request
 SURVIVAL_SECONDS = 30.0  # survivals count for this time, and up to twice as long
 MAX_SURVIVING_FEATURES = 8192  # that are remembered in one such period
+MAX_DESCRIBED_FEATURES = 4  # in a log line
 MAX_HEARD_SURVIVALS = 100  # that are believed of a peer
 # Survivals after which a feature is no longer named as a suspect to other entries.
 INNOCENT_SURVIVALS = 3
@@ -210,6 +211,22 @@
         ranked = sorted(survivals.items(), key=lambda item: (-item[1], item[0]))
         return dict(item for item in ranked[:count] if item[1])
 
+    def describe(self, features: frozenset[str]) -> list[tuple[str, int, int]]:
+        """
+        Return the figures of a request's heaviest features, for a log line.
+
+        :param features: features of a request.
+        :return: names, numbers of crashes and of recent survivals.
+        """
+        return [
+            (
+                feature,
+                sum(feature in crash.weights for crash in self.crashes.values()),
+                self.survivals.count(feature),
+            )
+            for feature in sorted(self.most_suspect(features, MAX_DESCRIBED_FEATURES))
+        ]
+
     def weight(self, features: frozenset[str]) -> float:
         """Return how much the heaviest feature of a request weighs over all crashes."""
         return max(map(self._weight, features), default=0.0)
--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -25,6 +25,7 @@
 # that is silent stays on the list for up to 4 s.
 CONFIRMATION_SECONDS = 10.0
 MAX_UNCONFIRMED = 256  # broken-off responses
+MAX_LOGGED_SUSPECTS = 4  # of a crash
 
 
 @dataclass(kw_only=True, slots=True)
@@ -66,6 +67,8 @@
         self.blocks: dict[frozenset[str], Block] = {}
         self.generation = 0  # incremented with each new block
         self.unconfirmed: list[_BrokenOff] = []
+        # Called with what became of each broken-off response.
+        self.on_outcome: Callable[[str], None] = lambda outcome: None
         # Called on evidence that this entry found itself.
         self.on_local_change: Callable[[], None] = lambda: None
 
@@ -130,13 +133,35 @@
                 suspect = (named, int(broken_off.progress))
                 server = (ended.id, ended.incarnation)
                 news |= self.evidence.add(server, [suspect], broken_off.at)
+                self.on_outcome("crash")
+                self._log_suspect(ended, broken_off)
             elif broken_off.at >= cutoff:
                 waiting.append(broken_off)
+            else:
+                self.on_outcome("server lives")
         self.unconfirmed = waiting
         if news:
             self._judge()
             self.on_local_change()
 
+    def _log_suspect(self, ended: Server, broken_off: _BrokenOff) -> None:
+        """Log a suspect of a crash, up to a few of each."""
+        crash = self.evidence.crashes[ended.id, ended.incarnation]
+        if len(crash.suspects) > MAX_LOGGED_SUSPECTS:
+            return
+        logger.info(
+            "server {} ended {:.2f} s ago with a request in progress ({}): {}",
+            ended.id,
+            self.clock() - broken_off.at,
+            broken_off.progress.name.lower(),
+            ", ".join(
+                f"{feature} at {crashes} crash(es), survived {survivals}"
+                for feature, crashes, survivals in self.evidence.describe(
+                    broken_off.features
+                )
+            ),
+        )
+
     def _has_ended(self, server: Server) -> bool:
         known = self.fleet.servers.get(server.id)
         if known is not None and known.incarnation != server.incarnation:
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -343,7 +343,8 @@
         """
         return not_run(
             Reason.QUARANTINED,
-            "requests like this one crash the servers that take them",
+            "requests like this one crash the servers that take them"
+            + _describe_features(job.features),
             retry_after=self.quarantine.seconds_blocked(job.features),
         )
 
@@ -380,6 +381,7 @@
                 account=job.account_name,
                 target=job.service.name,
                 detail=f"route {job.route.name}, revision {job.revision}"
+                + _describe_features(job.features)
                 + _describe_parts(job.request),
             )
         )
@@ -469,6 +471,11 @@
     return f", prompt parts {' '.join(request.prompt_parts[:MAX_LOGGED_PARTS])}"
 
 
+def _describe_features(features: frozenset[str]) -> str:
+    """Return what requests like this one are known by, for the event."""
+    return f", known by {' '.join(sorted(features)[:MAX_LOGGED_PARTS])}"
+
+
 def _prefill_tokens(job: StreamJob) -> float:
     return job.prefill_tokens()
 
