--- a/packages/gateway/src/kumquatway_gateway/quarantine/_culprits.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_culprits.py
@@ -18,7 +18,7 @@
 MIN_ATTEMPTS = 2
 # Odds against chance, as a natural logarithm; and for what is more likely a bystander:
 # a part that many requests may share, or a request that did not come again.
-MIN_SCORE = math.log(1e4)
+MIN_SCORE = math.log(1e5)
 MIN_SCORE_OF_BYSTANDER = math.log(1e8)
 # Of the crashes that have no known cause yet, if others have one that is narrower.
 MIN_FURTHER_SCORE = math.log(1e3)
@@ -36,6 +36,7 @@
 
 # Features of the requests at each crash that are known to have caused it.
 Guilty = Mapping[CrashKey, Collection[str]]
+_Suspects = Mapping[CrashKey, tuple[Suspect, ...]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -61,7 +62,7 @@
     """
 
     feature: str
-    suspects: Mapping[CrashKey, tuple[Suspect, ...]]
+    suspects: _Suspects
     score: float
 
     def requests(self) -> frozenset[tuple[CrashKey, str]]:
@@ -92,9 +93,7 @@
 
     def comes_again(self) -> bool:
         """Tell whether the same request came more than once."""
-        suspects = [suspect for each in self.suspects.values() for suspect in each]
-        attempts = {suspect.attempt for suspect in suspects}
-        return is_identity(self.feature) and len(attempts) >= MIN_ATTEMPTS
+        return _comes_again(self.feature, self.suspects)
 
 
 def find_culprits(
@@ -136,13 +135,13 @@
     features = {f for suspect in crash.suspects.values() for f in suspect.features}
     explained = [
         _explain(evidence, feature, newest, guilty, surroundings)
-        for feature in features & evidence.seen_here
+        for feature in features
     ]
     found = [each for each in explained if each is not None]
     return {
         _signature(evidence, each)
         for each in _choose(found)
-        if settled or each.comes_again()
+        if each.feature in evidence.seen_here and (settled or each.comes_again())
     }
 
 
@@ -171,6 +170,11 @@
     return _choose([each for each in found if each.requests() < requests])
 
 
+def _comes_again(feature: str, suspects: _Suspects) -> bool:
+    attempts = {suspect.attempt for each in suspects.values() for suspect in each}
+    return is_identity(feature) and len(attempts) >= MIN_ATTEMPTS
+
+
 def _explain(
     evidence: Evidence,
     feature: str,
@@ -192,7 +196,8 @@
         for key, crash in evidence.crashes.items()
         if key not in suspects and key not in guilty
     ]
-    rare = rarity(evidence, feature, surroundings)
+    again = _comes_again(feature, suspects)
+    rare = rarity(evidence, feature, surroundings, comes_again=again)
 
     def score(keys: Collection[CrashKey]) -> float:
         chosen = {key: suspects[key] for key in keys}
@@ -225,9 +230,7 @@
     return math.lgamma(total + 1) - math.lgamma(chosen + 1) - math.lgamma(others + 1)
 
 
-def _score_against_ends(
-    suspects: Mapping[CrashKey, tuple[Suspect, ...]], rate: float
-) -> float:
+def _score_against_ends(suspects: _Suspects, rate: float) -> float:
     """
     Return how unlikely it is that servers ended of themselves just when requests came.
 
@@ -247,39 +250,59 @@
     return -math.log(1 - (1 - BEGINNING_SHARE) ** len(suspects))
 
 
-def rarity(evidence: Evidence, feature: str, surroundings: Surroundings) -> float:
+def rarity(
+    evidence: Evidence,
+    feature: str,
+    surroundings: Surroundings,
+    *,
+    comes_again: bool = False,
+) -> float:
     """
     Return how unlikely it is that a request with a feature is at some server.
 
     :param evidence: crashes, and the requests of this entry.
     :param feature: a feature of requests.
     :param surroundings: number of servers and of entries.
+    :param comes_again: whether it names a request that callers may send many times at
+        once; those whose servers crashed do not make it more frequent.
     :return: a natural logarithm of odds.
     """
-    concurrency = _concurrency(evidence, feature, surroundings.entries)
+    concurrency = _concurrency(
+        evidence, feature, surroundings.entries, lost=not comes_again
+    )
     present = concurrency / max(1, surroundings.servers)
     return min(-math.log(MIN_CHANCE), _unlikelihood(present))
 
 
-def _concurrency(evidence: Evidence, feature: str, entries: int) -> float:
+def _concurrency(
+    evidence: Evidence, feature: str, entries: int, *, lost: bool
+) -> float:
     """
     Estimate the mean number of requests with a feature in progress at all servers.
 
-    The other entries have about as many as this one. Of those whose servers crashed,
-    they tell.
+    The other entries have about as many as this one, and tell of those whose servers
+    crashed.
+
+    :param lost: whether these count.
     """
     traffic = evidence.traffic
-    seconds = traffic.seconds()
-    since = evidence.clock() - seconds
+    busy = entries * traffic.answered_seconds(feature)
+    if lost:
+        interrupted = _interrupted_seconds(evidence, feature)
+        busy = max(interrupted, busy + entries * traffic.lost_seconds(feature))
+    return max(busy / traffic.seconds(), traffic.in_progress.get(feature, 0))
+
+
+def _interrupted_seconds(evidence: Evidence, feature: str) -> float:
+    """Return for how long requests were at servers that crashed lately."""
+    since = evidence.clock() - evidence.traffic.seconds()
     crashes = (evidence.crashes[key] for key in evidence.by_feature.get(feature, ()))
-    interrupted = sum(
+    return sum(
         suspect.seconds
         for crash in crashes
         if crash.seen_at >= since
         for suspect in crash.with_feature(feature)
     )
-    busy = max(interrupted, entries * traffic.busy_seconds(feature))
-    return max(busy / seconds, traffic.in_progress.get(feature, 0))
 
 
 def _unlikelihood(expected: float) -> float:
--- a/packages/gateway/src/kumquatway_gateway/quarantine/_evidence.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_evidence.py
@@ -131,7 +131,7 @@
             known = (crash.suspects.get(suspect.name) for suspect in suspects)
             self.seen_here.update(*(each.features for each in known if each))
         while len(self.crashes) > MAX_CRASHES:
-            self._drop(self._least_telling(server))
+            self.drop(self._least_telling(server))
         return any(news)
 
     def _add_suspect(self, server: CrashKey, crash: Crash, suspect: Suspect) -> bool:
@@ -202,7 +202,12 @@
             self.seen_here.discard(feature)
             self.traffic.forget_suspect(feature)
 
-    def _drop(self, server: CrashKey) -> None:
+    def drop(self, server: CrashKey) -> None:
+        """
+        Forget a crash.
+
+        :param server: ID and incarnation of the server.
+        """
         crash = self.crashes.pop(server)
         features = {f for s in crash.suspects.values() for f in s.features}
         for feature in features:
@@ -268,4 +273,4 @@
     def _drop_old(self) -> None:
         cutoff = self.clock() - EVIDENCE_SECONDS
         for key in [k for k, crash in self.crashes.items() if crash.seen_at < cutoff]:
-            self._drop(key)
+            self.drop(key)
--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -217,6 +217,7 @@
 
     def confirm_crashes(self) -> None:
         """Turn answers that did not come into evidence where a server has ended."""
+        self._retract_crashes()
         crashes: dict[CrashKey, bool] = {}
         for waiting in (self.broken_off, self.given_up):
             if not waiting:
@@ -254,7 +255,7 @@
         self, key: CrashKey, each: _Unanswered, crashes: dict[CrashKey, bool]
     ) -> None:
         seconds = each.ended_at - each.sent_at
-        self.traffic.record_work(each.features, seconds)
+        self.traffic.record_loss(each.features, seconds)
         suspect = Suspect(
             features=each.features,
             seconds=seconds,
@@ -291,10 +292,27 @@
         )
 
     def _has_ended(self, server: Server) -> bool:
+        """
+        Tell whether a server has ended, or has fallen silent so that it seems so.
+
+        It takes seconds until a silent server is known to have ended.
+        """
         known = self.fleet.servers.get(server.id)
         if known is not None and known.incarnation != server.incarnation:
             return True
-        return self.fleet.has_ended(server.id)
+        if self.fleet.has_ended(server.id):
+            return True
+        return known is not None and not self.fleet.is_responding(known)
+
+    def _retract_crashes(self) -> None:
+        """Forget the crashes of servers that respond again, and did not restart."""
+        for server_id, incarnation in list(self.evidence.crashes):
+            status = self.fleet.health.get(server_id)
+            if status is None or status.incarnation != incarnation or status.down:
+                continue
+            known = self.fleet.servers.get(server_id)
+            if known is not None and known.incarnation == incarnation:
+                self.evidence.drop((server_id, incarnation))
 
     # what peers know
 
--- a/packages/gateway/src/kumquatway_gateway/quarantine/_traffic.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_traffic.py
@@ -7,9 +7,31 @@
 
 PERIOD_SECONDS = 30.0  # traffic counts for this time, and up to twice that
 MAX_FEATURES = 8192  # that are measured in one such period
+# For which a request counts at least. One that is sent to a silent server stays there
+# for about as long, until the server is avoided.
+MIN_ANSWER_SECONDS = 0.5
 NEVER = float("-inf")
 
 
+class _Seconds:
+    """Seconds by feature, in the current period and the one before it."""
+
+    def __init__(self):
+        self.current: dict[str, float] = {}
+        self.previous: dict[str, float] = {}
+
+    def add(self, features: Iterable[str], seconds: float) -> None:
+        for feature in features:
+            self.current[feature] = self.current.get(feature, 0.0) + seconds
+
+    def get(self, feature: str) -> float:
+        return self.current.get(feature, 0.0) + self.previous.get(feature, 0.0)
+
+    def rotate(self, *, keep: bool) -> None:
+        self.previous = self.current if keep else {}
+        self.current = {}
+
+
 class Traffic:
     """
     The requests of this entry, by feature.
@@ -22,9 +44,9 @@
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic):
         self.clock = clock
-        # Seconds that servers spent on requests.
-        self.current: dict[str, float] = {}
-        self.previous: dict[str, float] = {}
+        # Seconds that servers spent on complete answers, and on others.
+        self.answered = _Seconds()
+        self.lost = _Seconds()
         self.began_at = clock()
         self.previous_seconds = 0.0
         self.in_progress: dict[str, int] = {}
@@ -51,20 +73,20 @@
         :param features: features of the request.
         :param seconds: how long the server worked on it.
         """
-        self.record_work(features, seconds)
+        self._rotate()
+        self.answered.add(features, max(seconds, MIN_ANSWER_SECONDS))
         for feature in features:
             self.hear_survival(feature, 0.0)
 
-    def record_work(self, features: Iterable[str], seconds: float) -> None:
+    def record_loss(self, features: Iterable[str], seconds: float) -> None:
         """
-        Count the time that a server worked on a request, with or without an answer.
+        Record that a server ended while it worked on a request.
 
         :param features: features of the request.
-        :param seconds: the time.
+        :param seconds: how long the server worked on it.
         """
         self._rotate()
-        for feature in features:
-            self.current[feature] = self.current.get(feature, 0.0) + seconds
+        self.lost.add(features, seconds)
 
     def hear_survival(self, feature: str, age: float) -> None:
         """
@@ -81,10 +103,15 @@
         """Return when a request with a suspected feature last got through."""
         return self.survived_at.get(feature, NEVER)
 
-    def busy_seconds(self, feature: str) -> float:
-        """Return the time that servers lately spent on requests with a feature."""
+    def answered_seconds(self, feature: str) -> float:
+        """Return the time that servers lately spent on complete answers."""
         self._rotate()
-        return self.current.get(feature, 0.0) + self.previous.get(feature, 0.0)
+        return self.answered.get(feature)
+
+    def lost_seconds(self, feature: str) -> float:
+        """Return the time that servers lately spent on requests as they ended."""
+        self._rotate()
+        return self.lost.get(feature)
 
     def seconds(self) -> float:
         """Return for how long this entry has measured its traffic, seconds."""
@@ -100,11 +127,11 @@
 
     def _rotate(self) -> None:
         age = self.clock() - self.began_at
-        if age < PERIOD_SECONDS and len(self.current) < MAX_FEATURES:
+        size = max(len(self.answered.current), len(self.lost.current))
+        if age < PERIOD_SECONDS and size < MAX_FEATURES:
             return
-        if age < 2 * PERIOD_SECONDS:
-            self.previous, self.previous_seconds = self.current, age
-        else:
-            self.previous, self.previous_seconds = {}, PERIOD_SECONDS
-        self.current = {}
+        keep = age < 2 * PERIOD_SECONDS
+        self.answered.rotate(keep=keep)
+        self.lost.rotate(keep=keep)
+        self.previous_seconds = age if keep else PERIOD_SECONDS
         self.began_at = self.clock()
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -375,12 +375,15 @@
         traffic = Traffic(clock=clock)
         traffic.record_survival(_set("a"), 3.0)
         clock.now += PERIOD_SECONDS
-        assert traffic.busy_seconds("a") == 3.0
+        assert traffic.answered_seconds("a") == 3.0
         clock.now += PERIOD_SECONDS
-        assert traffic.busy_seconds("a") == 0.0
+        assert traffic.answered_seconds("a") == 0.0
         for number in range(3 * MAX_FEATURES):
             traffic.record_survival((f"f{number}",), 1.0)
-        assert len(traffic.current) + len(traffic.previous) <= 2 * MAX_FEATURES
+            traffic.record_loss((f"f{number}",), 1.0)
+        for seconds in (traffic.answered, traffic.lost):
+            assert len(seconds.current) <= MAX_FEATURES
+            assert len(seconds.previous) <= MAX_FEATURES
         assert traffic.survived_at == {}
 
     def test_requests_in_progress_are_counted_until_they_end(self):
