Do not take a server that started again under its ID for the one that ended

One that started again under it and broke off an answer counted as a crash at once, and the request with it: three sound requests in a row could be blocked, and attempts of a stream did not count. Runs are compared by incarnation now.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -345,12 +345,23 @@
         :return: True if its VM refuses connections, if it did not respond until its
             registration was removed, or if another server has its address.
         """
-        if server_id in self.ended_at:
+        if server_id in self.ended_at and server_id not in self.servers:
             return True
         status = self.health.get(server_id)
         refuses = status is not None and status.down and status.ended
         return refuses and not self.has_request_in_progress(server_id)
 
+    def has_run_ended(self, server: Server) -> bool:
+        """
+        Tell whether one run of a server has certainly ended.
+
+        :param server: a server as it was listed; it may have started again since.
+        """
+        known = self.servers.get(server.id)
+        if known is not None and known.incarnation != server.incarnation:
+            return True
+        return self.has_ended(server.id)
+
     def set_health(
         self,
         server: Server,
--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -297,12 +297,9 @@
 
         It takes seconds until a silent server is known to have ended.
         """
-        known = self.fleet.servers.get(server.id)
-        if known is not None and known.incarnation != server.incarnation:
+        if self.fleet.has_run_ended(server):
             return True
-        if self.fleet.has_ended(server.id):
-            return True
-        return known is not None and not self.fleet.is_responding(known)
+        return server.id in self.fleet.servers and not self.fleet.is_responding(server)
 
     def _retract_crashes(self) -> None:
         """Forget the crashes of servers that respond again, and did not restart."""
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -19,7 +19,7 @@
     Unreachable,
     UpstreamConnection,
 )
-from kumquatway_gateway.model import RouteKind
+from kumquatway_gateway.model import RouteKind, Server
 from kumquatway_gateway.quarantine import MAX_SUSPICION, Progress
 from kumquatway_gateway.relay._chain_activity import ActivitySnapshot, StreamActivity
 from kumquatway_gateway.relay._dialect import Attempt, ResponseInfo
@@ -94,7 +94,7 @@
         self.error_response: _ErrorResponse | None = None
         self.interrupted_at = 0.0  # when the stream was interrupted, 0 while it is not
         self.avoid: set[str] = set()  # IDs of servers that get no further attempt
-        self.closed_by: set[str] = set()  # IDs of servers that ended their response
+        self.closed_by: dict[str, Server] = {}  # servers that ended their response
         self.refusals = 0
         self.writes_before = 0  # to the caller, by earlier attempts
         self.suspicion = 0  # of having crashed the servers that took the request
@@ -290,7 +290,7 @@
         if end is ResponseEnd.ABANDONED:
             return _AttemptOutcome.STALLED
         if end in ENDS_BY_SERVER:
-            self.closed_by.add(self.chain.first_server.id)
+            self.closed_by[self.chain.first_server.id] = self.chain.first_server
         return _AttemptOutcome.CUT
 
     async def _handle_error(
@@ -465,7 +465,8 @@
         A server whose connection this entry closed may still work on it, even if it
         refuses new connections: a full server refuses them too.
         """
-        return server_id in self.closed_by and self.relay.fleet.has_ended(server_id)
+        server = self.closed_by.get(server_id)
+        return server is not None and self.relay.fleet.has_run_ended(server)
 
     def _handle_failure(self, outcome: _AttemptOutcome, chain: Chain) -> None:
         if (
--- a/packages/gateway/tests/test_membership.py
+++ b/packages/gateway/tests/test_membership.py
@@ -230,6 +230,15 @@
         self.fleet.update_servers({})
         assert self.fleet.has_ended("one")
 
+    def test_server_that_starts_again_under_its_id_has_not_ended(self):
+        self.fleet.set_health(self.one, down=True, reason="silent")
+        self.fleet.update_servers({})
+        restarted = replace(self.one, incarnation=self.one.incarnation + 1)
+        self.fleet.update_servers({"one": restarted})
+        assert not self.fleet.has_ended("one")
+        assert self.fleet.has_run_ended(self.one)
+        assert not self.fleet.has_run_ended(restarted)
+
     def test_server_whose_address_is_reused_has_ended(self):
         self.fleet.update_servers({"two": _server("two", address=self.one.address)})
         assert self.fleet.has_ended("one")
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -524,6 +524,35 @@
             self.entry.quarantine.confirm_crashes()
         assert self.entry.blocks("=a")
 
+    def test_a_server_that_responds_again_had_not_ended(self):
+        for number in range(2):
+            name = f"s{number}"
+            self.entry.break_off(name, f"=a@{number}", given_up=True)
+            self.entry.fleet.set_health(
+                self.entry.servers[name], down=True, reason="silent"
+            )
+            self.clock.now += 0.1
+            self.entry.quarantine.confirm_crashes()
+            assert self.entry.quarantine.evidence.crashes_of("=a")
+            self.entry.fleet.set_health(
+                self.entry.servers[name], down=False, reason="responds again"
+            )
+            self.entry.quarantine.confirm_crashes()
+            assert not self.entry.quarantine.evidence.crashes
+
+    def test_a_server_that_started_again_under_its_id_has_not_ended(self):
+        for number in range(3):
+            name = f"s{number}"
+            self.entry.end(name)
+            others = {n: s for n, s in self.entry.servers.items() if n != name}
+            self.entry.fleet.update_servers(others)
+            again = replace(self.entry.servers[name], incarnation=2)
+            self.entry.servers[name] = again
+            self.entry.fleet.update_servers(self.entry.servers)
+            self.entry.break_off(name, f"=a@{number}")
+        assert not self.entry.blocks("=a")
+        assert not self.entry.quarantine.evidence.crashes
+
     def test_the_end_of_a_server_that_leaves_counts_for_nothing(self):
         for number in range(8):
             name = f"s{number}"
