--- a/packages/gateway/src/kumquatway_gateway/limits/_named.py
+++ b/packages/gateway/src/kumquatway_gateway/limits/_named.py
@@ -40,7 +40,8 @@
     def __init__(self, *, clock: Callable[[], float] = time.monotonic):
         self.clock = clock
         self.limits: dict[str, NamedLimit] = {}  # by server ID
-        self.noted_rates: dict[str, float | None] = {}  # when last announced
+        # When last announced, by server ID: the incarnation and its rate.
+        self.noted_rates: dict[str, tuple[int, float | None]] = {}
 
     def rate(self, server: Server) -> float | None:
         """
@@ -124,13 +125,15 @@
 
     def _note(self, server: Server, rate: float | None) -> bool:
         """Tell whether a rate differs noticeably from the one noted last."""
-        noted = self.noted_rates.get(server.id)
+        incarnation, noted = self.noted_rates.get(server.id, (0, None))
+        if incarnation != server.incarnation:
+            noted = None
         if rate is None or noted is None:
             differs = rate != noted
         else:
             differs = abs(rate - noted) > MIN_RATE_CHANGE * noted
         if differs:
-            self.noted_rates[server.id] = rate
+            self.noted_rates[server.id] = (server.incarnation, rate)
         return differs
 
     def sample(self, count: int) -> list[tuple[str, NamedLimit]]:
--- a/packages/gateway/tests/test_limits.py
+++ b/packages/gateway/tests/test_limits.py
@@ -69,6 +69,12 @@
         assert self.limits.observe(self.server, 1.0, asked_at=9.0)
         assert self.limits.rate(self.server) == 1.0
 
+    def test_restarted_server_with_the_same_limit_is_announced(self):
+        assert self.limits.observe(_plain_server("one"), 2.0, self.clock.now)
+        restarted = _plain_server("one", incarnation=2)
+        assert self.limits.observe(restarted, 2.0, self.clock.now)
+        assert not self.limits.observe(restarted, 2.0, self.clock.now)
+
     def test_restart_of_the_server_ends_it(self):
         self.limits.observe(self.server, 2.0, asked_at=9.9)
         assert self.limits.rate(_plain_server("one", incarnation=2)) is None
