Count crashes by orders for each service

Orders that crashed servers were remembered by the number of the layer alone: three crashes by one model's weights held back the same layers of every other model service.

--- a/packages/gateway/src/kumquatway_gateway/duties/_order_crashes.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_order_crashes.py
@@ -25,38 +25,44 @@
 
     def __init__(self, *, clock: Callable[[], float] = time.monotonic):
         self.clock = clock
-        self.crashes: dict[int, int] = {}  # by layer, since it was last loaded
-        self.crashed_at: dict[int, float] = {}  # the last time, by layer
+        # By service and layer, since it was last loaded.
+        self.crashes: dict[tuple[str, int], int] = {}
+        self.crashed_at: dict[tuple[str, int], float] = {}  # the last time
 
-    def record_crash(self, layers: LayerRange) -> None:
+    def record_crash(self, service: str, layers: LayerRange) -> None:
         """Record that a server crashed while it carried out an order."""
         for layer in range(layers.start, layers.stop):
-            self.crashes[layer] = self.crashes.get(layer, 0) + 1
-            self.crashed_at[layer] = self.clock()
+            key = (service, layer)
+            self.crashes[key] = self.crashes.get(key, 0) + 1
+            self.crashed_at[key] = self.clock()
 
-    def record_done(self, layers: LayerRange) -> None:
+    def record_done(self, service: str, layers: LayerRange) -> None:
         """Record that a server has carried out an order."""
         for layer in range(layers.start, layers.stop):
-            self.crashes.pop(layer, None)
-            self.crashed_at.pop(layer, None)
+            self.crashes.pop((service, layer), None)
+            self.crashed_at.pop((service, layer), None)
 
-    def may_order(self, layers: LayerRange, pending: Iterable[LayerRange] = ()) -> bool:
+    def may_order(
+        self, service: str, layers: LayerRange, pending: Iterable[LayerRange] = ()
+    ) -> bool:
         """
         Tell whether an order may be given now.
 
+        :param service: the service whose layers these are.
         :param layers: the layers that the server would hold.
-        :param pending: the layers of the orders in progress.
+        :param pending: the layers of the orders in progress for the service.
         :return: False while one of the layers waits after too many crashes, or is being
             tried again by another server.
         """
         doubtful = [
             layer
             for layer in range(layers.start, layers.stop)
-            if self.crashes.get(layer, 0) >= MAX_CRASHES
+            if self.crashes.get((service, layer), 0) >= MAX_CRASHES
         ]
         now = self.clock()
         for layer in doubtful:
-            if now - self.crashed_at[layer] < _delay(self.crashes[layer]):
+            key = (service, layer)
+            if now - self.crashed_at[key] < _delay(self.crashes[key]):
                 return False
         return not any(
             other.covers(layer, layer + 1) for other in pending for layer in doubtful
--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -58,6 +58,7 @@
     :param lost_at: when the order counts as lost, monotonic seconds.
     """
 
+    service: str
     incarnation: int
     layers: LayerRange
     sequence: int
@@ -284,8 +285,12 @@
                 continue
             if self.fleet.pauses.is_paused(move.server):
                 continue
-            pending = (order.layers for order in self.pending.values())
-            if not self.order_crashes.may_order(move.layers, pending):
+            pending = (
+                order.layers
+                for order in self.pending.values()
+                if order.service == router.service
+            )
+            if not self.order_crashes.may_order(router.service, move.layers, pending):
                 continue
             self.planned_moves.pop(move.server.id, None)
             self._start_order(engine, move)
@@ -354,7 +359,7 @@
             return
         restarted = server is not None and server.incarnation != pending.incarnation
         if restarted or self.fleet.has_ended(server_id):
-            self.order_crashes.record_crash(pending.layers)
+            self.order_crashes.record_crash(pending.service, pending.layers)
 
     def _start_order(self, engine: Engine, move: Move) -> None:
         server = move.server
@@ -363,6 +368,7 @@
         # Loads beyond `parallel_loads` slow each other down.
         contention = max(1.0, (len(self.pending) + 1) / engine.parallel_loads)
         self.pending[server.id] = _PendingOrder(
+            service=server.service,
             incarnation=server.incarnation,
             layers=move.layers,
             sequence=self.fleet.sequence(server),
@@ -490,7 +496,7 @@
                 and not report.busy
             ):
                 self.pending.pop(server.id, None)
-                self.order_crashes.record_done(pending.layers)
+                self.order_crashes.record_done(pending.service, pending.layers)
                 self.notify_peers()
                 return
             idle = report is not None and not report.busy
--- a/packages/gateway/tests/test_expired_lease.py
+++ b/packages/gateway/tests/test_expired_lease.py
@@ -94,6 +94,7 @@
         fleet.update_servers({"s1": target})
         placer = _placer(lease, engines, fleet)
         placer.pending["s1"] = _PendingOrder(
+            service=target.service,
             incarnation=target.incarnation,
             layers=layer_range(0, 4),
             sequence=0,
