Refuse a plain request that is blocked before it is sent, and halve messages about crashes

A request that was blocked between its admission and its first attempt (it waited for a permit, or a server was unreachable) was still sent to one server, or told to come back in 0.5 s as if servers were busy. Now it is refused as quarantined with the time of the next trial.

--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -35,9 +35,9 @@
 # Of crashes and blocks, messages hold little, so that they stay within 16 KB/s at 380
 # entries. A crash is repeated in eight messages.
 CRASH_REPEAT_SECONDS = 2.0
-MAX_CRASHES = 6  # in a message, the newest ones
+MAX_CRASHES = 4  # in a message, the newest ones
 MAX_CRASH_SUSPECTS = 3  # of a crash in a message
-MAX_SUSPECT_FEATURES = 5  # of a suspect in a message
+MAX_SUSPECT_FEATURES = 4  # of a suspect in a message
 MAX_SURVIVORS = 4  # features of suspects in a message that got through nevertheless
 # Share of the messages that repeat an older crash, for peers that were cut off or have
 # started since.
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -346,6 +346,9 @@
         permits = self.relay.fleet.permits
         if not await permits.take(server, PERMIT_PATIENCE_SECONDS):
             return _not_sent(server, denied=True)
+        if self.relay.is_blocked(job):
+            permits.give_back(server)
+            return _not_sent(server, denied=True)
         try:
             connection = await self._connect(server)
         except Unreachable as error:
@@ -492,5 +495,7 @@
         if self.may_have_run:
             cause = reason if reason is Reason.DEADLINE else Reason.RESET
             return may_have_run(cause, detail)
+        if self.relay.is_blocked(self.job):
+            return self.relay.blocked_verdict(self.job)
         delay = retry_after(RETRY_SECONDS, earliest=self.router.seconds_blocked())
         return not_run(Reason.OVERLOADED, detail, retry_after=delay)
