Judge all crashes that are due at once, and keep chances apart from choices

With all bounds reached (64 crashes, 32 suspects each, 12 parts in all of them) one judgement took 76 ms and each crash was judged by itself, up to five times: 24 s of processor time after a data centre. A request's name is computed once; the suspects with a feature are indexed. _chance holds the scores, _culprits the choice.

--- a/packages/gateway/src/kumquatway_gateway/quarantine/_evidence.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_evidence.py
@@ -33,17 +33,18 @@
     :param beginning: whether the head of its answer had arrived and nothing else. Few
         requests are at that moment by chance.
     :param attempt: tells a caller's attempt from others for the same, "" if unknown.
+    :ivar name: is the same whichever of the features are known.
     """
 
     features: frozenset[str]
     seconds: float
     beginning: bool = False
     attempt: str = ""
+    name: str = field(init=False)
 
-    @property
-    def name(self) -> str:
-        """Name that is the same whichever of the features are known."""
-        return find_identity(self.features) or " ".join(sorted(self.features))
+    def __post_init__(self):
+        name = find_identity(self.features) or " ".join(sorted(self.features))
+        object.__setattr__(self, "name", name)
 
     def merge(self, other: "Suspect") -> "Suspect":
         """Return what both know of the same request."""
@@ -71,10 +72,27 @@
     seen_at: float
     updated_at: float = 0.0
     suspects: dict[str, Suspect] = field(default_factory=dict)
+    # The suspects with each feature, None while they are to be collected anew.
+    _by_feature: dict[str, list[Suspect]] | None = None
+
+    def put(self, suspect: Suspect) -> None:
+        """Add a suspect, or replace what was known of it."""
+        self.suspects[suspect.name] = suspect
+        self._by_feature = None
+
+    def remove(self, suspect: Suspect) -> None:
+        """Remove a suspect."""
+        del self.suspects[suspect.name]
+        self._by_feature = None
 
     def with_feature(self, feature: str) -> list[Suspect]:
         """Return the suspects that have a feature."""
-        return [s for s in self.suspects.values() if feature in s.features]
+        if self._by_feature is None:
+            self._by_feature = {}
+            for suspect in self.suspects.values():
+                for each in suspect.features:
+                    self._by_feature.setdefault(each, []).append(suspect)
+        return self._by_feature.get(feature, [])
 
 
 class Evidence:
@@ -147,7 +165,7 @@
         merged = suspect if known is None else known.merge(suspect)
         if merged == known:
             return False
-        crash.suspects[suspect.name] = merged
+        crash.put(merged)
         for feature in merged.features:
             self.by_feature.setdefault(feature, set()).add(server)
             self.traffic.suspect(feature)
@@ -189,7 +207,7 @@
         return {key for key in keys if self.crashes[key].seen_at > last}
 
     def _drop_suspect(self, server: CrashKey, crash: Crash, suspect: Suspect) -> None:
-        del crash.suspects[suspect.name]
+        crash.remove(suspect)
         for feature in suspect.features:
             if not crash.with_feature(feature):
                 self._drop_from_index(feature, server)
--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -13,7 +13,8 @@
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.model import Server
 from kumquatway_gateway.quarantine._blocks import Blocks, BlockState, trial_delay
-from kumquatway_gateway.quarantine._culprits import Surroundings, find_culprits, rarity
+from kumquatway_gateway.quarantine._chance import Surroundings, rarity
+from kumquatway_gateway.quarantine._culprits import find_culprits
 from kumquatway_gateway.quarantine._evidence import Crash, CrashKey, Evidence, Suspect
 from kumquatway_gateway.quarantine._traffic import Traffic
 
@@ -30,6 +31,7 @@
 # From the news of a crash to its judgement. An entry that knows only its own requests
 # would blame one that was there by chance.
 SETTLE_SECONDS = 0.3
+MIN_JUDGE_SECONDS = 0.1  # between two judgements of all that is due
 MAX_JUDGE_SECONDS = (
     5.0  # between two looks for the cause of a crash; then it is given up
 )
@@ -89,6 +91,7 @@
         self.broken_off: deque[_Unanswered] = deque(maxlen=MAX_BROKEN_OFF)
         self.given_up: deque[_Unanswered] = deque(maxlen=MAX_GIVEN_UP)
         # Crashes that have no known cause yet, and the next two times to look for it.
+        self.judged_at = float("-inf")
         self.judge_at: dict[CrashKey, tuple[float, float]] = {}
         # Of the last answer, by ID and incarnation of the server.
         self.answered_at: dict[CrashKey, float] = {}
@@ -403,7 +406,7 @@
 
     def _judge_soon(self, crash: CrashKey) -> None:
         """Judge a crash now, and once entries have told each other what they saw."""
-        self._judge(crash, settled=False)
+        self._judge([crash], settled=False)
         at = self.clock() + SETTLE_SECONDS
         known = self.judge_at.get(crash)
         if known is None or known[0] > at:
@@ -417,14 +420,19 @@
         time. Only later it shows that these are few among all requests.
         """
         now = self.clock()
+        if now < self.judged_at + MIN_JUDGE_SECONDS:
+            return
         due = [key for key, (at, _) in self.judge_at.items() if at <= now]
+        if not due:
+            return
+        self.judged_at = now
         for key in due:
             at, next_at = self.judge_at.pop(key)
             if key in self.evidence.crashes and next_at - at <= MAX_JUDGE_SECONDS:
                 self.judge_at[key] = (next_at, next_at + 2 * (next_at - at))
-            self._judge(key, settled=True)
+        self._judge(due, settled=True)
 
-    def _judge(self, newest: CrashKey, *, settled: bool) -> None:
+    def _judge(self, newest: list[CrashKey], *, settled: bool) -> None:
         """Block what the evidence shows to crash servers."""
         culprits = find_culprits(
             self.evidence,
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -24,7 +24,8 @@
     UNUSED_SECONDS,
     trial_delay,
 )
-from kumquatway_gateway.quarantine._culprits import Surroundings, find_culprits
+from kumquatway_gateway.quarantine._chance import Surroundings
+from kumquatway_gateway.quarantine._culprits import find_culprits
 from kumquatway_gateway.quarantine._evidence import (
     EVIDENCE_SECONDS,
     MAX_CRASHES,
@@ -90,7 +91,7 @@
     def culprits(self, guilty=None, servers: int = SERVERS, **options) -> set:
         surroundings = Surroundings(servers=servers, entries=3)
         return find_culprits(
-            self.evidence, self.newest, guilty or {}, surroundings, **options
+            self.evidence, [self.newest], guilty or {}, surroundings, **options
         )
 
 
--- a/packages/gateway/tests/test_request_replay.py
+++ b/packages/gateway/tests/test_request_replay.py
@@ -81,8 +81,13 @@
 
     @pytest.mark.parametrize(
         ("load", "seed"),
-        [(LOADS["silent"], 34), (QUIET["streams"], 6), (QUIET["streams"], 34)],
-        ids=["silent-34", "quiet-streams-6", "quiet-streams-34"],
+        [
+            (LOADS["silent"], 34),
+            (QUIET["streams"], 6),
+            (QUIET["streams"], 34),
+            (QUIET["streams"], 35),
+        ],
+        ids=["silent-34", "quiet-streams-6", "quiet-streams-34", "quiet-streams-35"],
     )
     def test_blocks_no_sound_request(self, load, seed):
         assert RequestReplay(load, seed).run().blocked_sound == []
