--- a/packages/gateway/tests/test_crash_replay.py
+++ b/packages/gateway/tests/test_crash_replay.py
@@ -73,3 +73,11 @@
         outcome = CrashReplay(load, seed).run()
         assert outcome.blocked_sound == 0
         assert outcome.served_sound > 200
+
+
+class TestQuietSeedsThatFailed:
+    """Replays in which servers end of themselves, and something was blocked."""
+
+    def test_blocks_nothing(self):
+        outcome = CrashReplay(QUIET["servers-end-of-themselves"], 17).run()
+        assert outcome.blocked_sound == 0
