--- a/packages/gateway/src/kumquatway_gateway/quarantine/_blocks.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_blocks.py
@@ -18,6 +18,7 @@
 LIFTED_SECONDS = (
     600.0  # for which a lifted block is remembered, so that all entries hear
 )
+CHECK_SECONDS = 1.0  # between two looks for states to forget
 MAX_TRIALS = 64  # as a peer or the store says
 
 
@@ -78,6 +79,7 @@
         self.by_feature: dict[
             str, set[frozenset[str]]
         ] = {}  # by the first one of a set
+        self.checked_at = float("-inf")  # for states to forget
         self.unstored: set[frozenset[str]] = set()  # whose state the store may lack
 
     def active(self) -> list[frozenset[str]]:
@@ -206,5 +208,8 @@
 
     def _drop_forgotten(self) -> None:
         now = self.clock()
+        if now < self.checked_at + CHECK_SECONDS:
+            return
+        self.checked_at = now
         for names in [n for n, s in self.states.items() if s.forgotten_at() <= now]:
             self._drop(names)
--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -32,9 +32,7 @@
 # would blame one that was there by chance.
 SETTLE_SECONDS = 0.3
 MIN_JUDGE_SECONDS = 0.1  # between two judgements of all that is due
-MAX_JUDGE_SECONDS = (
-    5.0  # between two looks for the cause of a crash; then it is given up
-)
+MAX_JUDGE_SECONDS = 5.0  # between two looks for the cause of a crash, the last ones
 RARITY_SECONDS = 0.5  # for which the rarity of a feature is not computed again
 MIN_RETRY_SECONDS = 1.0  # until the caller of a blocked request should retry
 MAX_ATTEMPT_LENGTH = 6  # of the ID of a caller's attempt; enough to tell a few apart
@@ -90,8 +88,8 @@
         self.generation = 0  # incremented with each new block
         self.broken_off: deque[_Unanswered] = deque(maxlen=MAX_BROKEN_OFF)
         self.given_up: deque[_Unanswered] = deque(maxlen=MAX_GIVEN_UP)
-        # Crashes that have no known cause yet, and the next two times to look for it.
         self.judged_at = float("-inf")
+        # Crashes that have no known cause yet, and the next two times to look for it.
         self.judge_at: dict[CrashKey, tuple[float, float]] = {}
         # Of the last answer, by ID and incarnation of the server.
         self.answered_at: dict[CrashKey, float] = {}
