--- a/packages/gateway/tests/gossip_replay.py
+++ b/packages/gateway/tests/gossip_replay.py
@@ -36,7 +36,6 @@
         clock: Callable[[], float],
     ):
         self.name = name
-        self.started_at = clock()
         self.telling = False  # whether a message is about to be sent
         self.ended = False
         self.fleet = Fleet(clock=clock)
--- a/packages/gateway/tests/request_replay.py
+++ b/packages/gateway/tests/request_replay.py
@@ -97,7 +97,6 @@
     server: str = ""
     crashes: int = 0
     tries: int = 0
-    done: bool = False
 
 
 @dataclass
@@ -120,7 +119,6 @@
     blocked_sound: list[str] = field(default_factory=list)
     served_sound: int = 0
     message_bytes: int = 0
-    suspects: int = 0
 
     def late_arrivals(self, *, crashes: int, window: float) -> int:
         """Count the arrivals from entries in touch after the n-th crash and a while."""
