--- a/review/harness.py
+++ b/review/harness.py
@@ -363,6 +363,232 @@
             writer.close()
 
 
+MODEL_LAYERS = 80
+LAYER_MB = 1750.0
+EVENT_TOKENS = 2  # `stride`: steps of a pass, whose tokens come in one event
+LOAD_SECONDS = 14.0  # for all layers
+# Values of the site file for a chain of `l4` cards.
+STEP_MS = 0.85
+PER_SEQ_MS = 0.00212
+CONTEXT_PER_K = 0.00285
+READ_PER_S = 272_000.0
+CHUNK = 512
+CARD = {"name": "l4", "mb": 21_600.0, "pace": 16.0, "readX": 8.2}
+MODEL = {
+    "name": "model",
+    "maxConns": 1000,
+    "healthPath": "/health",
+    "engine": {
+        "slots": 96,
+        "kvTokens": 50_000,
+        "kvTokenBytes": 328_000,
+        "models": [{"name": "m0", "loadS": LOAD_SECONDS}],
+        "step_ms": STEP_MS,
+        "per_seq_ms": PER_SEQ_MS,
+        "context_per_k": CONTEXT_PER_K,
+        "read_per_s": READ_PER_S,
+        "chunk": CHUNK,
+        "stride": EVENT_TOKENS,
+        "loads_at_once": 6,
+        "usual": {"prompt": 760, "answer": 146},
+        "layers": MODEL_LAYERS,
+        "layerMb": LAYER_MB,
+        "actBytes": 16_400,
+        "pipeMbps": 7900,
+        "kinds": [CARD],
+    },
+}
+
+
+class Generation:
+    """A request that a chain works on."""
+
+    def __init__(self, *, unread: int, events: int, done: int):
+        self.unread = unread  # tokens of the prompt
+        self.context = 0
+        self.events = events  # of the whole answer
+        self.done = done  # events that were made, or that the client has
+        self.ready = asyncio.Event()
+
+
+class ModelServer(AppServer):
+    """
+    A model server that holds a range of layers; times are those of PROTOCOL.md.
+
+    The first server of a chain plays the passes of the whole chain.
+
+    :param servers: all model servers, by address.
+    """
+
+    service = "model"
+
+    def __init__(self, host: str, *, servers: dict[str, "ModelServer"], **others):
+        super().__init__(host, **others)
+        self.servers = servers
+        self.layers = (0, 0)
+        self.orders = 0
+        self.fence = 0
+        self.busy = False
+        self.is_used = False  # loads are short before the first request
+        self.batch: list[Generation] = []
+        self.passes: asyncio.Task | None = None
+        servers[self.address] = self
+
+    def registration(self) -> dict:
+        """Return the value of the server's row."""
+        return {**super().registration(), "slots": 96, **self._held()}
+
+    def _held(self) -> dict:
+        first, last = self.layers
+        return {
+            "stage": "combined",
+            "models": [{"name": "m0", "version": 1, "adapters": []}],
+            "kind": CARD["name"],
+            "layers": {"from": first, "to": last, "version": 1},
+            "born": self.born,
+        }
+
+    async def serve_while_open(self, call, reader, writer) -> None:
+        """Serve a request, and drop it when its channel closes."""
+        serving = asyncio.create_task(self.serve(call, writer))
+        while not serving.done():
+            await asyncio.wait((serving,), timeout=0.05)
+            if writer.is_closing() or reader.at_eof():
+                serving.cancel()
+                return
+        await serving
+
+    async def serve(self, call: Call, writer: asyncio.StreamWriter) -> None:
+        """Answer one request."""
+        if call.target == "/health":
+            status = 200 if self.state == "ready" else 503
+            respond(writer, status, Kumquatway_Instance=self.name)
+        elif call.target == "/report":
+            report = {
+                "busy": self.busy,
+                "seq": self.orders,
+                "waiting": sum(each.unread > 0 for each in self.batch),
+                "running": len(self.batch),
+                "kvUsed": 0,
+                "kvTotal": 50_000 * MODEL_LAYERS,
+                "handles": 0,
+                "pace": 1.0,
+                "stalled": [],
+            }
+            self._json(writer, 200, {**report, **self._held()})
+        elif call.target == "/order":
+            self._order(writer, json.loads(call.body))
+        else:
+            await self._generate(call, writer)
+
+    def _json(self, writer: asyncio.StreamWriter, status: int, body: dict) -> None:
+        data = json.dumps(body).encode()
+        respond(writer, status, data, Content_Type="application/json")
+
+    def _order(self, writer: asyncio.StreamWriter, order: dict) -> None:
+        if order.get("fence", 0) < self.fence:
+            self._json(writer, 412, {})
+        elif self.busy or order.get("expectRev", self.orders) != self.orders:
+            self._json(writer, 409, {})
+        else:
+            self.fence = order.get("fence", 0)
+            self.orders += 1
+            self.busy = True
+            asyncio.create_task(self._load(order["from"], order["to"]))
+            self._json(writer, 202, {})
+
+    async def _load(self, first: int, last: int) -> None:
+        held = range(*self.layers)
+        new = sum(layer not in held for layer in range(first, last))
+        share = 1.0 if any(one.is_used for one in self.servers.values()) else 0.1
+        await asyncio.sleep(share * LOAD_SECONDS * new / MODEL_LAYERS)
+        self.layers = (first, last)
+        self.busy = False
+        self.register()
+
+    def _faulty_part(self, hops: str) -> str:
+        """Return the address of the first server that lacks its part, or ""."""
+        for hop in hops.split(","):
+            address, _, span = hop.partition("=")
+            first, _, last = span.partition("-")
+            server = self.servers[address]
+            if not server.layers[0] <= int(first) < int(last) <= server.layers[1]:
+                return address
+        return ""
+
+    async def _generate(self, call: Call, writer: asyncio.StreamWriter) -> None:
+        echo = {"Kumquatway-Request-Id": call.id}
+        faulty = self._faulty_part(call.fields["kumquatway-hops"])
+        if faulty:
+            named = {"Kumquatway_Not_Run": "1", "At_Server": faulty}
+            respond(writer, 421, **named, Kumquatway_Request_Id=call.id)
+            return
+        for server in self.servers.values():
+            server.is_used = True
+        self.runs.append((time.monotonic(), call.id))
+        self.record.note(f"run {call.id} at {self.name}")
+        prompt, _, output = call.fields["kumquatway-tokens"].partition(",")
+        done = int(call.fields.get("last-event-id", "0"))
+        generation = Generation(
+            unread=int(prompt) + done * EVENT_TOKENS,
+            events=int(output) // EVENT_TOKENS,
+            done=done,
+        )
+        self.batch.append(generation)
+        if self.passes is None or self.passes.done():
+            self.passes = asyncio.create_task(self._run_passes())
+        head = {
+            "Content-Type": "text/event-stream",
+            "Kumquatway-Server-Stamp": f"stamp-{self.name}-{call.id}",
+            "Transfer-Encoding": "chunked",
+            **echo,
+        }
+        sent = done
+        try:
+            while sent < generation.events:
+                await generation.ready.wait()
+                generation.ready.clear()
+                if sent == done:
+                    writer.write(render("HTTP/1.1 200 OK", head))
+                while sent < generation.done:
+                    sent += 1
+                    event = b"id: %d\ndata: piece %d\n\n" % (sent, sent)
+                    writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            writer.write(b"0\r\n\r\n")
+            self.record.note(f"{self.name} has made the whole answer to {call.id}")
+        finally:
+            if generation in self.batch:
+                self.batch.remove(generation)
+
+    async def _run_passes(self) -> None:
+        at = time.monotonic()
+        while self.batch:
+            at += sum(self._step() for _ in range(EVENT_TOKENS)) / 1000
+            await asyncio.sleep(max(0.0, at - time.monotonic()))
+            for each in list(self.batch):
+                if not each.unread and each.done < each.events:
+                    each.done += 1
+                    each.ready.set()
+
+    def _step(self) -> float:
+        """Return the milliseconds of a step, and read prompts in it."""
+        writing = [each for each in self.batch if not each.unread]
+        context = sum(each.context for each in writing) / 1000
+        cost = 0.0
+        if writing:
+            work = STEP_MS + PER_SEQ_MS * len(writing) + CONTEXT_PER_K * context
+            cost = work * CARD["pace"]
+        left = CHUNK
+        for each in self.batch:
+            part = min(left, each.unread)
+            each.unread -= part
+            each.context += part
+            left -= part
+        for each in writing:
+            each.context += 1
+        return cost + (CHUNK - left) / READ_PER_S * 1000 * CARD["readX"]
+
+
 class Entry:
     """
     One process of the system, started with the command of the deploy file.
