--- a/review/harness.py
+++ b/review/harness.py
@@ -120,6 +120,7 @@
         self.port = port or free_port(host)
         self.address = f"{host}:{self.port}"
         self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task] = set()
         self.server: asyncio.Server | None = None
 
     async def start(self) -> None:
@@ -139,6 +140,9 @@
 
     async def _run(self, reader, writer) -> None:
         self.writers.add(writer)
+        task = asyncio.current_task()
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
         try:
             while (head := await read_head(reader)) is not None:
                 method, target, _ = head[0].split(" ")
@@ -314,6 +318,16 @@
             self.register()
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    async def serve_while_open(self, call, reader, writer) -> None:
+        """Serve a request, and drop it when its channel closes."""
+        serving = asyncio.create_task(self.serve(call, writer))
+        while not serving.done():
+            await asyncio.wait((serving,), timeout=0.05)
+            if writer.is_closing() or reader.at_eof():
+                serving.cancel()
+                return
+        await serving
+
     def drain(self) -> None:
         """Report that this server leaves."""
         self.state = "draining"
@@ -448,16 +462,6 @@
             "born": self.born,
         }
 
-    async def serve_while_open(self, call, reader, writer) -> None:
-        """Serve a request, and drop it when its channel closes."""
-        serving = asyncio.create_task(self.serve(call, writer))
-        while not serving.done():
-            await asyncio.wait((serving,), timeout=0.05)
-            if writer.is_closing() or reader.at_eof():
-                serving.cancel()
-                return
-        await serving
-
     async def serve(self, call: Call, writer: asyncio.StreamWriter) -> None:
         """Answer one request."""
         if call.target == "/health":
@@ -755,8 +759,11 @@
         parts = []
         try:
             if fields.get("transfer-encoding") != "chunked":
-                length = int(fields.get("content-length", "0"))
-                return await self.reader.readexactly(length), True
+                left = int(fields.get("content-length", "0"))
+                while left and (part := await self.reader.read(left)):
+                    parts.append(part)
+                    left -= len(part)
+                return b"".join(parts), not left
             while True:
                 size = int(await self.reader.readuntil(b"\r\n"), 16)
                 part = await self.reader.readexactly(size + 2)
