--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,57 +1,39 @@
 """
-A row of another writer stands in `servers`, with most of a server's fields missing.
+A row of another writer, with bytes that can't be read, stands in `servers`.
 
-At its address, some other program answers HTTP requests, as it does not know them, with
-404. No request must go there.
+Then a server leaves in good order. Requests must stop to reach it.
 """
 
 import asyncio
 import itertools
-import json
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from harness import (
     DESK,
-    Call,
+    DRAIN_SECONDS,
     Channel,
     Entry,
     PlainServer,
     Record,
-    Server,
     Store,
     configuration,
     free_host,
     main,
     request_fields,
-    respond,
     route,
     wait_until,
 )
 
-CLIENTS = 8  # of each entry
-WORK_SECONDS = 0.045  # of a request, as on the newest sheet of the site
+FOREIGN_ROW = b"[" * 4000  # bytes that are no JSON text
+SETTLE_SECONDS = 4.0  # longer than `stabilityWindowMs`
+LINGER_SECONDS = 4.0  # from the end of `drainMs` until the server exits
+CLIENTS = 4  # of each entry
 PAUSE_SECONDS = 0.1  # between two requests of a client
-SETTLE_SECONDS = 3.0
-WATCH_SECONDS = 10.0
-ALLOWED = 5  # and one in 500 of all requests
-
-
-class Stranger(Server):
-    """A program that is no server of the platform."""
-
-    def __init__(self, host: str, record: Record):
-        super().__init__(host)
-        self.record = record
-        self.received: list[str] = []
-
-    async def serve(self, call: Call, writer: asyncio.StreamWriter) -> None:
-        """Answer that there is no such page."""
-        self.received.append(call.id)
-        self.record.note(f"the stranger gets {call.id} {call.method} {call.target}")
-        respond(writer, 404, b"no such page\n", Content_Type="text/plain")
+WATCH_SECONDS = 70.0  # for processes that end by themselves
 
 
 class Clients:
@@ -59,7 +41,7 @@
 
     def __init__(self, entries: list[Entry], record: Record):
         self.record = record
-        self.answers: list[tuple[str, int]] = []  # method and status
+        self.statuses: dict[int, int] = {}
         self.numbers = itertools.count(1)
         self.tasks = [
             asyncio.create_task(self._run(entry))
@@ -69,7 +51,11 @@
 
     async def _run(self, entry: Entry) -> None:
         while True:
-            channel = await Channel.open(entry.front)
+            try:
+                channel = await Channel.open(entry.front)
+            except OSError:
+                await asyncio.sleep(PAUSE_SECONDS)
+                continue
             try:
                 await self._use(channel, entry)
             finally:
@@ -85,9 +71,8 @@
             method, path = ("POST", "/book/") if number % 2 else ("GET", "/look/")
             self.record.note(f"sent {name} {method} {path} to {entry.name}")
             answer = await channel.ask(method, path, request_fields(name, 1500))
-            stamp = answer.fields.get("kumquatway-server-stamp", "none")
-            self.record.note(f"answered {name} with {answer.status}, stamp {stamp}")
-            self.answers.append((method, answer.status))
+            self.record.note(f"answered {name} with {answer.status or 'nothing'}")
+            self.statuses[answer.status] = self.statuses.get(answer.status, 0) + 1
             closes = answer.closes
 
     def stop(self) -> None:
@@ -106,10 +91,7 @@
         PlainServer(free_host(20 + n), store=store, name=f"desk-{n}", record=record)
         for n in range(3)
     ]
-    stranger = Stranger(free_host(40), record)
     for server in servers:
-        server.work_seconds = WORK_SECONDS
-    for server in (*servers, stranger):
         await server.start()
     hosts = [free_host(10), free_host(11)]
     seeds = [f"{host}:8229" for host in hosts]
@@ -125,41 +107,56 @@
             if not await wait_until(entry.is_ready, 10):
                 record.add(f"{entry.name} is not ready")
                 return 2
+        record.add("all entries are ready")
         clients = Clients(entries, record)
+        await asyncio.sleep(3)
+        if trouble:
+            store.put("servers", "of-another-writer", FOREIGN_ROW)
+            record.add(f"another writer's row of {len(FOREIGN_ROW)} bytes is stored")
         await asyncio.sleep(SETTLE_SECONDS)
+        leaving = servers[0]
+        leaving.drain()
+        await asyncio.sleep(DRAIN_SECONDS + LINGER_SECONDS)
+        late = [
+            (at - leaving.draining_since, name)
+            for at, name in leaving.runs
+            if at - leaving.draining_since > DRAIN_SECONDS
+        ]
+        before = len(leaving.runs) - len(late)
+        record.add(f"{leaving.name} had run {before} requests until `drainMs` was over")
+        for seconds, name in late:
+            record.note(f"request {name} reached it {seconds:.3f} s after draining")
+        leaving.leave()
         if trouble:
-            row = {
-                "service": "desk",
-                "address": stranger.address,
-                "zone": "zone-a",
-                "state": "ready",
-            }
-            store.put("servers", "of-another-writer", json.dumps(row).encode())
-            record.add(f"another writer's row is stored: {json.dumps(row)}")
-        await asyncio.sleep(WATCH_SECONDS)
-        return judge(record, clients, stranger)
+            await watch_ends(record, entries)
+        record.add(f"answers by status: {dict(sorted(clients.statuses.items()))}")
+        record.add(f"{len(late)} requests reached a draining server too late")
+        return 1 if late else 0
     finally:
         if clients is not None:
             clients.stop()
         for entry in entries:
             await entry.stop()
-        for server in (*servers, stranger):
+        for server in servers:
             server.stop()
         store.stop()
 
 
-def judge(record: Record, clients: Clients, stranger: Stranger) -> int:
-    """Count the denied requests; return the case's exit code."""
-    counts: dict[str, int] = {}
-    for method, status in clients.answers:
-        name = f"{method} {status}"
-        counts[name] = counts.get(name, 0) + 1
-    record.add(f"answers by method and status: {dict(sorted(counts.items()))}")
-    record.add(f"the stranger got {len(stranger.received)} requests of clients")
-    denied = sum(400 <= status < 500 for _, status in clients.answers)
-    allowed = ALLOWED + len(clients.answers) / 500
-    record.add(f"{denied} proper requests were ended with 4xx, {allowed:.1f} may be")
-    return 1 if denied > allowed else 0
+async def watch_ends(record: Record, entries: list[Entry]) -> None:
+    """Tell which processes end by themselves."""
+    end = time.monotonic() + WATCH_SECONDS
+
+    async def all_ended() -> bool:
+        return all(entry.process.returncode is not None for entry in entries)
+
+    await wait_until(all_ended, end - time.monotonic())
+    for entry in entries:
+        code = entry.process.returncode
+        record.add(
+            f"{entry.name} still runs"
+            if code is None
+            else f"{entry.name} has ended by itself with exit code {code}"
+        )
 
 
 main(str(Path(__file__).parent), run)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,165 +1,119 @@
 """
-A client's channel is reset in the middle of a stream, and the client resumes it.
+An entry gets SIGTERM under its usual load, as at a rolling restart.
 
-The route is resumable and goes to a service without an engine.
+Clients that kept idle channels to it send their next requests while it drains.
 """
 
 import asyncio
 import itertools
-import re
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from harness import (
-    DESK,
-    Call,
+    GRACE_SECONDS,
+    MODEL,
+    Answer,
     Channel,
     Entry,
-    PlainServer,
+    ModelServer,
     Record,
     Store,
     configuration,
     free_host,
     main,
-    read_head,
-    render,
     request_fields,
     route,
     wait_until,
 )
 
-EVENTS = 40  # of a whole answer
-EVENT_SECONDS = 0.01  # between two events
-STREAMS = 20
-CUT_AFTER = 12  # events that pass the proxy before it resets the channel
-
-
-class FeedServer(PlainServer):
-    """A server of `desk` that answers with events, after the one that is named."""
-
-    async def serve(self, call: Call, writer: asyncio.StreamWriter) -> None:
-        """Run a request, or answer the health check."""
-        if call.target == "/health":
-            await super().serve(call, writer)
-            return
-        last = call.fields.get("last-event-id", "")
-        self.record.note(f"run {call.id} at {self.name}, Last-Event-Id {last!r}")
-        head = {
-            "Content-Type": "text/event-stream",
-            "Kumquatway-Request-Id": call.id,
-            "Kumquatway-Server-Stamp": f"stamp-{self.name}-{call.id}",
-            "Transfer-Encoding": "chunked",
-        }
-        writer.write(render("HTTP/1.1 200 OK", head))
-        for number in range(int(last or 0) + 1, EVENTS + 1):
-            await asyncio.sleep(EVENT_SECONDS)
-            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-        writer.write(b"0\r\n\r\n")
-
-
-class Proxy:
-    """
-    Stands between clients and an entry, and resets every second stream's channel.
-
-    :param target: address of the entry.
-    :param cuts: whether it resets any.
-    """
-
-    def __init__(self, host: str, *, target: str, cuts: bool):
-        self.host = host
-        self.target = target
-        self.cuts = cuts
-        self.streams = 0  # that did not name an event
-        self.resets = 0
-        self.address = ""
-        self.tasks: set[asyncio.Task] = set()
-        self.server: asyncio.Server | None = None
-
-    async def start(self) -> None:
-        """Start to listen."""
-        self.server = await asyncio.start_server(self._run, self.host, 0)
-        port = self.server.sockets[0].getsockname()[1]
-        self.address = f"{self.host}:{port}"
-
-    def stop(self) -> None:
-        """Stop listening."""
-        if self.server is not None:
-            self.server.close()
-        for task in self.tasks:
-            task.cancel()
+SERVERS = 8
+EVENTS = 73  # of an answer, as in the users' sheet
+LONG_EVENTS = 177  # of the longest answers, as in the site file
+LONG = 4  # of these at the entry that is stopped, from one second before
+LOAD = 30  # streams at a time
+KEPT = 16  # idle channels to the entry that is stopped
+FIRST_SECONDS = 3.2  # from SIGTERM to the first request on one of them
+STEP_SECONDS = 0.2  # between these requests
+WARM_SECONDS = 6.0  # of the usual load before
+RAMP_SECONDS = 3.0  # over which the load begins
+
+
+class Callers:
+    """Sends streams and records what becomes of them."""
 
-    async def _run(self, reader, writer) -> None:
-        self.tasks.add(asyncio.current_task())
-        host, _, port = self.target.rpartition(":")
-        to_reader, to_writer = await asyncio.open_connection(host, int(port))
-        try:
-            start, fields = await read_head(reader)
-            to_writer.write(render(start, fields))
-            self.streams += "last-event-id" not in fields
-            cut = self.cuts and "last-event-id" not in fields and self.streams % 2
-            events = 0
-            while data := await to_reader.readline():
-                writer.write(data)
-                events += data == b"\n"
-                if cut and events == CUT_AFTER:
-                    self.resets += 1
-                    await writer.drain()
-                    await asyncio.sleep(0.05)  # a reset may overtake what was sent
-                    writer.transport.abort()
-                    return
-        except (ConnectionError, TypeError):
-            pass
-        finally:
-            to_writer.transport.abort()
-            writer.close()
-
-
-class Client:
-    """Reads streams, and resumes each where its channel broke."""
-
-    def __init__(self, record: Record, address: str, first: int):
+    def __init__(self, record: Record):
         self.record = record
-        self.address = address
-        self.numbers = itertools.count(first)
-
-    async def stream(self) -> list[int]:
-        """Return the IDs of the events that one stream brought, over its attempts."""
-        got: list[int] = []
-        for _ in range(2):
-            name = f"{next(self.numbers):016x}"
-            fields = request_fields(name, 5000)
-            if got:
-                fields["Last-Event-Id"] = str(got[-1])
-            channel = await Channel.open(self.address)
-            self.record.note(f"sent {name}, Last-Event-Id {got[-1] if got else ''}")
-            answer = await channel.ask("GET", "/feed/", fields)
-            channel.close()
-            found = [
-                int(n) for n in re.findall(rb"id: (\d+)\ndata: [^\n]*\n\n", answer.body)
-            ]
-            self.record.note(
-                f"answered {name} with {answer.status}, "
-                f"{'whole' if answer.whole else 'broken off'}, events "
-                f"{found[0] if found else '-'} to {found[-1] if found else '-'}"
-            )
-            got += found
-            if answer.whole:
-                break
-        return got
+        self.numbers = itertools.count(1)
+
+    async def stream(
+        self, channel: Channel, entry: str, prompt: int = 760, events: int = EVENTS
+    ) -> tuple[str, Answer]:
+        """Send a request on a channel, and read the answer to its end."""
+        number = next(self.numbers)
+        name = f"{number:016x}"
+        fields = request_fields(
+            name,
+            20_000,
+            Kumquatway_Model="m0",
+            Kumquatway_Tokens=f"{prompt},{events * 2}",
+            Kumquatway_Prefix_Hash=f"a1:40,{0xC000 + number:x}:{prompt - 40}",
+        )
+        self.record.note(f"sent {name} to {entry}")
+        answer = await channel.ask("POST", "/plan/", fields, b"{}")
+        got = answer.body.count(b"\n\n")
+        end = "whole" if answer.whole else "broken off"
+        self.record.note(
+            f"answered {name} with {answer.status or 'nothing'}, {got} events, {end}"
+        )
+        return name, answer
+
+    async def keep_busy(self, entry: Entry, delay: float) -> None:
+        """Send one stream after the other, after a delay."""
+        await asyncio.sleep(delay)
+        while True:
+            try:
+                channel = await Channel.open(entry.front)
+            except OSError:
+                await asyncio.sleep(0.1)
+                continue
+            try:
+                answer = None
+                while answer is None or not answer.closes:
+                    _, answer = await self.stream(channel, entry.name)
+                    if answer.status != 200:
+                        await asyncio.sleep(0.3)
+            finally:
+                channel.close()
 
 
 async def run(record: Record, folder: Path, trouble: bool) -> int:
     """Play the case."""
     store = Store(free_host(1))
     await store.start()
-    feed = route("feed", "stream", "desk", resumable=True, timeoutMs=5000, gapAimMs=200)
-    store.put("op", "config", configuration([feed], [DESK]))
+    plan = route(
+        "plan",
+        "stream",
+        "model",
+        timeoutMs=20_000,
+        targetLatencyMs=500,
+        resumable=True,
+        sticky=True,
+        gapAimMs=200,
+        priority=1,
+    )
+    store.put("op", "config", configuration([plan], [MODEL]))
+    by_address: dict[str, ModelServer] = {}
     servers = [
-        FeedServer(free_host(20 + n), store=store, name=f"desk-{n}", record=record)
-        for n in range(2)
+        ModelServer(
+            free_host(20 + n),
+            servers=by_address,
+            store=store,
+            name=f"model-{n}",
+            record=record,
+        )
+        for n in range(SERVERS)
     ]
     for server in servers:
         await server.start()
@@ -169,43 +123,93 @@
         Entry(f"front-{n}", host, store=store.address, seeds=seeds, folder=folder)
         for n, host in enumerate(hosts)
     ]
-    proxies = [
-        Proxy(free_host(30 + n), target=entry.front, cuts=trouble and not n)
-        for n, entry in enumerate(entries)
-    ]
+    callers = Callers(record)
+    tasks: list[asyncio.Task] = []
+    channels: list[Channel] = []
     try:
-        for entry, proxy in zip(entries, proxies, strict=True):
-            await proxy.start()
+        for entry in entries:
             await entry.start()
         for entry in entries:
             if not await wait_until(entry.is_ready, 10):
                 record.add(f"{entry.name} is not ready")
                 return 2
-        clients = [
-            Client(record, proxy.address, first=1 + n * 1000)
-            for n, proxy in enumerate(proxies)
+        held = await wait_until(lambda: holds_all(servers), 20)
+        if not held:
+            record.add("the layers were not placed")
+            return 2
+        await asyncio.sleep(1)
+        stopped, other = entries
+        tasks += [
+            asyncio.create_task(callers.keep_busy(other, RAMP_SECONDS * n / LOAD))
+            for n in range(LOAD)
         ]
-        wrong = 0
-        for number in range(STREAMS):
-            got = await clients[number % 2].stream()
-            twice = len(got) - len(set(got))
-            missing = EVENTS - len(set(got))
-            wrong += bool(twice or missing)
-            if twice or missing:
-                record.add(f"a stream has {twice} events twice and {missing} missing")
-        resets = sum(proxy.resets for proxy in proxies)
-        record.add(f"{resets} channels of clients were reset")
-        record.add(f"{wrong} of {STREAMS} streams are not in order")
-        if trouble and not resets:
+        await asyncio.sleep(WARM_SECONDS)
+        for _ in range(KEPT):
+            channel = await Channel.open(stopped.front)
+            channels.append(channel)
+        warm = await asyncio.gather(
+            *(callers.stream(channel, stopped.name, 100, 4) for channel in channels)
+        )
+        answers = [answer for _, answer in warm]
+        if not all(a.status == 200 and a.whole and not a.closes for a in answers):
+            record.add("the first request of a kept channel was not answered")
             return 2
-        return 1 if wrong else 0
+        for _ in range(LONG):
+            channel = await Channel.open(stopped.front)
+            channels.append(channel)
+            long = callers.stream(channel, stopped.name, events=LONG_EVENTS)
+            tasks.append(asyncio.create_task(long))
+        await asyncio.sleep(1)
+        if trouble:
+            stopped.terminate()
+            record.add(f"{stopped.name} gets SIGTERM")
+        return await use_kept(record, callers, channels[:KEPT], stopped, servers)
     finally:
-        for entry, proxy in zip(entries, proxies, strict=True):
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for channel in channels:
+            channel.close()
+        for entry in entries:
             await entry.stop()
-            proxy.stop()
         for server in servers:
             server.stop()
         store.stop()
 
 
+async def holds_all(servers: list[ModelServer]) -> bool:
+    """Tell whether the servers hold all layers."""
+    return sum(server.layers[1] - server.layers[0] for server in servers) >= 80
+
+
+async def use_kept(
+    record: Record,
+    callers: Callers,
+    channels: list[Channel],
+    entry: Entry,
+    servers: list[ModelServer],
+) -> int:
+    """Send a request on each kept channel; return the case's exit code."""
+    start = record.now()
+
+    async def send(number: int, channel: Channel) -> bool:
+        await asyncio.sleep(FIRST_SECONDS + number * STEP_SECONDS)
+        sent = record.now() - start
+        name, answer = await callers.stream(channel, entry.name)
+        ended = record.now() - start
+        passed_on = any(name == run for s in servers for _, run in s.runs)
+        lost = passed_on and not answer.whole and ended < GRACE_SECONDS
+        record.add(
+            f"request {name} sent at {sent:.2f} s: status {answer.status}, "
+            f"{'whole' if answer.whole else 'cut'} at {ended:.2f} s, "
+            f"{'was' if passed_on else 'was not'} passed on to a server"
+        )
+        return lost
+
+    sending = (send(number, channel) for number, channel in enumerate(channels))
+    lost = sum(await asyncio.gather(*sending))
+    record.add(f"{lost} requests were passed on and have no complete answer")
+    return 1 if lost else 0
+
+
 main(str(Path(__file__).parent), run)
