--- a/review/harness.py
+++ b/review/harness.py
@@ -842,6 +842,8 @@
     :param case: takes the record, a temporary folder and whether to make trouble;
         returns 1 if the rule was broken, 0 if it held, 2 if the case could not run.
     """
+    # An end from outside still ends the processes that the case has started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(Path(folder))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.add(f"trouble: {'yes' if trouble else 'no'}")
