Use only complete, readable rows of the list of servers

Cause: msgspec raises RecursionError, which is none of its own errors, and decode_server caught those alone; so one row ended the poll, the follower and, after 21 restarts, the process. Beside it: integers past 64 bits were decoded and could not be encoded for peers (digest_servers), ports past 65535 raise OverflowError where a connection is opened, and a key with a line break went into a header field. Change: kumquatway_core.decoding raises one error, InvalidData, for any bytes; its number types leave out what cannot be encoded again.

--- a/packages/core/src/kumquatway_core/exceptions.py
+++ b/packages/core/src/kumquatway_core/exceptions.py
@@ -42,5 +42,9 @@
     """A message between processes cannot be decoded or is not allowed."""
 
 
+class InvalidData(KumquatwayError):
+    """Data of another process cannot be decoded, or has fields that are not allowed."""
+
+
 class ProcessError(KumquatwayError):
     """A supervised child failed more often than its limit allows."""
--- a/packages/gateway/src/kumquatway_gateway/model/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/model/__init__.py
@@ -4,6 +4,7 @@
 Defines the gateway's data: the configuration, the servers and a caller's request.
 """
 
+from kumquatway_gateway.model._address import parse_address
 from kumquatway_gateway.model._configuration import (
     Accelerator,
     Account,
@@ -49,4 +50,5 @@
     "ServerNotice",
     "ServerState",
     "Service",
+    "parse_address",
 ]
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import ipaddress
 import random
 import time
 from collections.abc import Callable
@@ -18,7 +17,7 @@
 from kumquatway_gateway.chains import ChainLoad
 from kumquatway_gateway.fleet import Fleet, HealthStatus
 from kumquatway_gateway.limits import NamedLimit, is_permit_message
-from kumquatway_gateway.model import LayerRange, LayerReport
+from kumquatway_gateway.model import LayerRange, LayerReport, parse_address
 from kumquatway_gateway.quarantine import BlockState, Crash, Quarantine, Suspect
 
 SEND_PERIOD_SECONDS = 0.25
@@ -31,7 +30,6 @@
 MAX_TARGETS = 8  # peers that a periodic message is sent to, chosen at random
 MAX_URGENT_TARGETS = 40  # peers that a message requested with `send_soon` is sent to
 MAX_DATAGRAM_BYTES = 60_000
-MAX_PORT = 65535
 # Of crashes and blocks, messages hold little, so that they stay within 16 KB/s at 380
 # entries. A crash is repeated in eight messages.
 CRASH_REPEAT_SECONDS = 2.0
@@ -199,18 +197,6 @@
 _decoder = msgspec.msgpack.Decoder(GossipMessage)
 
 
-def _parse_address(address: str) -> tuple[str, int] | None:
-    """Return the IP address and the port of `host:port`, or None if it is invalid."""
-    host, _, port = address.rpartition(":")
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        return None
-    if not port.isascii() or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
-        return None
-    return host, int(port)
-
-
 class Gossip(asyncio.DatagramProtocol):
     """
     Sends this entry's state to its peers and receives theirs.
@@ -300,7 +286,7 @@
         :param addresses: addresses of all entries, `host:port`; this entry's own one is
             left out.
         """
-        invalid = {peer for peer in addresses if _parse_address(peer) is None}
+        invalid = {peer for peer in addresses if parse_address(peer) is None}
         if invalid:
             logger.warning("ignored invalid addresses of peers: {}", sorted(invalid))
         self.addresses = addresses - invalid - {self.address}
@@ -312,7 +298,7 @@
         :param address: address of the peer, `host:port`.
         :param data: the message.
         """
-        target = _parse_address(address)
+        target = parse_address(address)
         if target is None or self.transport is None:
             return
         self.transport.sendto(data, target)
@@ -419,7 +405,7 @@
                 "ignored an invalid gossip datagram from {}: {}", sender, error
             )
             return
-        if _parse_address(message.address) is None:
+        if parse_address(message.address) is None:
             logger.warning(
                 "ignored a gossip message from {}: {!r} is not an address",
                 sender,
@@ -541,7 +527,7 @@
         if len(targets) > max_targets and not self.has_duty():
             targets = random.sample(targets, max_targets)
         for target in targets:
-            self.transport.sendto(data, _parse_address(target))
+            self.transport.sendto(data, parse_address(target))
         self.sent_bytes += len(data) * len(targets)
 
     def _choose_suspects(self, crash: Crash) -> tuple[_Suspect, ...]:
