Ignore numbers of servers that are infinite, past 64 bits or not numbers

A `Retry-After: inf` or 1e999 beside `At-Server` put another server out of use for good. An event ID or a store era of over 4,300 digits raised ValueError while a response was relayed; a `Keep-Alive` of that length kept a connection in use for ever.

--- a/packages/core/src/kumquatway_core/decoding.py
+++ b/packages/core/src/kumquatway_core/decoding.py
@@ -30,6 +30,35 @@
 T = TypeVar("T")
 
 
+def parse_count(text: bytes) -> int | None:
+    """
+    Parse a number in a header field.
+
+    :param text: the value of the field.
+    :return: the number, or None if the text is not a `Count` in decimal digits.
+    """
+    # `int` refuses thousands of digits with an error of its own.
+    if not text.isdigit() or len(text) > len(str(MAX_INTEGER)):
+        return None
+    number = int(text)
+    return number if number <= MAX_INTEGER else None
+
+
+def parse_amount(text: bytes) -> float | None:
+    """
+    Parse a number that may have a fraction, in a header field.
+
+    :param text: the value of the field.
+    :return: the number, or None if the text is not an `Amount`: NaN, infinite, negative
+        or too large.
+    """
+    try:
+        number = float(text)
+    except ValueError:
+        return None
+    return number if 0 <= number <= MAX_INTEGER else None
+
+
 def convert(value: object, kind: type[T]) -> T:
     """
     Convert parsed data, such as that of a TOML document, to a type.
--- a/packages/core/tests/test_decoding.py
+++ b/packages/core/tests/test_decoding.py
@@ -7,7 +7,15 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from kumquatway_core.decoding import Age, Count, Decoder, ItemwiseDecoder, convert
+from kumquatway_core.decoding import (
+    Age,
+    Count,
+    Decoder,
+    ItemwiseDecoder,
+    convert,
+    parse_amount,
+    parse_count,
+)
 from kumquatway_core.exceptions import InvalidData
 
 
@@ -24,6 +32,8 @@
     counts: dict[str, Count] = {}
 
 
+LONG_NUMBER = b"9" * 5000  # more digits than Python's limit for `int`
+INFINITE = [b"inf", b"1e999", b"Infinity", LONG_NUMBER]
 CODECS = pytest.mark.parametrize(
     "codec", [msgspec.json, msgspec.msgpack], ids=["json", "msgpack"]
 )
@@ -79,6 +89,20 @@
             assert isinstance(Decoder(_Item, codec=codec).decode(data), _Item)
 
 
+class TestNumbers:
+    """Numbers in header fields that raised an error, or were infinite."""
+
+    @pytest.mark.parametrize(
+        "text", [b"", b"-1", b"\xb2", b"1.0", b"9" * 17, *INFINITE]
+    )
+    def test_no_count(self, text):
+        assert parse_count(text) is None
+
+    @pytest.mark.parametrize("text", [b"", b"-1", b"nan", b"\xb2", b"x", *INFINITE])
+    def test_no_amount(self, text):
+        assert parse_amount(text) is None
+
+
 def _decode(codec, page: dict) -> tuple[_Page, list[str]]:
     skipped = []
     page = ItemwiseDecoder(_Page, codec=codec).decode(
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from kumquatway_core import Supervisor, new_incarnation
+from kumquatway_core.decoding import parse_count
 from kumquatway_core.events import Event, ProcessStarted, ProcessStopped
 from kumquatway_core.leases import PLANNER_LEASE, Lease
 from kumquatway_gateway._follow import (
@@ -488,7 +489,8 @@
         name, _, incarnation = holder.rpartition(HOLDER_SEPARATOR)
         if name == self.settings.name:
             return True  # an earlier incarnation of this entry
-        return incarnation.isdigit() and self.gossip.is_gone(int(incarnation))
+        number = parse_count(incarnation.encode())
+        return number is not None and self.gossip.is_gone(number)
 
     def _reads_store(self) -> bool:
         """Tell whether this entry reads the store without relying on peers."""
--- a/packages/gateway/src/kumquatway_gateway/http1/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_pool.py
@@ -76,7 +76,7 @@
             raise Unreachable(
                 f"no connection to {address} within {timeout} s"
             ) from error
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             refused = isinstance(error, ConnectionRefusedError)
             raise Unreachable(f"{address}: {error}", refused=refused) from error
         return connection
--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from kumquatway_core.decoding import parse_count
 from kumquatway_gateway.http1._headers import Headers
 from kumquatway_gateway.http1._large_bodies import LargeBodies
 
@@ -361,6 +362,6 @@
     """Return the timeout of a `Keep-Alive` field in seconds, or 0 if it has none."""
     for part in (value or b"").lower().split(b","):
         name, _, seconds = part.strip().partition(b"=")
-        if name == b"timeout" and seconds.isdigit():
-            return float(seconds)
+        if name == b"timeout":
+            return float(parse_count(seconds) or 0)
     return 0.0
--- a/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable
 
+from kumquatway_core.decoding import parse_count
 from kumquatway_gateway.relay._event_stream import find_last_event_end, split_events
 
 ID_FIELD = b"id:"
@@ -117,9 +118,10 @@
         return b"".join(new)
 
     def _is_new(self, event_id: bytes) -> bool:
-        if event_id.isdigit() and self.last_id.isdigit():
-            return int(event_id) > int(self.last_id)
-        return True
+        number, last_number = parse_count(event_id), parse_count(self.last_id)
+        if number is None or last_number is None:
+            return True
+        return number > last_number
 
 
 def _last_id(complete: bytes) -> bytes:
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass
 
 from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
+from kumquatway_core.decoding import parse_count
 from kumquatway_core.events import StreamRecovered
 from kumquatway_gateway.chains import Chain, ChainLoad
-from kumquatway_gateway.fleet import AVOID_SECONDS
+from kumquatway_gateway.fleet import AVOID_SECONDS, MAX_PAUSE_SECONDS
 from kumquatway_gateway.http1 import (
     Exchange,
     ResponseEnd,
@@ -316,7 +317,8 @@
         server = fleet.by_address.get(info.faulty_address, self.chain.first_server)
         self.refusals += 1
         self.avoid.add(server.id)
-        fleet.avoid(server, max(AVOID_SECONDS, info.notice.pause_seconds))
+        pause = min(info.notice.pause_seconds, MAX_PAUSE_SECONDS)
+        fleet.avoid(server, max(AVOID_SECONDS, pause))
         self.relay.health_checker.check_accepts_work(server)
         detail = (
             f"refused by {self.chain.first_server.address}, caused by {server.address}"
@@ -603,7 +605,7 @@
                 vm=self.chain.first_server.id,
                 attempt=len(self.job.sent_to),
                 means="resume",
-                position=int(last_id) if last_id.isdigit() else 0,
+                position=parse_count(last_id) or 0,
                 seconds=round(seconds, 3),
             )
         )
