Refuse a request that no chain can hold instead of keeping others waiting behind it

Callers saw: a request that names more tokens than any chain holds waited up to 1.2 s at the head of the queue once all chains were in use, and all others of the service waited or were refused behind it: one input cost more than itself. It could not have been served: servers reject what is larger than their memory. Change: it is sent at once where a chain is idle, as before, and refused as not run where none is. Evidence: the new test of the queue waits past its limit without the check.

--- a/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
@@ -77,6 +77,7 @@
             min_rate=self.min_token_rate,
             blocked_seconds=self.seconds_blocked,
             max_rate=self.max_token_rate,
+            max_tokens=self.max_waiting_tokens,
             clock=clock,
         )
         self._chains: tuple[Chain, ...] = ()
@@ -341,6 +342,16 @@
             return float("inf")
         return sum(rates) * (self._own_share() or 1.0)
 
+    def max_waiting_tokens(self) -> float:
+        """
+        Return the size of the largest request that some chain can hold.
+
+        :return: tokens; infinite if there is no chain.
+        """
+        return max(
+            (chain.token_capacity for chain in self.chains()), default=float("inf")
+        )
+
     def _token_rate(self, chain: Chain) -> float:
         """Estimate the throughput of a chain, tokens per second."""
         return min(
--- a/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
@@ -27,6 +27,8 @@
     :param max_rate: returns the highest rate at which requests may begin, tokens per
         second.
     :param blocked_seconds: returns for how long there will certainly be no capacity.
+    :param max_tokens: returns the size above which a request does not wait, as no
+        capacity that others give back is enough for it.
     :param clock: returns monotonic seconds.
     """
 
@@ -38,6 +40,7 @@
         min_rate: Callable[[], float] = lambda: MIN_RATE,
         max_rate: Callable[[], float] = lambda: float("inf"),
         blocked_seconds: Callable[[], float] = lambda: 0.0,
+        max_tokens: Callable[[], float] = lambda: float("inf"),
         clock: Callable[[], float] = time.monotonic,
     ):
         self.claim = claim
@@ -45,6 +48,7 @@
         self.min_rate = min_rate
         self.max_rate = max_rate
         self.blocked_seconds = blocked_seconds
+        self.max_tokens = max_tokens
         self.clock = clock
         self.waiting: dict[Waiter, asyncio.Future[T | None]] = {}
         self.in_service: dict[str, float] = {}
@@ -74,7 +78,8 @@
 
         Load pattern: a burst above the capacity of the chains. A request that is
         expected to wait past its deadline is refused on arrival, so that the queue
-        holds only requests that can be served in time.
+        holds only requests that can be served in time. One that no chain can hold
+        would keep all others waiting behind it.
 
         :param waiter: the request.
         :return: the reservation, or None if the request is refused.
@@ -85,7 +90,9 @@
                 return reservation
         now = self.clock()
         time_left = waiter.deadline - now
-        if time_left <= 0 or self.expected_wait(waiter) > time_left:
+        if time_left <= 0 or waiter.tokens > self.max_tokens():
+            return None
+        if self.expected_wait(waiter) > time_left:
             return None
         future: asyncio.Future[T | None] = asyncio.get_running_loop().create_future()
         self.waiting[waiter] = future
--- a/packages/gateway/tests/test_model_router.py
+++ b/packages/gateway/tests/test_model_router.py
@@ -94,3 +94,27 @@
         [chain] = self.router.chains()
         assert chain.first_server == replacement
         assert self.router.loads()["replacement"].tokens == 1400.0
+
+
+class TestMaxWaitingTokens:
+    """A request that no chain can hold does not wait."""
+
+    def _router(self, servers) -> ModelRouter:
+        fleet = Fleet()
+        fleet.update_servers(servers)
+        return ModelRouter(
+            service="model", engine=ENGINE, fleet=fleet, home="x", peer_loads=dict
+        )
+
+    def test_is_the_capacity_of_the_largest_chain(self):
+        servers = {"s": server("s", "x", "big", layer_range(0, 20))}
+        servers |= {
+            f"s{start}": server(f"s{start}", "x", "big", layer_range(start, start + 20))
+            for start in range(20, 80, 20)
+        }
+        router = self._router(servers)
+        (chain,) = router.chains()
+        assert router.max_waiting_tokens() == chain.token_capacity > 0
+
+    def test_any_request_waits_for_the_first_chain(self):
+        assert self._router({}).max_waiting_tokens() == float("inf")
--- a/packages/gateway/tests/test_waiting.py
+++ b/packages/gateway/tests/test_waiting.py
@@ -121,6 +121,29 @@
         asyncio.run(scenario())
 
 
+class TestTooLarge:
+    """A request that no chain can hold kept all others waiting behind it."""
+
+    def test_others_do_not_wait_behind_it(self):
+        async def scenario():
+            clock = Clock()
+            chains = TokenPool(clock=clock, capacity=2000)
+            queue = AdmissionQueue(
+                claim=chains.claim,
+                release=chains.free,
+                max_tokens=lambda: chains.capacity,
+                clock=clock,
+            )
+            running = make_waiter()
+            await queue.admit(running)
+            huge = make_waiter("b", tokens=5000.0)
+            assert await asyncio.wait_for(queue.admit(huge), 1) is None
+            other = make_waiter("c")
+            assert await asyncio.wait_for(queue.admit(other), 1) is other
+
+        asyncio.run(scenario())
+
+
 class TestRefusal:
     """Retry times of refused callers."""
 
