Leave out invalid parts of a peer's message instead of the whole message

One item of a gossip message that is out of its type cost the whole message, so that its sender counted as silent; ages of -1e30 or NaN confirmed copies of the store's data for ever, so that an entry would not have read the store again and told its peers the same; layers of 2^40 were taken over. Bytes that nest too deep raised RecursionError, in messages about permits too. Change: gossip is decoded item by item where the whole is invalid; each part left out is logged.

--- a/packages/gateway/src/kumquatway_gateway/limits/_messages.py
+++ b/packages/gateway/src/kumquatway_gateway/limits/_messages.py
@@ -2,6 +2,8 @@
 
 import msgspec
 
+from kumquatway_core.decoding import Decoder
+
 # First byte of these messages; no message of the gossip begins with it.
 PREFIX = b"\xc1"
 
@@ -55,7 +57,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(PermitRequest | PermitResponse)
+_decoder = Decoder(PermitRequest | PermitResponse, codec=msgspec.msgpack)
 
 
 def encode(message: PermitRequest | PermitResponse) -> bytes:
@@ -72,6 +74,6 @@
     """
     Decode a message.
 
-    :raises msgspec.MsgspecError: if it is not valid.
+    :raises InvalidData: if it is not valid.
     """
     return _decoder.decode(data[len(PREFIX) :])
--- a/packages/gateway/src/kumquatway_gateway/limits/_permits.py
+++ b/packages/gateway/src/kumquatway_gateway/limits/_permits.py
@@ -13,9 +13,9 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
-import msgspec
 from loguru import logger
 
+from kumquatway_core.exceptions import InvalidData
 from kumquatway_gateway.limits._issuer import Issue, PermitIssuer
 from kumquatway_gateway.limits._messages import (
     PermitRequest,
@@ -258,7 +258,7 @@
         """
         try:
             message = decode(data)
-        except msgspec.MsgspecError as error:
+        except InvalidData as error:
             logger.warning("ignored an invalid message about permits: {}", error)
             return
         if isinstance(message, PermitRequest):
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import functools
 import random
 import time
 from collections.abc import Callable
@@ -14,6 +15,8 @@
 import msgspec
 from loguru import logger
 
+from kumquatway_core.decoding import Age, Amount, Count, ItemwiseDecoder, Layer
+from kumquatway_core.exceptions import InvalidData
 from kumquatway_gateway.chains import ChainLoad
 from kumquatway_gateway.fleet import Fleet, HealthStatus
 from kumquatway_gateway.limits import NamedLimit, is_permit_message
@@ -50,15 +53,15 @@
 
 class _Load(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     server: str
-    tokens: int
-    requests: int
+    tokens: Count
+    requests: Count
 
 
 class _ServerHealth(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     server: str
-    incarnation: int
+    incarnation: Count
     down: bool
-    age: float
+    age: Age
     reason: str
     ended: bool = False
     refuses_work: bool = False
@@ -66,54 +69,54 @@
 
 class _LayerReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     server: str
-    incarnation: int
-    start: int
-    stop: int
-    sequence: int
+    incarnation: Count
+    start: Layer
+    stop: Layer
+    sequence: Count
     busy: bool
-    age: float
-    loaded: int = 0
+    age: Age
+    loaded: Count = 0
 
 
 class _Slowdown(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     server: str
-    incarnation: int
-    factor: float
-    age: float
+    incarnation: Count
+    factor: Amount
+    age: Age
 
 
 class _Limit(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     server: str
-    incarnation: int
-    rate: float | None
-    age: float
+    incarnation: Count
+    rate: Amount | None
+    age: Age
 
 
 class _LeavingServer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     server: str
-    incarnation: int
+    incarnation: Count
 
 
 class _Suspect(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     features: tuple[str, ...]
-    weight: int
-    seconds: float = UNKNOWN_SECONDS
+    weight: Count
+    seconds: Age = UNKNOWN_SECONDS
     attempt: str = ""
 
 
 class _Crash(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     server: str
-    incarnation: int
-    age: float
+    incarnation: Count
+    age: Age
     suspects: tuple[_Suspect, ...]
 
 
 class _Block(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     features: tuple[str, ...]
-    age: float
+    age: Age
     stored: bool = True  # read by older versions only
-    version: int = 1
-    trials: int = 0
+    version: Count = 1
+    trials: Count = 0
     lifted: bool = False
 
 
@@ -132,11 +135,11 @@
     :param document_bytes: size of the configuration document, bytes.
     """
 
-    configuration_age: float
+    configuration_age: Age
     servers_digest: int
-    servers_age: float
-    grace: float = 0.0
-    document_bytes: int = 0
+    servers_age: Age
+    grace: Amount = 0.0
+    document_bytes: Count = 0
 
 
 class GossipMessage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -167,9 +170,9 @@
         and the seconds since then.
     """
 
-    incarnation: int
+    incarnation: Count
     address: str
-    revision: int
+    revision: Count
     loads: tuple[_Load, ...]
     health: tuple[_ServerHealth, ...]
     layer_reports: tuple[_LayerReport, ...]
@@ -177,12 +180,12 @@
     slowdowns: tuple[_Slowdown, ...] = ()
     freshness: Freshness | None = None
     has_duty: bool = False
-    reissued_in: int = 0
+    reissued_in: Count = 0
     crashes: tuple[_Crash, ...] = ()
     blocks: tuple[_Block, ...] = ()
-    survivors: dict[str, int] = {}
+    survivors: dict[str, Count] = {}
     limits: tuple[_Limit, ...] = ()
-    survived: dict[str, float] = {}
+    survived: dict[str, Age] = {}
 
 
 class _Peer(msgspec.Struct, kw_only=True):
@@ -194,7 +197,16 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(GossipMessage)
+_decoder = ItemwiseDecoder(GossipMessage, codec=msgspec.msgpack)
+
+
+def _log_invalid(sender: object, field: str, error: InvalidData) -> None:
+    logger.warning(
+        "ignored an invalid part of {} in a gossip message from {}: {}",
+        field,
+        sender,
+        error,
+    )
 
 
 class Gossip(asyncio.DatagramProtocol):
@@ -399,8 +411,8 @@
             self.fleet.permits.receive(data)
             return
         try:
-            message = _decoder.decode(data)
-        except msgspec.MsgspecError as error:
+            message = _decoder.decode(data, functools.partial(_log_invalid, sender))
+        except InvalidData as error:
             logger.warning(
                 "ignored an invalid gossip datagram from {}: {}", sender, error
             )
