Reject an invalid configuration by its text instead of all lower revisions

A configuration that cannot be decoded set a floor at its number: after one copy of a peer, or one row, with a high number and no valid text, an entry took no later configuration, from the store either (until it was restarted). A version past 64 bits was decoded and could not be encoded: gossip of all entries that read it stopped. Text that nests too deep in an unknown field ended the follower. One invalid record in a peer's list of servers cost the whole list. Change: what was rejected is remembered as number and digest; a peer whose copy was rejected is not asked for that number again, and the store is; a text under another number than its own is invalid.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -25,7 +25,7 @@
     ServerSource,
 )
 from kumquatway_gateway.fleet import Fleet, Membership
-from kumquatway_gateway.model import Server
+from kumquatway_gateway.model import Configuration, Server
 from kumquatway_gateway.peers import CopyClient, Gossip, GossipMessage, digest_servers
 from kumquatway_gateway.relay import Relay
 
@@ -76,7 +76,11 @@
         self.emit = emit
         self.clock = clock
         self.document = ConfigurationDocument(revision=0, data=b"")
-        self.rejected_revision = 0
+        # Invalid documents, by revision and digest, and who offered which revision.
+        self.rejected: deque[tuple[int, bytes]] = deque(maxlen=MAX_REMEMBERED_DOCUMENTS)
+        self.rejected_offers: deque[tuple[str, int]] = deque(
+            maxlen=MAX_REMEMBERED_DOCUMENTS
+        )
         # Generation of the store in which it gave out a revision again that this entry
         # or a peer had; what was read before it no longer counts.
         self.reissued_in = 0
@@ -139,7 +143,9 @@
         if message.reissued_in != self.reissued_in:
             self._compare_reissue(message)
             return
-        if message.revision > max(self.revision(), self.rejected_revision):
+        if message.revision > self.revision():
+            if (message.address, message.revision) in self.rejected_offers:
+                return
             if self._is_too_long(message) and self.outage_since is None:
                 self._newer_in_store.set()
             else:
@@ -183,7 +189,7 @@
         :return: whether it was put into force.
         """
         self.last_read = document
-        if document.revision > max(self.revision(), self.rejected_revision):
+        if document.revision > self.revision():
             return self.apply_if_newer(document, "the store")
         if self._is_reissue(document):
             self.reissued_in = document.read_in
@@ -249,15 +255,20 @@
         :param origin: where it comes from, for the event.
         :return: whether it was put into force.
         """
-        if document.revision <= max(self.document.revision, self.rejected_revision):
+        if document.revision <= self.document.revision:
             return False
         return self._apply(document, origin)
 
     def _apply(self, document: ConfigurationDocument, origin: str) -> bool:
+        name = (document.revision, _digest(document.data))
+        if name in self.rejected:
+            return False
         try:
-            configuration = self.source.decode(document.data)
+            configuration = self._decode(document)
         except ConfigurationError as error:
-            self.rejected_revision = document.revision
+            # Only this text: the next one may have a lower number, and a copy with
+            # this number may be sound.
+            self.rejected.append(name)
             logger.error(
                 "configuration revision {} from {} rejected: {}",
                 document.revision,
@@ -276,6 +287,14 @@
         )
         return True
 
+    def _decode(self, document: ConfigurationDocument) -> Configuration:
+        configuration = self.source.decode(document.data)
+        if configuration.revision != document.revision:
+            raise ConfigurationError(
+                f"the text says that it is revision {configuration.revision}"
+            )
+        return configuration
+
     def fetch_from(self, address: str) -> None:
         """
         Start to fetch the configuration from a peer that has a newer revision.
@@ -299,7 +318,10 @@
         found = ConfigurationDocument(
             revision=copy.revision, data=copy.document, read_in=copy.read_in
         )
-        self.apply_if_newer(found, f"peer {address}")
+        is_newer = found.revision > self.revision()
+        if not self.apply_if_newer(found, f"peer {address}") and is_newer:
+            self.rejected_offers.append((address, found.revision))
+            self._newer_in_store.set()
 
     async def _fetch_from_any_peer(self) -> None:
         """Fetch from a random peer, if the outage has lasted long enough."""
--- a/packages/gateway/src/kumquatway_gateway/peers/_copies.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_copies.py
@@ -11,7 +11,17 @@
 
 import msgspec
 import xxhash
-
+from loguru import logger
+
+from kumquatway_core.decoding import (
+    Age,
+    Amount,
+    Count,
+    Integer,
+    ItemwiseDecoder,
+    Layer,
+)
+from kumquatway_core.exceptions import InvalidData
 from kumquatway_gateway.http1 import (
     CallerConnection,
     Fetcher,
@@ -32,12 +42,12 @@
     address: str
     data_centre: str
     leaving: bool
-    incarnation: int
+    incarnation: Count
     accelerator: str
-    start: int
-    stop: int
-    version: int
-    slots: int
+    start: Layer
+    stop: Layer
+    version: Integer
+    slots: Count
 
 
 class ConfigurationCopy(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -50,10 +60,10 @@
     :param reissued_in: generation of the last reissue that the peer knows, or 0.
     """
 
-    revision: int
+    revision: Count
     document: bytes
-    read_in: int = 0
-    reissued_in: int = 0
+    read_in: Count = 0
+    reissued_in: Count = 0
 
 
 class ServersCopy(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -66,9 +76,9 @@
         store stay in the list.
     """
 
-    age: float
+    age: Age
     records: tuple[_ServerRecord, ...]
-    grace: float = 0.0
+    grace: Amount = 0.0
 
     def servers(self) -> dict[str, Server]:
         """
@@ -80,6 +90,8 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
+_configuration_decoder = ItemwiseDecoder(ConfigurationCopy, codec=msgspec.msgpack)
+_servers_decoder = ItemwiseDecoder(ServersCopy, codec=msgspec.msgpack)
 _Copy = TypeVar("_Copy")
 
 
@@ -177,7 +189,7 @@
         :param address: address of the peer, `host:port`.
         :return: the copy, or None if the request failed or returned no valid copy.
         """
-        return await self._fetch(address, CONFIGURATION_PATH, ConfigurationCopy)
+        return await self._fetch(address, CONFIGURATION_PATH, _configuration_decoder)
 
     async def fetch_servers(self, address: str) -> ServersCopy | None:
         """
@@ -186,19 +198,31 @@
         :param address: address of the peer, `host:port`.
         :return: the copy, or None if the request failed or returned no valid copy.
         """
-        return await self._fetch(address, SERVERS_PATH, ServersCopy)
+        return await self._fetch(address, SERVERS_PATH, _servers_decoder)
 
     async def _fetch(
-        self, address: str, path: str, copy_type: type[_Copy]
+        self, address: str, path: str, decoder: ItemwiseDecoder[_Copy]
     ) -> _Copy | None:
+        def skip(field: str, error: InvalidData) -> None:
+            logger.warning(
+                "ignored an invalid part of {} in {} of peer {}: {}",
+                field,
+                path,
+                address,
+                error,
+            )
+
         try:
             response = await self.fetcher.fetch(
                 address, "GET", path, timeout=FETCH_TIMEOUT_SECONDS
             )
             if response.status != 200:
                 return None
-            return msgspec.msgpack.decode(response.body, type=copy_type)
-        except (FetchFailed, msgspec.MsgspecError):
+            return decoder.decode(response.body, skip)
+        except FetchFailed:
+            return None
+        except InvalidData as error:
+            logger.warning("ignored an invalid {} of peer {}: {}", path, address, error)
             return None
 
 
--- a/packages/gateway/tests/test_copies.py
+++ b/packages/gateway/tests/test_copies.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import msgspec
+import pytest
 from engines import layer_range, server
 
 from kumquatway_fakes import free_address
@@ -11,6 +13,7 @@
 from kumquatway_gateway.peers import CopyClient, CopyServer
 
 DOCUMENT = b"x" * 20_000
+NESTED = b"\x91" * 5000
 
 
 class _Peer:
@@ -78,3 +81,41 @@
             assert await client.fetch_servers(peer.address) is None
 
         run_scenario(scenario)
+
+
+class TestInvalidCopy:
+    """One invalid record of a peer's list cost the whole list."""
+
+    def _fetch(self, copy: object):
+        found = []
+
+        async def scenario(peer, client):
+            data = msgspec.msgpack.encode(copy) if copy is not NESTED else NESTED
+            peer.copy_server.handle = lambda caller, incoming: caller.respond(
+                200, [], data, keep_alive=True
+            )
+            found.append(await client.fetch_servers(peer.address))
+
+        run_scenario(scenario)
+        return found[0]
+
+    @pytest.mark.parametrize(
+        "record",
+        [
+            None,
+            [],
+            ["s2", "model", "x:1", "a", False, 2**64 - 1, "big", 0, 10, 1, 8],
+            ["s2", "model", "x:1", "a", False, 1, "big", 0, 2**40, 1, 8],
+        ],
+    )
+    def test_the_other_servers_hold(self, record):
+        sound = ["s1", "model", "x:1", "a", False, 1, "big", 0, 10, 1, 8]
+        copy = self._fetch([0.5, [record, sound], 0.0])
+        assert list(copy.servers()) == ["s1"]
+
+    @pytest.mark.parametrize("age", [-1.0, float("nan")])
+    def test_an_age_that_is_none(self, age):
+        assert self._fetch([age, [], 0.0]) is None
+
+    def test_nesting_raises_nothing(self):
+        assert self._fetch(NESTED) is None
