--- a/packages/gateway/src/kumquatway_gateway/quarantine/_blocks.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_blocks.py
@@ -63,7 +63,8 @@
 
     :param trials: number of trials before.
     """
-    return min(MAX_TRIAL_SECONDS, FIRST_TRIAL_SECONDS * TRIAL_FACTOR**trials)
+    doublings = min(trials, MAX_TRIALS)  # a peer or a row may name any number
+    return min(MAX_TRIAL_SECONDS, FIRST_TRIAL_SECONDS * TRIAL_FACTOR**doublings)
 
 
 class Blocks:
