Decode everything that other processes write with one decoder, and skip one unreadable row

Bytes that nest too deep raised RecursionError in rows of claims, leases and revisions, in replies of engines, lists and refusals of the platform: each ended the task that read them. Change: kumquatway_core.decoding in all of them; UnreadableRow tells a row from a store that fails.

--- a/packages/core/src/kumquatway_core/claims/_claims.py
+++ b/packages/core/src/kumquatway_core/claims/_claims.py
@@ -34,7 +34,8 @@
     object_name,
     row_key,
 )
-from kumquatway_core.exceptions import PlatformError
+from kumquatway_core.decoding import Decoder
+from kumquatway_core.exceptions import InvalidData, PlatformError, UnreadableRow
 from kumquatway_core.platform import (
     ABSENT,
     UNKNOWN_GENERATION,
@@ -60,7 +61,7 @@
 RESTORING = "the store came back from an older copy; its claims are written again"
 
 _encoder = msgspec.msgpack.Encoder()
-_answer_decoder = msgspec.msgpack.Decoder(Answer)
+_answer_decoder = Decoder(Answer, codec=msgspec.msgpack)
 
 
 def new_id() -> str:
@@ -201,6 +202,9 @@
         for pending_key, pending in list(self.pending_writes.items()):
             try:
                 done = await self._flush(pending)
+            except UnreadableRow as error:
+                logger.error("claim {}: {}", pending.table_key.key, error)
+                continue
             except PlatformError:
                 break
             if done:
@@ -298,7 +302,7 @@
             return _refuse_answer_gone(holder)
         try:
             return Finished(answer=_answer_decoder.decode(data))
-        except msgspec.MsgspecError as error:
+        except InvalidData as error:
             # The store's response may have been cut; the object may still be whole.
             detail = f"object {holder.answer_object} cannot be decoded: {error}"
             return _refuse_answer_unavailable(holder, detail)
--- a/packages/core/src/kumquatway_core/claims/_rows.py
+++ b/packages/core/src/kumquatway_core/claims/_rows.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from kumquatway_core.exceptions import PlatformError
+from kumquatway_core.decoding import Amount, Decoder, parse_count
+from kumquatway_core.exceptions import InvalidData, UnreadableRow
 
 TABLE = "claims"
 KEY_DIGEST_BYTES = 20
@@ -62,13 +63,13 @@
     attempt: str
     token: str
     upstream: str
-    claimed_at: float
+    claimed_at: Amount
     answer: Answer | None = None
     answer_object: str = ""
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(ClaimRow)
+_decoder = Decoder(ClaimRow, codec=msgspec.msgpack)
 
 
 def row_key(account: str, key: str) -> str:
@@ -104,7 +105,10 @@
     :raises ValueError: if the name is not the name of a claim's object.
     """
     hour = name.removeprefix(OBJECT_PREFIX).split("/")[0]
-    return (int(hour) + 1) * HOUR_SECONDS
+    number = parse_count(hour.encode())
+    if number is None:
+        raise ValueError(f"{name!r} is not the name of a claim's object")
+    return (number + 1) * HOUR_SECONDS
 
 
 def encode_row(row: ClaimRow) -> bytes:
@@ -123,9 +127,9 @@
 
     :param value: value of the row.
     :return: decoded claim.
-    :raises PlatformError: if the value is not a claim.
+    :raises UnreadableRow: if the value is not a claim.
     """
     try:
         return _decoder.decode(value)
-    except msgspec.MsgspecError as error:
-        raise PlatformError(f"cannot decode a row of table {TABLE}: {error}") from error
+    except InvalidData as error:
+        raise UnreadableRow(f"cannot decode a row of table {TABLE}: {error}") from error
--- a/packages/core/src/kumquatway_core/claims/_sweep.py
+++ b/packages/core/src/kumquatway_core/claims/_sweep.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from kumquatway_core.claims._rows import OBJECT_PREFIX, TABLE, decode_row, hour_end
-from kumquatway_core.exceptions import Conflict, PlatformError
+from kumquatway_core.exceptions import Conflict, PlatformError, UnreadableRow
 from kumquatway_core.leases import Lease
 from kumquatway_core.platform import (
     Expectation,
@@ -90,7 +90,7 @@
     def _is_expired(self, row: Row) -> bool:
         try:
             claimed_at = decode_row(row.value).claimed_at
-        except PlatformError:
+        except UnreadableRow:
             return False  # written by a later release, whose sweeper deletes it
         return self._is_past_retention(claimed_at)
 
@@ -109,7 +109,12 @@
 
     async def _delete_objects(self) -> None:
         for name in await self.objects.list_names(OBJECT_PREFIX, limit=PAGE_ROWS):
-            if not self._is_past_retention(hour_end(name)):
+            try:
+                end = hour_end(name)
+            except ValueError as error:
+                logger.warning("an object among those of claims is kept: {}", error)
+                continue
+            if not self._is_past_retention(end):
                 break
             await self.objects.delete(name)
 
--- a/packages/core/src/kumquatway_core/decoding.py
+++ b/packages/core/src/kumquatway_core/decoding.py
@@ -5,6 +5,7 @@
 The number types leave out what cannot be encoded again or compared.
 """
 
+import functools
 from collections.abc import Callable
 from types import ModuleType
 from typing import Annotated, Generic, TypeVar, get_args, get_origin, get_type_hints
@@ -99,6 +100,24 @@
             raise InvalidData(str(error)) from error
 
 
+def decode(data: bytes, kind: type[T], *, codec: ModuleType) -> T:
+    """
+    Decode data of a type that only the caller knows.
+
+    :param data: any bytes.
+    :param kind: the expected type.
+    :param codec: `msgspec.json` or `msgspec.msgpack`.
+    :return: an instance of the type.
+    :raises InvalidData: if the bytes are not one.
+    """
+    return _decoder(kind, codec).decode(data)
+
+
+@functools.cache
+def _decoder(kind: type[T], codec: ModuleType) -> Decoder[T]:
+    return Decoder(kind, codec=codec)
+
+
 class ItemwiseDecoder(Generic[T]):
     """
     Decodes a struct, and leaves out those items of its collections that are invalid.
--- a/packages/core/src/kumquatway_core/engine/_client.py
+++ b/packages/core/src/kumquatway_core/engine/_client.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from kumquatway_core import Reason, Verdict, may_have_run, not_run
+from kumquatway_core.decoding import decode
 from kumquatway_core.engine._messages import (
     EngineOrder,
     EngineOrderReply,
@@ -15,6 +16,7 @@
     StepReply,
     StepRequest,
 )
+from kumquatway_core.exceptions import InvalidData
 from kumquatway_core.http import LIMIT_EXTENSION, open_transport
 
 CONNECT_TIMEOUT = 1.0  # seconds
@@ -164,7 +166,8 @@
             with anyio.fail_after(limits.total):
                 response = await self._send(method, path, data, limits)
                 if response.status_code == httpx.codes.OK:
-                    return msgspec.msgpack.decode(await response.aread(), type=kind)
+                    data = await response.aread()
+                    return decode(data, kind, codec=msgspec.msgpack)
                 await response.aclose()
             detail = f"engine answered {path} with {response.status_code}"
             verdict = may_have_run(Reason.UPSTREAM_ERROR, detail)
@@ -174,7 +177,7 @@
             verdict = may_have_run(Reason.SILENCE, f"engine call {path}: {error!r}")
         except httpx.HTTPError as error:
             verdict = may_have_run(Reason.RESET, f"engine call {path}: {error!r}")
-        except msgspec.MsgspecError as error:
+        except InvalidData as error:
             verdict = may_have_run(
                 Reason.UPSTREAM_ERROR, f"engine call {path}: {error}"
             )
--- a/packages/core/src/kumquatway_core/events/_codec.py
+++ b/packages/core/src/kumquatway_core/events/_codec.py
@@ -4,11 +4,12 @@
 
 import msgspec
 
+from kumquatway_core.decoding import Decoder
 from kumquatway_core.events._journal import Page
-from kumquatway_core.exceptions import WireError
+from kumquatway_core.exceptions import InvalidData, WireError
 
 _encoder = msgspec.json.Encoder()
-_decoder = msgspec.json.Decoder(Page)
+_decoder = Decoder(Page, codec=msgspec.json)
 
 
 def encode_page(page: Page) -> bytes:
@@ -31,5 +32,5 @@
     """
     try:
         return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except InvalidData as error:
         raise WireError(f"invalid page of events: {error}") from error
--- a/packages/core/src/kumquatway_core/exceptions.py
+++ b/packages/core/src/kumquatway_core/exceptions.py
@@ -25,6 +25,10 @@
     """The call may have taken effect, but its response did not arrive."""
 
 
+class UnreadableRow(PlatformError):
+    """The store served a row that cannot be decoded; other rows may be sound."""
+
+
 class Conflict(PlatformError):
     """
     A compare-and-swap found a different revision than expected.
--- a/packages/core/src/kumquatway_core/leases/_lease.py
+++ b/packages/core/src/kumquatway_core/leases/_lease.py
@@ -12,7 +12,13 @@
 
 import msgspec
 
-from kumquatway_core.exceptions import Conflict, PlatformError
+from kumquatway_core.decoding import Decoder
+from kumquatway_core.exceptions import (
+    Conflict,
+    InvalidData,
+    PlatformError,
+    UnreadableRow,
+)
 from kumquatway_core.platform import (
     ABSENT,
     FIRST_GENERATION,
@@ -76,7 +82,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(LeaseRow)
+_decoder = Decoder(LeaseRow, codec=msgspec.msgpack)
 
 
 class Lease:
@@ -337,5 +343,5 @@
         return None
     try:
         return _decoder.decode(row.value)
-    except msgspec.MsgspecError as error:
-        raise PlatformError(f"cannot decode lease {row.key}: {error}") from error
+    except InvalidData as error:
+        raise UnreadableRow(f"cannot decode lease {row.key}: {error}") from error
--- a/packages/core/src/kumquatway_core/platform/_channel.py
+++ b/packages/core/src/kumquatway_core/platform/_channel.py
@@ -8,12 +8,14 @@
 import time
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import TypeVar
 
 import anyio
 import httpx
 import msgspec
 
-from kumquatway_core.exceptions import PlatformUnavailable, ResponseLost
+from kumquatway_core.decoding import Decoder
+from kumquatway_core.exceptions import InvalidData, PlatformUnavailable, ResponseLost
 from kumquatway_core.http import open_client
 from kumquatway_core.platform._messages import Refusal
 
@@ -24,8 +26,9 @@
 MAX_CONNECTIONS = 16
 MEDIA_TYPE = "application/msgpack"
 
-_refusal_decoder = msgspec.msgpack.Decoder(Refusal)
+_refusal_decoder = Decoder(Refusal, codec=msgspec.msgpack)
 
+T = TypeVar("T")
 TransportFactory = Callable[[], httpx.AsyncBaseTransport]
 
 
@@ -202,13 +205,13 @@
     """
     try:
         return PlatformUnavailable(_refusal_decoder.decode(response.content).detail)
-    except msgspec.MsgspecError:
+    except InvalidData:
         return ResponseLost(
             "status 503 without a refusal of the service, perhaps from a proxy"
         )
 
 
-def decode_body(decoder: msgspec.msgpack.Decoder | msgspec.json.Decoder, data: bytes):
+def decode_body(decoder: Decoder[T], data: bytes) -> T:
     """
     Decode the body of a response.
 
@@ -219,5 +222,5 @@
     """
     try:
         return decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except InvalidData as error:
         raise ResponseLost(f"invalid response body: {error}") from error
--- a/packages/core/src/kumquatway_core/platform/_objects.py
+++ b/packages/core/src/kumquatway_core/platform/_objects.py
@@ -5,11 +5,12 @@
 
 import msgspec
 
+from kumquatway_core.decoding import Decoder
 from kumquatway_core.exceptions import ResponseLost
 from kumquatway_core.platform._channel import Channel, decode_body
 from kumquatway_core.platform._messages import ObjectNames
 
-_names_decoder = msgspec.msgpack.Decoder(ObjectNames)
+_names_decoder = Decoder(ObjectNames, codec=msgspec.msgpack)
 
 
 class Objects:
--- a/packages/core/src/kumquatway_core/platform/_table.py
+++ b/packages/core/src/kumquatway_core/platform/_table.py
@@ -5,6 +5,7 @@
 import httpx
 import msgspec
 
+from kumquatway_core.decoding import Decoder, parse_count
 from kumquatway_core.exceptions import Conflict, ResponseLost
 from kumquatway_core.platform._channel import Channel, decode_body
 from kumquatway_core.platform._generation import (
@@ -24,9 +25,9 @@
 )
 
 _encoder = msgspec.msgpack.Encoder()
-_rows_decoder = msgspec.msgpack.Decoder(Rows)
-_committed_decoder = msgspec.msgpack.Decoder(Committed)
-_conflicts_decoder = msgspec.msgpack.Decoder(Conflicts)
+_rows_decoder = Decoder(Rows, codec=msgspec.msgpack)
+_committed_decoder = Decoder(Committed, codec=msgspec.msgpack)
+_conflicts_decoder = Decoder(Conflicts, codec=msgspec.msgpack)
 
 
 class Table:
@@ -109,7 +110,8 @@
 
     def _observe(self, response: httpx.Response) -> None:
         value = response.headers.get(GENERATION_HEADER, "")
-        self.generations.observe(int(value) if value.isdigit() else UNKNOWN_GENERATION)
+        number = parse_count(value.encode())
+        self.generations.observe(UNKNOWN_GENERATION if number is None else number)
 
 
 def _expect_ok(status: int) -> None:
--- a/packages/core/src/kumquatway_core/platform/_vms.py
+++ b/packages/core/src/kumquatway_core/platform/_vms.py
@@ -4,11 +4,12 @@
 
 import msgspec
 
+from kumquatway_core.decoding import Decoder
 from kumquatway_core.exceptions import ResponseLost
 from kumquatway_core.platform._channel import Channel, decode_body
 from kumquatway_core.platform._messages import VMs
 
-_vms_decoder = msgspec.json.Decoder(VMs)
+_vms_decoder = Decoder(VMs, codec=msgspec.json)
 
 
 class VMList:
--- a/packages/core/src/kumquatway_core/revisions/_revisions.py
+++ b/packages/core/src/kumquatway_core/revisions/_revisions.py
@@ -9,8 +9,14 @@
 
 import anyio
 import msgspec
+from loguru import logger
 
-from kumquatway_core.exceptions import Conflict, PlatformError, ResponseLost
+from kumquatway_core.exceptions import (
+    Conflict,
+    PlatformError,
+    ResponseLost,
+    UnreadableRow,
+)
 from kumquatway_core.platform import (
     ABSENT,
     UNKNOWN_GENERATION,
@@ -207,7 +213,7 @@
         """
         last = audit_key(after).key
         rows = await self.table.scan(AUDIT_TABLE, after=last, limit=limit)
-        return tuple(decode_value(AuditRecord, row.value) for row in rows)
+        return tuple(record for row in rows for record in _decode_record(row))
 
     def _make_revision(self, text: str, number: int, author: str) -> Revision:
         head = Head(
@@ -278,6 +284,15 @@
     return next((row for row in rows if row.key == key), None)
 
 
+def _decode_record(row: Row) -> tuple[AuditRecord, ...]:
+    """Return the record of a row in a tuple, which is empty if it is unreadable."""
+    try:
+        return (decode_value(AuditRecord, row.value),)
+    except UnreadableRow as error:
+        logger.warning("record {} of the audit trail is left out: {}", row.key, error)
+        return ()
+
+
 def _build_transaction(doubt: InDoubt) -> Transaction:
     """Build the transaction of an edit; it deletes audit records over the limit."""
     head = doubt.revision.head
--- a/packages/core/src/kumquatway_core/revisions/_rows.py
+++ b/packages/core/src/kumquatway_core/revisions/_rows.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from kumquatway_core.exceptions import PlatformError
+from kumquatway_core.decoding import decode
+from kumquatway_core.exceptions import InvalidData, UnreadableRow
 from kumquatway_core.platform import Key
 
 TABLE = "configuration"
@@ -122,11 +123,11 @@
     :param row_type: expected type.
     :param value: value of the row.
     :return: instance of `row_type`.
-    :raises PlatformError: if the value is not of that type.
+    :raises UnreadableRow: if the value is not of that type.
     """
     try:
-        return msgspec.msgpack.decode(value, type=row_type)
-    except msgspec.MsgspecError as error:
-        raise PlatformError(
+        return decode(value, row_type, codec=msgspec.msgpack)
+    except InvalidData as error:
+        raise UnreadableRow(
             f"cannot decode a row as {row_type.__name__}: {error}"
         ) from error
--- a/packages/core/src/kumquatway_core/wire/_codec.py
+++ b/packages/core/src/kumquatway_core/wire/_codec.py
@@ -6,13 +6,14 @@
 
 import msgspec
 
-from kumquatway_core.exceptions import WireError
+from kumquatway_core.decoding import Decoder
+from kumquatway_core.exceptions import InvalidData, WireError
 from kumquatway_core.wire._messages import Message
 
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Message)
+_decoder = Decoder(Message, codec=msgspec.msgpack)
 
 
 def encode(message: Message) -> bytes:
@@ -39,5 +40,5 @@
         )
     try:
         return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except InvalidData as error:
         raise WireError(f"invalid message: {error}") from error
--- a/packages/core/tests/test_claims.py
+++ b/packages/core/tests/test_claims.py
@@ -320,6 +320,22 @@
 
         self.run(scenario)
 
+    @pytest.mark.parametrize("data", [b"\xc1", b"\x91" * 5000])
+    def test_an_unreadable_row_holds_up_no_pending_write_of_other_keys(self, data):
+        async def scenario():
+            self.set_faults(lose_next=9)
+            await claim(self.a, "1")
+            await claim(self.a, "2", key="k2")
+            self.set_faults()
+            unreadable = Put(
+                table=_rows.TABLE, key=_rows.row_key("vinoteca", "k1"), value=data
+            )
+            await self.platform.table.commit(Transaction(puts=(unreadable,)))
+            assert await self.a.flush_pending_writes() == 1
+            assert self.platform.row("k2").state is ClaimState.RELEASED
+
+        self.run(scenario)
+
     def test_a_stored_answer_that_arrives_cut_is_not_gone(self):
         large = Answer(status=200, body=b"x" * (_claims.MAX_INLINE_BYTES + 1))
 
@@ -374,6 +390,23 @@
 
         anyio.run(main)
 
+    @pytest.mark.parametrize("hour", ["", "x", "\xb2", "9" * 5000])
+    def test_an_object_without_an_hour_keeps_no_other_one(self, hour):
+        platform = _Platform()
+        lease = Lease(table=platform.table, name="sweep", holder="a")
+        sweep = ClaimSweeper(
+            table=platform.table,
+            objects=platform.objects,
+            lease=lease,
+            clock=lambda: platform.now,
+        )
+        stray = f"{_rows.OBJECT_PREFIX}{hour}/k/t"
+        expired = f"{_rows.OBJECT_PREFIX}{0:0{_rows.HOUR_DIGITS}}/k/t"
+        platform.store.objects |= {stray: b"", expired: b""}
+        platform.now = 2 * RETENTION_SECONDS
+        anyio.run(sweep.sweep_page)
+        assert list(platform.store.objects) == [stray]
+
     def test_an_answer_without_a_row_is_deleted_by_its_hour(self):
         platform = _Platform()
         entry = platform.entry()
--- a/packages/core/tests/test_leases.py
+++ b/packages/core/tests/test_leases.py
@@ -8,10 +8,14 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from kumquatway_core.exceptions import PlatformUnavailable, ResponseLost
+from kumquatway_core.exceptions import PlatformUnavailable, ResponseLost, UnreadableRow
 from kumquatway_core.leases import Fence, Lease, StaleNumber, read_lease
-from kumquatway_core.leases._lease import MAX_CLOCK_DRIFT, NUMBERS_PER_GENERATION
-from kumquatway_core.platform import UNKNOWN_GENERATION, Channel, Table
+from kumquatway_core.leases._lease import (
+    MAX_CLOCK_DRIFT,
+    NUMBERS_PER_GENERATION,
+    _decode_row,
+)
+from kumquatway_core.platform import UNKNOWN_GENERATION, Channel, Row, Table
 from kumquatway_fakes import Faults, TableService
 
 DURATION = 10.0
@@ -178,6 +182,16 @@
         assert self.contenders.acquire_or_renew("b")
 
 
+class TestUnreadableLease:
+    """A row that nests too deep raised an error that no holder expects."""
+
+    @pytest.mark.parametrize("data", [b"", b"\x91" * 5000])
+    def test_is_an_error_of_the_row(self, data):
+        row = Row(table="leases", key="x", value=data, revision=1)
+        with pytest.raises(UnreadableRow):
+            _decode_row(row)
+
+
 class TestStoreThatComesBackOlder:
     """A store that loses what it acknowledged, and gives out revisions again."""
 
--- a/packages/core/tests/test_revisions.py
+++ b/packages/core/tests/test_revisions.py
@@ -5,11 +5,12 @@
 
 import anyio
 import httpx
+import pytest
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from kumquatway_core.exceptions import PlatformUnavailable, ResponseLost
-from kumquatway_core.platform import Channel, Table
+from kumquatway_core.platform import Channel, Put, Table, Transaction
 from kumquatway_core.revisions import (
     Accepted,
     InDoubt,
@@ -114,6 +115,16 @@
         records = anyio.run(self.revisions.audit)
         assert [record.head.number for record in records] == [3, 4]
 
+    @pytest.mark.parametrize("data", [b"", b"\x91" * 5000])
+    def test_an_unreadable_record_costs_no_other_one(self, data):
+        self.propose("one")
+        self.propose("two", 1)
+        key = _rows.audit_key(1)
+        put = Put(table=key.table, key=key.key, value=data)
+        anyio.run(self.revisions.table.commit, Transaction(puts=(put,)))
+        records = anyio.run(self.revisions.audit)
+        assert [record.head.number for record in records] == [2]
+
 
 class TestReplica:
     """The current revision on a process."""
--- a/packages/entry/src/kumquatway/_cli/_client.py
+++ b/packages/entry/src/kumquatway/_cli/_client.py
@@ -11,8 +11,9 @@
 import msgspec
 
 from kumquatway.admin import EditView, StatusView
+from kumquatway_core.decoding import decode
 from kumquatway_core.events import Page, Record, decode_page
-from kumquatway_core.exceptions import KumquatwayError, WireError
+from kumquatway_core.exceptions import InvalidData, KumquatwayError, WireError
 
 ADMIN_VARIABLE = "KUMQUATWAY_ADMIN"
 ADMIN_KEY_VARIABLE = "KUMQUATWAY_ADMIN_KEY"
@@ -139,8 +140,8 @@
 
 def _decode(data: bytes, kind: type[View]) -> View:
     try:
-        return msgspec.json.decode(data, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decode(data, kind, codec=msgspec.json)
+    except InvalidData as error:
         raise AdminFailure(f"not an answer of the admin API: {error}") from error
 
 
--- a/packages/entry/src/kumquatway/api/_models.py
+++ b/packages/entry/src/kumquatway/api/_models.py
@@ -25,7 +25,9 @@
 )
 from kumquatway.streams import Ask
 from kumquatway_core import RAN, VERDICT_HEADER, Reason, Verdict, not_run
+from kumquatway_core.decoding import decode
 from kumquatway_core.events import Refused, RequestStarted
+from kumquatway_core.exceptions import InvalidData
 from kumquatway_core.text import Priority
 from kumquatway_core.wire import TOKEN_BYTES
 
@@ -133,8 +135,8 @@
     if verdict is not None:
         return verdict
     try:
-        return msgspec.json.decode(body, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        return decode(body, kind, codec=msgspec.json)
+    except InvalidData as error:
         return bad_request(str(error))
 
 
--- a/packages/entry/src/kumquatway/configuration/_configuration.py
+++ b/packages/entry/src/kumquatway/configuration/_configuration.py
@@ -12,7 +12,9 @@
 from loguru import logger
 
 from kumquatway.configuration._parser import Parser
+from kumquatway_core.decoding import decode
 from kumquatway_core.events import ConfigurationChanged, Event
+from kumquatway_core.exceptions import InvalidData
 from kumquatway_core.revisions import (
     Accepted,
     EditResult,
@@ -171,10 +173,17 @@
         if copy.number <= self.number():
             return
         try:
-            revision = msgspec.msgpack.decode(copy.data, type=Revision)
-        except msgspec.MsgspecError as error:
+            revision = decode(copy.data, Revision, codec=msgspec.msgpack)
+        except InvalidData as error:
             logger.warning("a copy of revision {} is broken: {}", copy.number, error)
             return
+        if revision.number != copy.number:
+            logger.warning(
+                "a copy of revision {} says that it is revision {}",
+                copy.number,
+                revision.number,
+            )
+            return
         self.copies[revision.number] = revision
         self._offered.set()
 
--- a/packages/entry/src/kumquatway/explain/_read.py
+++ b/packages/entry/src/kumquatway/explain/_read.py
@@ -8,9 +8,11 @@
 
 import msgspec
 
+from kumquatway_core.decoding import Decoder
 from kumquatway_core.events import Record
+from kumquatway_core.exceptions import InvalidData
 
-_decoder = msgspec.json.Decoder(Record)
+_decoder = Decoder(Record, codec=msgspec.json)
 
 
 def read_records(lines: Iterable[str]) -> tuple[Record, ...]:
@@ -27,6 +29,6 @@
             continue
         try:
             found.append(_decoder.decode(line[start:]))
-        except msgspec.MsgspecError:
+        except InvalidData:
             continue
     return tuple(sorted(found, key=lambda one: (one.clock, one.process)))
