Accept after SIGTERM only what ends before the exit under the load of its chain

A plain answer of 12 MB was cut over a slow link; a request to a silent server ended with a closed connection. Cause: whether there is time was decided once, by the time of a usual request on an idle chain and 0.5 s for plain requests. Not counted: other streams and their prompts on the chain, the queue, retries, servers slower than estimated, and what the caller has yet to take; the exit waited for handlers, not for bytes. Change: the decision is taken for the chain at the moment of dispatch, and again while a request waits (ModelRouter._ends_in_time): the estimate counts the load of the chain, and is scaled by how much longer than estimated requests took lately (mean and four deviations, until the last byte left). Plain requests: the same over the measured durations of their route. What would end too late is refused at once as not run; what has begun goes on. The exit waits for unsent bytes, and 0.35 s longer than what is promised; what then has no answer gets 504, may have run.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -54,7 +54,10 @@
 SWEEP_SECONDS = 1.0  # between sweeps of idle connections
 # A little more than two failed readiness checks of the load balancer.
 OUT_OF_ROTATION_SECONDS = 2.8
-EXIT_SECONDS = 0.7  # part of the shutdown grace, reserved for the exit of the process
+# Parts of the shutdown grace at its end: in the first, accepted requests are to end,
+# and in the second only those that take longer than expected.
+MARGIN_SECONDS = 0.7
+EXIT_SECONDS = 0.3  # for the process to end
 DRAIN_CHECK_SECONDS = 0.05  # between checks for requests in progress
 LAST_REQUEST_SECONDS = 0.1  # for the first bytes on connections that were accepted last
 LAST_RESPONSE_SECONDS = 0.05  # for the last responses to leave
@@ -154,6 +157,8 @@
         self.started_at = clock()
         self.incarnation = new_incarnation()
         self.stopping = asyncio.Event()
+        # While it drains, once only requests keep it from its exit.
+        self.is_out_of_rotation = False
         self.fleet = Fleet(emit=emit, clock=clock)
         self.health_checker = HealthChecker(
             fleet=self.fleet,
@@ -352,16 +357,20 @@
         rotation, the load balancer sends callers to all of them, ready or not.
         """
         started = self.clock()
-        deadline = started + self.settings.shutdown_grace - EXIT_SECONDS
+        end = started + self.settings.shutdown_grace
+        self.relay.begin_shutdown(end - MARGIN_SECONDS)
         self.caller_listener.drain()
         await self.placer.release()
-        await asyncio.sleep(max(0.0, started + OUT_OF_ROTATION_SECONDS - self.clock()))
-        self.relay.shutdown_at = deadline
+        deadline = end - EXIT_SECONDS - LAST_RESPONSE_SECONDS
+        leaves_at = min(started + OUT_OF_ROTATION_SECONDS, deadline)
+        await asyncio.sleep(max(0.0, leaves_at - self.clock()))
+        self.is_out_of_rotation = True
         await self._finish_requests(deadline)
         self.caller_listener.close()
         # A connection that was accepted just before has yet to send its request.
         await asyncio.sleep(LAST_REQUEST_SECONDS)
         await self._finish_requests(deadline)
+        self.relay.end_requests()
         self.caller_listener.close_when_idle()
         await asyncio.sleep(LAST_RESPONSE_SECONDS)
 
--- a/packages/gateway/src/kumquatway_gateway/chains/_pass_time.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_pass_time.py
@@ -24,6 +24,16 @@
     layers: int
     slowdown: float
 
+    def step_factor(self, engine: Engine) -> float:
+        """Return the time of its part of a step, in steps of one reference server."""
+        kind = self.accelerator or REFERENCE
+        return kind.step_factor * self.slowdown * self.layers / engine.layers
+
+    def prefill_factor(self, engine: Engine) -> float:
+        """Return the time of its part of a prefill, in those of a reference server."""
+        kind = self.accelerator or REFERENCE
+        return kind.prefill_factor * self.slowdown * self.layers / engine.layers
+
 
 def longest_pass_seconds(
     engine: Engine, stages: Iterable[StageShare], tokens: float
@@ -48,9 +58,9 @@
         + tokens * timings.seconds_per_context_token
     )
     prefill_seconds = timings.prefill_chunk_tokens / timings.prefill_tokens_per_second
-    step_seconds = 0.0
-    for stage in stages:
-        kind = stage.accelerator or REFERENCE
-        work = decode_seconds * kind.step_factor + prefill_seconds * kind.prefill_factor
-        step_seconds += work * stage.slowdown * stage.layers / engine.layers
+    step_seconds = sum(
+        decode_seconds * stage.step_factor(engine)
+        + prefill_seconds * stage.prefill_factor(engine)
+        for stage in stages
+    )
     return timings.steps_per_pass * step_seconds
--- a/packages/gateway/src/kumquatway_gateway/chains/_paths.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_paths.py
@@ -63,6 +63,9 @@
     :param prefill_seconds: estimated time to prefill an average prompt.
     :param crossings: number of hops between data centres.
     :param pass_seconds: estimated longest time without an event on any stream.
+    :param step_factor: how many times longer a step takes than on one reference server.
+    :param prefill_factor: the same for prefill.
+    :param hop_seconds: time between servers in one step.
     """
 
     stages: tuple[Stage, ...]
@@ -71,6 +74,9 @@
     prefill_seconds: float
     crossings: int
     pass_seconds: float = 0.0
+    step_factor: float = 1.0
+    prefill_factor: float = 1.0
+    hop_seconds: float = 0.0
 
     @property
     def first_server(self) -> Server:
@@ -355,26 +361,30 @@
         return None
     centres = [stage.server.data_centre for stage in stages]
     tokens = min(engine.max_kv_tokens, *(stage.token_capacity for stage in stages))
+    hop_seconds = _hop_seconds(stages)
     return Chain(
         stages=tuple(stages),
         token_capacity=tokens,
         pass_seconds=longest_pass_seconds(engine, shares, tokens)
-        + _hop_seconds(engine, stages),
+        + engine.timings.steps_per_pass * hop_seconds,
+        step_factor=sum(share.step_factor(engine) for share in shares),
+        prefill_factor=sum(share.prefill_factor(engine) for share in shares),
+        hop_seconds=hop_seconds,
         request_seconds=last.cost - _start_cost(first),
         prefill_seconds=prefill_seconds,
         crossings=sum(a != b for a, b in zip(centres, centres[1:], strict=False)),
     )
 
 
-def _hop_seconds(engine: Engine, stages: list[Stage]) -> float:
-    """Return the time between servers in one pass."""
+def _hop_seconds(stages: list[Stage]) -> float:
+    """Return the time between servers in one step."""
     seconds = 0.0
     for sender, receiver in zip(stages, stages[1:], strict=False):
         if sender.server.data_centre == receiver.server.data_centre:
             seconds += HOP_SECONDS
         else:
             seconds += CROSSING_SECONDS
-    return engine.timings.steps_per_pass * seconds
+    return seconds
 
 
 def _stage_capacity(
--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -18,6 +18,7 @@
 
 from kumquatway_gateway.http1._headers import Field, Headers, render_response
 
+FLUSH_CHECK_SECONDS = 0.02  # between looks at what a slow caller has yet to take
 MAX_PIPELINED_REQUESTS = 4  # queued on a connection before reading is paused
 
 
@@ -89,6 +90,7 @@
         self.wakeup = asyncio.Event()
         self.lost = False
         self.busy = False
+        self.flushing = False  # the response is complete, and has yet to leave
         self.accepts_chunked = True  # for the request in progress
         self.closing = False  # close after the request in progress
         self.draining = False  # close after the next response
@@ -106,9 +108,9 @@
 
     @property
     def is_unfinished(self) -> bool:
-        """Whether a request is being read, waits or is in progress."""
+        """Whether a request is being read or answered, or its answer leaves yet."""
         reading = self._reading_body or bool(self._head_started_at)
-        return self.busy or bool(self.pending) or reading
+        return self.busy or self.flushing or bool(self.pending) or reading
 
     # called by request handlers and by the listener
 
@@ -171,6 +173,27 @@
         else:
             self._reset_on_close(False)
 
+    async def flush(self) -> None:
+        """
+        Wait until a response that was written has left.
+
+        A caller that takes nothing for the idle time of a connection is given up.
+        """
+        waited = 0.0
+        size = self._unsent_bytes()
+        self.flushing = True
+        while size:
+            await asyncio.sleep(FLUSH_CHECK_SECONDS)
+            before, size = size, self._unsent_bytes()
+            waited = 0.0 if size < before else waited + FLUSH_CHECK_SECONDS
+            if waited > self.limits().idle_seconds:
+                self.abort()
+                break
+        self.flushing = False
+
+    def _unsent_bytes(self) -> int:
+        return 0 if self.lost else self.transport.get_write_buffer_size()
+
     def abort(self) -> None:
         """Abort the connection, so that a truncated body cannot look complete."""
         self.closing = True
@@ -224,7 +247,7 @@
 
     def eof_received(self):
         """Treat a half-closed connection as a disconnect of the caller."""
-        if self.busy:
+        if self.busy and not self.flushing:
             # close() would first wait for buffered data to be sent, possibly forever.
             self.transport.abort()
         return False
@@ -233,7 +256,7 @@
         """Cancel the request in progress."""
         self.lost = True
         self.wakeup.set()
-        if self.busy and self.task is not None:
+        if self.busy and not self.flushing and self.task is not None:
             self.task.cancel()
 
     def pause_writing(self):
@@ -340,6 +363,7 @@
             self.on_flow_change = None
         if not incoming.keep_alive:
             self.closing = True
+        await self.flush()
 
     async def _next_request(self) -> IncomingRequest | RejectedRequest | None:
         while not self.pending:
@@ -437,7 +461,7 @@
 
     @property
     def unfinished_requests(self) -> int:
-        """Number of requests that are being read, wait or are in progress."""
+        """Number of requests that are being read or answered, see `is_unfinished`."""
         return sum(connection.is_unfinished for connection in self.connections)
 
     def _open(self) -> CallerConnection:
--- a/packages/gateway/src/kumquatway_gateway/relay/_job.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_job.py
@@ -2,6 +2,7 @@
 State that every request in progress has, on plain and on model services.
 """
 
+import asyncio
 import time
 from dataclasses import dataclass, field
 
@@ -20,6 +21,7 @@
     :param deadline: when the response must be complete, monotonic seconds.
     :param features: what the request may share with others that crash servers.
     :param is_trial: whether it is sent to one server although it is blocked.
+    :param timeout: ends the request at its deadline, or earlier at the exit.
     :param sent_to: IDs of the servers that the request was sent to, one for each
         attempt, in order.
     """
@@ -33,6 +35,7 @@
     deadline: float
     features: frozenset[str] = frozenset()
     is_trial: bool = False
+    timeout: asyncio.Timeout | None = None
     sent_to: list[str] = field(default_factory=list)
 
     @property
--- a/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from kumquatway_core.events import ChainsChanged, Event
 from kumquatway_gateway.chains import (
@@ -12,15 +12,19 @@
     Stage,
     choose_chain,
     find_chains,
+    loaded_request_seconds,
 )
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.limits import TRIAL_RATE
 from kumquatway_gateway.model import Engine, GenerationSize
+from kumquatway_gateway.relay._durations import Durations
 from kumquatway_gateway.waiting import AdmissionQueue, Waiter
 
 FIRST_EVENT_WEIGHT = 0.2  # of the newest time to the first event in the average
 FAILURE_WEIGHT = 0.3  # of the newest outcome in a chain's failure rate
 MIN_RATE_SHARE = 0.5  # least expected throughput, as a share of the chains' maximum
+NO_LOAD = ChainLoad()
+UNKNOWN_OUTPUT_FACTOR = 3.0  # of the mean output, the longest that is assumed
 STATISTICS_EXPIRY_SECONDS = 3.0  # after which first events and failures are ignored
 
 
@@ -77,9 +81,13 @@
             min_rate=self.min_token_rate,
             blocked_seconds=self.seconds_blocked,
             max_rate=self.max_token_rate,
-            max_tokens=self.max_waiting_tokens,
+            can_serve=self.can_serve,
             clock=clock,
         )
+        # Time by which requests that begin now have to end, by `clock`.
+        self.end_by = float("inf")
+        # Of the estimated durations, how many times longer requests took.
+        self.delays = Durations(mean=1.0, deviation=0.1)
         self._chains: tuple[Chain, ...] = ()
         self._generation = -1
         self._avoid_until = 0.0
@@ -122,6 +130,17 @@
         output_tokens = size.output_tokens_hint or self.engine.mean_output_tokens
         return size.prompt_tokens + min(size.max_output_tokens, output_tokens)
 
+    def token_counts(self, size: GenerationSize | None) -> tuple[float, float]:
+        """
+        Return the tokens of a request's prompt, and the most tokens of its answer.
+
+        :param size: size of the prompt and the output, or None where it is unknown.
+        """
+        if size is None:
+            longest = UNKNOWN_OUTPUT_FACTOR * self.engine.mean_output_tokens
+            return self.engine.mean_prompt_tokens, longest
+        return size.prompt_tokens, size.max_output_tokens
+
     def claim(
         self, waiter: Waiter, avoid: frozenset[str] = frozenset()
     ) -> Claim | None:
@@ -152,8 +171,13 @@
         hand, only the best one is asked for: the permits of the others would expire.
         """
         permits = self.fleet.permits
-        chains = [c for c in self.chains() if not self._seconds_exhausted(c)]
         loads = self.loads()
+        chains = [
+            chain
+            for chain in self.chains()
+            if not self._seconds_exhausted(chain)
+            and self._ends_in_time(chain, waiter, loads)
+        ]
         has_asked = False
         while chains:
             chain = choose_chain(
@@ -299,21 +323,85 @@
         recorded = self.first_event_seconds.get(chain.first_server.id)
         return recorded[0] if recorded else chain.prefill_seconds
 
-    def max_duration(self, output_tokens: int | None) -> float:
+    def estimate_seconds(
+        self, chain: Chain, waiter: Waiter, load: ChainLoad = NO_LOAD
+    ) -> float:
+        """
+        Estimate how long a request takes on a chain.
+
+        :param chain: the chain.
+        :param waiter: the request.
+        :param load: the chain's other requests, over all entries.
+        :return: seconds from sending it to the end of its answer.
+        """
+        return loaded_request_seconds(
+            self.engine,
+            chain,
+            load,
+            prompt_tokens=waiter.prompt_tokens,
+            output_tokens=waiter.max_output_tokens,
+        )
+
+    def estimate_claim(self, claim: Claim, load: ChainLoad) -> float:
+        """
+        Estimate how long a request takes on the chain that it claimed.
+
+        :param claim: its claim.
+        :param load: the chain's requests over all entries, this one among them.
+        :return: seconds.
+        """
+        others = replace(
+            load,
+            tokens=max(0.0, load.tokens - claim.waiter.tokens),
+            requests=max(0, load.requests - 1),
+        )
+        return self.estimate_seconds(claim.chain, claim.waiter, others)
+
+    def _ends_in_time(
+        self, chain: Chain, waiter: Waiter, loads: dict[str, ChainLoad]
+    ) -> bool:
+        """
+        Tell whether a request that begins on a chain now ends before the exit.
+
+        Load pattern: a rolling restart under load. Callers send their next requests on
+        connections that they keep open, while this entry finishes what it has. What it
+        accepts and cuts at its exit may have run; what it refuses is served elsewhere.
+        """
+        if not self._has_to_end(waiter):
+            return True
+        load = loads.get(chain.first_server.id, NO_LOAD)
+        seconds = self.estimate_seconds(chain, waiter, load)
+        delay = max(1.0, self.delays.upper_bound())
+        return self.clock() + seconds * delay < self.end_by
+
+    def _has_to_end(self, waiter: Waiter) -> bool:
+        """Tell whether a request is to end before this entry's exit."""
+        return not waiter.begun and self.end_by != float("inf")
+
+    def record_duration(self, estimate: float, seconds: float) -> None:
+        """
+        Record how long a request took that was estimated when it was sent.
+
+        :param estimate: seconds, as `estimate_seconds` returned them.
+        :param seconds: how long it took.
         """
-        Estimate the longest time that a request takes.
+        if estimate > 0:
+            self.delays.observe(seconds / estimate)
 
-        :param output_tokens: maximum of output tokens, or None where it is unknown.
-        :return: seconds; infinite if there is no chain.
+    def can_serve(self, waiter: Waiter) -> bool:
         """
-        tokens = (
-            self.engine.mean_output_tokens * 3
-            if output_tokens is None
-            else output_tokens
+        Tell whether a request can be served once others have ended.
+
+        :param waiter: the request.
+        :return: False if no chain can hold it, or it would not end before the exit.
+        """
+        chains = self.chains()
+        loads = self.loads() if self._has_to_end(waiter) else {}
+        return not chains or any(
+            waiter.tokens <= chain.token_capacity
+            and self._ends_in_time(chain, waiter, loads)
+            for chain in chains
         )
-        slowest = max((c.request_seconds for c in self.chains()), default=float("inf"))
-        ratio = tokens / max(1.0, self.engine.mean_output_tokens)
-        return slowest * max(1.0, ratio)
 
     def min_token_rate(self) -> float:
         """
@@ -342,16 +430,6 @@
             return float("inf")
         return sum(rates) * (self._own_share() or 1.0)
 
-    def max_waiting_tokens(self) -> float:
-        """
-        Return the size of the largest request that some chain can hold.
-
-        :return: tokens; infinite if there is no chain.
-        """
-        return max(
-            (chain.token_capacity for chain in self.chains()), default=float("inf")
-        )
-
     def _token_rate(self, chain: Chain) -> float:
         """Estimate the throughput of a chain, tokens per second."""
         return min(
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -21,12 +21,14 @@
 from kumquatway_gateway.model import Server
 from kumquatway_gateway.quarantine import MAX_SUSPICION, Progress
 from kumquatway_gateway.relay._dialect import Attempt
+from kumquatway_gateway.relay._durations import Durations
 from kumquatway_gateway.relay._event_stream import is_body_broken_off, is_event_stream
 from kumquatway_gateway.relay._job import Job
 from kumquatway_gateway.relay._refusal import wait_for_refusal_body
 from kumquatway_gateway.relay._verdict_response import respond_with_verdict
 from kumquatway_gateway.waiting import retry_after
 
+INITIAL_DURATION_SECONDS = 0.1  # of a request, before any was measured
 INITIAL_LATENCY_SECONDS = 0.03  # of a server, before any latency was measured
 LATENCY_WEIGHT = 0.2  # of the newest latency in the moving average
 FAILURE_WEIGHT = 0.15  # of the newest outcome in the moving failure rate
@@ -70,6 +72,21 @@
         self.outstanding: dict[str, int] = {}
         self.latencies: dict[str, float] = {}
         self.failure_rates: dict[str, float] = {}
+        self._durations: dict[str, Durations] = {}
+
+    def durations(self, route: str) -> Durations:
+        """
+        Return what is known of how long requests of a route take, with their retries.
+
+        :param route: name of the route.
+        :return: in seconds, from the start of a request to the last byte to its caller.
+        """
+        known = self._durations.get(route)
+        if known is None:
+            known = self._durations[route] = Durations(
+                mean=INITIAL_DURATION_SECONDS, deviation=INITIAL_DURATION_SECONDS
+            )
+        return known
 
     def pick(self, avoid: Collection[str] = ()) -> Server | None:
         """
@@ -229,19 +246,25 @@
 
     async def run(self) -> None:
         """Serve the request until its caller has a response."""
+        job = self.job
         loop = asyncio.get_running_loop()
+        deadline = loop.time() + job.seconds_left()
         try:
-            async with asyncio.timeout_at(loop.time() + self.job.seconds_left()):
+            async with asyncio.timeout_at(deadline) as job.timeout:
                 await self._serve()
         except TimeoutError:
             self.may_have_run = self.may_have_run or bool(self.job.sent_to)
             self._give_up(Reason.DEADLINE, "the deadline of the request has passed")
         finally:
+            job.timeout = None
             for task in self.running:
                 task.cancel()
 
     async def _serve(self) -> None:
         while True:
+            if not self.running and self._is_too_late():
+                self._give_up(Reason.SHUTTING_DOWN, "this entry is shutting down")
+                return
             if not self.running and not self._start_attempt():
                 self._give_up(
                     Reason.OVERLOADED,
@@ -265,6 +288,16 @@
                 )
                 return
 
+    def _is_too_late(self) -> bool:
+        """Tell whether an attempt would be the first to run, and end after the exit."""
+        shutdown_at = self.relay.shutdown_at
+        if shutdown_at is None or self.may_have_run:
+            return False
+        # At its deadline a request has an answer, whatever the server does.
+        longest = self.router.durations(self.job.route.name).upper_bound()
+        seconds = min(longest, self.job.seconds_left())
+        return self.relay.clock() + seconds >= shutdown_at
+
     def _start_attempt(self) -> bool:
         server = self.router.pick(self.tried)
         if server is None:
@@ -497,5 +530,7 @@
             return may_have_run(cause, detail)
         if self.relay.is_blocked(self.job):
             return self.relay.blocked_verdict(self.job)
+        if reason is Reason.SHUTTING_DOWN:
+            return self.relay.shutdown_verdict()
         delay = retry_after(RETRY_SECONDS, earliest=self.router.seconds_blocked())
         return not_run(Reason.OVERLOADED, detail, retry_after=delay)
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -47,8 +47,8 @@
 from kumquatway_gateway.relay._verdict_response import respond_with_verdict
 from kumquatway_gateway.waiting import RetryBudget
 
-# Time that a plain request may need until this entry stops: five times its objective.
-PLAIN_REQUEST_SECONDS = 0.5
+# Until a caller refused at the shutdown should retry: other entries serve it.
+SHUTDOWN_RETRY_SECONDS = 0.3
 MAX_LOGGED_PARTS = 8  # of a prompt, in its event
 CHECK_INTERVAL_SECONDS = 0.01  # between checks of the active streams
 # Delay of a check above which this process counts as late: health checks that failed
@@ -115,7 +115,9 @@
         fleet.has_request_in_progress = self.has_active_stream
         # Returns whether a blocked request with these features is to be tried now.
         self.claim_trial: Callable[[frozenset[str]], Awaitable[bool]] = _no_trial
-        self.shutdown_at: float | None = None  # when this entry stops, by `clock`
+        # Time by which requests that begin now have to end, by `clock`.
+        self.shutdown_at: float | None = None
+        self.jobs: set[Job] = set()  # in progress
 
     def configure(self, configuration: Configuration) -> None:
         """
@@ -148,6 +150,8 @@
                 emit=self.emit,
                 clock=self.clock,
             )
+            if self.shutdown_at is not None:
+                router.end_by = self.shutdown_at
             self.model_routers[service.name] = router
         return router
 
@@ -294,14 +298,9 @@
             if not job.is_trial:
                 self._respond_not_run(caller, request, self.blocked_verdict(job))
                 return
-        if not self._has_time(service, request):
-            verdict = not_run(
-                Reason.SHUTTING_DOWN, "this entry is shutting down", retry_after=0.3
-            )
-            self._respond_not_run(caller, request, verdict)
-            return
         self.retry_budget(service.name).record_request()
         self.record_start(job)
+        self.jobs.add(job)
         try:
             await self._serve_job(job)
         except asyncio.CancelledError:
@@ -309,6 +308,8 @@
                 job, may_have_run(Reason.CANCELLED, "the caller disconnected")
             )
             raise
+        finally:
+            self.jobs.discard(job)
 
     async def _serve_job(self, job: Job) -> None:
         service = job.service
@@ -317,21 +318,41 @@
             await StreamJob(relay=self, router=router, job=job).run()
         else:
             plain = self.plain_router(service)
+            started = self.clock()
             await PlainJob(relay=self, router=plain, job=job).run()
+            await job.caller.flush()
+            if job.sent_to:
+                plain.durations(job.route.name).observe(self.clock() - started)
+
+    def begin_shutdown(self, shutdown_at: float) -> None:
+        """
+        Accept only what ends before the exit.
+
+        :param shutdown_at: time by which it has to end, by `clock`.
+        """
+        self.shutdown_at = shutdown_at
+        for router in self.model_routers.values():
+            router.end_by = shutdown_at
+
+    def end_requests(self) -> None:
+        """
+        End the requests in progress as if their deadlines had passed.
 
-    def _has_time(self, service: Service, request: Request) -> bool:
-        """Tell whether a request that starts now ends before this entry stops."""
-        if self.shutdown_at is None:
-            return True
-        if service.engine is None:
-            return self.clock() + PLAIN_REQUEST_SECONDS < self.shutdown_at
-        output_tokens = (
-            request.generation_size.max_output_tokens
-            if request.generation_size
-            else None
+        A caller whose answer has not begun is told that the request may have run, which
+        says more than a connection that is closed.
+        """
+        now = asyncio.get_running_loop().time()
+        for job in self.jobs:
+            if job.timeout is not None and job.timeout.when() > now:
+                job.timeout.reschedule(now)
+
+    def shutdown_verdict(self) -> Verdict:
+        """Return the verdict of a request that would end after this entry's exit."""
+        return not_run(
+            Reason.SHUTTING_DOWN,
+            "this entry is shutting down",
+            retry_after=SHUTDOWN_RETRY_SECONDS,
         )
-        duration = self.model_router(service).max_duration(output_tokens)
-        return self.clock() + duration < self.shutdown_at
 
     def is_blocked(self, job: Job) -> bool:
         """
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -5,7 +5,7 @@
 import asyncio
 import enum
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
 from kumquatway_core.decoding import parse_count
@@ -99,34 +99,63 @@
         self.refusals = 0
         self.writes_before = 0  # to the caller, by earlier attempts
         self.suspicion = 0  # of having crashed the servers that took the request
+        self.estimate = 0.0  # of the seconds that the current attempt takes
+        self.completed = False
 
     async def run(self) -> None:
         """Serve the request until its response has ended."""
         job = self.job
-        waiter = Waiter(
-            account=job.account_name,
-            priority=job.priority,
-            tokens=self.router.estimate_tokens(job.request.generation_size),
-            arrived=job.request.arrived_at,
-            deadline=min(job.deadline, job.request.arrived_at + MAX_WAIT_SECONDS),
-        )
+        waiter = self._make_waiter()
         claim = await self.router.queue.admit(waiter)
         self.relay.metrics.waits.observe({}, self.job.age())
         if claim is None:
-            self._respond_overloaded(
-                "every chain is full or at its limit"
-                if self.router.chains()
-                else "no complete chain is up"
-            )
+            self._refuse(waiter)
             return
         try:
-            async with asyncio.timeout_at(self._loop_deadline()):
+            async with asyncio.timeout_at(self._loop_deadline()) as job.timeout:
                 await self._serve(claim, waiter)
         except TimeoutError:
             self._handle_timeout()
+        finally:
+            job.timeout = None
+        if self.completed:
+            await self._record_duration()
         if self.events.count > 1:
             self.relay.metrics.gaps.observe({}, self.events.longest_gap)
 
+    async def _record_duration(self) -> None:
+        """Record how long the only attempt took, until the answer had left."""
+        await self.job.caller.flush()
+        if len(self.job.sent_to) == 1:
+            taken = time.monotonic() - self.sent_at
+            self.router.record_duration(self.estimate, taken)
+
+    def _make_waiter(self) -> Waiter:
+        job = self.job
+        size = job.request.generation_size
+        prompt_tokens, max_output_tokens = self.router.token_counts(size)
+        deadlines = [job.deadline, job.request.arrived_at + MAX_WAIT_SECONDS]
+        if self.relay.shutdown_at is not None:
+            deadlines.append(self.relay.shutdown_at)
+        return Waiter(
+            account=job.account_name,
+            priority=job.priority,
+            tokens=self.router.estimate_tokens(size),
+            arrived=job.request.arrived_at,
+            deadline=min(deadlines),
+            prompt_tokens=prompt_tokens,
+            max_output_tokens=max_output_tokens,
+        )
+
+    def _refuse(self, waiter: Waiter) -> None:
+        """Respond to a request that was sent to no server."""
+        if not self.router.can_serve(waiter) and self.relay.shutdown_at is not None:
+            self._respond(self.relay.shutdown_verdict())
+        elif self.router.chains():
+            self._respond_overloaded("every chain is full or at its limit")
+        else:
+            self._respond_overloaded("no complete chain is up")
+
     def _loop_deadline(self) -> float:
         return asyncio.get_running_loop().time() + self.job.seconds_left()
 
@@ -135,7 +164,7 @@
             try:
                 if self.relay.is_blocked(self.job):
                     break
-                outcome = await self._run_attempt(claim.chain)
+                outcome = await self._run_attempt(claim)
             finally:
                 self._drop_connection()
                 self.router.release(claim)
@@ -147,8 +176,8 @@
 
     # attempts
 
-    async def _run_attempt(self, chain: Chain) -> _AttemptOutcome:
-        self.chain = chain
+    async def _run_attempt(self, claim: Claim) -> _AttemptOutcome:
+        self.chain = chain = claim.chain
         first = chain.first_server
         try:
             self.connection = await self.relay.pool.connect(first.id, first.address)
@@ -158,7 +187,7 @@
             self.relay.health_checker.check_server(first)
             self.relay.record_failure(self.job, first.id, "unreachable", str(error))
             return _AttemptOutcome.UNREACHED
-        self._send(chain)
+        self._send(claim)
         self.job.caller.on_flow_change = self._set_reading
         self.connection.set_reading(not self.job.caller.writing_paused)
         self.relay.active_streams.add(self)
@@ -179,8 +208,9 @@
         if self.connection is not None:
             self.connection.set_reading(enabled)
 
-    def _send(self, chain: Chain) -> None:
+    def _send(self, claim: Claim) -> None:
         job = self.job
+        chain = claim.chain
         if job.sent_to:
             self.events.restart()
         job.sent_to.append(chain.first_server.id)
@@ -201,17 +231,18 @@
             max_buffered_bytes=MAX_BUFFERED_BYTES,
         )
         self.sent_at = self.events.last_event_at = time.monotonic()
-        self._record_route(chain)
+        load = self.router.loads().get(chain.first_server.id, ChainLoad())
+        self.estimate = self.router.estimate_claim(claim, load)
+        self._record_route(chain, load)
         self.relay.quarantine.record_start(job.features)
         self.connection.send(self.exchange, dialect.encode(request, attempt))
 
-    def _record_route(self, chain: Chain) -> None:
-        load = self.router.loads().get(chain.first_server.id, ChainLoad())
+    def _record_route(self, chain: Chain, load: ChainLoad) -> None:
         self.relay.record_route(
             self.job,
             tuple(stage.server.id for stage in chain.stages),
             f"{load.tokens:.0f} of {chain.token_capacity:.0f} tokens used, "
-            f"{self._describe_limit(chain)}"
+            f"{self.estimate:.1f} s expected, {self._describe_limit(chain)}"
             f"fleet generation {self.relay.fleet.generation}, server list "
             f"{time.monotonic() - self.relay.fleet.listed_at:.1f} s old, "
             f"after event {self.events.last_id.decode('latin-1') or 0}",
@@ -247,6 +278,7 @@
             self.relay.quarantine.record_survival(self.job.features, self.sent_at)
         verdict = Verdict(ran=RAN, detail=self._describe_response())
         self.relay.record_end(self.job, verdict, head.status)
+        self.completed = True
         return _AttemptOutcome.DONE
 
     def _begin_relaying(self, head: ResponseHead) -> None:
@@ -518,6 +550,7 @@
                 return None
             if not self.relay.retry_budget(self.job.service.name).try_withdraw():
                 return None
+        waiter = replace(waiter, begun=self.may_have_run)
         claim = self.router.claim(waiter, frozenset(self.avoid))
         if claim is not None:
             return claim
@@ -529,6 +562,9 @@
             tokens=waiter.tokens,
             arrived=waiter.arrived,
             deadline=time.monotonic() + time_left,
+            prompt_tokens=waiter.prompt_tokens,
+            max_output_tokens=waiter.max_output_tokens,
+            begun=self.may_have_run,
         )
         return await self.router.queue.admit(retry_waiter)
 
@@ -573,6 +609,9 @@
             )
             self.job.caller.abort()
             return
+        if not self.job.sent_to:
+            self._respond_overloaded("no server was reached before the deadline")
+            return
         self._respond(
             may_have_run(Reason.DEADLINE, "the deadline of the request has passed")
         )
--- a/packages/gateway/src/kumquatway_gateway/waiting/_order.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_order.py
@@ -16,6 +16,10 @@
     :param tokens: tokens that the request needs.
     :param arrived: time of arrival, monotonic seconds.
     :param deadline: time after which waiting is pointless, monotonic seconds.
+    :param prompt_tokens: length of the prompt.
+    :param max_output_tokens: highest length of the answer.
+    :param begun: whether a server may have run it: to end it here, as far as it gets,
+        is better than not to go on.
     """
 
     account: str
@@ -23,6 +27,9 @@
     tokens: float
     arrived: float
     deadline: float
+    prompt_tokens: float = 0.0
+    max_output_tokens: float = 0.0
+    begun: bool = False
 
 
 def _rank(
--- a/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
@@ -27,8 +27,8 @@
     :param max_rate: returns the highest rate at which requests may begin, tokens per
         second.
     :param blocked_seconds: returns for how long there will certainly be no capacity.
-    :param max_tokens: returns the size above which a request does not wait, as no
-        capacity that others give back is enough for it.
+    :param can_serve: returns whether the capacity that others give back can ever be
+        enough for a request, and in time.
     :param clock: returns monotonic seconds.
     """
 
@@ -40,7 +40,7 @@
         min_rate: Callable[[], float] = lambda: MIN_RATE,
         max_rate: Callable[[], float] = lambda: float("inf"),
         blocked_seconds: Callable[[], float] = lambda: 0.0,
-        max_tokens: Callable[[], float] = lambda: float("inf"),
+        can_serve: Callable[[Waiter], bool] = lambda waiter: True,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.claim = claim
@@ -48,7 +48,7 @@
         self.min_rate = min_rate
         self.max_rate = max_rate
         self.blocked_seconds = blocked_seconds
-        self.max_tokens = max_tokens
+        self.can_serve = can_serve
         self.clock = clock
         self.waiting: dict[Waiter, asyncio.Future[T | None]] = {}
         self.in_service: dict[str, float] = {}
@@ -90,7 +90,7 @@
                 return reservation
         now = self.clock()
         time_left = waiter.deadline - now
-        if time_left <= 0 or waiter.tokens > self.max_tokens():
+        if time_left <= 0 or not self.can_serve(waiter):
             return None
         if self.expected_wait(waiter) > time_left:
             return None
@@ -127,11 +127,11 @@
         self.admit_waiting()
 
     def admit_waiting(self) -> None:
-        """Admit waiting requests until capacity runs out."""
+        """Admit waiting requests until capacity runs out; refuse those in vain."""
         while self.waiting:
             waiter = next_waiter(self.waiting, self.in_service, self.clock())
             reservation = self.claim(waiter)
-            if reservation is None:
+            if reservation is None and self.can_serve(waiter):
                 return
             future = self.waiting.pop(waiter)
             self.queued_tokens -= waiter.tokens
--- a/packages/gateway/tests/test_model_router.py
+++ b/packages/gateway/tests/test_model_router.py
@@ -1,10 +1,16 @@
 """Tests of how a model router accounts for its chains and their requests."""
 
+import asyncio
+from dataclasses import replace
+from random import Random
+
+import pytest
 from engines import ENGINE, layer_range, server
 
 from kumquatway_gateway.chains import ChainLoad
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.relay import ModelRouter
+from kumquatway_gateway.relay._durations import Durations
 from kumquatway_gateway.waiting import Waiter
 
 
@@ -96,25 +102,134 @@
         assert self.router.loads()["replacement"].tokens == 1400.0
 
 
-class TestMaxWaitingTokens:
-    """A request that no chain can hold does not wait."""
+def _router(servers: dict, clock=lambda: 0.0, **fields) -> ModelRouter:
+    fleet = Fleet()
+    fleet.update_servers(servers)
+    options = {"peer_loads": dict, "clock": clock, **fields}
+    return ModelRouter(service="model", engine=ENGINE, fleet=fleet, home="x", **options)
 
-    def _router(self, servers) -> ModelRouter:
-        fleet = Fleet()
-        fleet.update_servers(servers)
-        return ModelRouter(
-            service="model", engine=ENGINE, fleet=fleet, home="x", peer_loads=dict
+
+def _whole_model(name: str = "s") -> dict:
+    return {
+        f"{name}{start}": server(
+            f"{name}{start}", "x", "big", layer_range(start, start + 16)
         )
+        for start in range(0, 80, 16)
+    }
 
-    def test_is_the_capacity_of_the_largest_chain(self):
-        servers = {"s": server("s", "x", "big", layer_range(0, 20))}
-        servers |= {
-            f"s{start}": server(f"s{start}", "x", "big", layer_range(start, start + 20))
-            for start in range(20, 80, 20)
-        }
-        router = self._router(servers)
+
+class TestTooLarge:
+    """A request that no chain can hold does not wait."""
+
+    def test_up_to_the_capacity_of_the_largest_chain(self):
+        router = _router(_whole_model())
         (chain,) = router.chains()
-        assert router.max_waiting_tokens() == chain.token_capacity > 0
+        capacity = chain.token_capacity
+        assert router.can_serve(replace(_waiter(), tokens=capacity))
+        assert not router.can_serve(replace(_waiter(), tokens=capacity + 1))
 
     def test_any_request_waits_for_the_first_chain(self):
-        assert self._router({}).max_waiting_tokens() == float("inf")
+        assert _router({}).can_serve(replace(_waiter(), tokens=1e9))
+
+
+class TestShutdown:
+    """Streams accepted after SIGTERM were cut at the exit (review/4)."""
+
+    def setup_method(self):
+        self.now = 100.0
+        self.peer_loads: dict[str, ChainLoad] = {}
+        self.router = _router(
+            _whole_model(),
+            clock=lambda: self.now,
+            peer_loads=lambda: self.peer_loads,
+        )
+        (self.chain,) = self.router.chains()
+        self.waiter = replace(
+            _waiter(),
+            prompt_tokens=ENGINE.mean_prompt_tokens,
+            max_output_tokens=ENGINE.mean_output_tokens,
+        )
+        self.idle_seconds = self.router.estimate_seconds(self.chain, self.waiter)
+
+    def _load(self, requests: int) -> None:
+        load = ChainLoad(tokens=900.0 * requests, requests=requests)
+        self.peer_loads = {self.chain.first_server.id: load}
+
+    def _claim_with(self, seconds_left: float, **fields):
+        self.router.end_by = self.now + seconds_left
+        return self.router.claim(replace(self.waiter, **fields))
+
+    def test_what_ends_on_an_idle_chain_does_not_end_on_a_loaded_one(self):
+        bound = self.idle_seconds * self.router.delays.upper_bound()
+        assert self._claim_with(1.1 * bound) is not None
+        self._load(30)
+        assert self._claim_with(1.1 * bound) is None
+        assert not self.router.can_serve(self.waiter)
+
+    def test_what_ends_on_a_loaded_chain_is_not_refused(self):
+        self._load(30)
+        load = self.peer_loads[self.chain.first_server.id]
+        seconds = self.router.estimate_seconds(self.chain, self.waiter, load)
+        assert self._claim_with(1.5 * seconds) is not None
+
+    def test_an_estimate_that_was_too_low_is_learned(self):
+        for _ in range(20):
+            self.router.record_duration(1.0, 3.0)
+        assert self._claim_with(2.5 * self.idle_seconds) is None
+        assert self._claim_with(5.0 * self.idle_seconds) is not None
+
+    def test_a_longer_answer_takes_longer(self):
+        left = 2.0 * self.idle_seconds
+        longer = 4 * ENGINE.mean_output_tokens
+        assert self._claim_with(left, max_output_tokens=longer) is None
+        assert self._claim_with(left) is not None
+
+    def test_a_stream_that_has_begun_goes_on_as_far_as_it_gets(self):
+        assert self._claim_with(0.0) is None
+        assert self._claim_with(0.0, begun=True) is not None
+
+    def test_a_request_that_waits_is_refused_once_it_would_end_too_late(self):
+        async def scenario():
+            self._load(1000)
+            self.router.end_by = float("inf")
+            waiter = replace(self.waiter, arrived=self.now, deadline=self.now + 1.2)
+            waiting = asyncio.create_task(self.router.queue.admit(waiter))
+            await asyncio.sleep(0)
+            assert self.router.queue.waiting
+            self.router.end_by = self.now + 0.01
+            self.router.queue.admit_waiting()
+            assert await waiting is None
+
+        asyncio.run(scenario())
+
+    def test_one_that_would_end_too_late_is_refused_at_once(self):
+        async def scenario():
+            self.router.end_by = self.now + 0.01
+            waiter = replace(self.waiter, arrived=self.now, deadline=self.now + 1.2)
+            assert await asyncio.wait_for(self.router.queue.admit(waiter), 0.5) is None
+
+        asyncio.run(scenario())
+
+
+class TestDurations:
+    """The time within which nearly all requests end."""
+
+    def test_starts_from_what_is_assumed(self):
+        assert Durations(mean=0.1, deviation=0.1).upper_bound() == 0.5
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_covers_nearly_all(self, seed):
+        random = Random(seed)
+        durations = Durations(mean=0.1, deviation=0.1)
+        late = 0
+        for number in range(400):
+            seconds = random.lognormvariate(0.0, 0.4)
+            late += number >= 20 and seconds > durations.upper_bound()
+            durations.observe(seconds)
+        assert late <= 0.05 * 380
+
+    def test_is_near_to_durations_that_are_equal(self):
+        durations = Durations(mean=0.1, deviation=0.1)
+        for _ in range(60):
+            durations.observe(2.0)
+        assert 2.0 <= durations.upper_bound() < 2.1
--- a/packages/gateway/tests/test_waiting.py
+++ b/packages/gateway/tests/test_waiting.py
@@ -131,7 +131,7 @@
             queue = AdmissionQueue(
                 claim=chains.claim,
                 release=chains.free,
-                max_tokens=lambda: chains.capacity,
+                can_serve=lambda waiter: waiter.tokens <= chains.capacity,
                 clock=clock,
             )
             running = make_waiter()
