Take the text or head of an error for the break of a stream, not for its next event

A stream broke off; the server that was to resume it answered 200 with a text that is no event stream, and the text came as an event, the stream as complete. A server that wrote the head of an error in the middle of a stream had it forwarded as an event. Cause: on a stream route every 200 counts as an event stream, and an event without an ID as new. Change: a response that resumes a stream has the media type of the first one; a line that begins with HTTP/1. ends the stream there, as no line of an event does. Both count as cut: resumed elsewhere or aborted, never complete. Streams of plain services, which are buffered, likewise. Also tested, and no fault here: an error with its own status after a break (its text reaches nobody), and a server that closes in the middle of a head (502 or 504, may have run), on all six kinds of route, with and without the request's ID.

--- a/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
@@ -4,7 +4,11 @@
 from collections.abc import Callable
 
 from kumquatway_core.decoding import parse_count
-from kumquatway_gateway.relay._event_stream import find_last_event_end, split_events
+from kumquatway_gateway.relay._event_stream import (
+    find_last_event_end,
+    find_status_line,
+    split_events,
+)
 
 ID_FIELD = b"id:"
 GAP_WEIGHT = 0.1  # of the newest gap in the moving average
@@ -31,6 +35,7 @@
         "longest_gap",
         "typical_gap",
         "resuming",
+        "is_garbled",
         "partial_event",
         "write",
         "last_write_at",
@@ -53,10 +58,12 @@
         self.count = 0  # writes to the caller, each of one or more events
         self.typical_gap = INITIAL_GAP_SECONDS  # moving average, seconds
         self.resuming = False  # until the first new event after a restart
+        self.is_garbled = False  # the server sent the head of a response as an event
 
     def restart(self) -> None:
         """Drop an incomplete event, before another server resumes the stream."""
         self.partial_event = b""
+        self.is_garbled = False
         self.resuming = True
 
     def feed(self, data: bytes) -> None:
@@ -65,8 +72,14 @@
 
         :param data: bytes that may begin and end anywhere within an event.
         """
+        if self.is_garbled:
+            return
         if self.partial_event:
             data = self.partial_event + data
+        foreign = find_status_line(data)
+        if foreign >= 0:
+            self.is_garbled = True
+            data = data[:foreign]
         end = find_last_event_end(data)
         if not end:
             self.partial_event = data
--- a/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
@@ -11,6 +11,7 @@
 from kumquatway_gateway.model import Route, RouteKind
 
 MEDIA_TYPE = b"text/event-stream"
+STATUS_LINE = b"HTTP/1."
 _LF_END = b"\n\n"
 _CRLF_END = b"\n\r\n"
 _EVENT_END = re.compile(rb"\n\r?\n")
@@ -34,6 +35,24 @@
     return crlf + len(_CRLF_END) if crlf >= 0 else 0
 
 
+def find_status_line(data: bytes) -> int:
+    """
+    Find a line that begins the head of a response.
+
+    No line of an event begins like it, but a faulty server may write an error in the
+    middle of a stream.
+
+    :param data: part of a stream, from the beginning of a line.
+    :return: offset of the line, or -1 if there is none.
+    """
+    if STATUS_LINE not in data:
+        return -1
+    if data.startswith(STATUS_LINE):
+        return 0
+    at = data.find(b"\n" + STATUS_LINE)
+    return at + 1 if at >= 0 else -1
+
+
 def split_events(data: bytes) -> Iterator[bytes]:
     """Yield each event that ends in `data`, with its empty line."""
     start = 0
@@ -63,6 +82,8 @@
     :param framing: what ended the body.
     :param body: all of it.
     """
+    if find_status_line(body) >= 0:
+        return True
     end = find_last_event_end(body)
     return is_broken_off(framing, has_events=end > 0, rest=body[end:])
 
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -101,6 +101,7 @@
         self.suspicion = 0  # of having crashed the servers that took the request
         self.estimate = 0.0  # of the seconds that the current attempt takes
         self.completed = False
+        self.media_type: bytes | None = None  # of what the caller gets
 
     async def run(self) -> None:
         """Serve the request until its response has ended."""
@@ -263,7 +264,7 @@
         self.relay.quarantine.record_answer(chain.first_server)
         if head.status != 200:
             return await self._handle_error(head, info)
-        if not info.signed:
+        if not info.signed or not self._continues(head):
             self.may_have_run = True
             self.avoid.add(chain.first_server.id)
             return _AttemptOutcome.CUT
@@ -281,11 +282,19 @@
         self.completed = True
         return _AttemptOutcome.DONE
 
+    def _continues(self, head: ResponseHead) -> bool:
+        """Tell whether a response may follow what the caller already has."""
+        if not self.streaming:
+            return True
+        media_type = head.headers.get(b"content-type")
+        return media_type == self.media_type
+
     def _begin_relaying(self, head: ResponseHead) -> None:
         self.relaying = True
         self.may_have_run = True
         if not self.streaming:
             self.streaming = True
+            self.media_type = head.headers.get(b"content-type")
             fields = head.headers.forwardable()
             self.job.caller.start_stream(head.status, fields, keep_alive=True)
         self.is_event_stream = is_event_stream(self.job.route, head)
@@ -301,6 +310,8 @@
             events.forward(data)
         if len(events.partial_event) > MAX_EVENT_BYTES:
             self.connection.give_up()
+        if events.is_garbled:
+            self.connection.abandon(ResponseEnd.GARBLED)
         if not self.has_events and events.count > before:
             self.has_events = True
         if not before and events.count:
--- a/packages/gateway/tests/test_event_relay.py
+++ b/packages/gateway/tests/test_event_relay.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from kumquatway_gateway.http1 import ResponseFraming
 from kumquatway_gateway.relay._event_relay import EventRelay
+from kumquatway_gateway.relay._event_stream import is_body_broken_off
 
 EVENTS = [b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 30)]
 BODY = b"".join(EVENTS)
@@ -136,3 +138,32 @@
         caller.clock.now += 0.1
         caller.relay.feed(b"id: 3\n\n")
         assert caller.relay.longest_gap == pytest.approx(0.7)
+
+
+class TestForeignHead:
+    """The head of an error in the middle of a stream was forwarded as an event."""
+
+    HEAD = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+    @pytest.mark.parametrize("size", [1, 2, 7, 40, 1000])
+    def test_is_not_forwarded(self, size):
+        written = []
+        events = EventRelay(write=written.append)
+        data = b"id: 1\ndata: a\n\n" + self.HEAD + b"id: 2\ndata: b\n\n"
+        for start in range(0, len(data), size):
+            events.feed(data[start : start + size])
+        assert b"".join(written) == b"id: 1\ndata: a\n\n"
+        assert events.is_garbled
+
+    def test_text_that_names_the_protocol_is_forwarded(self):
+        written = []
+        events = EventRelay(write=written.append)
+        data = b"id: 1\ndata: HTTP/1.1 is old\n\n"
+        events.feed(data)
+        assert b"".join(written) == data
+        assert not events.is_garbled
+
+    def test_a_body_with_one_is_broken_off(self):
+        body = b"id: 1\ndata: a\n\n"
+        assert not is_body_broken_off(ResponseFraming.CLOSE, body)
+        assert is_body_broken_off(ResponseFraming.CLOSE, body + self.HEAD)
