Send streams that may run once on new connections

Callers saw: nothing yet; a report of other operators. A server wrote an earlier refusal once more on a kept connection. Cause: only plain requests avoided kept connections where they may run once. Change: so do streams. On a new connection no earlier response can arrive. Requests that may run again still share connections: a refusal that is not theirs costs them an attempt. Tested on all six kinds of route, with and without the ID in the request and in the refusal.

--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -180,8 +180,10 @@
     async def _run_attempt(self, claim: Claim) -> _AttemptOutcome:
         self.chain = chain = claim.chain
         first = chain.first_server
+        # On a kept connection, a faulty server may send an earlier refusal once more.
+        key = first.id if self.job.route.idempotent else ""
         try:
-            self.connection = await self.relay.pool.connect(first.id, first.address)
+            self.connection = await self.relay.pool.connect(key, first.address)
         except Unreachable as error:
             self.relay.fleet.permits.give_back(first)
             self.avoid.add(first.id)
