Ignore a caller's offer of another protocol instead of running it without its body

Cause: the parser ends such a message after its head, as what follows belongs to the other protocol; the request was queued before the rejection. Change: the request is read again without the offer, as RFC 9110, 7.8 allows; CONNECT is rejected and not run.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -16,7 +16,13 @@
 
 import httptools
 
-from kumquatway_gateway.http1._headers import Field, Headers, render_response
+from kumquatway_gateway.http1._headers import (
+    Field,
+    Headers,
+    render_request,
+    render_response,
+    without_upgrade,
+)
 
 FLUSH_CHECK_SECONDS = 0.02  # between looks at what a slow caller has yet to take
 MAX_PIPELINED_REQUESTS = 4  # queued on a connection before reading is paused
@@ -102,6 +108,7 @@
         self._head_bytes = 0
         self._head_started_at = 0.0
         self._reading_body = False
+        self._offers_upgrade = False
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._arrived = 0.0
@@ -235,9 +242,7 @@
             if not self._head_started_at:
                 self._head_started_at = time.monotonic()
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400, "upgrades are not supported")
+            self._feed(data)
         except httptools.HttpParserError as error:
             self._reject(400, f"the request is not HTTP/1.1: {error}")
         if not self._reading_body and self._head_bytes > self.limits().header_bytes:
@@ -245,6 +250,26 @@
         if len(self.pending) > MAX_PIPELINED_REQUESTS:
             self.transport.pause_reading()
 
+    def _feed(self, data: bytes) -> None:
+        """Parse data; an offer to upgrade the connection is ignored (RFC 9110, 7.8)."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            method = self.parser.get_method()
+            if method == b"CONNECT":
+                self._reject(400, "tunnels are not supported")
+                return
+            # The parser takes what follows the head for another protocol, so a new one
+            # reads the request again, without the offer.
+            self._offers_upgrade = False
+            self.parser = httptools.HttpRequestParser(self)
+            head = render_request(
+                method.decode("latin-1"),
+                self._url.decode("latin-1"),
+                without_upgrade(self._fields),
+            )
+            self._feed(head + data[upgrade.args[0] :])
+
     def eof_received(self):
         """Treat a half-closed connection as a disconnect of the caller."""
         if self.busy and not self.flushing:
@@ -288,6 +313,9 @@
 
     def on_headers_complete(self):
         """Check the head against the limits and start to read the body."""
+        if self.parser.should_upgrade():
+            self._offers_upgrade = True
+            return
         self._arrived = time.monotonic()
         self._reading_body = True
         self._head_bytes = 0
@@ -312,6 +340,8 @@
 
     def on_message_complete(self):
         """Queue the complete request."""
+        if self._offers_upgrade:
+            return
         self._reading_body = False
         if self.closing:
             return
--- a/packages/gateway/src/kumquatway_gateway/http1/_headers.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_headers.py
@@ -20,6 +20,8 @@
     }
 )
 
+UPGRADE_FIELDS = frozenset({b"upgrade", b"http2-settings"})
+
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -70,6 +72,28 @@
         return frozenset(name.strip() for name in value.lower().split(b","))
 
 
+def without_upgrade(fields: Iterable[Field]) -> list[Field]:
+    """
+    Leave out the offer to change the protocol of a connection.
+
+    :param fields: header fields of a request.
+    :return: all others, and the other options of `Connection`.
+    """
+    kept = []
+    for name, value in fields:
+        lower = name.lower()
+        if lower in UPGRADE_FIELDS:
+            continue
+        if lower == b"connection":
+            options = [option.strip() for option in value.split(b",")]
+            options = [each for each in options if each.lower() not in UPGRADE_FIELDS]
+            if not options:
+                continue
+            value = b", ".join(options)
+        kept.append((name, value))
+    return kept
+
+
 def render_request(method: str, target: str, fields: Iterable[Field]) -> bytes:
     """
     Render the head of a request.
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -81,6 +81,54 @@
     return head + b"\r\n" + body
 
 
+UPGRADE = (
+    b"Connection: Upgrade, HTTP2-Settings",
+    b"Upgrade: h2c",
+    b"HTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA",
+)
+
+
+class TestUpgradeOffer:
+    """A request that offered another protocol ran with an empty body (review/1)."""
+
+    @pytest.mark.parametrize(
+        ("framing", "body"),
+        [
+            (b"Content-Length: 3", b"abc"),
+            (b"Transfer-Encoding: chunked", b"3\r\nabc\r\n0\r\n\r\n"),
+        ],
+    )
+    @pytest.mark.parametrize("split", [0, 1, 60, 140, 150])
+    def test_is_ignored(self, framing, body, split):
+        async def scenario(echo):
+            data = _post(body, *UPGRADE, framing)
+            last = _post(b"z", b"Content-Length: 1", b"Connection: close")
+            received = await echo.send(data[:split], more=data[split:] + last)
+            assert received.count(b"HTTP/1.1 200") == 2
+            assert [request.body for request in echo.requests] == [b"abc", b"z"]
+            names = {name.lower() for name, _ in echo.requests[0].headers.fields}
+            assert not names & {b"upgrade", b"http2-settings", b"connection"}
+
+        run_scenario(scenario)
+
+    def test_other_options_of_the_connection_hold(self):
+        async def scenario(echo):
+            fields = (b"Connection: Upgrade, close", b"Upgrade: x")
+            received = await echo.send(_post(b"abc", *fields, b"Content-Length: 3"))
+            assert b"ok:abc" in received
+            assert not echo.requests[0].keep_alive
+
+        run_scenario(scenario)
+
+    def test_a_tunnel_is_rejected(self):
+        async def scenario(echo):
+            received = await echo.send(b"CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert received.startswith(b"HTTP/1.1 400")
+            assert not echo.requests
+
+        run_scenario(scenario)
+
+
 class TestRequests:
     """Requests of callers."""
 
