--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -306,6 +306,7 @@
         self.reset = reset
         self.close = close
         self.connections = 0
+        self.writers: list[asyncio.StreamWriter] = []
         self.address = free_address()
 
     async def __aenter__(self):
@@ -315,9 +316,12 @@
 
     async def __aexit__(self, *_):
         self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
 
     async def _serve(self, reader, writer):
         self.connections += 1
+        self.writers.append(writer)
         for response in self.responses:
             await reader.readuntil(b"\r\n\r\n")
             writer.write(response)
