Tell a plain server where the caller of a stream wants to resume it

Cause: the entry takes the field from the caller's, as it sets it itself, and the attempt of a plain request was made without it. Change: the attempt carries it. Evidence: TestResumedStreamOfAPlainService, three kinds of route, failed on the code before.

--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -422,7 +422,10 @@
         )
         job.sent_to.append(server.id)
         attempt = Attempt(
-            server=server, account=job.account_name, seconds_left=job.seconds_left()
+            server=server,
+            account=job.account_name,
+            seconds_left=job.seconds_left(),
+            last_event_id=job.request.last_event_id,
         )
         self.relay.record_route(job, (server.id,), self._describe(server))
         sent_at = time.monotonic()
