Send no body in response to HEAD

Change: what a connection writes for a request with HEAD is the head alone, streamed answers too. Evidence: both tests of TestHead failed on the code before.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -98,6 +98,7 @@
         self.busy = False
         self.flushing = False  # the response is complete, and has yet to leave
         self.accepts_chunked = True  # for the request in progress
+        self.bodyless = False  # the same: its response has no body, as for HEAD
         self.closing = False  # close after the request in progress
         self.draining = False  # close after the next response
         self.on_flow_change: Callable[[bool], None] | None = None
@@ -137,7 +138,8 @@
         head_fields = [*fields, (b"Content-Length", b"%d" % len(body))]
         if not self._decide_keep_alive(keep_alive):
             head_fields.append((b"Connection", b"close"))
-        self.transport.write(render_response(status, head_fields) + body)
+        head = render_response(status, head_fields)
+        self.transport.write(head if self.bodyless else head + body)
 
     def start_stream(
         self, status: int, fields: Iterable[Field], *, keep_alive: bool
@@ -165,7 +167,7 @@
 
     def write_chunk(self, data: bytes) -> None:
         """Write part of a streamed body."""
-        if self.lost:
+        if self.lost or self.bodyless:
             return
         if self.accepts_chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
@@ -173,7 +175,7 @@
 
     def end_stream(self) -> None:
         """Write the end of a streamed body."""
-        if self.lost:
+        if self.lost or self.bodyless:
             return
         if self.accepts_chunked:
             self.transport.write(b"0\r\n\r\n")
@@ -386,6 +388,7 @@
     async def _serve_request(self, incoming: IncomingRequest) -> None:
         self.busy = True
         self.accepts_chunked = incoming.accepts_chunked
+        self.bodyless = incoming.method == "HEAD"
         try:
             await self.serve(self, incoming)
         finally:
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -81,6 +81,43 @@
     return head + b"\r\n" + body
 
 
+class TestHead:
+    """The response to HEAD had a body, which the caller took for the next response."""
+
+    def _head(self, echo: _EchoListener):
+        head = b"HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n"
+        last = _post(b"z", b"Content-Length: 1", b"Connection: close")
+        return echo.send(head + last)
+
+    def test_has_no_body(self):
+        async def scenario(echo):
+            first, second, rest = (await self._head(echo)).split(b"\r\n\r\n")
+            assert b"Content-Length: 3" in first
+            assert second.startswith(b"HTTP/1.1 200")
+            assert rest == b"ok:z"
+
+        run_scenario(scenario)
+
+    def test_has_no_streamed_body(self):
+        async def scenario(echo):
+            respond = echo.listener.serve
+
+            async def stream(caller, incoming):
+                if incoming.method != "HEAD":
+                    await respond(caller, incoming)
+                    return
+                caller.start_stream(200, [], keep_alive=True)
+                caller.write_chunk(b"abc")
+                caller.end_stream()
+
+            echo.listener.serve = stream
+            _, second, rest = (await self._head(echo)).split(b"\r\n\r\n")
+            assert second.startswith(b"HTTP/1.1 200")
+            assert rest == b"ok:z"
+
+        run_scenario(scenario)
+
+
 UPGRADE = (
     b"Connection: Upgrade, HTTP2-Settings",
     b"Upgrade: h2c",
