Reject an upgrade of HTTP/1.0, which would be read again as HTTP/1.1

Found in reading the change: a caller that knows no chunks could have got some. CONNECT and such requests get 400 and do not run. The test has both.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -258,8 +258,8 @@
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
             method = self.parser.get_method()
-            if method == b"CONNECT":
-                self._reject(400, "tunnels are not supported")
+            if method == b"CONNECT" or self.parser.get_http_version() == "1.0":
+                self._reject(400, "tunnels are not supported, nor upgrades of HTTP/1.0")
                 return
             # The parser takes what follows the head for another protocol, so a new one
             # reads the request again, without the offer.
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -157,9 +157,16 @@
 
         run_scenario(scenario)
 
-    def test_a_tunnel_is_rejected(self):
+    @pytest.mark.parametrize(
+        "start",
+        [
+            b"CONNECT a:80 HTTP/1.1",
+            b"GET / HTTP/1.0\r\nConnection: upgrade\r\nUpgrade: x",
+        ],
+    )
+    def test_what_cannot_be_ignored_is_rejected(self, start):
         async def scenario(echo):
-            received = await echo.send(b"CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n")
+            received = await echo.send(start + b"\r\nHost: a\r\n\r\n")
             assert received.startswith(b"HTTP/1.1 400")
             assert not echo.requests
 
