--- a/packages/gateway/src/kumquatway_gateway/quarantine/_blocks.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_blocks.py
@@ -63,8 +63,8 @@
 
     :param trials: number of trials before.
     """
-    doublings = min(trials, MAX_TRIALS)  # a peer or a row may name any number
-    return min(MAX_TRIAL_SECONDS, FIRST_TRIAL_SECONDS * TRIAL_FACTOR**doublings)
+    counted = min(trials, MAX_TRIALS)  # a peer or a row may name any number
+    return min(MAX_TRIAL_SECONDS, FIRST_TRIAL_SECONDS * TRIAL_FACTOR**counted)
 
 
 class Blocks:
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -569,15 +569,8 @@
             return claim
         idle = time.monotonic() - self.events.last_event_at
         time_left = self.job.route.max_gap - LAST_EVENT_SECONDS - idle
-        retry_waiter = Waiter(
-            account=waiter.account,
-            priority=-1,
-            tokens=waiter.tokens,
-            arrived=waiter.arrived,
-            deadline=time.monotonic() + time_left,
-            prompt_tokens=waiter.prompt_tokens,
-            max_output_tokens=waiter.max_output_tokens,
-            begun=self.may_have_run,
+        retry_waiter = replace(
+            waiter, priority=-1, deadline=time.monotonic() + time_left
         )
         return await self.router.queue.admit(retry_waiter)
 
