Record why a stream that broke off got no further attempt

The log of a stream that an entry ended said only that it could not be resumed. The event of its end names it now. The stand-in of a queue in one test answers what the event asks for; no assertion changes.

--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -101,6 +101,7 @@
         self.suspicion = 0  # of having crashed the servers that took the request
         self.estimate = 0.0  # of the seconds that the current attempt takes
         self.completed = False
+        self.why_ended = ""  # why no further attempt was made, for the event
         self.media_type: bytes | None = None  # of what the caller gets
 
     async def run(self) -> None:
@@ -164,6 +165,7 @@
         while claim is not None:
             try:
                 if self.relay.is_blocked(self.job):
+                    self.why_ended = "requests like it are blocked"
                     break
                 outcome = await self._run_attempt(claim)
             finally:
@@ -560,8 +562,10 @@
         """Claim a chain for the next attempt; waits if no chain has room."""
         if outcome is not _AttemptOutcome.UNREACHED:
             if not self._may_continue(outcome):
+                self.why_ended = self._describe_attempts()
                 return None
             if not self.relay.retry_budget(self.job.service.name).try_withdraw():
+                self.why_ended = "the retry budget is used up"
                 return None
         waiter = replace(waiter, begun=self.may_have_run)
         claim = self.router.claim(waiter, frozenset(self.avoid))
@@ -572,8 +576,20 @@
         retry_waiter = replace(
             waiter, priority=-1, deadline=time.monotonic() + time_left
         )
+        self.why_ended = (
+            f"no chain had room, {self.router.queue.expected_wait(retry_waiter):.2f} s "
+            f"of waiting expected, {time_left:.2f} s acceptable"
+        )
         return await self.router.queue.admit(retry_waiter)
 
+    def _describe_attempts(self) -> str:
+        """Return what decides whether a retry is allowed, for the event."""
+        return (
+            f"no retry is allowed after {len(self.job.sent_to)} attempt(s) of "
+            f"{self.job.route.max_attempts} and {self.refusals} refusal(s), suspicion "
+            f"{self.suspicion}"
+        )
+
     def _may_continue(self, outcome: _AttemptOutcome) -> bool:
         if outcome is _AttemptOutcome.REFUSED:
             return self.refusals <= self.job.route.max_attempts
@@ -588,7 +604,8 @@
             self.relay.record_end(
                 job,
                 may_have_run(
-                    Reason.RESET, "the stream broke off and could not be resumed"
+                    Reason.RESET,
+                    "the stream broke off and could not be resumed: " + self.why_ended,
                 ),
             )
             job.caller.abort()
--- a/packages/gateway/tests/test_stream_retries.py
+++ b/packages/gateway/tests/test_stream_retries.py
@@ -75,7 +75,8 @@
                 retry_budget=lambda service: budget, is_blocked=lambda job: False
             ),
             router=SimpleNamespace(
-                claim=lambda waiter, avoid: None, queue=SimpleNamespace(admit=admit)
+                claim=lambda waiter, avoid: None,
+                queue=SimpleNamespace(admit=admit, expected_wait=lambda waiter: 0.0),
             ),
             job=job,
         )
