Keep a silent attempt open until another one has sent an event

Cause: silence ended an attempt at once (after 0.9 s, when three streams of a chain fell silent, or with one server of the chain marked down). What came next could fail: the next server refused, reset or could not be reached, all others were full, the retry budget was spent between the check and the retry, or the false alarm had used up the attempts. Then the caller's connection was closed, with nothing further tried.

Change: an attempt is an object of its own (StreamAttempt). Silence puts it under suspicion, at the same moment as before, and a place for another one is sought. The first that sends an event supersedes the others; an attempt ends only by its server or by that. A begun stream waits for room, retries and servers until its deadline; the queue is not held up by what some of its requests must avoid. Once the attempts are used up, a begun stream goes on at servers that it was at. A failure rate learned from silence is taken back when the chain goes on.

Two stand-ins of test_stream_retries follow the new objects; their assertions are unchanged.

--- a/packages/core/src/kumquatway_core/events/_kinds.py
+++ b/packages/core/src/kumquatway_core/events/_kinds.py
@@ -102,7 +102,8 @@
     A stream continues after a failure.
 
     :param attempt: number of the attempt, as in `RouteChosen`.
-    :param means: how the stream was recovered, such as `import`, `replay` or `prefill`.
+    :param means: how the stream was recovered, such as `import`, `replay`, `prefill`,
+        or `wait` where the VM that had fallen silent goes on.
     :param position: first position that is generated again.
     :param seconds: time from the detection of the failure to the next token, seconds.
     """
--- a/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
@@ -1,5 +1,6 @@
 """Forwards complete events to the caller, across attempts at several servers."""
 
+import copy
 import time
 from collections.abc import Callable
 
@@ -66,6 +67,21 @@
         self.is_garbled = False
         self.resuming = True
 
+    def fork(self, write: Callable[[bytes], None], *, resuming: bool) -> "EventRelay":
+        """
+        Return a relay for another response, which goes on after the same event.
+
+        :param write: sends complete events to the caller.
+        :param resuming: whether a server may send events that the caller already has.
+        :return: a relay that shares nothing with this one.
+        """
+        other = copy.copy(self)
+        other.write = write
+        other.last_event_at = self.clock()
+        if resuming:
+            other.restart()
+        return other
+
     def feed(self, data: bytes) -> None:
         """
         Process a piece of the response body.
--- a/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
@@ -1,7 +1,7 @@
 """Assigns the requests of a model service to chains, with a queue for full chains."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, replace
 
 from kumquatway_core.events import ChainsChanged, Event
@@ -142,17 +142,23 @@
         return size.prompt_tokens, size.max_output_tokens
 
     def claim(
-        self, waiter: Waiter, avoid: frozenset[str] = frozenset()
+        self,
+        waiter: Waiter,
+        avoid: frozenset[str] = frozenset(),
+        *,
+        only: Collection[str] | None = None,
     ) -> Claim | None:
         """
         Reserve capacity of a chain for a request.
 
         :param waiter: the request.
-        :param avoid: IDs of servers that the chain must not contain.
+        :param avoid: IDs of servers that the chain must not contain, beside those that
+            the request avoids anyway.
+        :param only: IDs of the servers that the chain may start at; None for any.
         :return: the claim, or None if no chain has enough free capacity, or the first
             servers of those that have it are at their limits.
         """
-        chain = self._choose_permitted_chain(waiter, avoid)
+        chain = self._choose_permitted_chain(waiter, avoid | waiter.avoid, only)
         if chain is None:
             return None
         self._add_load(chain.first_server.id, waiter.tokens, 1)
@@ -162,7 +168,7 @@
         return claim
 
     def _choose_permitted_chain(
-        self, waiter: Waiter, avoid: frozenset[str]
+        self, waiter: Waiter, avoid: frozenset[str], only: Collection[str] | None
     ) -> Chain | None:
         """
         Choose a chain, and take a permit if its first server has a limit.
@@ -175,7 +181,8 @@
         chains = [
             chain
             for chain in self.chains()
-            if not self._seconds_exhausted(chain)
+            if (only is None or chain.first_server.id in only)
+            and not self._seconds_exhausted(chain)
             and self._ends_in_time(chain, waiter, loads)
         ]
         has_asked = False
@@ -308,6 +315,14 @@
         """
         self._record_outcome(chain, 1.0)
 
+    def record_recovery(self, chain: Chain) -> None:
+        """
+        Record that a chain went on after a silence that counted as a failure.
+
+        :param chain: the chain.
+        """
+        self._record_outcome(chain, 0.0)
+
     def _record_outcome(self, chain: Chain, failed: float) -> None:
         rate, _ = self.failure_rates.get(chain.first_server.id, (0.0, 0.0))
         rate += FAILURE_WEIGHT * (failed - rate)
--- a/packages/gateway/src/kumquatway_gateway/waiting/_order.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_order.py
@@ -20,6 +20,9 @@
     :param max_output_tokens: highest length of the answer.
     :param begun: whether a server may have run it: to end it here, as far as it gets,
         is better than not to go on.
+    :param patient: whether it waits to its deadline however long that is expected to
+        take, since its caller has part of the answer and no use for a refusal.
+    :param avoid: IDs of servers that it must not use.
     """
 
     account: str
@@ -30,6 +33,8 @@
     prompt_tokens: float = 0.0
     max_output_tokens: float = 0.0
     begun: bool = False
+    patient: bool = False
+    avoid: frozenset[str] = frozenset()
 
 
 def _rank(
--- a/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
@@ -84,7 +84,7 @@
         :param waiter: the request.
         :return: the reservation, or None if the request is refused.
         """
-        if not self.waiting:
+        if all(other.avoid for other in self.waiting):
             reservation = self.claim(waiter)
             if reservation is not None:
                 return reservation
@@ -92,7 +92,7 @@
         time_left = waiter.deadline - now
         if time_left <= 0 or not self.can_serve(waiter):
             return None
-        if self.expected_wait(waiter) > time_left:
+        if not waiter.patient and self.expected_wait(waiter) > time_left:
             return None
         future: asyncio.Future[T | None] = asyncio.get_running_loop().create_future()
         self.waiting[waiter] = future
@@ -127,12 +127,21 @@
         self.admit_waiting()
 
     def admit_waiting(self) -> None:
-        """Admit waiting requests until capacity runs out; refuse those in vain."""
-        while self.waiting:
-            waiter = next_waiter(self.waiting, self.in_service, self.clock())
+        """
+        Admit waiting requests until capacity runs out; refuse those in vain.
+
+        Load pattern: the servers that some requests must avoid are all that is up.
+        These wait without keeping others from the same servers.
+        """
+        unmet: set[frozenset[str]] = set()  # what waiting requests avoid, in vain
+        while waiters := [each for each in self.waiting if each.avoid not in unmet]:
+            waiter = next_waiter(waiters, self.in_service, self.clock())
             reservation = self.claim(waiter)
             if reservation is None and self.can_serve(waiter):
-                return
+                if not waiter.avoid:
+                    return
+                unmet.add(waiter.avoid)
+                continue
             future = self.waiting.pop(waiter)
             self.queued_tokens -= waiter.tokens
             if not future.done():
--- a/packages/gateway/tests/test_stream_retries.py
+++ b/packages/gateway/tests/test_stream_retries.py
@@ -12,11 +12,9 @@
 from kumquatway_gateway.model import Backend, Route, RouteKind
 from kumquatway_gateway.quarantine import Quarantine
 from kumquatway_gateway.relay import Relay
-from kumquatway_gateway.relay._streams import (
-    LAST_EVENT_SECONDS,
-    StreamJob,
-    _AttemptOutcome,
-)
+from kumquatway_gateway.relay._attempt import StreamAttempt
+from kumquatway_gateway.relay._event_relay import EventRelay
+from kumquatway_gateway.relay._streams import LAST_EVENT_SECONDS, StreamJob
 from kumquatway_gateway.waiting import MAX_WAIT_SECONDS, Waiter
 
 
@@ -61,23 +59,16 @@
         async def admit(waiter: Waiter) -> None:
             admitted.append(waiter)
 
-        budget = SimpleNamespace(try_withdraw=lambda: True, remaining=lambda: 9.0)
         route = _route(objective=0.603, gap_objective=0.25)
         job = SimpleNamespace(
             route=route,
-            service=SimpleNamespace(name="model"),
-            sent_to=["s0"],
+            deadline=time.monotonic() + route.timeout,
             caller=SimpleNamespace(write_chunk=lambda data: None),
             request=SimpleNamespace(last_event_id=""),
         )
         stream = StreamJob(
-            relay=SimpleNamespace(
-                retry_budget=lambda service: budget, is_blocked=lambda job: False
-            ),
-            router=SimpleNamespace(
-                claim=lambda waiter, avoid: None,
-                queue=SimpleNamespace(admit=admit, expected_wait=lambda waiter: 0.0),
-            ),
+            relay=None,
+            router=SimpleNamespace(queue=SimpleNamespace(admit=admit)),
             job=job,
         )
         now = time.monotonic()
@@ -85,7 +76,7 @@
         first = Waiter(
             account="a", priority=1, tokens=900.0, arrived=now - 3.0, deadline=now - 1.8
         )
-        asyncio.run(stream._next_claim(_AttemptOutcome.STALLED, first))
+        asyncio.run(stream._wait_for_room(first, frozenset()))
         [waiter] = admitted
         assert waiter.priority < first.priority
         return waiter.deadline - now
@@ -109,13 +100,16 @@
 
     @pytest.mark.parametrize("end", list(ResponseEnd))
     def test_a_server_whose_connection_this_entry_closed_does_not(self, end):
-        job = SimpleNamespace(
-            caller=SimpleNamespace(write_chunk=lambda data: None),
-            request=SimpleNamespace(last_event_id=""),
+        job = SimpleNamespace(sent_to=[])
+        stream = SimpleNamespace(job=job, router=None, closed_by={})
+        chain = SimpleNamespace(first_server=SimpleNamespace(id="s0"))
+        attempt = StreamAttempt(
+            relay=None,
+            stream=stream,
+            claim=SimpleNamespace(chain=chain),
+            events=EventRelay(write=lambda data: None),
         )
-        stream = StreamJob(relay=None, router=None, job=job)
-        stream.chain = SimpleNamespace(first_server=SimpleNamespace(id="s0"))
-        stream._handle_early_end(end)
+        attempt._handle_early_end(end)
         ended = (ResponseEnd.COMPLETE, ResponseEnd.CLOSED, ResponseEnd.RESET)
         assert ("s0" in stream.closed_by) is (end in ended)
 
