Count a refused attempt as none, and let one that broke off not use up the rest

Cause: every send counted toward the servers that may have run a request, those that were refused as not run too, and one server as often as it got the request.

Change: a server counts once it has ended an attempt without a refusal, or while one runs there. A request that got no answer at all from a server waits for others for as long as a refusal keeps a server out of chains, before it goes back to that one.

Evidence: test_refused_attempts got 502 in three of three runs before; with the first half of the change alone it reached the resetting server four times; it passes now.

--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -12,6 +12,7 @@
 from kumquatway_gateway.fleet import AVOID_SECONDS
 from kumquatway_gateway.http1 import ResponseHead
 from kumquatway_gateway.model import RouteKind, Server
+from kumquatway_gateway.quarantine import Progress
 from kumquatway_gateway.relay._attempt import (
     AttemptOutcome,
     ErrorResponse,
@@ -68,7 +69,9 @@
         self.error_response: ErrorResponse | None = None
         self.interrupted_at = 0.0  # when the stream was interrupted, 0 while it is not
         self.avoid: set[str] = set()  # IDs of servers that failed
+        self.rejecting: set[str] = set()  # those among them that gave no answer at all
         self.closed_by: dict[str, Server] = {}  # servers that ended their response
+        self.ran_on: set[str] = set()  # IDs of servers that may have run the request
         self.refusals = 0
         self.failed_connects = 0  # in a row
         self.suspicion = 0  # of having crashed the servers that took the request
@@ -232,6 +235,7 @@
             others = [other for other in self.attempts if other is not attempt]
             self.attempts = [attempt]
             for other in others:
+                self.ran_on.add(other.chain.first_server.id)
                 other.supersede()
         self._stop_seeking()
         if attempt.suspects:
@@ -264,7 +268,10 @@
         if outcome is AttemptOutcome.REFUSED:
             self.refusals += 1
             return
+        self.ran_on.add(attempt.chain.first_server.id)
         attempt.record_failure(outcome.value)
+        if attempt.progress() is not Progress.FLOWING:
+            self.rejecting.add(attempt.faulty_server)
         if outcome is AttemptOutcome.FAILED:
             self.error_response = attempt.error_response or self.error_response
         else:
@@ -382,32 +389,58 @@
             self.why_ended = self._describe_attempts()
         else:
             claim = self.router.claim(waiter, in_use | self.avoid)
+            claim = claim or await self._wait_for_others(waiter, in_use)
             claim = claim or await self._wait_for_room(waiter, in_use)
         if claim is not None and not is_free and not budget.try_withdraw():
             self._give_back(claim)
             return None
         return claim
 
+    async def _wait_for_others(
+        self, waiter: Waiter, in_use: frozenset[str]
+    ) -> Claim | None:
+        """
+        Wait for servers that refused the request, or are full, to take it.
+
+        Load pattern: one server refuses requests for a moment, and another one breaks
+        them off. A request that went straight back to the second one would use up its
+        attempts there.
+        """
+        if not self.rejecting:
+            return None
+        return await self._queue(
+            waiter, in_use | self.rejecting, time.monotonic() + AVOID_SECONDS
+        )
+
     async def _wait_for_room(
         self, waiter: Waiter, in_use: frozenset[str]
     ) -> Claim | None:
         """Wait for a chain, also one that failed before, ahead of new requests."""
-        deadline = self.job.deadline
-        if not self.streaming:
-            last = max(self.events.last_event_at, self._last_sent_at())
-            patience = self.job.route.max_gap - LAST_EVENT_SECONDS
-            deadline = min(deadline, last + patience)
+        deadline = self._patience_end()
         self.why_ended = f"no chain had room within {deadline - time.monotonic():.2f} s"
+        return await self._queue(waiter, in_use, deadline)
+
+    async def _queue(
+        self, waiter: Waiter, avoid: frozenset[str], deadline: float
+    ) -> Claim | None:
         return await self.router.queue.admit(
             replace(
                 waiter,
                 priority=-1,
-                deadline=deadline,
+                deadline=min(deadline, self._patience_end()),
                 patient=self.streaming,
-                avoid=in_use,
+                avoid=avoid,
             )
         )
 
+    def _patience_end(self) -> float:
+        """Return when the caller leaves, or its request ends, monotonic seconds."""
+        if self.streaming:
+            return self.job.deadline
+        last = max(self.events.last_event_at, self._last_sent_at())
+        patience = self.job.route.max_gap - LAST_EVENT_SECONDS
+        return min(self.job.deadline, last + patience)
+
     def _last_sent_at(self) -> float:
         return max((each.sent_at for each in self.attempts), default=self.sent_at)
 
@@ -418,7 +451,7 @@
 
     def _usable_again(self) -> set[str]:
         """Return the servers that got the request and on which no attempt runs."""
-        return set(self.job.sent_to) - self._servers_in_use()
+        return self.ran_on - self._servers_in_use()
 
     def _budget(self):
         return self.relay.retry_budget(self.job.service.name)
@@ -439,7 +472,9 @@
         )
 
     def _possibly_run_on(self) -> set[str]:
-        return {each for each in self.job.sent_to if not self._has_ended(each)}
+        ended = {server_id for server_id in self.ran_on if self._has_ended(server_id)}
+        running = {each.chain.first_server.id for each in self.attempts}
+        return (self.ran_on - ended) | running
 
     def _has_ended(self, server_id: str) -> bool:
         """
