Hold back the head of a response until there is something to follow

Callers saw: a 200 with an empty body whose connection was aborted, where a server of a model service ended between the head of its answer and its first event.

Cause: the head was passed on at once. From then on the entry could no longer tell the caller that its request may have run, nor serve a request that may run once in another way.

Now the head goes out with the first event, or with the end of the response. The caller is told 502, may have run; the same for streams that may run once and for other requests to models, and its connection goes on.

--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -224,7 +224,6 @@
             return AttemptOutcome.CUT
         self.head = head
         self.is_event_stream = is_event_stream(self.job.route, head)
-        self.stream.begin_response(self)
         self.exchange.relay_to(self._on_body)
         end = await self.exchange.ended
         if self.superseded or end is not ResponseEnd.COMPLETE or self._is_broken_off():
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -209,6 +209,7 @@
         :param data: the events.
         """
         self._prefer(attempt)
+        self._begin_response(attempt)
         self.job.caller.write_chunk(data)
         if self.interrupted_at:
             self._record_recovery(attempt)
@@ -220,6 +221,7 @@
         :param attempt: the attempt that received it.
         """
         self._prefer(attempt)
+        self._begin_response(attempt)
         if attempt.events.partial_event:
             self.job.caller.write_chunk(attempt.events.partial_event)
         self.job.caller.end_stream()
@@ -241,11 +243,12 @@
         if attempt.suspects:
             attempt.clear_suspicion()
 
-    def begin_response(self, attempt: StreamAttempt) -> None:
+    def _begin_response(self, attempt: StreamAttempt) -> None:
         """
         Write the head of the response to the caller, unless it has one.
 
-        :param attempt: the attempt that received a head.
+        It is held back until there is something to follow, since a caller that has it
+        can no longer be told how the request ended.
         """
         if self.streaming:
             return
