Do not end a stream because its routes refuse it for a moment

Callers saw a stream end with an error in the middle of its answer, or a request end before its first token, when every route was full, leaving or without its layers for a few milliseconds.

Cause: a refusal by a stage that stands was counted like a loss and was followed by the next try at once. 16 recoveries were used up in as many round trips, and the request was given up long before its deadline.

The first refusal is still followed by another route at once, so that a hand-over stays fast. Further refusals in a row wait with a backoff of up to 1 s and use up no recovery; the deadline ends them, with a verdict. Losses are bounded as before. The state machine of tests/ passes a sleep without time, as it has no time of its own.

--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -6,12 +6,13 @@
 
 import time
 from collections import deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
 
 import anyio
 from loguru import logger
 
+from kumquatway.protect import backoff
 from kumquatway_core import Reason, Verdict, may_have_run
 from kumquatway_core.events import Event, RouteChosen, StageFailed, StreamRecovered
 from kumquatway_core.text import Model
@@ -36,6 +37,11 @@
 SILENCE_FLOOR = 10.0  # seconds; agents notice what fails long before
 SILENCE_FACTOR = 20  # of the usual time between tokens
 SMOOTHING = 0.2
+MAX_REFUSAL_WAIT = 1.0  # seconds
+# Reasons of a stage that stands, but does not take the stream now.
+REFUSALS = frozenset(
+    (Reason.NO_UPSTREAM, Reason.OVERLOADED, Reason.REFUSED, Reason.SHUTTING_DOWN)
+)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -109,6 +115,8 @@
     :param send: sends a message to an address.
     :param emit: writes down an event.
     :param on_first: told the seconds to the first token, if nothing failed before.
+    :param clock: monotonic seconds.
+    :param sleep: waits some seconds.
     """
 
     def __init__(
@@ -121,6 +129,7 @@
         emit: Callable[[Event], object],
         on_first: Callable[["Session", float], None] = ignore_first,
         clock: Callable[[], float] = time.monotonic,
+        sleep: Callable[[float], Awaitable[None]] = anyio.sleep,
     ):
         self.ask = ask
         self.entry = entry
@@ -129,12 +138,14 @@
         self.emit = emit
         self.on_first = on_first
         self.clock = clock
+        self.sleep = sleep
         self.attempt = 0
         self.epoch = 0
         self.chain = EMPTY_DIGEST
         self.route: tuple[Stage, ...] = ()
         self.tokens: list[int] = []
         self.recoveries = 0
+        self.refusals = 0
         self.dropped = 0
         self.usual_gap = 0.0
         self._last_piece = clock()
@@ -239,10 +250,11 @@
         gap = now - self._last_piece
         if self.tokens:
             self.usual_gap += SMOOTHING * (gap - self.usual_gap)
-        elif not self.recoveries:
+        elif not (self.recoveries or self.refusals):
             self.on_first(self, gap)
         self._last_piece = now
         self.recoveries = 0
+        self.refusals = 0
         self._note_replays(set())
         self.tokens.append(piece.token)
         if self._means:
@@ -263,7 +275,7 @@
         """Wait for tokens, and recover from failures meanwhile."""
         while not self._pieces:
             if self._failed:
-                verdict = await self._recover()
+                verdict = await self._count_failure() or await self._recover()
                 if verdict is not None:
                     return verdict
                 continue
@@ -315,13 +327,24 @@
         for stage in self.route:
             self._fail(stage.vm, may_have_run(Reason.SILENCE, detail))
 
+    async def _count_failure(self) -> Verdict | None:
+        """Bound the losses in a row, and space out the refusals in a row."""
+        last = next(iter(self._failed.values()))
+        if not all(verdict.reason in REFUSALS for verdict in self._failed.values()):
+            self.recoveries += 1
+            return last if self.recoveries > MAX_RECOVERIES else None
+        wait = backoff(self.refusals, cap=MAX_REFUSAL_WAIT) if self.refusals else 0.0
+        self.refusals += 1
+        if self.clock() + wait >= self.ask.deadline:
+            return may_have_run(last.reason, last.detail)
+        if wait:
+            await self.sleep(wait)
+        return None
+
     async def _recover(self) -> Verdict | None:
-        self.recoveries += 1
         failed = self._failed
         self._failed = {}
         logger.info("{} recovers from {}", self.ask.request, sorted(failed))
-        if self.recoveries > MAX_RECOVERIES:
-            return next(iter(failed.values()))
         avoid = frozenset(failed)
         if len(failed) < len(self.route) and self._splice(avoid):
             self._means = "replay"
@@ -410,7 +433,7 @@
             return verdict
         if self.clock() + NO_ROUTE_WAIT >= self.ask.deadline:
             return may_have_run(verdict.reason, verdict.detail)
-        await anyio.sleep(NO_ROUTE_WAIT)
+        await self.sleep(NO_ROUTE_WAIT)
         return None
 
     def _change_route(self, route: tuple[Stage, ...]) -> tuple[Stage, ...]:
--- a/packages/entry/tests/test_session.py
+++ b/packages/entry/tests/test_session.py
@@ -57,8 +57,13 @@
             send=lambda address, message: self.sent.append(message),
             emit=self.events.append,
             clock=lambda: self.now,
+            sleep=self.sleep,
         )
 
+    async def sleep(self, seconds: float) -> None:
+        self.now += seconds
+        await anyio.sleep(0)
+
     def route(self, ask, avoid):
         if not self.routes:
             return not_run(Reason.NO_UPSTREAM)
@@ -160,6 +165,45 @@
         assert bench.attempts() == MAX_LOSSES + 1
         assert bench.yielded[0].ran is MAY_HAVE_RUN
 
+    async def test_refusals_of_full_routes_do_not_end_a_stream(self):
+        bench = Bench()
+        tries = 2 * MAX_RECOVERIES
+        async with anyio.create_task_group() as group:
+            group.start_soon(bench.run)
+            await bench.until(lambda: bench.attempts() == 1)
+            bench.session.take_piece(bench.piece(0))
+            await bench.until(lambda: bench.yielded)
+            for count in range(tries):
+                await bench.until(lambda count=count: bench.attempts() == count + 1)
+                bench.session.take_trouble(bench.trouble(Reason.OVERLOADED))
+            await bench.until(lambda: bench.attempts() == tries + 1)
+            bench.session.take_piece(bench.piece(1, finish="stop"))
+        assert [piece.token for piece in bench.yielded] == [0, 1]
+        assert bench.now > 1.0
+
+    async def test_refusals_until_the_deadline_are_told(self):
+        bench = Bench()
+        async with anyio.create_task_group() as group:
+            group.start_soon(bench.run)
+            while not bench.yielded:
+                await bench.until(lambda: bench.session.route or bench.yielded)
+                if not bench.yielded:
+                    bench.session.take_trouble(bench.trouble(Reason.OVERLOADED))
+                await anyio.sleep(0)
+        (verdict,) = bench.yielded
+        assert (verdict.ran, verdict.reason) == (MAY_HAVE_RUN, Reason.OVERLOADED)
+        assert DEADLINE - 2.0 < bench.now <= DEADLINE
+
+    async def test_a_single_refusal_is_followed_by_another_route_at_once(self):
+        bench = Bench()
+        async with anyio.create_task_group() as group:
+            group.start_soon(bench.run)
+            await bench.until(lambda: bench.attempts() == 1)
+            bench.session.take_trouble(bench.trouble(Reason.SHUTTING_DOWN))
+            await bench.until(lambda: bench.attempts() == 2)
+            assert bench.now == 0.0
+            group.cancel_scope.cancel()
+
     async def test_a_stream_that_gets_on_survives_any_number_of_failures(self):
         bench = Bench()
         async with anyio.create_task_group() as group:
--- a/tests/test_stream_machine.py
+++ b/tests/test_stream_machine.py
@@ -116,6 +116,7 @@
             ),
             send=lambda address, message: self.send(ENTRY, address, message),
             emit=self.events.append,
+            sleep=lambda seconds: asyncio.sleep(0),
         )
         self.task = asyncio.get_running_loop().create_task(self.consume())
 
