Tell callers of a stream that the entry failed, instead of cutting it off

Callers saw a streamed answer end in the middle, without an event and without a verdict, when the entry met an exception that it did not expect; the time line said that the caller had gone away.

Cause: the guard around the handlers can answer only where no answer has begun. In a stream the exception ended the task, and the listener closed the connection.

Evidence: test_an_answer_is_not_cut_without_a_verdict fails without the change, streamed and whole.

The exception is met where the tokens are generated, so that it ends the answer as any other verdict does: an error event in a stream, an error document for a whole answer, and the reason internal in the time line.

--- a/packages/entry/src/kumquatway/api/_generate.py
+++ b/packages/entry/src/kumquatway/api/_generate.py
@@ -195,6 +195,16 @@
             raise SlowCaller(detail)
 
     async def _parts(self, session: Session) -> AsyncIterator[Said | Verdict]:
+        """Generate the answer; a fault of the entry ends it with a verdict."""
+        try:
+            async for part in self._texts(session):
+                yield part
+        except Exception as error:
+            logger.opt(exception=error).error("a request failed: {}", error)
+            self.verdict = may_have_run(Reason.INTERNAL, "the entry failed")
+            yield self.verdict
+
+    async def _texts(self, session: Session) -> AsyncIterator[Said | Verdict]:
         """Turn tokens into text, up to a stop string."""
         async for piece in session.run():
             if isinstance(piece, Verdict):
--- a/packages/entry/tests/test_api.py
+++ b/packages/entry/tests/test_api.py
@@ -449,3 +449,51 @@
             "RequestEnded",
         ]
         assert "read nothing" in events[-1].detail
+
+
+class TestBrokenEntry:
+    """A fault of the entry in the middle of an answer is told."""
+
+    @pytest.mark.parametrize("stream", [True, False])
+    async def test_an_answer_is_not_cut_without_a_verdict(self, stream):
+        chains = [one_stage(None, ())]
+        events, sent = [], []
+        streams = Streams(
+            entry="e",
+            routes=Routes(
+                route=lambda ask, avoid: chains.pop(),
+                replacement=lambda *_: None,
+                change=lambda *_: None,
+            ),
+            send=lambda address, message: None,
+            emit=events.append,
+        )
+        generated = Generated(
+            streams=streams,
+            ask=make_ask(),
+            form=COMPLETION,
+            model="m",
+            stream=stream,
+            usage=False,
+            stops=(),
+            emit=events.append,
+            write_seconds=WAIT,
+        )
+
+        async def send(message):
+            sent.append(message)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(generated, {}, anyio.sleep_forever, send)
+            await eventually(lambda: "r" in streams.sessions)
+            session = streams.sessions["r"]
+            await eventually(lambda: session.attempt == 1)
+            session.take_piece(
+                GeneratedToken(request="r", attempt=1, position=1, token=1, text="a")
+            )
+            await eventually(lambda: session.tokens)
+            session.lose_address("a", "lost")
+        body = b"".join(message.get("body", b"") for message in sent)
+        assert b'"verdict":"may-have-run"' in body
+        assert not sent[-1].get("more_body", False)
+        assert (events[-1].reason, events[-1].verdict) == ("internal", "may-have-run")
