Acknowledge a repeated message, whose first acknowledgement may be lost

An entry saw a sound agent go down and come back again and again after a silence, and each time took its streams and its idempotent calls away from it; so did the agent of the stage before it.

Cause: the receiver dropped a message that it already had without an acknowledgement. When the acknowledgement of the first copy was lost with its connection, the repeat on the next connection was never acknowledged, and the sender counted every later connection as broken too, until it had something new to send.

Evidence: test_a_repeat_whose_acknowledgement_was_lost_is_acknowledged fails without the change in three of three runs: no acknowledgement within 20 s.

A repeat now makes an acknowledgement due as a new message does. It carries the last sequence number that was taken in, so it is right for any repeat.

--- a/packages/core/src/kumquatway_core/mesh/_inbox.py
+++ b/packages/core/src/kumquatway_core/mesh/_inbox.py
@@ -92,11 +92,12 @@
         if isinstance(message, Beat):
             await self._answer_heartbeat(sender, message)
             return
+        # Also for a repeat: the acknowledgement of the first copy may be lost.
+        self.ack_due.add((sender.address, sender.incarnation))
         if sequence <= sender.last_sequence:
             return
         sender.last_sequence = sequence
         sender.unacked_bytes += len(frames[2])
-        self.ack_due.add((sender.address, sender.incarnation))
         self._deliver(sender, message)
         if sender.unacked_bytes > ACK_THRESHOLD_BYTES:
             await self._send_ack(sender)
--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -120,6 +120,18 @@
             relay.silence()
             await wait_until(lambda: peer.connection_count > before)
 
+    async def test_a_repeat_whose_acknowledgement_was_lost_is_acknowledged(self):
+        local, remote, relay = make_relayed_nodes()
+        async with running(local, remote, relay=relay):
+            local.mesh.send(remote.mesh.address, make_message(1))
+            await wait_until(lambda: remote.received)
+            relay.silence()
+            peer = local.mesh.peer(remote.mesh.address)
+            await wait_until(lambda: peer.connection_count > 1)
+            await wait_until(lambda: not peer.backlog())
+            assert remote.received == [make_message(1)]
+            assert PeerState.DOWN not in local.states
+
     async def test_an_unsent_message_can_be_withdrawn(self):
         local = Node(address=free_address())
         async with running(local):
