Reply on the newest connection of a sender, whatever frames come late

After a silence that held back both directions, the first acknowledgements on the new connection could be lost, and a sound process was counted as down once more.

Cause: the receiver replied on the connection of the last frame. Frames held back on an earlier connection arrive after those of the one that replaced it, and turned the replies back to a connection that the sender had closed.

Evidence: test_frames_held_back_on_an_old_connection_take_no_replies fails without the change. Shown at the interface of the inbox; not seen in a run of processes.

Connections are numbered in the identity, so the receiver now keeps the highest number.

--- a/packages/core/src/kumquatway_core/mesh/_inbox.py
+++ b/packages/core/src/kumquatway_core/mesh/_inbox.py
@@ -32,6 +32,7 @@
         self.address = address
         self.incarnation = incarnation
         self.identity = b""
+        self.connection = 0
         self.last_sequence = 0
         self.last_received_at = 0.0
         self.unacked_bytes = 0
@@ -126,8 +127,9 @@
 
     def _find_sender(self, identity: bytes) -> Sender:
         try:
-            address, incarnation, _ = identity.decode().split("|")
+            address, incarnation, number = identity.decode().split("|")
             key = (address, int(incarnation))
+            connection = int(number)
         except ValueError as error:
             raise WireError(
                 f"invalid identity {identity!r}, expected "
@@ -137,7 +139,10 @@
         if sender is None:
             sender = Sender(address=key[0], incarnation=key[1])
             self.senders[key] = sender
-        sender.identity = identity
+        # Frames held back on an earlier connection may come after those of a later one.
+        if connection >= sender.connection:
+            sender.identity = identity
+            sender.connection = connection
         self.senders.move_to_end(key)
         if len(self.senders) > MAX_SENDERS:
             self.senders.popitem(last=False)
--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -15,7 +15,7 @@
     HEARTBEAT_BYTES_PER_SECOND,
     MIN_ACK_TIMEOUT,
 )
-from kumquatway_core.wire import Cancel, Steps, decode, encode
+from kumquatway_core.wire import Beat, Cancel, Steps, decode, encode
 from kumquatway_fakes import Relay, free_address
 
 TIMEOUT = 20.0  # seconds that a test waits for a condition
@@ -132,6 +132,17 @@
             assert remote.received == [make_message(1)]
             assert PeerState.DOWN not in local.states
 
+    async def test_frames_held_back_on_an_old_connection_take_no_replies(self):
+        remote = Node(address=free_address())
+        async with running(remote):
+            inbox = remote.mesh.inbox
+            newer, older = b"a:1|1|2", b"a:1|1|1"
+            beat = encode(Beat(clock=0, sequence=1))
+            for identity in (newer, older):
+                await inbox._receive([identity, bytes(8), beat])
+            (sender,) = inbox.senders.values()
+            assert sender.identity == newer
+
     async def test_an_unsent_message_can_be_withdrawn(self):
         local = Node(address=free_address())
         async with running(local):
