Keep an agent that stops until a silent entry has its replies

In a planned stop of an agent, callers of a plain service were told that a call may have run although it had run and its answer was known, when their entry was silent at that moment.

Cause: the stop waited for unsent messages only where the connection was up. An entry that is silent for a second is down to the agent, so its replies were dropped with the process.

Evidence: test_a_reply_for_an_entry_that_is_silent_outlasts_the_agents_end fails without the change: the agent ends before the entry, silent for 0.5 s, has its second reply.

The stop now also waits for an entry that was heard within the last 5 s, within the bound of the shutdown. One that is gone for longer delays the stop as little as before.

--- a/packages/agent/src/kumquatway_agent/_agent.py
+++ b/packages/agent/src/kumquatway_agent/_agent.py
@@ -55,6 +55,7 @@
 
 MIB = 1024 * 1024  # bytes
 DRAIN_CHECK = 0.05  # seconds
+MAX_SILENCE = 5.0  # seconds for which a shutdown waits for one that is silent
 HANDOVER_SHARE = 0.25  # of the shutdown's bound, kept for handing streams over
 
 
@@ -364,5 +365,8 @@
 
     def _has_unsent(self) -> bool:
         """Tell whether a reply may be lost by an end now."""
-        peers = self.mesh.peers.values()
-        return any(peer.backlog() for peer in peers if peer.state is not PeerState.DOWN)
+        return any(
+            peer.backlog()
+            for peer in self.mesh.peers.values()
+            if peer.state is not PeerState.DOWN or peer.silence() < MAX_SILENCE
+        )
--- a/packages/agent/tests/test_agent.py
+++ b/packages/agent/tests/test_agent.py
@@ -14,11 +14,12 @@
 from kumquatway_core.engine import EngineState
 from kumquatway_core.http import serve
 from kumquatway_core.leases import PLANNER_LEASE, LeaseRow
-from kumquatway_core.mesh import Mesh
+from kumquatway_core.mesh import Mesh, PeerState
 from kumquatway_core.platform import Channel, Put, Table, Transaction
 from kumquatway_core.settings import AgentSettings, EngineSettings, PlatformSettings
 from kumquatway_core.wire import (
     Call,
+    CallReply,
     Cancel,
     Drain,
     GeneratedToken,
@@ -37,7 +38,7 @@
     VMState,
     encode,
 )
-from kumquatway_fakes import Engine, Speed, TableService, answer, engine_app
+from kumquatway_fakes import Engine, Relay, Speed, TableService, answer, engine_app
 from kumquatway_fakes.fleet import free_address
 
 pytestmark = pytest.mark.anyio
@@ -45,6 +46,7 @@
 LAYERS = 4
 PROMPT = b"pass"
 TOKENS = 12
+SILENCE = 0.5  # seconds
 GARBAGE = 200  # messages by each way
 EXPECTED = answer(prompt=PROMPT, layers=LAYERS, model="m", max_tokens=TOKENS)[0]
 HELD = Holding(model="m", version="1", first=0, end=LAYERS)
@@ -286,6 +288,37 @@
 
         await with_rig(use)
 
+    async def test_a_reply_for_an_entry_that_is_silent_outlasts_the_agents_end(self):
+        async def use(rig: Rig):
+            got: list[Message] = []
+            public, bound = free_address(), free_address()
+            relay = Relay(listen=public, target=bound)
+            entry = Mesh(
+                address=public,
+                bind=bound,
+                incarnation=1,
+                handle=lambda source, message: got.append(message),
+            )
+            replies = [CallReply(call=str(n), verdict="ran", reason="") for n in (1, 2)]
+            async with anyio.create_task_group() as group:
+                await group.start(relay.run)
+                await group.start(entry.run)
+                peer = rig.agent.mesh.peer(public)
+                peer.send(replies[0])
+                await rig.until(lambda: got == replies[:1] and not peer.backlog())
+                relay.faults.refusing = True
+                relay.silence()
+                await rig.until(lambda: peer.state is PeerState.DOWN)
+                peer.send(replies[1])
+                rig.agent.leave()
+                await anyio.sleep(SILENCE)
+                relay.faults.refusing = False
+                await rig.until(lambda: rig.agent._group is None)
+                assert got == replies
+                group.cancel_scope.cancel()
+
+        await with_rig(use)
+
     async def test_an_order_changes_what_entries_hear(self):
         async def use(rig: Rig):
             row = LeaseRow(holder="a", fencing_number=3, duration=10.0, order_bound=0.0)
--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import math
 import time
 from collections import deque
 from collections.abc import Callable
@@ -208,6 +209,16 @@
         """
         return self._outbox_bytes + self._unacked_bytes
 
+    def silence(self) -> float:
+        """
+        Return how long nothing has been heard of the other end.
+
+        :return: seconds; infinite if it has never answered.
+        """
+        if not self.incarnation:
+            return math.inf
+        return self.clock() - self._last_received_at
+
     def close(self) -> None:
         """Stop the peer's task."""
         self._scope.cancel()
