Answer a request whose handler meets an unexpected exception

Callers saw: the connection closed, with neither an answer nor a refusal, and no RequestEnded event. In an attempt at a plain service one such exception also ended the attempts that ran beside it. A stream whose stall check raised lost its attempt, although its server went on sending.

Cause: Relay._dispatch and PlainJob took only cancellation and time-outs into account; any other exception reached CallerConnection._run, which closed the transport. Relay._check_stream abandoned the connection of the stream whose check had failed: an error of the check says nothing about the stream.

Change: what fails before a job exists is refused as not run (503). A failed job is refused as not run only if it was sent to no server, else the caller is told that it may have run (502); a stream that has begun is aborted. Each is logged with its exception and has its event. An exception in an attempt at a plain service is the outcome of that attempt: the others go on, and the usual rules decide on a retry. Handlers of the other listeners get a 500 as a last resort. A failed stall check is only logged.

--- a/packages/gateway/src/kumquatway_gateway/http1/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/__init__.py
@@ -4,7 +4,12 @@
 Requests and responses whose framing is invalid are rejected.
 """
 
-from kumquatway_gateway.http1._caller import CallerConnection, IncomingRequest, Listener
+from kumquatway_gateway.http1._caller import (
+    CallerConnection,
+    IncomingRequest,
+    Listener,
+    ResponseProgress,
+)
 from kumquatway_gateway.http1._fetch import FetchedResponse, Fetcher, FetchFailed
 from kumquatway_gateway.http1._headers import Headers, render_request, render_response
 from kumquatway_gateway.http1._pool import ConnectionPool, Unreachable
@@ -29,6 +34,7 @@
     "ConnectionPool",
     "ResponseFraming",
     "ResponseHead",
+    "ResponseProgress",
     "Unreachable",
     "UpstreamConnection",
     "render_request",
--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import enum
 import socket
 import struct
 import time
@@ -15,6 +16,7 @@
 from typing import Protocol
 
 import httptools
+from loguru import logger
 
 from kumquatway_gateway.http1._headers import (
     Field,
@@ -65,6 +67,14 @@
     detail: str
 
 
+class ResponseProgress(enum.Enum):
+    """How much of the response to the request in progress was written."""
+
+    NOTHING = "nothing"
+    HEAD = "head"  # of a streamed response, and maybe some of its body
+    COMPLETE = "complete"
+
+
 RequestHandler = Callable[["CallerConnection", IncomingRequest], Awaitable[None]]
 
 
@@ -97,6 +107,7 @@
         self.lost = False
         self.busy = False
         self.flushing = False  # the response is complete, and has yet to leave
+        self.response = ResponseProgress.NOTHING  # to the request in progress
         self.accepts_chunked = True  # for the request in progress
         self.bodyless = False  # the same: its response has no body, as for HEAD
         self.closing = False  # close after the request in progress
@@ -139,6 +150,7 @@
         if not self._decide_keep_alive(keep_alive):
             head_fields.append((b"Connection", b"close"))
         head = render_response(status, head_fields)
+        self.response = ResponseProgress.COMPLETE
         self.transport.write(head if self.bodyless else head + body)
 
     def start_stream(
@@ -163,7 +175,9 @@
             self._reset_on_close(True)
         if not self._decide_keep_alive(keep_alive and self.accepts_chunked):
             head_fields.append((b"Connection", b"close"))
-        self.transport.write(render_response(status, head_fields))
+        head = render_response(status, head_fields)
+        self.response = ResponseProgress.HEAD
+        self.transport.write(head)
 
     def write_chunk(self, data: bytes) -> None:
         """Write part of a streamed body."""
@@ -175,6 +189,7 @@
 
     def end_stream(self) -> None:
         """Write the end of a streamed body."""
+        self.response = ResponseProgress.COMPLETE
         if self.lost or self.bodyless:
             return
         if self.accepts_chunked:
@@ -387,10 +402,13 @@
 
     async def _serve_request(self, incoming: IncomingRequest) -> None:
         self.busy = True
+        self.response = ResponseProgress.NOTHING
         self.accepts_chunked = incoming.accepts_chunked
         self.bodyless = incoming.method == "HEAD"
         try:
             await self.serve(self, incoming)
+        except Exception as error:
+            self._respond_failed(incoming, error)
         finally:
             self.busy = False
             self.on_flow_change = None
@@ -398,6 +416,16 @@
             self.closing = True
         await self.flush()
 
+    def _respond_failed(self, incoming: IncomingRequest, error: Exception) -> None:
+        """Respond to a request whose handler raised an exception, and log it."""
+        logger.opt(exception=error).error(
+            "the handler of {} {} failed: {!r}", incoming.method, incoming.target, error
+        )
+        if self.response is ResponseProgress.NOTHING:
+            self.respond(500, [], b"", keep_alive=False)
+        elif self.response is ResponseProgress.HEAD:
+            self.abort()
+
     async def _next_request(self) -> IncomingRequest | RejectedRequest | None:
         while not self.pending:
             if self.lost or self.closing:
--- a/packages/gateway/src/kumquatway_gateway/relay/_job.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_job.py
@@ -24,6 +24,7 @@
     :param timeout: ends the request at its deadline, or earlier at the exit.
     :param sent_to: IDs of the servers that the request was sent to, one for each
         attempt, in order.
+    :param has_end: whether the event of its end was emitted.
     """
 
     caller: CallerConnection
@@ -37,6 +38,7 @@
     is_trial: bool = False
     timeout: asyncio.Timeout | None = None
     sent_to: list[str] = field(default_factory=list)
+    has_end: bool = False
 
     @property
     def account_name(self) -> str:
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 
+from loguru import logger
+
 from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.http1 import (
@@ -320,10 +322,25 @@
         )
         outcomes = []
         for task in done:
-            del self.running[task]
-            outcomes.append(task.result())
+            server = self.running.pop(task)
+            error = task.exception()
+            outcomes.append(
+                task.result() if error is None else self._failed_attempt(server, error)
+            )
         return outcomes
 
+    def _failed_attempt(self, server: Server, error: BaseException) -> _Outcome:
+        """Return the outcome of an attempt that an unexpected exception has ended."""
+        job = self.job
+        detail = f"an internal error ended the attempt: {error!r}"
+        logger.opt(exception=error).error(
+            "request {} at {}: {}", job.request.id, server.id, detail
+        )
+        if server.id in job.sent_to:
+            return _invalid(server, detail)
+        self.relay.record_failure(job, server.id, "internal", detail)
+        return _not_sent(server, denied=True)
+
     def _start_hedge(self) -> None:
         """Check the slow server, and send the request to a second one if allowed."""
         for server in self.running.values():
@@ -420,17 +437,22 @@
             ),
             bodyless=job.request.method == "HEAD",
         )
-        job.sent_to.append(server.id)
         attempt = Attempt(
             server=server,
             account=job.account_name,
             seconds_left=job.seconds_left(),
             last_event_id=job.request.last_event_id,
         )
+        try:
+            data = dialect.encode(job.request, attempt)
+        except Exception:
+            connection.abandon()
+            raise
+        job.sent_to.append(server.id)
         self.relay.record_route(job, (server.id,), self._describe(server))
         sent_at = time.monotonic()
         self.relay.quarantine.record_start(job.features)
-        connection.send(exchange, dialect.encode(job.request, attempt))
+        connection.send(exchange, data)
         outcome = None
         try:
             outcome = await self._read_response(server, exchange, sent_at)
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -9,7 +9,7 @@
 
 from loguru import logger
 
-from kumquatway_core import Reason, Verdict, may_have_run, not_run
+from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
 from kumquatway_core.events import (
     Event,
     Refused as RefusedEvent,
@@ -26,6 +26,7 @@
     ConnectionPool,
     Exchange,
     IncomingRequest,
+    ResponseProgress,
 )
 from kumquatway_gateway.model import (
     Account,
@@ -222,14 +223,13 @@
     def _check_stream(
         self, job: StreamJob, now: float, snapshot: ActivitySnapshot
     ) -> None:
-        """Check one stream; an error ends its attempt and leaves all others alone."""
+        """Check one stream; an error ends neither its attempt nor the other checks."""
         try:
             job.check_for_stall(now, snapshot)
         except Exception as error:
             logger.opt(exception=error).error(
                 "the check of request {} failed: {}", job.job.request.id, error
             )
-            job.connection.abandon()
 
     def _recall_blocked_streams(self) -> None:
         """Take requests back that were sent to a server before they were blocked."""
@@ -246,41 +246,54 @@
         :param caller: the connection on which the request arrived.
         :param incoming: the request as received.
         """
-        request = self.dialect.decode(incoming)
+        request = None
+        try:
+            request = self.dialect.decode(incoming)
+            job = await self._admit(caller, request)
+        except Exception as error:
+            self._refuse_failed(caller, request, error)
+            return
+        if job is not None:
+            await self._run_job(job)
+
+    async def _admit(
+        self, caller: CallerConnection, request: Request | InvalidRequest
+    ) -> Job | None:
+        """Return the job of a request, or respond if it must not be served."""
         if isinstance(request, InvalidRequest):
             verdict = not_run(Reason.BAD_REQUEST, request.detail)
             respond_with_verdict(caller, [], verdict)
-            return
+            return None
         configuration = self.configuration
         if configuration is None:
             self._respond_unavailable(
                 caller, request, "no configuration has been received yet"
             )
-            return
+            return None
         route = configuration.route(request.host, request.path)
         if route is None:
             self._deny(caller, request, Reason.NOT_FOUND, DenialReason.NO_ROUTE)
-            return
+            return None
         account = configuration.account(route, request.api_key)
         if account is DenialReason.NO_ACCOUNT:
             self._deny(caller, request, Reason.UNAUTHORIZED, account)
-            return
-        await self._dispatch(caller, request, configuration, route, account)
+            return None
+        return await self._create_job(caller, request, configuration, route, account)
 
-    async def _dispatch(
+    async def _create_job(
         self,
         caller: CallerConnection,
         request: Request,
         configuration: Configuration,
         route: Route,
         account: Account | None,
-    ) -> None:
+    ) -> Job | None:
         service = configuration.by_service.get(_choose_service(route))
         if service is None:
             self._respond_unavailable(
                 caller, request, f"route {route.name} has no configured service"
             )
-            return
+            return None
         job = Job(
             caller=caller,
             request=request,
@@ -297,20 +310,63 @@
             job.is_trial = await self.claim_trial(job.features)
             if not job.is_trial:
                 self._respond_not_run(caller, request, self.blocked_verdict(job))
-                return
-        self.retry_budget(service.name).record_request()
-        self.record_start(job)
+                return None
+        return job
+
+    async def _run_job(self, job: Job) -> None:
+        """Serve an admitted request; an exception in it ends it with a response."""
         self.jobs.add(job)
         try:
+            self.retry_budget(job.service.name).record_request()
+            self.record_start(job)
             await self._serve_job(job)
         except asyncio.CancelledError:
             self.record_end(
                 job, may_have_run(Reason.CANCELLED, "the caller disconnected")
             )
             raise
+        except Exception as error:
+            self._end_failed(job, error)
         finally:
             self.jobs.discard(job)
 
+    def _refuse_failed(
+        self,
+        caller: CallerConnection,
+        request: Request | InvalidRequest | None,
+        error: Exception,
+    ) -> None:
+        """Refuse a request whose admission has raised an unexpected exception."""
+        known = isinstance(request, Request)
+        request_id = request.id if known else ""
+        _log_failure(request_id, error)
+        if caller.response is not ResponseProgress.NOTHING:
+            return
+        verdict = _not_run_after(error)
+        fields = self.dialect.gateway_fields(request) if known else []
+        respond_with_verdict(caller, fields, verdict)
+        reason = verdict.reason.value
+        self.emit(
+            RefusedEvent(request=request_id, reason=reason, detail=verdict.detail)
+        )
+
+    def _end_failed(self, job: Job, error: Exception) -> None:
+        """End a request that an unexpected exception has interrupted."""
+        _log_failure(job.request.id, error)
+        progress = job.caller.response
+        verdict = _not_run_after(error)
+        if progress is ResponseProgress.COMPLETE:
+            verdict = Verdict(ran=RAN, detail=verdict.detail)
+        elif job.sent_to:
+            verdict = may_have_run(Reason.RESET, verdict.detail)
+        if progress is ResponseProgress.HEAD:
+            job.caller.abort()
+        elif progress is ResponseProgress.NOTHING:
+            fields = self.dialect.gateway_fields(job.request)
+            respond_with_verdict(job.caller, fields, verdict)
+        if not job.has_end:
+            self.record_end(job, verdict)
+
     async def _serve_job(self, job: Job) -> None:
         service = job.service
         if service.engine is not None:
@@ -387,6 +443,7 @@
         :param verdict: its outcome.
         :param status: status of the server's response, or None to use the verdict's.
         """
+        job.has_end = True
         self.metrics.durations.observe({"kind": job.route.kind.value}, job.age())
         self.emit(
             RequestEnded(
@@ -480,8 +537,7 @@
     def _respond_unavailable(
         self, caller: CallerConnection, request: Request, detail: str
     ) -> None:
-        wait = 0.5 + random.random()
-        verdict = not_run(Reason.NO_UPSTREAM, detail, retry_after=wait)
+        verdict = not_run(Reason.NO_UPSTREAM, detail, retry_after=_retry_delay())
         self._respond_not_run(caller, request, verdict)
 
     def _respond_not_run(
@@ -495,6 +551,20 @@
         respond_with_verdict(caller, self.dialect.gateway_fields(request), verdict)
 
 
+def _retry_delay() -> float:
+    return 0.5 + random.random()
+
+
+def _log_failure(request_id: str, error: Exception) -> None:
+    logger.opt(exception=error).error("request {} failed: {!r}", request_id, error)
+
+
+def _not_run_after(error: Exception) -> Verdict:
+    """Return the verdict of a request that an error ended before it was sent."""
+    detail = f"an internal error ended the request: {type(error).__name__}"
+    return not_run(Reason.NO_UPSTREAM, detail, retry_after=_retry_delay())
+
+
 def _describe_parts(request: Request) -> str:
     """Return the parts of the prompt for the event, or "" if none is known."""
     if not request.prompt_parts:
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -342,6 +342,53 @@
         run_scenario(scenario)
 
 
+class TestHandlerThatFails:
+    """A request whose handler raised an exception ended without an answer."""
+
+    def test_is_answered_and_the_connection_closes(self):
+        async def scenario(echo):
+            async def fail(caller, incoming):
+                raise ZeroDivisionError
+
+            echo.listener.serve = fail
+            received = await echo.send(_post(b"", b"Content-Length: 0"))
+            assert received.startswith(b"HTTP/1.1 500")
+            assert b"Connection: close" in received
+
+        run_scenario(scenario)
+
+    def test_aborts_a_response_that_has_begun(self):
+        async def scenario(echo):
+            async def fail(caller, incoming):
+                caller.start_stream(200, [], keep_alive=True)
+                caller.write_chunk(b"half")
+                raise ZeroDivisionError
+
+            echo.listener.serve = fail
+            received = await echo.send(_post(b"", b"Content-Length: 0"))
+            assert received.startswith(b"HTTP/1.1 200")
+            assert not received.endswith(b"0\r\n\r\n")
+
+        run_scenario(scenario)
+
+    def test_keeps_a_response_that_is_complete(self):
+        async def scenario(echo):
+            respond = echo.listener.serve
+
+            async def fail(caller, incoming):
+                await respond(caller, incoming)
+                raise ZeroDivisionError
+
+            echo.listener.serve = fail
+            first = _post(b"1", b"Content-Length: 1")
+            second = _post(b"2", b"Content-Length: 1", b"Connection: close")
+            received = await echo.send(first + second)
+            assert b"ok:1" in received
+            assert b"ok:2" in received
+
+        run_scenario(scenario)
+
+
 class _Server:
     """A server that sends the same responses on each connection."""
 
