Answer the requests that were read before the connection closes

Callers saw: on a connection with several requests under way, the first was answered and the others ended with the connection, neither answered nor refused, although they had been read whole. It took a shutdown (drain, or the end of the grace), or an invalid request behind them.

Cause: `closing` meant "close after the response in progress". The loop of the connection left with requests in its queue, and the response before them said `Connection: close`.

Change: a connection that drains or closes does so after the last request that was read; only the response to that one says so. What follows a request or a response that itself demands the end (`Connection: close`, HTTP/1.0, a stream that was broken off) is dropped as before. The answer after an exception keeps the connection for the same reason, so the test of it asks for the next answer in place of the close.

Evidence: TestRequestsThatWereReadBeforeTheConnectionCloses (four cases of six) and TestHandlerThatFails fail without the change. The other two hold what must not be served.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -110,8 +110,8 @@
         self.response = ResponseProgress.NOTHING  # to the request in progress
         self.accepts_chunked = True  # for the request in progress
         self.bodyless = False  # the same: its response has no body, as for HEAD
-        self.closing = False  # close after the request in progress
-        self.draining = False  # close after the next response
+        self.closing = False  # close after the requests that were read
+        self.draining = False  # the same, once the next response begins
         self.on_flow_change: Callable[[bool], None] | None = None
         self.writing_paused = False  # the write buffer is full
         self.task: asyncio.Task | None = None
@@ -220,7 +220,7 @@
 
     def abort(self) -> None:
         """Abort the connection, so that a truncated body cannot look complete."""
-        self.closing = True
+        self._accept_no_more()
         if self.transport is not None:
             self.transport.abort()
 
@@ -235,14 +235,22 @@
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def close_when_idle(self) -> None:
-        """Close after the request in progress, or now if there is none."""
+        """Close after the requests that were read, or now if there is none."""
         self.closing = True
         self.wakeup.set()
 
     def _decide_keep_alive(self, keep_alive: bool) -> bool:
-        if not keep_alive or self.draining:
+        """Tell whether another response follows; requests that were read get one."""
+        if not keep_alive:
+            self._accept_no_more()
+        elif self.draining and not self.pending:
             self.closing = True
-        return not self.closing
+        return not self.closing or bool(self.pending)
+
+    def _accept_no_more(self) -> None:
+        """Close after the request in progress, whatever the caller sent after it."""
+        self.closing = True
+        self.pending.clear()
 
     # asyncio.Protocol
 
@@ -387,13 +395,13 @@
         try:
             while not self.lost:
                 incoming = await self._next_request()
-                if incoming is None:
+                if incoming is None or self.lost:
                     break
                 if isinstance(incoming, RejectedRequest):
                     self._respond_rejected(incoming)
                     break
                 await self._serve_request(incoming)
-                if self.closing:
+                if self.closing and not self.pending:
                     break
         finally:
             if not self.transport.is_closing():
@@ -413,7 +421,7 @@
             self.busy = False
             self.on_flow_change = None
         if not incoming.keep_alive:
-            self.closing = True
+            self._accept_no_more()
         await self.flush()
 
     def _respond_failed(self, incoming: IncomingRequest, error: Exception) -> None:
@@ -422,7 +430,7 @@
             "the handler of {} {} failed: {!r}", incoming.method, incoming.target, error
         )
         if self.response is ResponseProgress.NOTHING:
-            self.respond(500, [], b"", keep_alive=False)
+            self.respond(500, [], b"", keep_alive=True)
         elif self.response is ResponseProgress.HEAD:
             self.abort()
 
