Count the time-out of a request from its beginning, and that of an idle connection by the present limits

Callers saw: a request whose body (or head) was on its way was answered 408 and cut, as the time allowed for an idle connection ran out; and a connection was closed at the idle time of an older configuration, while callers of the newer one still used it.

Cause: one timer was started when the connection became idle and was not set again when a request began. It also kept the limits of that moment.

Change: the deadline is computed anew whenever the timer ends: a body has the idle time from the end of its head, a head its own time from its first byte, and an idle connection the idle time of the configuration in force.

Evidence: test_of_an_idle_connection_ends_no_body got the 408, and test_of_an_idle_connection_follows_the_configuration a closed connection, without the change. The two cases of _read_deadline name the bounds.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -27,6 +27,7 @@
 )
 
 FLUSH_CHECK_SECONDS = 0.02  # between looks at what a slow caller has yet to take
+MIN_READ_SECONDS = 0.05  # for bytes that this process is late to read
 MAX_PIPELINED_REQUESTS = 4  # queued on a connection before reading is paused
 
 
@@ -435,17 +436,20 @@
             self.abort()
 
     async def _next_request(self) -> IncomingRequest | RejectedRequest | None:
+        idle_since = time.monotonic()
         while not self.pending:
             if self.lost or self.closing:
                 return None
             self.wakeup.clear()
-            limits = self.limits()
+            left = self._read_deadline(idle_since) - time.monotonic()
             try:
-                async with asyncio.timeout(self._read_timeout(limits)):
+                async with asyncio.timeout(max(MIN_READ_SECONDS, left)):
                     await self.wakeup.wait()
             except TimeoutError:
                 if self.pending:
                     break
+                if time.monotonic() < self._read_deadline(idle_since):
+                    continue
                 if self._reading_body or self._head_started_at:
                     return RejectedRequest(
                         status=408, detail="the request took too long"
@@ -456,11 +460,14 @@
             self.transport.resume_reading()
         return incoming
 
-    def _read_timeout(self, limits: RequestLimits) -> float:
-        if not self._head_started_at:
-            return limits.idle_seconds
-        elapsed = time.monotonic() - self._head_started_at
-        return max(0.05, limits.header_seconds - elapsed)
+    def _read_deadline(self, idle_since: float) -> float:
+        """Return when the next request has to be complete, or else to have begun."""
+        limits = self.limits()
+        if self._reading_body:
+            return self._arrived + limits.idle_seconds
+        if self._head_started_at:
+            return self._head_started_at + limits.header_seconds
+        return idle_since + limits.idle_seconds
 
     def _reject(self, status: int, detail: str) -> None:
         if self.closing:
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -476,6 +477,74 @@
         run_scenario(scenario)
 
 
+class TestTimeouts:
+    """The time-out of an idle connection also ended requests that were being read."""
+
+    def _read_deadline(self, data: bytes, idle_since: float) -> float:
+        """Return when a connection that was idle is closed after it got some bytes."""
+        caller = CallerConnection(
+            limits=lambda: SMALL, serve=None, on_opened=None, on_closed=None
+        )
+        caller.data_received(data)
+        return caller._read_deadline(idle_since)
+
+    def test_of_a_body_begins_with_the_request(self):
+        before = time.monotonic()
+        deadline = self._read_deadline(
+            _post(b"ab", b"Content-Length: 9"), before - SMALL.idle_seconds
+        )
+        assert before + SMALL.idle_seconds <= deadline
+        assert deadline <= time.monotonic() + SMALL.idle_seconds
+
+    def test_of_a_head_begins_with_its_first_byte(self):
+        before = time.monotonic()
+        deadline = self._read_deadline(b"POST /x", before - SMALL.idle_seconds)
+        assert before + SMALL.header_seconds <= deadline
+        assert deadline <= time.monotonic() + SMALL.header_seconds
+
+    def test_of_an_idle_connection_ends_no_body(self):
+        limits = Limits(idle_seconds=1.0)
+
+        async def scenario(echo):
+            host, _, port = echo.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            opened = time.monotonic()
+            await asyncio.sleep(0.8 * limits.idle_seconds)
+            writer.write(_post(b"a", b"Content-Length: 2", b"Connection: close"))
+            while time.monotonic() <= opened + limits.idle_seconds + 0.1:
+                await asyncio.sleep(0.01)
+            writer.write(b"b")
+            async with asyncio.timeout(5):
+                assert (await reader.read()).endswith(b"ok:ab")
+            writer.close()
+
+        run_scenario(scenario, limits)
+
+    def test_of_an_idle_connection_follows_the_configuration(self):
+        """A change of the configuration lets callers keep connections for longer."""
+
+        async def scenario(echo):
+            long = Limits(idle_seconds=3600.0)
+            given = []
+
+            def limits():
+                given.append(None)
+                return SMALL if len(given) == 1 else long
+
+            echo.listener.limits = limits
+            host, _, port = echo.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            async with asyncio.timeout(5):
+                while len(given) < 2:  # the shorter time has passed
+                    await asyncio.sleep(0.01)
+            writer.write(_post(b"1", b"Content-Length: 1", b"Connection: close"))
+            async with asyncio.timeout(5):
+                assert (await reader.read()).endswith(b"ok:1")
+            writer.close()
+
+        run_scenario(scenario)
+
+
 class _Server:
     """A server that sends the same responses on each connection."""
 
