Reject addresses whose host names an interface of another machine

What callers saw: with one key of another writer among the entries, such as "::1%\0:80", each entry ended by itself some seconds after it had read the list, and again after each restart. The same text as the address of a server counted as a server, and stood in the header fields of requests that went through it.

Cause: `ipaddress` accepts an IPv6 address with a zone, and the zone may be any text: NUL, line breaks, a host name. `parse_address` relied on it. A datagram to such a host raises TypeError, for which asyncio closes the socket; the task of the gossip failed at its next start too, until its supervisor ended the process. A zone means something on its own machine alone (RFC 4007), and a name behind it would be looked up.

Ruled out: the decoders of rows, pages and settings.

Why it works: each list, message and setting takes addresses through `parse_address`.

--- a/packages/gateway/src/kumquatway_gateway/model/_address.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_address.py
@@ -14,6 +14,9 @@
     :return: the host and the port, or None if the address is invalid.
     """
     host, _, port = address.rpartition(":")
+    # An interface after the host is that of another machine, and may be any text.
+    if "%" in host:
+        return None
     try:
         ipaddress.ip_address(host)
     except ValueError:
