Answer pipelined requests before a draining connection closes

What callers saw: in a planned stop, requests that had been pipelined behind another one were read, and ended with a closed connection and no answer: three of four on each connection, of all kinds of routes. None of them had been passed on.

Cause: from SIGTERM on, the next response carried `Connection: close` whatever had arrived behind its request, and at the end of the grace a connection closed after the request in progress alone.

Ruled out: what had been passed on.

Change: a draining connection closes with the answer to the last request that was read or is being read, as far as the grace lasts. A connection that is told to close when it is idle does so once nothing is left.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -112,7 +112,8 @@
         self.accepts_chunked = True  # for the request in progress
         self.bodyless = False  # the same: its response has no body, as for HEAD
         self.closing = False  # close after the requests that were read
-        self.draining = False  # the same, once the next response begins
+        self.draining = False  # the same, with those that are being read
+        self.ending = False  # the same, and close if there is none
         self.on_flow_change: Callable[[bool], None] | None = None
         self.writing_paused = False  # the write buffer is full
         self.task: asyncio.Task | None = None
@@ -129,8 +130,11 @@
     @property
     def is_unfinished(self) -> bool:
         """Whether a request is being read or answered, or its answer leaves yet."""
-        reading = self._reading_body or bool(self._head_started_at)
-        return self.busy or self.flushing or bool(self.pending) or reading
+        return self.busy or self.flushing or self._has_more()
+
+    def _has_more(self) -> bool:
+        """Tell whether another request is being read, or waits for its answer."""
+        return bool(self.pending or self._reading_body or self._head_started_at)
 
     # called by request handlers and by the listener
 
@@ -236,15 +240,15 @@
         raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
     def close_when_idle(self) -> None:
-        """Close after the requests that were read, or now if there is none."""
-        self.closing = True
+        """Close after the last request that has arrived, or now if there is none."""
+        self.draining = self.ending = True
         self.wakeup.set()
 
     def _decide_keep_alive(self, keep_alive: bool) -> bool:
         """Tell whether another response follows; requests that were read get one."""
         if not keep_alive:
             self._accept_no_more()
-        elif self.draining and not self.pending:
+        elif self.draining and not self._has_more():
             self.closing = True
         return not self.closing or bool(self.pending)
 
@@ -438,7 +442,7 @@
     async def _next_request(self) -> IncomingRequest | RejectedRequest | None:
         idle_since = time.monotonic()
         while not self.pending:
-            if self.lost or self.closing:
+            if self.lost or self.closing or (self.ending and not self._has_more()):
                 return None
             self.wakeup.clear()
             left = self._read_deadline(idle_since) - time.monotonic()
@@ -520,7 +524,7 @@
             self.server.close()
 
     def drain(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after the last request that has arrived on it."""
         self.draining = True
         for connection in self.connections:
             connection.draining = True
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -334,6 +334,31 @@
 
         run_scenario(scenario)
 
+    def test_pipelined_requests_are_answered_during_drain(self):
+        async def scenario(echo: _EchoListener) -> None:
+            echo.listener.drain()
+            first = _post(b"one", b"Content-Length: 3")
+            last = _post(b"three", b"Content-Length: 5")
+            received = await echo.send(2 * first + last[:-3], more=last[-3:])
+            assert received.count(b"200 OK") == 3
+            assert received.count(b"Connection: close") == 1
+            assert received.endswith(b"ok:three")
+
+        run_scenario(scenario)
+
+    def test_pipelined_requests_are_answered_once_the_connection_is_to_close(self):
+        async def scenario(echo: _EchoListener) -> None:
+            echo.may_respond = asyncio.Event()
+            data = _post(b"one", b"Content-Length: 3")
+            sent = asyncio.create_task(echo.send(2 * data))
+            while not echo.requests:
+                await asyncio.sleep(0.01)
+            echo.listener.close_when_idle()
+            echo.may_respond.set()
+            assert (await sent).count(b"200 OK") == 2
+
+        run_scenario(scenario)
+
     def test_response_during_drain_closes_the_connection(self):
         async def scenario(echo):
             echo.listener.drain()
