Accept in a planned stop only what ends although its server pauses for a second

What callers saw: in a planned stop in calm, streams that came late in the grace were taken and passed on; a server fell silent for a second, as a sound one may, and they were cut at the end of the grace, among them streams that may run once. Plain requests got 504 although their servers were at work.

Cause: an accepted request was to end 0.7 s before the grace is over, of which 0.35 s are for the process's end. That left 0.35 s for any delay which is not known when the request is accepted. Learned durations don't help: the pause is the first one.

Change: a second more is kept free. It costs what would have been accepted in that second, which is refused as not run and served by others.

Evidence: `TestLateInTheGrace` calls all six kinds of routes every 0.1 s from SIGTERM to the exit (grace of 4 s). All servers silent for 1 s from 1.3 s and from 1.0 s before the exit, and one of them from 1.3 s: failed before, a stream cut in each; none of the seven silences fails now.

What remains: a server that pauses for much longer, or becomes several times slower in the middle of a long stream, can still outlast the grace.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -57,6 +57,7 @@
 # Parts of the shutdown grace at its end: in the first, accepted requests are to end,
 # and in the second only those that take longer than expected.
 MARGIN_SECONDS = 0.7
+SILENCE_SECONDS = 1.0  # for which a sound server may pause in the middle of an answer
 EXIT_SECONDS = 0.3  # for the process to end
 DRAIN_CHECK_SECONDS = 0.05  # between checks for requests in progress
 LAST_REQUEST_SECONDS = 0.1  # for the first bytes on connections that were accepted last
@@ -358,7 +359,7 @@
         """
         started = self.clock()
         end = started + self.settings.shutdown_grace
-        self.relay.begin_shutdown(end - MARGIN_SECONDS)
+        self.relay.begin_shutdown(end - MARGIN_SECONDS - SILENCE_SECONDS)
         self.caller_listener.drain()
         await self.placer.release()
         deadline = end - EXIT_SECONDS - LAST_RESPONSE_SECONDS
