Bound the memory of all request bodies together

Cause: each body had a limit, all together none.

Change: `http1/_request_bodies` decides, apart from I/O, which bodies are read, which wait and which are refused. All together take an eighth of the memory in the settings, or else of the VM's, until their answers have left. A caller whose body has to wait is not read from; it gets 503, not run, with `Retry-After`, if as much waits already, or after the time that a head may take. Small bodies have a quarter for themselves and do not queue behind large ones. If none is admitted, the first one goes on whatever its size. A rejected caller that is still sending may read the response: the connection is closed in one direction first, as a close with unread bytes resets it and the response gets lost (413 too). A request is freed once it is answered.

What remains: a first read of each connection (up to 256 KiB) is there before it can be refused, and bytes in the kernel's buffers are not counted. Callers that declare large bodies and send nothing hold their part until they time out; small requests go on.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -7,7 +7,15 @@
 import runpy
 import sys
 
-SHORT = ("tokens", "config", "at_most_once", "gateway_lines", "unread_log", "decisions")
+SHORT = (
+    "tokens",
+    "config",
+    "at_most_once",
+    "gateway_lines",
+    "unread_log",
+    "request_bodies",
+    "decisions",
+)
 LONG = ("control", "members", "recovery", "admission", "planner")
 
 
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -20,6 +20,7 @@
     ServerFollower,
     follow_entries,
 )
+from kumquatway_gateway._memory import machine_memory
 from kumquatway_gateway._metrics import GatewayMetrics
 from kumquatway_gateway._sources import ConfigurationSource, EntrySource, ServerSource
 from kumquatway_gateway.duties import Placer
@@ -30,6 +31,8 @@
     Fetcher,
     IncomingRequest,
     Listener,
+    RequestBodies,
+    RequestHandler,
 )
 from kumquatway_gateway.limits import Permits
 from kumquatway_gateway.model import Limits, Server
@@ -63,6 +66,8 @@
 LAST_REQUEST_SECONDS = 0.1  # for the first bytes on connections that were accepted last
 LAST_RESPONSE_SECONDS = 0.05  # for the last responses to leave
 BLOCKS_PATIENCE_SECONDS = 2.0  # at the start, until ready without the store's blocks
+# Of the VM's memory. A body is there up to three times while it is sent to a server.
+REQUEST_BODIES_SHARE = 1 / 8
 READY_PATH = "/ready"
 METRICS_PATH = "/metrics"
 HEALTH_PATH = "/health"  # for servers whose service is not known yet
@@ -88,6 +93,7 @@
     :param min_entries: lowest number of entries to assume.
     :param shutdown_grace: time from SIGTERM to the exit, seconds.
     :param fenced: whether servers refuse orders with old fencing numbers.
+    :param memory_bytes: memory that this process may use, or None for the VM's.
     """
 
     name: str
@@ -103,6 +109,7 @@
     min_entries: int = 3
     shutdown_grace: float = 8.0
     fenced: bool = False
+    memory_bytes: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -268,11 +275,21 @@
             reissued_in=lambda: self.configuration.reissued_in,
             clock=clock,
         )
-        self.caller_listener = Listener(limits=self._limits, serve=self.relay.serve)
-        self.readiness_listener = Listener(limits=Limits, serve=self._serve_readiness)
-        self.metrics_listener = Listener(limits=Limits, serve=self._serve_metrics)
+        memory = settings.memory_bytes
+        self.bodies = RequestBodies(
+            max_bytes=REQUEST_BODIES_SHARE
+            * (machine_memory() if memory is None else memory)
+        )
+        self.caller_listener = self._listener(self.relay.serve, self._limits)
+        self.readiness_listener = self._listener(self._serve_readiness)
+        self.metrics_listener = self._listener(self._serve_metrics)
+        self.peer_listener = self._listener(self._serve_peer)
         self._add_gauges()
-        self.peer_listener = Listener(limits=Limits, serve=self._serve_peer)
+
+    def _listener(
+        self, serve: RequestHandler, limits: Callable[[], Limits] = Limits
+    ) -> Listener:
+        return Listener(limits=limits, serve=serve, bodies=self.bodies)
 
     def emit(self, event: Event) -> None:
         """
--- a/packages/gateway/src/kumquatway_gateway/http1/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/__init__.py
@@ -8,11 +8,13 @@
     CallerConnection,
     IncomingRequest,
     Listener,
+    RequestHandler,
     ResponseProgress,
 )
 from kumquatway_gateway.http1._fetch import FetchedResponse, Fetcher, FetchFailed
 from kumquatway_gateway.http1._headers import Headers, render_request, render_response
 from kumquatway_gateway.http1._pool import ConnectionPool, Unreachable
+from kumquatway_gateway.http1._request_bodies import RequestBodies
 from kumquatway_gateway.http1._upstream import (
     Exchange,
     ResponseEnd,
@@ -32,6 +34,8 @@
     "IncomingRequest",
     "Listener",
     "ConnectionPool",
+    "RequestBodies",
+    "RequestHandler",
     "ResponseFraming",
     "ResponseHead",
     "ResponseProgress",
--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import enum
+import random
 import socket
 import struct
 import time
@@ -18,6 +19,7 @@
 import httptools
 from loguru import logger
 
+from kumquatway_core import VERDICT_HEADER, Reason, not_run
 from kumquatway_gateway.http1._headers import (
     Field,
     Headers,
@@ -25,10 +27,14 @@
     render_response,
     without_upgrade,
 )
+from kumquatway_gateway.http1._request_bodies import BodyShare, RequestBodies
 
 FLUSH_CHECK_SECONDS = 0.02  # between looks at what a slow caller has yet to take
 MIN_READ_SECONDS = 0.05  # for bytes that this process is late to read
 MAX_PIPELINED_REQUESTS = 4  # queued on a connection before reading is paused
+LINGER_SECONDS = 2.0  # for a caller to read a rejection while it sends
+BODIES_RETRY_SECONDS = 1.0  # mean time until a body that was refused should come again
+NO_MEMORY = "the bodies of other requests take the memory of this entry"
 
 
 class RequestLimits(Protocol):
@@ -49,6 +55,7 @@
     :param arrived: when the head was complete, monotonic seconds.
     :param keep_alive: whether the caller wants to keep the connection open.
     :param accepts_chunked: whether the caller supports chunked responses (HTTP/1.1).
+    :param share: what the body takes of the bound on all bodies.
     """
 
     method: str
@@ -58,6 +65,7 @@
     arrived: float
     keep_alive: bool
     accepts_chunked: bool = True
+    share: BodyShare | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -66,6 +74,7 @@
 
     status: int
     detail: str
+    fields: tuple[Field, ...] = ()
 
 
 class ResponseProgress(enum.Enum):
@@ -85,6 +94,7 @@
 
     :param limits: returns the limits on requests that apply now.
     :param serve: writes the response to one request.
+    :param bodies: decides which bodies are read.
     :param on_opened: called with the connection once it is open.
     :param on_closed: called with the connection once its task has ended.
     """
@@ -94,11 +104,13 @@
         *,
         limits: Callable[[], RequestLimits],
         serve: RequestHandler,
+        bodies: RequestBodies,
         on_opened: Callable[["CallerConnection"], None],
         on_closed: Callable[["CallerConnection"], None],
     ):
         self.limits = limits
         self.serve = serve
+        self.bodies = bodies
         self.on_opened = on_opened
         self.on_closed = on_closed
         self.transport: asyncio.Transport | None = None
@@ -125,6 +137,8 @@
         self._offers_upgrade = False
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._body_share: BodyShare | None = None
+        self._body_timer: asyncio.TimerHandle | None = None  # while the body waits
         self._arrived = 0.0
 
     @property
@@ -255,6 +269,8 @@
     def _accept_no_more(self) -> None:
         """Close after the request in progress, whatever the caller sent after it."""
         self.closing = True
+        for queued in self.pending:
+            self._discard_share(queued)
         self.pending.clear()
 
     # asyncio.Protocol
@@ -267,6 +283,8 @@
 
     def data_received(self, data):
         """Parse requests; a malformed one closes the connection."""
+        if self.closing:
+            return
         if not self._reading_body:
             self._head_bytes += len(data)
             if not self._head_started_at:
@@ -277,8 +295,17 @@
             self._reject(400, f"the request is not HTTP/1.1: {error}")
         if not self._reading_body and self._head_bytes > self.limits().header_bytes:
             self._reject(431, "the head of the request is too large")
-        if len(self.pending) > MAX_PIPELINED_REQUESTS:
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Pause reading while many requests are queued, or the body has to wait."""
+        if self.lost:
+            return
+        queued = len(self.pending) > MAX_PIPELINED_REQUESTS
+        if not self.closing and (queued or self._body_timer is not None):
             self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
 
     def _feed(self, data: bytes) -> None:
         """Parse data; an offer to upgrade the connection is ignored (RFC 9110, 7.8)."""
@@ -357,16 +384,74 @@
             self._reject(431, "the head of the request is too large")
         elif length > self.limits().body_bytes:
             self._reject(413, "the body of the request is too large")
-        elif _expects_continue(self._fields) and not self.lost:
+        elif length:
+            self._begin_body(length)
+        elif _expects_continue(self._fields):
+            self._begin_body(0)
+
+    def _begin_body(self, length: int) -> None:
+        """Ask for the memory of a body, whose length is 0 if it is not declared."""
+        self._body_share = self.bodies.begin(length, self._read_body)
+        if self._body_share.admitted:
+            self._read_body()
+        else:
+            self._wait_for_memory()
+
+    def _read_body(self) -> None:
+        """Read a body that was admitted."""
+        self._stop_waiting()
+        if _expects_continue(self._fields) and not self._body_bytes and not self.lost:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def _wait_for_memory(self) -> None:
+        """Stop reading until the body is admitted, or refuse it."""
+        if self._body_share.refused:
+            self._refuse_body()
+        elif self._body_timer is None:
+            loop = asyncio.get_running_loop()
+            patience = self.limits().header_seconds
+            self._body_timer = loop.call_later(patience, self._refuse_body)
+
+    def _stop_waiting(self) -> None:
+        if self._body_timer is not None:
+            self._body_timer.cancel()
+            self._body_timer = None
+            self._update_reading()
+
+    def _refuse_body(self) -> None:
+        """Refuse the request whose body is being read: it was not run."""
+        wait = BODIES_RETRY_SECONDS * random.uniform(0.5, 1.5)
+        verdict = not_run(Reason.OVERLOADED, NO_MEMORY, retry_after=wait)
+        self._reject(
+            verdict.status(),
+            verdict.detail,
+            (VERDICT_HEADER.encode(), verdict.header_value().encode()),
+            (b"Retry-After", b"%.2f" % wait),
+        )
+
+    def _drop_body(self) -> None:
+        """Free the part of a body that has arrived."""
+        self._body = []
+        self._stop_waiting()
+        if self._body_share is not None:
+            self.bodies.discard(self._body_share)
+            self._body_share = None
+
     def on_body(self, data):
         """Store part of the body, up to the limit."""
+        if self.closing:
+            return
+        if self._body_share is None:
+            self._begin_body(0)
         self._body_bytes += len(data)
         if self._body_bytes > self.limits().body_bytes:
             self._reject(413, "the body of the request is too large")
+        if self.closing:
             return
         self._body.append(data)
+        self.bodies.receive(self._body_share, len(data))
+        if not self._body_share.admitted:
+            self._wait_for_memory()
 
     def on_message_complete(self):
         """Queue the complete request."""
@@ -375,6 +460,12 @@
         self._reading_body = False
         if self.closing:
             return
+        share, self._body_share = self._body_share, None
+        if share is not None and not self.bodies.complete(share):
+            self._body_share = share
+            self._refuse_body()
+            return
+        self._stop_waiting()
         self.pending.append(
             IncomingRequest(
                 method=self.parser.get_method().decode("latin-1"),
@@ -384,6 +475,7 @@
                 arrived=self._arrived,
                 keep_alive=self.parser.should_keep_alive(),
                 accepts_chunked=self.parser.get_http_version() != "1.0",
+                share=share,
             )
         )
         self._body = []
@@ -398,21 +490,56 @@
 
     async def _run(self) -> None:
         try:
-            while not self.lost:
-                incoming = await self._next_request()
-                if incoming is None or self.lost:
-                    break
-                if isinstance(incoming, RejectedRequest):
-                    self._respond_rejected(incoming)
-                    break
-                await self._serve_request(incoming)
-                if self.closing and not self.pending:
-                    break
+            while not self.lost and await self._serve_next():
+                pass
         finally:
+            self._drop_body()
+            for queued in self.pending:
+                self._discard_share(queued)
             if not self.transport.is_closing():
                 self.transport.close()
             self.on_closed(self)
 
+    async def _serve_next(self) -> bool:
+        """Serve a request, which is freed then; return whether another may follow."""
+        incoming = await self._next_request()
+        if incoming is None or self.lost:
+            self._discard_share(incoming)
+            return False
+        if isinstance(incoming, RejectedRequest):
+            self._drop_body()
+            self._respond_rejected(incoming)
+            await self._linger()
+            return False
+        try:
+            await self._serve_request(incoming)
+        finally:
+            self._discard_share(incoming)
+        return not self.closing or bool(self.pending)
+
+    def _discard_share(
+        self, incoming: IncomingRequest | RejectedRequest | None
+    ) -> None:
+        share = getattr(incoming, "share", None)
+        if share is not None:
+            self.bodies.discard(share)
+
+    async def _linger(self) -> None:
+        """
+        Discard what the caller still sends, until it has closed the connection.
+
+        A close with unread bytes resets the connection, and the response may get lost.
+        """
+        self._update_reading()
+        self.transport.write_eof()
+        try:
+            async with asyncio.timeout(LINGER_SECONDS):
+                while not self.lost:
+                    self.wakeup.clear()
+                    await self.wakeup.wait()
+        except TimeoutError:
+            return
+
     async def _serve_request(self, incoming: IncomingRequest) -> None:
         self.busy = True
         self.response = ResponseProgress.NOTHING
@@ -460,8 +587,7 @@
                     )
                 return None
         incoming = self.pending.popleft()
-        if len(self.pending) < MAX_PIPELINED_REQUESTS and not self.lost:
-            self.transport.resume_reading()
+        self._update_reading()
         return incoming
 
     def _read_deadline(self, idle_since: float) -> float:
@@ -473,18 +599,20 @@
             return self._head_started_at + limits.header_seconds
         return idle_since + limits.idle_seconds
 
-    def _reject(self, status: int, detail: str) -> None:
+    def _reject(self, status: int, detail: str, *fields: Field) -> None:
         if self.closing:
             return
         self.closing = True
-        self.pending.append(RejectedRequest(status=status, detail=detail))
+        self._drop_body()
+        rejected = RejectedRequest(status=status, detail=detail, fields=fields)
+        self.pending.append(rejected)
         self.wakeup.set()
 
     def _respond_rejected(self, rejected: RejectedRequest) -> None:
         content_type = (b"Content-Type", b"text/plain; charset=utf-8")
         self.respond(
             rejected.status,
-            [content_type],
+            [content_type, *rejected.fields],
             rejected.detail.encode() + b"\n",
             keep_alive=False,
         )
@@ -496,11 +624,19 @@
 
     :param limits: returns the limits on requests that apply now.
     :param serve: writes the response to one request.
+    :param bodies: decides which bodies are read; by default, all are.
     """
 
-    def __init__(self, *, limits: Callable[[], RequestLimits], serve: RequestHandler):
+    def __init__(
+        self,
+        *,
+        limits: Callable[[], RequestLimits],
+        serve: RequestHandler,
+        bodies: RequestBodies | None = None,
+    ):
         self.limits = limits
         self.serve = serve
+        self.bodies = bodies or RequestBodies()
         self.connections: set[CallerConnection] = set()
         self.server: asyncio.Server | None = None
         self.draining = False
@@ -548,6 +684,7 @@
         connection = CallerConnection(
             limits=self.limits,
             serve=self.serve,
+            bodies=self.bodies,
             on_opened=self.connections.add,
             on_closed=self.connections.discard,
         )
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -4,6 +4,7 @@
 import socket
 import time
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 
 import pytest
 
@@ -16,6 +17,7 @@
     FetchFailed,
     IncomingRequest,
     Listener,
+    RequestBodies,
     ResponseEnd,
     ResponseFraming,
     Unreachable,
@@ -29,12 +31,14 @@
 class _EchoListener:
     """A listener that records its requests and echoes their bodies."""
 
-    def __init__(self, limits: Limits = SMALL):
+    def __init__(self, limits: Limits = SMALL, bodies: RequestBodies | None = None):
         self.requests: list[IncomingRequest] = []
         self.cancelled = False
         self.may_respond: asyncio.Event | None = None
         self.address = free_address()
-        self.listener = Listener(limits=lambda: limits, serve=self._serve)
+        self.listener = Listener(
+            limits=lambda: limits, serve=self._serve, bodies=bodies
+        )
 
     async def _serve(self, caller: CallerConnection, incoming: IncomingRequest) -> None:
         self.requests.append(incoming)
@@ -508,8 +512,13 @@
     def _read_deadline(self, data: bytes, idle_since: float) -> float:
         """Return when a connection that was idle is closed after it got some bytes."""
         caller = CallerConnection(
-            limits=lambda: SMALL, serve=None, on_opened=None, on_closed=None
+            limits=lambda: SMALL,
+            serve=None,
+            bodies=RequestBodies(),
+            on_opened=None,
+            on_closed=None,
         )
+        caller.transport = SimpleNamespace(resume_reading=lambda: None)
         caller.data_received(data)
         return caller._read_deadline(idle_since)
 
