Do not send a request twice after an error in its attempt at a model service

Callers saw nothing yet: with an injected exception in an attempt of a stream that may run once, after it had been sent, the request would be sent to a second server.

Cause: the outcome of such an attempt left open whether a server may have run the request. Now it may have run once it was sent; one that failed before is counted as unreached. The exception stands in the events of the attempt. test_is_answered_as_maybe_run[/bound/x] and test_is_aborted failed before on the new attempts (the second looks for the exception in the event of the attempt, since the stream's end names the attempts).

--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -91,6 +91,7 @@
         self.writes = 0  # to the caller
         self.suspects: frozenset[str] = frozenset()  # servers, while it is silent
         self.superseded = False
+        self.error: Exception | None = None  # of this entry, which ended the attempt
         self.outcome: AttemptOutcome | None = None
         self.task: asyncio.Task | None = None
 
@@ -130,15 +131,25 @@
         try:
             self.outcome = await self._send_and_relay()
         except Exception as error:
-            logger.opt(exception=error).error(
-                "an attempt of request {} failed: {}", self.job.request.id, error
-            )
-            self.outcome = AttemptOutcome.CUT
+            self.outcome = self._handle_internal_error(error)
         finally:
             self._drop_connection()
             self.router.release(self.claim)
             self.stream.changed.set()
 
+    def _handle_internal_error(self, error: Exception) -> AttemptOutcome:
+        """Return the outcome of an attempt that an unexpected exception has ended."""
+        logger.opt(exception=error).error(
+            "an attempt of request {} failed: {!r}", self.job.request.id, error
+        )
+        if self.exchange is None:
+            first = self.chain.first_server.id
+            self.relay.record_failure(self.job, first, "internal", repr(error))
+            return AttemptOutcome.UNREACHED
+        self.error = error
+        self.stream.may_have_run = True
+        return AttemptOutcome.CUT
+
     async def _send_and_relay(self) -> AttemptOutcome:
         if not await self._connect():
             return AttemptOutcome.UNREACHED
@@ -171,7 +182,6 @@
     def _send(self) -> None:
         job = self.job
         first = self.chain.first_server
-        job.sent_to.append(first.id)
         attempt = Attempt(
             server=first,
             account=job.account_name,
@@ -182,6 +192,8 @@
         )
         request = job.request
         dialect = self.relay.dialect
+        data = dialect.encode(request, attempt)
+        job.sent_to.append(first.id)
         self.exchange = Exchange(
             accepts=lambda status, headers: dialect.accepts(request, status, headers),
             max_buffered_bytes=MAX_BUFFERED_BYTES,
@@ -191,7 +203,7 @@
         self.estimate = self.router.estimate_claim(self.claim, load)
         self._record_route(load)
         self.relay.quarantine.record_start(job.features)
-        self.connection.send(self.exchange, dialect.encode(request, attempt))
+        self.connection.send(self.exchange, data)
 
     def _record_route(self, load: ChainLoad) -> None:
         self.relay.record_route(
@@ -452,6 +464,8 @@
     def describe_response(self) -> str:
         """Return how the response was framed and ended, for an event."""
         partial = len(self.events.partial_event)
-        return self.exchange.describe() + (
-            f" with {partial} bytes of an incomplete event" if partial else ""
+        return (
+            self.exchange.describe()
+            + (f" with {partial} bytes of an incomplete event" if partial else "")
+            + (f", internal error {self.error!r}" if self.error else "")
         )
