Answer or tell each request in a planned stop of an entry

In a planned stop of an entry, callers saw connections closed, or an empty answer 500 without a verdict: streams and calls that outlasted the grace, and also calls that could have been answered well within it while they waited for their claim, a retry or their turn.

Cause: the stop counted streams and calls at agents, not requests. One between two of these states was not seen, and the process ended before it. Requests left at the end of the grace were cancelled with the listener.

The guard before each handler now counts requests from their headers to the end of their answers, and the stop waits for this count. The last quarter of the grace, at most 2 s, is kept for telling: streams end with a verdict in their own form, then the handlers left are cancelled and the guard answers that the request may have run.

--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -12,7 +12,7 @@
 from kumquatway._metrics import EntryMetrics
 from kumquatway.admin import AdminContext, admin_app
 from kumquatway.admission import EntryAdmission
-from kumquatway.api import Context, caller_app
+from kumquatway.api import Context, Requests, caller_app
 from kumquatway.calls import Calls, Dispatcher, GuardedCalls
 from kumquatway.configuration import Configuration, Parser
 from kumquatway.duties import ORDER_BOUND, Duty, Orders, Planner
@@ -20,7 +20,14 @@
 from kumquatway.protect import Groups, MemoryBound, Newcomers, RetryBudget
 from kumquatway.routing import choose_replacement, choose_route
 from kumquatway.streams import Ask, InFlight, Routes, Session, Streams
-from kumquatway_core import Reason, Supervisor, Verdict, new_incarnation, not_run
+from kumquatway_core import (
+    Reason,
+    Supervisor,
+    Verdict,
+    may_have_run,
+    new_incarnation,
+    not_run,
+)
 from kumquatway_core.claims import Claims, ClaimSweeper
 from kumquatway_core.events import (
     Event,
@@ -58,6 +65,8 @@
 # The API refuses headers over their bound in its own shape; the parser ends the rest.
 HEADER_SLACK = 4
 DRAIN_CHECK = 0.05  # seconds
+TELL_SECONDS = 2.0  # of a shutdown, kept for telling callers that wait in vain
+TELL_SHARE = 0.25  # of the shutdown's bound, at most
 QUEUES_INTERVAL = 1.0  # seconds
 MEMORY = 512 * 1024 * KIB  # bytes of requests in progress
 STOP_PLANNING = 2.0  # seconds
@@ -83,6 +92,7 @@
         self.clock = HybridLogicalClock()
         self.journal = Journal(process=settings.name, clock=self.clock)
         self.leaving = anyio.Event()
+        self.requests = Requests()
         self.mesh = Mesh(
             address=settings.mesh_address,
             bind=settings.mesh_bind,
@@ -232,9 +242,9 @@
         """
         Count what a shutdown has to wait for.
 
-        :return: streams, calls and their last writes.
+        :return: requests of callers, and the last writes of calls.
         """
-        return len(self.streams.sessions) + len(self.calls.waiting) + self.tasks
+        return len(self.requests) + self.tasks
 
     def _add_children(self) -> None:
         settings = self.settings
@@ -247,6 +257,7 @@
             refusal=self.refusal,
             admission=self.admission.admission,
             memory=self.memory,
+            requests=self.requests,
         )
         admin = AdminContext(
             keys=frozenset(settings.admin_keys),
@@ -431,9 +442,18 @@
         )
 
     async def _finish(self) -> None:
-        with anyio.move_on_after(self.settings.shutdown_s):
-            while self.in_progress():
-                await anyio.sleep(DRAIN_CHECK)
+        bound = self.settings.shutdown_s
+        tell = min(TELL_SECONDS, bound * TELL_SHARE)
+        await self._wait_until_idle(bound - tell)
+        self.streams.give_up(may_have_run(Reason.SHUTTING_DOWN, "the entry ended"))
+        await self._wait_until_idle(tell / 2)
+        self.requests.end()
+        await self._wait_until_idle(tell / 2)
         await self.planner.stop(STOP_PLANNING)
         self.emit(ProcessStopped())
         logger.info("the entry ends; {} left in progress", self.in_progress())
+
+    async def _wait_until_idle(self, timeout: float) -> None:
+        with anyio.move_on_after(timeout):
+            while self.in_progress():
+                await anyio.sleep(DRAIN_CHECK)
--- a/packages/entry/src/kumquatway/api/_app.py
+++ b/packages/entry/src/kumquatway/api/_app.py
@@ -50,7 +50,11 @@
             Route("/services/{service}/{path:path}", call, methods=METHODS),
         ],
         middleware=[
-            Middleware(Guard, header_kib=context.limits.header_kib),
+            Middleware(
+                Guard,
+                header_kib=context.limits.header_kib,
+                requests=context.requests,
+            ),
             Middleware(Memory, bound=context.memory, body_kib=context.limits.body_kib),
         ],
         exception_handlers={HTTPException: routing_error},
--- a/packages/entry/src/kumquatway/api/_context.py
+++ b/packages/entry/src/kumquatway/api/_context.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from kumquatway.admission import Admission
+from kumquatway.api._requests import Requests
 from kumquatway.calls import Dispatcher
 from kumquatway.protect import MemoryBound
 from kumquatway.streams import Streams
@@ -71,6 +72,7 @@
     :param text: reads the text in force.
     :param refusal: tells why no request is taken now, or None.
     :param write_seconds: bound on one write to a caller.
+    :param requests: in progress.
     """
 
     text: Callable[[], Text]
@@ -84,6 +86,7 @@
     clock: Callable[[], float] = time.monotonic
     write_seconds: float = WRITE_SECONDS
     callers: Callers = field(default_factory=Callers)
+    requests: Requests = field(default_factory=Requests)
 
     def find_caller(self, authorization: str) -> Caller | Verdict:
         """
--- a/packages/entry/src/kumquatway/api/_guard.py
+++ b/packages/entry/src/kumquatway/api/_guard.py
@@ -1,7 +1,7 @@
 """
 Guard.
 
-What each request meets first: an id, a bound on its headers, an end to failures.
+What each request meets first: an id, a bound on its headers, an answer in any case.
 """
 
 import secrets
@@ -13,7 +13,8 @@
 from starlette.types import ASGIApp, Message, Receive, Scope, Send
 
 from kumquatway.api._errors import error_response
-from kumquatway_core import Reason, may_have_run, not_run
+from kumquatway.api._requests import Requests
+from kumquatway_core import Reason, Verdict, may_have_run, not_run
 from kumquatway_core.logs import request_context
 
 ID_BYTES = 8
@@ -43,11 +44,13 @@
 
     :param app: an ASGI application.
     :param header_kib: bound on all headers of a request, KiB.
+    :param requests: counts those in progress.
     """
 
-    def __init__(self, app: ASGIApp, *, header_kib: int):
+    def __init__(self, app: ASGIApp, *, header_kib: int, requests: Requests):
         self.app = app
         self.header_kib = header_kib
+        self.requests = requests
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve a request under an id that its answer and its log lines carry."""
@@ -57,27 +60,39 @@
         name = secrets.token_hex(ID_BYTES)
         scope["state"] = {**scope.get("state", {}), "request": name}
         exchange = _Exchange(request=name, receive=receive, send=send)
-        with request_context(name):
+        with request_context(name), self.requests.track() as handler:
             if _size(scope) > self.header_kib * KIB:
                 await self._refuse(scope, exchange)
                 return
-            await self._run(scope, exchange)
+            await self._run(scope, exchange, handler)
 
     async def _refuse(self, scope: Scope, exchange: "_Exchange") -> None:
         detail = f"the headers have over {self.header_kib} KiB"
         response = error_response(not_run(Reason.TOO_LARGE, detail), status=TOO_LARGE)
         await response(scope, exchange.receive, exchange.send)
 
-    async def _run(self, scope: Scope, exchange: "_Exchange") -> None:
+    async def _run(
+        self, scope: Scope, exchange: "_Exchange", handler: anyio.CancelScope
+    ) -> None:
+        verdict = await self._handle(scope, exchange, handler)
+        if verdict is None or exchange.started:
+            return  # the listener cuts a begun answer off, which callers can tell
+        response = error_response(verdict)
+        await response(scope, exchange.receive, exchange.send)
+
+    async def _handle(
+        self, scope: Scope, exchange: "_Exchange", handler: anyio.CancelScope
+    ) -> Verdict | None:
+        """Run the application; a verdict, if it did not end by itself."""
         try:
-            await self.app(scope, exchange.receive, exchange.send)
+            with handler:
+                await self.app(scope, exchange.receive, exchange.send)
         except Exception as error:
             logger.opt(exception=error).error("a handler failed: {}", error)
-            if exchange.started:
-                return  # the listener cuts the answer off, which callers can tell
-            verdict = may_have_run(Reason.INTERNAL, "the entry failed")
-            response = error_response(verdict)
-            await response(scope, exchange.receive, exchange.send)
+            return may_have_run(Reason.INTERNAL, "the entry failed")
+        if handler.cancelled_caught:
+            return may_have_run(Reason.SHUTTING_DOWN, "the entry ended")
+        return None
 
 
 class _Exchange:
--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -154,6 +154,7 @@
         self._failed: dict[str, Verdict] = {}
         self._failed_at = 0.0
         self._means = ""
+        self._end: Verdict | None = None
         self._pieces: deque[GeneratedToken] = deque()
         self._wake = anyio.Event()
 
@@ -214,6 +215,15 @@
             if stage.address == address:
                 self._fail(stage.vm, may_have_run(Reason.UNREACHABLE, detail))
 
+    def give_up(self, verdict: Verdict) -> None:
+        """
+        End the request early.
+
+        :param verdict: that its caller is told.
+        """
+        self._end = verdict
+        self._wake.set()
+
     async def run(self) -> AsyncIterator[GeneratedToken | Verdict]:
         """
         Generate the answer.
@@ -273,7 +283,7 @@
 
     async def _wait(self) -> Verdict | None:
         """Wait for tokens, and recover from failures meanwhile."""
-        while not self._pieces:
+        while self._end is None and not self._pieces:
             if self._failed:
                 verdict = await self._count_failure() or await self._recover()
                 if verdict is not None:
@@ -283,7 +293,7 @@
             if self.clock() >= self.ask.deadline:
                 return may_have_run(Reason.DEADLINE, "the deadline passed")
             await self._wake.wait()
-        return None
+        return self._end
 
     def look(self, now: float) -> None:
         """
@@ -339,7 +349,7 @@
             return may_have_run(last.reason, last.detail)
         if wait:
             await self.sleep(wait)
-        return None
+        return self._end
 
     async def _recover(self) -> Verdict | None:
         failed = self._failed
@@ -434,7 +444,7 @@
         if self.clock() + NO_ROUTE_WAIT >= self.ask.deadline:
             return may_have_run(verdict.reason, verdict.detail)
         await self.sleep(NO_ROUTE_WAIT)
-        return None
+        return self._end
 
     def _change_route(self, route: tuple[Stage, ...]) -> tuple[Stage, ...]:
         old, self.route = self.route, route
--- a/packages/entry/src/kumquatway/streams/_streams.py
+++ b/packages/entry/src/kumquatway/streams/_streams.py
@@ -11,6 +11,7 @@
 import anyio
 
 from kumquatway.streams._session import Ask, Routes, Session, ignore_first
+from kumquatway_core import Verdict
 from kumquatway_core.events import Event
 from kumquatway_core.wire import Message, Pieces, Trouble
 
@@ -48,6 +49,7 @@
         self.on_first = on_first
         self.sessions: dict[str, Session] = {}
         self.unknown = 0
+        self._end: Verdict | None = None
 
     async def watch(self) -> None:
         """Look at every session now and then, until cancelled."""
@@ -73,6 +75,8 @@
             on_first=self.on_first,
         )
         self.sessions[ask.request] = session
+        if self._end is not None:
+            session.give_up(self._end)
         return session
 
     def close(self, session: Session) -> None:
@@ -84,6 +88,16 @@
         self.sessions.pop(session.ask.request, None)
         session.close()
 
+    def give_up(self, verdict: Verdict) -> None:
+        """
+        End every request early, also those that begin later.
+
+        :param verdict: that the callers are told.
+        """
+        self._end = verdict
+        for session in self.sessions.values():
+            session.give_up(verdict)
+
     def usual_gap(self, name: str) -> float:
         """
         Tell the usual time between tokens of some streams of a model.
