Ignore what a replaced stage says of others

After a stage had been silent for a second and was replaced, its stream lost the next stage as well, although that one answered: another replay, or a prefill on a new route where no other VM had its layers.

Cause: to a silent agent all others are silent. It reports its next stages, and the reports arrive once the silence ends. The session dropped reports about a stage that it had replaced, and believed those that such a stage made of others.

Evidence: test_what_a_replaced_stage_says_late_replaces_no_other fails without the change: the route loses its last stage.

A report now counts only if its sender is a stage of the route in force.

--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -176,7 +176,6 @@
         self._group: anyio.abc.TaskGroup | None = None
         self._handlers: dict[type, Callable[[Message], object]] = {
             Pieces: self.streams.take_pieces,
-            Trouble: self.streams.take_trouble,
             Status: self._take_status,
             CallReply: self.calls.take_reply,
             Demands: self.admission.take_demands,
@@ -357,6 +356,9 @@
         await watch_list(members=self.members, read=self.vms.read)
 
     def _handle(self, source: Sender, message: Message) -> None:
+        if isinstance(message, Trouble):
+            self.streams.take_trouble(message, source.address)
+            return
         handler = self._handlers.get(type(message))
         if handler is None:
             logger.warning(
--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -185,11 +185,12 @@
         self._pieces.append(piece)
         self._wake.set()
 
-    def take_trouble(self, trouble: Trouble) -> None:
+    def take_trouble(self, trouble: Trouble, reporter: str = "") -> None:
         """
         Take in a failure of a stage.
 
-        :param trouble: as received; one about a replaced stage is ignored.
+        :param trouble: as received; one about or of a replaced stage is ignored.
+        :param reporter: address of the agent that says so, "" if not known.
         """
         if trouble.attempt != self.attempt:
             return
@@ -197,6 +198,8 @@
             return
         if self.route[trouble.stage].vm != trouble.vm:
             return
+        if reporter and all(stage.address != reporter for stage in self.route):
+            return
         reason = Reason(trouble.reason)
         if reason is Reason.DIVERGED:
             # No stage is broken, but their KV caches hold other tokens.
--- a/packages/entry/src/kumquatway/streams/_streams.py
+++ b/packages/entry/src/kumquatway/streams/_streams.py
@@ -122,15 +122,16 @@
                 continue
             session.take_piece(piece)
 
-    def take_trouble(self, trouble: Trouble) -> None:
+    def take_trouble(self, trouble: Trouble, reporter: str = "") -> None:
         """
         Take in a failure of a stage.
 
         :param trouble: as received.
+        :param reporter: address of the agent that says so, "" if not known.
         """
         session = self.sessions.get(trouble.request)
         if session is not None:
-            session.take_trouble(trouble)
+            session.take_trouble(trouble, reporter)
 
     def lose_address(self, address: str, detail: str) -> None:
         """
--- a/packages/entry/tests/test_session.py
+++ b/packages/entry/tests/test_session.py
@@ -204,6 +204,36 @@
             assert bench.now == 0.0
             group.cancel_scope.cancel()
 
+    async def test_what_a_replaced_stage_says_late_replaces_no_other(self):
+        bench = Bench()
+        first, spare, last = (
+            Stage(vm=vm, address=vm, incarnation=1, first=start, end=start + 2)
+            for vm, start in (("first", 0), ("spare", 0), ("last", 2))
+        )
+        bench.session.routes = Routes(
+            route=lambda ask, avoid: (first, last),
+            replacement=lambda ask, stage, avoid: spare,
+            change=lambda old, new: None,
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(bench.run)
+            await bench.until(lambda: bench.session.route)
+            bench.session.lose_address("first", "silent")
+            await bench.until(lambda: bench.session.route == (spare, last))
+            trouble = Trouble(
+                request="r",
+                attempt=1,
+                stage=1,
+                vm="last",
+                reason=Reason.UNREACHABLE,
+                detail="silent",
+            )
+            bench.session.take_trouble(trouble, "first")
+            await anyio.wait_all_tasks_blocked()
+            assert bench.session.route == (spare, last)
+            assert bench.session.recoveries == 1
+            group.cancel_scope.cancel()
+
     async def test_a_stream_that_gets_on_survives_any_number_of_failures(self):
         bench = Bench()
         async with anyio.create_task_group() as group:
