Give an engine's order a connection of its own, which no reconnect ends

An order to load layers was reported as failed while the engine still carried it out, so that its agent gave no other order for as long as the first might take effect (30 s).

Cause: after a step that was late by a fraction of a second the agent closes its connections to the engine, since others may be as silent as that of the step. The order in progress, which may take two minutes, went over one of them.

Evidence: test_an_order_in_flight_outlasts_a_reconnect fails without the change: the order ends as may-have-run, reset.

An order now opens its own connection and closes it at its end. It is rare and long, so the cost is small. Other calls still end with a reconnect, which is how a connection that is silent for good is noticed at once.

--- a/packages/core/src/kumquatway_core/engine/_client.py
+++ b/packages/core/src/kumquatway_core/engine/_client.py
@@ -107,7 +107,17 @@
         :param timeout: seconds to wait for the reply.
         :return: the reply, or the failure.
         """
-        return await self._post("/orders", order, EngineOrderReply, _limits(timeout))
+        # A connection of its own: a reconnect must not end an order in progress.
+        http = self._open()
+        data = msgspec.msgpack.encode(order)
+        limits = _limits(timeout)
+        try:
+            return await self._call(
+                "POST", "/orders", data, EngineOrderReply, limits, http
+            )
+        finally:
+            if http is not self.transport:
+                await http.aclose()
 
     async def state(self) -> EngineState | EngineFailure:
         """
@@ -161,10 +171,11 @@
         data = msgspec.msgpack.encode(body)
         return await self._call("POST", path, data, kind, limits)
 
-    async def _call(self, method, path, data, kind, limits):
+    async def _call(self, method, path, data, kind, limits, http=None):
         try:
             with anyio.fail_after(limits.total):
-                response = await self._send(method, path, data, limits)
+                http = http or self.http
+                response = await self._send(method, path, data, limits, http)
                 if response.status_code == httpx.codes.OK:
                     data = await response.aread()
                     return decode(data, kind, codec=msgspec.msgpack)
@@ -184,7 +195,12 @@
         return EngineFailure(verdict=verdict)
 
     async def _send(
-        self, method: str, path: str, data: bytes, limits: _CallLimits
+        self,
+        method: str,
+        path: str,
+        data: bytes,
+        limits: _CallLimits,
+        http: httpx.AsyncBaseTransport,
     ) -> httpx.Response:
         timeout = httpx.Timeout(limits.silence, connect=CONNECT_TIMEOUT)
         request = httpx.Request(
@@ -197,4 +213,4 @@
                 LIMIT_EXTENSION: limits.max_bytes,
             },
         )
-        return await self.http.handle_async_request(request)
+        return await http.handle_async_request(request)
