Keep a call at its silent agent where no other upstream could run it

Callers of a service with one upstream were told that an idempotent call may have run, because its agent was silent for a second; the agent had run it and its answer arrived shortly after. Under load, with the retry budget used up, all calls in flight ended so.

Cause: an idempotent call was given up as soon as its agent did not answer, on the ground that another upstream may run it too, without asking whether there is one.

The call is now given up if the service has another usable upstream, so that it is retried as before, or if the agent's process has ended, which its peer tells from silence: the address refuses connections (test_a_process_that_ended_refuses_and_one_that_is_silent_does_not). A host that vanishes without refusing, as the only upstream, now costs its calls their whole timeout; a restart of the agent ends the wait.

--- a/packages/core/src/kumquatway_core/mesh/_peer.py
+++ b/packages/core/src/kumquatway_core/mesh/_peer.py
@@ -126,6 +126,7 @@
         self.clock = clock
         self.state = PeerState.CONNECTING
         self.incarnation = 0
+        self.refused = False  # the last connection, by an address that answered before
         self.connection_count = 0
         self.round_trip = 0.0
         self.last_used = clock()
@@ -276,6 +277,7 @@
     ) -> bool:
         """Wait for the first reply; False on a refused connection or a timeout."""
         self._heartbeat_sent_at.clear()
+        self.refused = False
         responsive = False
         with anyio.move_on_after(timeout + 2 * self.round_trip):
             async with anyio.create_task_group() as group:
@@ -300,6 +302,7 @@
             # The other process has never answered: it may still be starting.
             return
         await connection.wait_for_event(REFUSED_EVENTS)
+        self.refused = True
         scope.cancel()
 
     async def _use_connection(self, connection: Connection) -> None:
--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -159,6 +159,18 @@
             await wait_until(lambda: remote.received)
             assert not peer.withdraw(outgoing)
 
+    async def test_a_process_that_ended_refuses_and_one_that_is_silent_does_not(self):
+        local, remote, relay = make_relayed_nodes()
+        ended = Node(address=free_address())
+        async with running(local, remote, relay=relay):
+            peers = [local.mesh.peer(n.mesh.address) for n in (remote, ended)]
+            async with running(ended):
+                await wait_until(lambda: all(peer.incarnation for peer in peers))
+            relay.faults.delay = 10 * TIMEOUT
+            relay.silence()
+            await wait_until(lambda: all(p.state is PeerState.DOWN for p in peers))
+            assert [peer.refused for peer in peers] == [False, True]
+
     async def test_a_restart_is_seen_as_a_new_incarnation(self):
         local = Node(address=free_address())
         address = free_address()
--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -149,7 +149,9 @@
             send=self.mesh.send,
             emit=self.emit,
         )
-        self.calls = Calls(entry=settings.mesh_address, mesh=self.mesh)
+        self.calls = Calls(
+            entry=settings.mesh_address, mesh=self.mesh, has_other=self._has_other
+        )
         objects = Objects(channel=Channel(addresses=settings.platform.objects))
         self.claims = Claims(table=table, objects=objects)
         self.dispatcher = Dispatcher(
@@ -418,6 +420,12 @@
         out = self.groups.out()
         return [member for member in usable if member.vm not in out]
 
+    def _has_other(self, service: str, address: str) -> bool:
+        return any(
+            member.status.service == service and member.address != address
+            for member in self.subset.usable()
+        )
+
     def _route(self, ask: Ask, avoid: frozenset[str]) -> tuple[Stage, ...] | Verdict:
         return choose_route(
             members=self._usable(),
--- a/packages/entry/src/kumquatway/calls/_calls.py
+++ b/packages/entry/src/kumquatway/calls/_calls.py
@@ -5,6 +5,7 @@
 """
 
 import secrets
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import anyio
@@ -58,8 +59,9 @@
 class _Waiting:
     """A call that waits for its reply."""
 
-    def __init__(self, *, address: str, idempotent: bool):
+    def __init__(self, *, address: str, service: str, idempotent: bool):
         self.address = address
+        self.service = service
         self.idempotent = idempotent
         self.peer: Peer | None = None
         self.parcel: OutgoingMessage | None = None
@@ -81,11 +83,19 @@
 
     :param entry: address of this entry.
     :param mesh: sends to agents.
+    :param has_other: tells whether a service has an upstream at another address.
     """
 
-    def __init__(self, *, entry: str, mesh: Mesh):
+    def __init__(
+        self,
+        *,
+        entry: str,
+        mesh: Mesh,
+        has_other: Callable[[str, str], bool] = lambda service, address: True,
+    ):
         self.entry = entry
         self.mesh = mesh
+        self.has_other = has_other
         self.waiting: dict[str, _Waiting] = {}
 
     async def send(self, ask: ServiceAsk, member: Member) -> Answer | Verdict:
@@ -97,7 +107,9 @@
         :return: its answer, or the verdict.
         """
         call = secrets.token_hex(ID_BYTES)
-        waiting = _Waiting(address=member.address, idempotent=ask.idempotent)
+        waiting = _Waiting(
+            address=member.address, service=ask.service, idempotent=ask.idempotent
+        )
         self.waiting[call] = waiting
         try:
             return await self._send(call, ask, member, waiting)
@@ -145,8 +157,8 @@
         Take in that an agent does not answer.
 
         A call that never left is settled as not run. One that left is given up
-        only if another upstream may run it too: the agent may come back with its
-        reply.
+        only if another upstream may run it too, or the agent has ended: one that
+        is silent may come back with its reply.
 
         :param address: of the agent.
         """
@@ -155,9 +167,13 @@
                 continue
             if waiting.peer.withdraw(waiting.parcel):
                 waiting.settle(not_run(Reason.UNREACHABLE, NO_CONNECTION))
-            elif waiting.idempotent:
+            elif waiting.idempotent and self._is_lost(waiting):
                 waiting.settle(doubt(Reason.SILENCE, "the agent does not answer"))
 
+    def _is_lost(self, waiting: _Waiting) -> bool:
+        other = self.has_other(waiting.service, waiting.address)
+        return other or waiting.peer.refused
+
     async def _send(
         self, call: str, ask: ServiceAsk, member: Member, waiting: _Waiting
     ) -> Answer | Verdict:
