Lift a block when the servers behind it were only silent

Callers saw: refusals (503, quarantined) of a sound request for a minute, after three servers that had it fell silent for a second and went on.

Cause: a silent server counts as ended until it responds again; then its crash is forgotten. The block that had been based on the crash stayed, and the next trial is due after 60 s.

Change: an entry remembers which crashes its own blocks were based on. When one of them is retracted and fewer than three are left, the block is lifted, here and at the peers. Blocks of other entries are left to these, since an entry that knows part of the evidence must not lift them.

Evidence: test_a_block_ends_when_the_servers_were_only_silent fails without the change. A block with three crashes left, and one that outlived its evidence, stay.

--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -14,7 +14,7 @@
 from kumquatway_gateway.model import Server
 from kumquatway_gateway.quarantine._blocks import Blocks, BlockState, trial_delay
 from kumquatway_gateway.quarantine._chance import Surroundings, rarity
-from kumquatway_gateway.quarantine._culprits import find_culprits
+from kumquatway_gateway.quarantine._culprits import MIN_CRASHES, find_culprits
 from kumquatway_gateway.quarantine._evidence import Crash, CrashKey, Evidence, Suspect
 from kumquatway_gateway.quarantine._traffic import Traffic
 
@@ -85,6 +85,8 @@
         self.rarities: dict[str, float] = {}  # of suspects' features
         self.rarities_until = clock()
         self.blocks = Blocks(clock=clock)
+        # Crashes that this entry's own blocks are based on.
+        self.block_reasons: dict[frozenset[str], set[CrashKey]] = {}
         self.generation = 0  # incremented with each new block
         self.broken_off: deque[_Unanswered] = deque(maxlen=MAX_BROKEN_OFF)
         self.given_up: deque[_Unanswered] = deque(maxlen=MAX_GIVEN_UP)
@@ -310,7 +312,26 @@
                 continue
             known = self.fleet.servers.get(server_id)
             if known is not None and known.incarnation == incarnation:
-                self.evidence.drop((server_id, incarnation))
+                self._retract((server_id, incarnation))
+
+    def _retract(self, crash: CrashKey) -> None:
+        """Forget a crash, and lift the blocks for which the others are too few."""
+        self.evidence.drop(crash)
+        lifted = [
+            names
+            for names in self.blocks.active()
+            if crash in self.block_reasons.get(names, ())
+            and len(self._reasons_but(names, crash)) < MIN_CRASHES
+        ]
+        for names in lifted:
+            self._lift(names)
+        if lifted:
+            self.on_local_change()
+
+    def _reasons_but(self, names: frozenset[str], crash: CrashKey) -> set[CrashKey]:
+        """Return the crashes that a block is based on, without one of them."""
+        self.block_reasons[names].discard(crash)
+        return self.block_reasons[names].union(self._at(names))
 
     # what peers know
 
@@ -441,9 +462,15 @@
         )
         for names in culprits:
             if self.blocks.block(names):
+                self._record_reasons(names)
                 self._report_block(names, self.blocks.states[names])
                 self.on_local_change()
 
+    def _record_reasons(self, names: frozenset[str]) -> None:
+        self.block_reasons[names] = set(self._at(names))
+        for lifted in self.block_reasons.keys() - set(self.blocks.active()):
+            del self.block_reasons[lifted]
+
     def _surroundings(self) -> Surroundings:
         return Surroundings(servers=len(self.fleet.servers), entries=self.entry_count())
 
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -541,6 +541,52 @@
             self.entry.quarantine.confirm_crashes()
             assert not self.entry.quarantine.evidence.crashes
 
+    def silence(self, names: list[str], *, down: bool = True) -> None:
+        for name in names:
+            self.entry.fleet.set_health(
+                self.entry.servers[name], down=down, reason="silent"
+            )
+        self.clock.now += 0.1
+        self.entry.quarantine.confirm_crashes()
+
+    def block_by_silence(self) -> list[str]:
+        """Block a request whose servers fall silent; return the servers."""
+        names = ["s0", "s1", "s2"]
+        for number, name in enumerate(names):
+            self.entry.break_off(name, f"=a@{number}", given_up=True)
+        self.silence(names)
+        self.entry.settle()
+        assert self.entry.blocks("=a")
+        return names
+
+    def test_a_block_ends_when_the_servers_were_only_silent(self):
+        """Sound requests were refused for a minute after a second of silence."""
+        names = self.block_by_silence()
+        self.silence(names[:1], down=False)
+        assert not self.entry.blocks("=a")
+        self.silence(names[1:], down=False)
+        self.entry.settle()
+        assert not self.entry.blocks("=a")
+
+    def test_a_block_stays_while_enough_servers_have_ended(self):
+        names = self.block_by_silence()
+        self.entry.crash("s3", "=a@3")
+        self.silence(names[:1], down=False)
+        assert self.entry.blocks("=a")
+
+    def test_a_block_that_outlived_its_evidence_stays(self):
+        self.block()
+        self.clock.now += FIRST_TRIAL_SECONDS
+        [names] = self.entry.quarantine.due_trials(_set("=a"))
+        state = self.entry.quarantine.blocks.next_trial(names)
+        self.entry.quarantine.begin_trial(names, state)
+        self.entry.quarantine.evidence.crashes.clear()
+        self.entry.quarantine.evidence.by_feature.clear()
+        self.entry.break_off("s3", "=a@3", given_up=True)
+        self.silence(["s3"])
+        self.silence(["s3"], down=False)
+        assert self.entry.blocks("=a")
+
     def test_a_server_that_started_again_under_its_id_has_not_ended(self):
         for number in range(3):
             name = f"s{number}"
