Drain before the process ends because one of its tasks failed for good

Callers saw: all requests in progress at an entry cut, as the process ended.

Cause: Gateway.run raised as soon as the supervisor gave up on a task that had failed more than 20 times in a minute. A task that only follows the store or the peers thereby ended requests that need nothing from it.

Change: such an entry is taken out of rotation and drains like after SIGTERM, then it ends with the same exception.

Evidence: test_requests_in_progress_are_answered_first fails without the change: the process has ended while the request is still at its server.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -305,6 +305,8 @@
         Serve until `stop` is called, then drain.
 
         Draining ends when the requests in progress are done or the grace has passed.
+
+        :raises ProcessError: after draining, if a task of this entry failed too often.
         """
         started = self.clock()
         await self.readiness_listener.start(self.settings.readiness_address)
@@ -316,9 +318,12 @@
         supervisor = asyncio.create_task(self._supervisor().run())
         stopping = asyncio.create_task(self.stopping.wait())
         await asyncio.wait((supervisor, stopping), return_when=asyncio.FIRST_COMPLETED)
-        if supervisor.done():
-            supervisor.result()
+        failed = supervisor.done()
+        if failed:
+            self.stop()
         await self._drain()
+        if failed:
+            supervisor.result()
         supervisor.cancel()
         self.emit(
             ProcessStopped(
