--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -134,6 +134,7 @@
         self._head_bytes = 0
         self._head_started_at = 0.0
         self._reading_body = False
+        self._continue_due = False  # before the caller sends the body
         self._offers_upgrade = False
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -272,6 +273,7 @@
         for queued in self.pending:
             self._discard_share(queued)
         self.pending.clear()
+        self._drop_body()
 
     # asyncio.Protocol
 
@@ -357,6 +359,8 @@
 
     def on_message_begin(self):
         """Reset the parsed fields for a new request."""
+        # Its first bytes may come with the end of another one.
+        self._head_started_at = self._head_started_at or time.monotonic()
         self._url = b""
         self._fields = []
 
@@ -400,8 +404,15 @@
     def _read_body(self) -> None:
         """Read a body that was admitted."""
         self._stop_waiting()
-        if _expects_continue(self._fields) and not self._body_bytes and not self.lost:
-            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._continue_due = _expects_continue(self._fields) and not self._body_bytes
+        self._invite_body()
+
+    def _invite_body(self) -> None:
+        """Tell a caller to send a body, once the responses before it are written."""
+        if not self._continue_due or self.lost or self.busy or self.pending:
+            return
+        self._continue_due = False
+        self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _wait_for_memory(self) -> None:
         """Stop reading until the body is admitted, or refuse it."""
@@ -457,7 +468,7 @@
         """Queue the complete request."""
         if self._offers_upgrade:
             return
-        self._reading_body = False
+        self._reading_body = self._continue_due = False
         if self.closing:
             return
         share, self._body_share = self._body_share, None
@@ -554,6 +565,7 @@
             self.on_flow_change = None
         if not incoming.keep_alive:
             self._accept_no_more()
+        self._invite_body()
         await self.flush()
 
     def _respond_failed(self, incoming: IncomingRequest, error: Exception) -> None:
--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -93,11 +93,28 @@
         self.superseded = False
         self.error: Exception | None = None  # of this entry, which ended the attempt
         self.outcome: AttemptOutcome | None = None
+        self.has_ended = False  # and holds nothing any more
         self.task: asyncio.Task | None = None
 
     def start(self) -> None:
         """Connect to the chain's first server and send it the request."""
         self.task = asyncio.get_running_loop().create_task(self._run())
+        # A task that is cancelled before its first step runs none of its own code.
+        self.task.add_done_callback(self._end)
+
+    def _end(self, task: asyncio.Task) -> None:
+        """Give back what the attempt holds, and wake the request."""
+        self.has_ended = True
+        self.stream.changed.set()
+        self._drop_connection()
+        if self.exchange is None:
+            self.relay.fleet.permits.give_back(self.chain.first_server)
+        self.router.release(self.claim)
+
+    def may_have_run(self) -> bool:
+        """Tell whether the server may have run the request."""
+        not_run = (AttemptOutcome.UNREACHED, AttemptOutcome.REFUSED)
+        return self.exchange is not None and self.outcome not in not_run
 
     def supersede(self) -> None:
         """End the attempt, as another one goes on with the response."""
@@ -107,7 +124,7 @@
         if self.connection is None:
             self.task.cancel()
         else:
-            self.connection.abandon()
+            self._drop_connection()
 
     def cancel(self) -> None:
         """End the attempt, as the caller has left or the deadline has passed."""
@@ -132,10 +149,6 @@
             self.outcome = await self._send_and_relay()
         except Exception as error:
             self.outcome = self._handle_internal_error(error)
-        finally:
-            self._drop_connection()
-            self.router.release(self.claim)
-            self.stream.changed.set()
 
     def _handle_internal_error(self, error: Exception) -> AttemptOutcome:
         """Return the outcome of an attempt that an unexpected exception has ended."""
@@ -170,13 +183,9 @@
         try:
             self.connection = await self.relay.pool.connect(key, first.address)
         except Unreachable as error:
-            self.relay.fleet.permits.give_back(first)
             self.relay.health_checker.check_server(first)
             self.relay.record_failure(self.job, first.id, "unreachable", str(error))
             return False
-        except asyncio.CancelledError:
-            self.relay.fleet.permits.give_back(first)
-            raise
         return True
 
     def _send(self) -> None:
@@ -203,6 +212,7 @@
         self.estimate = self.router.estimate_claim(self.claim, load)
         self._record_route(load)
         self.relay.quarantine.record_start(job.features)
+        self.stream.record_sending(self)
         self.connection.send(self.exchange, data)
 
     def _record_route(self, load: ChainLoad) -> None:
@@ -224,6 +234,8 @@
         """Wait for the response, and relay it to the caller if its status is 200."""
         first = self.chain.first_server
         head = await self.exchange.head
+        if self.superseded:
+            return self._handle_early_end(ResponseEnd.ABANDONED)
         if isinstance(head, ResponseEnd):
             return self._handle_early_end(head)
         info = self.relay.dialect.parse_response(head.status, head.headers)
@@ -247,6 +259,8 @@
 
     def _on_body(self, data: bytes) -> None:
         """Relay a piece of the body; called for every event."""
+        if self.superseded:
+            return
         events = self.events
         if self.is_event_stream:
             events.feed(data)
--- a/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
@@ -77,7 +77,8 @@
         self.failure_rates: dict[str, tuple[float, float]] = {}
         self.queue: AdmissionQueue[Claim] = AdmissionQueue(
             claim=self.claim,
-            release=self.release,
+            release=self.give_back,
+            places=self.places,
             min_rate=self.min_token_rate,
             blocked_seconds=self.seconds_blocked,
             max_rate=self.max_token_rate,
@@ -146,7 +147,7 @@
         waiter: Waiter,
         avoid: frozenset[str] = frozenset(),
         *,
-        only: Collection[str] | None = None,
+        reserved: frozenset[str] = frozenset(),
     ) -> Claim | None:
         """
         Reserve capacity of a chain for a request.
@@ -154,11 +155,11 @@
         :param waiter: the request.
         :param avoid: IDs of servers that the chain must not contain, beside those that
             the request avoids anyway.
-        :param only: IDs of the servers that the chain may start at; None for any.
+        :param reserved: IDs of first servers whose chains others wait for.
         :return: the claim, or None if no chain has enough free capacity, or the first
             servers of those that have it are at their limits.
         """
-        chain = self._choose_permitted_chain(waiter, avoid | waiter.avoid, only)
+        chain = self._choose_permitted_chain(waiter, avoid | waiter.avoid, reserved)
         if chain is None:
             return None
         self._add_load(chain.first_server.id, waiter.tokens, 1)
@@ -168,7 +169,7 @@
         return claim
 
     def _choose_permitted_chain(
-        self, waiter: Waiter, avoid: frozenset[str], only: Collection[str] | None
+        self, waiter: Waiter, avoid: frozenset[str], reserved: frozenset[str]
     ) -> Chain | None:
         """
         Choose a chain, and take a permit if its first server has a limit.
@@ -177,13 +178,18 @@
         hand, only the best one is asked for: the permits of the others would expire.
         """
         permits = self.fleet.permits
-        loads = self.loads()
-        chains = [
+        allowed = [
             chain
             for chain in self.chains()
-            if (only is None or chain.first_server.id in only)
+            if chain.first_server.id not in reserved
+            and _may_use(chain, waiter, avoid)
             and not self._seconds_exhausted(chain)
-            and self._ends_in_time(chain, waiter, loads)
+        ]
+        if not allowed:
+            return None
+        loads = self.loads()
+        chains = [
+            chain for chain in allowed if self._ends_in_time(chain, waiter, loads)
         ]
         has_asked = False
         while chains:
@@ -205,6 +211,28 @@
             chains.remove(chain)
         return None
 
+    def places(self, waiter: Waiter) -> frozenset[str]:
+        """
+        Return the chains that a request may use, whether they have room or not.
+
+        :param waiter: the request.
+        :return: IDs of their first servers.
+        """
+        return frozenset(
+            chain.first_server.id
+            for chain in self.chains()
+            if _may_use(chain, waiter, waiter.avoid)
+        )
+
+    def give_back(self, claim: Claim) -> None:
+        """
+        Release a claim for which no request was sent.
+
+        :param claim: a claim returned by `claim`.
+        """
+        self.fleet.permits.give_back(claim.chain.first_server)
+        self.release(claim)
+
     def _seconds_exhausted(self, chain: Chain) -> float:
         return self.fleet.permits.seconds_exhausted(chain.first_server)
 
@@ -529,6 +557,13 @@
         return candidates
 
 
+def _may_use(chain: Chain, waiter: Waiter, avoid: Collection[str]) -> bool:
+    """Tell whether a request may use a chain, whatever its load."""
+    if waiter.only is not None and chain.first_server.id not in waiter.only:
+        return False
+    return not any(stage.server.id in avoid for stage in chain.stages)
+
+
 def _tokens_used(chain: Chain, used_tokens: dict[str, float]) -> float:
     """Return the used capacity of a chain, bounded by its fullest server, in tokens."""
     free = min(
--- a/packages/gateway/src/kumquatway_gateway/relay/_retry_choice.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_retry_choice.py
@@ -26,6 +26,7 @@
     :param is_resumable: whether the response may go on at another server.
     :param is_blocked: whether requests like it must reach no server.
     :param suspicion: of having crashed the servers that took it.
+    :param error_count: number of complete responses with an error status.
     :param max_attempts: highest number of servers that may run it.
     :param possibly_run_on: IDs of the servers that may run it or have run it.
     """
@@ -36,6 +37,7 @@
     is_resumable: bool
     is_blocked: bool
     suspicion: int
+    error_count: int
     max_attempts: int
     possibly_run_on: Set[str]
 
@@ -54,6 +56,8 @@
     """
     if request.is_blocked or request.suspicion >= MAX_SUSPICION:
         return RetryChoice.NONE
+    if request.error_count >= request.max_attempts:
+        return RetryChoice.NONE
     if request.may_have_run and not request.idempotent:
         return RetryChoice.NONE
     # Any other body would start from the top.
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -6,6 +6,8 @@
 import time
 from dataclasses import replace
 
+from loguru import logger
+
 from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
 from kumquatway_core.decoding import parse_count
 from kumquatway_core.events import StreamRecovered
@@ -62,6 +64,7 @@
             write=job.caller.write_chunk, last_id=job.request.last_event_id
         )
         self.sent_at = 0.0  # when the last attempt began
+        self.estimate = 0.0  # of the seconds that it takes
         self.streaming = False  # the caller has the head of the response
         self.media_type: bytes | None = None  # of what the caller gets
         self.completed = False
@@ -74,7 +77,10 @@
         self.ran_on: set[str] = set()  # IDs of servers that may have run the request
         self.refusals = 0
         self.failed_connects = 0  # in a row
-        self.suspicion = 0  # of having crashed the servers that took the request
+        # Servers that broke off their response, when, and the weight of the suspicion
+        # that the request has crashed them.
+        self.breaks: list[tuple[Server, float, int]] = []
+        self.error_count = 0  # of complete responses with an error status
         self.why_ended = ""  # why no further attempt was made, for the event
 
     async def run(self) -> None:
@@ -152,7 +158,7 @@
 
         :return: True once the caller has the end of the response.
         """
-        for attempt in [each for each in self.attempts if each.outcome is not None]:
+        for attempt in [each for each in self.attempts if each.has_ended]:
             self.attempts.remove(attempt)
             if attempt.outcome is not AttemptOutcome.DONE:
                 self._handle_failure(attempt)
@@ -175,7 +181,7 @@
     def _start_attempt(self, claim: Claim) -> None:
         if self.relay.is_blocked(self.job):
             self.why_ended = "requests like it are blocked"
-            self._give_back(claim)
+            self.router.give_back(claim)
             self.has_sought = True
             return
         attempt = StreamAttempt(
@@ -185,6 +191,15 @@
         self.attempts.append(attempt)
         attempt.start()
 
+    def record_sending(self, attempt: StreamAttempt) -> None:
+        """
+        Take note that an attempt sends the request.
+
+        :param attempt: the attempt.
+        """
+        self.sent_at, self.estimate = attempt.sent_at, attempt.estimate
+        self.failed_connects = 0
+
     def _set_reading(self, enabled: bool) -> None:
         """Stop reading from the servers while the caller is slow, and resume after."""
         self.events.reset_gap()
@@ -232,12 +247,12 @@
     def _prefer(self, attempt: StreamAttempt) -> None:
         """Go on with one attempt, and end the others and the search for a place."""
         self.events = attempt.events
-        self.sent_at, self.estimate = attempt.sent_at, attempt.estimate
         if len(self.attempts) > 1:
             others = [other for other in self.attempts if other is not attempt]
             self.attempts = [attempt]
             for other in others:
-                self.ran_on.add(other.chain.first_server.id)
+                if other.may_have_run():
+                    self.ran_on.add(other.chain.first_server.id)
                 other.supersede()
         self._stop_seeking()
         if attempt.suspects:
@@ -259,6 +274,8 @@
 
     def _handle_failure(self, attempt: StreamAttempt) -> None:
         """Note what an attempt that ended without a whole response shows."""
+        # A search that goes on would keep to what was true while the attempt lived.
+        self._stop_seeking()
         self.has_sought = False
         outcome = attempt.outcome
         self.avoid.add(attempt.faulty_server)
@@ -267,7 +284,6 @@
         if outcome is AttemptOutcome.UNREACHED:
             self.failed_connects += 1
             return
-        self.failed_connects = 0
         if outcome is AttemptOutcome.REFUSED:
             self.refusals += 1
             return
@@ -276,6 +292,7 @@
         if attempt.progress() is not Progress.FLOWING:
             self.rejecting.add(attempt.faulty_server)
         if outcome is AttemptOutcome.FAILED:
+            self.error_count += 1
             self.error_response = attempt.error_response or self.error_response
         else:
             self._suspect_crash(attempt)
@@ -285,7 +302,9 @@
     def _suspect_crash(self, attempt: StreamAttempt) -> None:
         """Record that the request may have ended the servers of an attempt."""
         is_cut = attempt.outcome is AttemptOutcome.CUT
-        self.suspicion += attempt.progress() if is_cut else 0
+        if is_cut:
+            first = attempt.chain.first_server
+            self.breaks.append((first, time.monotonic(), attempt.progress()))
         attempt.record_unanswered(broken_off=is_cut)
         self.avoid.update(attempt.down_servers())
         if is_cut:
@@ -306,13 +325,8 @@
         choice = self._choose_retry()
         if choice is RetryChoice.NONE:
             return False
-        unwanted = servers | self._servers_in_use()
-        only = self._usable_again() if choice is RetryChoice.SAME else None
-        return any(
-            unwanted.isdisjoint(stage.server.id for stage in chain.stages)
-            and (only is None or chain.first_server.id in only)
-            for chain in self.router.chains()
-        )
+        waiter = self._restricted(choice, servers | self._servers_in_use())
+        return bool(self.router.places(waiter))
 
     def seek_replacement(self) -> None:
         """Look for another place, as an attempt has fallen silent."""
@@ -331,7 +345,7 @@
             return
         claim = seeking.result()
         if claim is not None:
-            self._give_back(claim)
+            self.router.give_back(claim)
 
     def _take_place(self) -> None:
         """Begin an attempt at the place that was found, if one was."""
@@ -342,12 +356,18 @@
         else:
             self._start_attempt(claim)
 
-    def _give_back(self, claim: Claim) -> None:
-        """Release a claim for which no request was sent."""
-        self.relay.fleet.permits.give_back(claim.chain.first_server)
-        self.router.release(claim)
-
     async def _seek_place(self) -> Claim | None:
+        """Claim a chain for another attempt; an error ends the search alone."""
+        try:
+            return await self._seek()
+        except Exception as error:
+            self.why_ended = f"the search for another server failed: {error!r}"
+            logger.opt(exception=error).error(
+                "request {}: {}", self.job.request.id, self.why_ended
+            )
+            return None
+
+    async def _seek(self) -> Claim | None:
         """
         Claim a chain for another attempt, and pay for it.
 
@@ -357,16 +377,29 @@
         await self._pause()
         while True:
             choice = self._choose_retry()
-            if choice is RetryChoice.NONE or self._is_refused_too_often():
+            if not self._may_go_on(choice):
                 self.why_ended = self._describe_attempts()
                 return None
-            claim = await self._claim(choice)
-            if claim is not None:
-                return claim
-            if not self.streaming:
+            if choice is not RetryChoice.NONE:
+                claim = await self._claim(choice)
+                if claim is not None:
+                    return claim
+            if not self._has_patience():
                 return None
             await asyncio.sleep(RETRY_CHECK_SECONDS)
 
+    def _may_go_on(self, choice: RetryChoice) -> bool:
+        """Tell whether to look further, with what may be chosen now or soon."""
+        if choice is RetryChoice.NONE:
+            return self.streaming and self._suspicion_may_fall()
+        return self.streaming or self.refusals <= self.job.route.max_attempts
+
+    def _has_patience(self) -> bool:
+        """Tell whether to look again after a look in vain."""
+        if not self.streaming and not self.attempts:
+            return False
+        return time.monotonic() < self._patience_end()
+
     async def _pause(self) -> None:
         """Give servers that refuse requests or connections time to accept them."""
         if self.refusals > self.job.route.max_attempts:
@@ -374,9 +407,6 @@
         elif self.failed_connects > IMMEDIATE_CONNECTS:
             await asyncio.sleep(RETRY_CHECK_SECONDS)
 
-    def _is_refused_too_often(self) -> bool:
-        return not self.streaming and self.refusals > self.job.route.max_attempts
-
     async def _claim(self, choice: RetryChoice) -> Claim | None:
         """Claim a chain, and draw on the retry budget; wait if no chain has room."""
         budget = self._budget()
@@ -385,23 +415,35 @@
         if not is_free and budget.remaining() < 1:
             self.why_ended = "the retry budget is used up"
             return None
-        waiter = replace(self.waiter, begun=self.may_have_run)
-        in_use = self._servers_in_use()
-        if choice is RetryChoice.SAME:
-            claim = self.router.claim(waiter, in_use, only=self._usable_again())
-            self.why_ended = self._describe_attempts()
-        else:
-            claim = self.router.claim(waiter, in_use | self.avoid)
-            claim = claim or await self._wait_for_others(waiter, in_use)
-            claim = claim or await self._wait_for_room(waiter, in_use)
+        waiter = self._restricted(choice, self._servers_in_use())
+        claim = self.router.claim(waiter, frozenset(self.avoid))
+        claim = claim or await self._wait_for_others(waiter)
+        claim = claim or await self._wait_for_room(waiter)
         if claim is not None and not is_free and not budget.try_withdraw():
-            self._give_back(claim)
+            self.router.give_back(claim)
             return None
         return claim
 
-    async def _wait_for_others(
-        self, waiter: Waiter, in_use: frozenset[str]
-    ) -> Claim | None:
+    def _restricted(self, choice: RetryChoice, in_use: frozenset[str]) -> Waiter:
+        """
+        Return the request as one that waits for the chains that it may use.
+
+        :param choice: the servers that may get it.
+        :param in_use: IDs of servers that it must not use.
+        """
+        only = None
+        if choice is RetryChoice.SAME:
+            only = frozenset(self.ran_on - in_use)
+        return replace(
+            self.waiter,
+            begun=self.may_have_run,
+            priority=-1,
+            patient=self.streaming,
+            avoid=in_use,
+            only=only,
+        )
+
+    async def _wait_for_others(self, waiter: Waiter) -> Claim | None:
         """
         Wait for servers that refused the request, or are full, to take it.
 
@@ -411,51 +453,30 @@
         """
         if not self.rejecting:
             return None
-        return await self._queue(
-            waiter, in_use | self.rejecting, time.monotonic() + AVOID_SECONDS
+        end = min(time.monotonic() + AVOID_SECONDS, self._patience_end())
+        return await self.router.queue.admit(
+            replace(waiter, avoid=waiter.avoid | self.rejecting, deadline=end)
         )
 
-    async def _wait_for_room(
-        self, waiter: Waiter, in_use: frozenset[str]
-    ) -> Claim | None:
+    async def _wait_for_room(self, waiter: Waiter) -> Claim | None:
         """Wait for a chain, also one that failed before, ahead of new requests."""
         deadline = self._patience_end()
         self.why_ended = f"no chain had room within {deadline - time.monotonic():.2f} s"
-        return await self._queue(waiter, in_use, deadline)
-
-    async def _queue(
-        self, waiter: Waiter, avoid: frozenset[str], deadline: float
-    ) -> Claim | None:
-        return await self.router.queue.admit(
-            replace(
-                waiter,
-                priority=-1,
-                deadline=min(deadline, self._patience_end()),
-                patient=self.streaming,
-                avoid=avoid,
-            )
-        )
+        return await self.router.queue.admit(replace(waiter, deadline=deadline))
 
     def _patience_end(self) -> float:
         """Return when the caller leaves, or its request ends, monotonic seconds."""
         if self.streaming:
             return self.job.deadline
-        last = max(self.events.last_event_at, self._last_sent_at())
+        last = max(self.events.last_event_at, self.sent_at)
         patience = self.job.route.max_gap - LAST_EVENT_SECONDS
         return min(self.job.deadline, last + patience)
 
-    def _last_sent_at(self) -> float:
-        return max((each.sent_at for each in self.attempts), default=self.sent_at)
-
     def _servers_in_use(self) -> frozenset[str]:
         """Return the servers that an attempt beside the silent ones must not use."""
         firsts = {each.chain.first_server.id for each in self.attempts}
         return frozenset(firsts.union(*(each.suspects for each in self.attempts)))
 
-    def _usable_again(self) -> set[str]:
-        """Return the servers that got the request and on which no attempt runs."""
-        return self.ran_on - self._servers_in_use()
-
     def _budget(self):
         return self.relay.retry_budget(self.job.service.name)
 
@@ -468,12 +489,40 @@
                 streaming=self.streaming,
                 is_resumable=route.kind is RouteKind.STREAM,
                 is_blocked=self.relay.is_blocked(self.job),
-                suspicion=self.suspicion,
+                suspicion=self._suspicion(),
+                error_count=self.error_count,
                 max_attempts=route.max_attempts,
                 possibly_run_on=self._possibly_run_on(),
             )
         )
 
+    def _suspicion(self) -> int:
+        """Return how far the request is suspected of having crashed its servers."""
+        return sum(
+            weight
+            for server, broken_at, weight in self.breaks
+            if not self._has_outlived(server, broken_at)
+        )
+
+    def _has_outlived(self, server: Server, broken_at: float) -> bool:
+        """
+        Tell whether a server only broke off the response, and works on.
+
+        Load pattern: a server resets the connections of all its callers. Streams that
+        have begun come back at once, and are reset again until it takes them.
+        """
+        if not self.streaming or time.monotonic() - broken_at < AVOID_SECONDS:
+            return False
+        fleet = self.relay.fleet
+        return fleet.is_responding(server) and not fleet.has_run_ended(server)
+
+    def _suspicion_may_fall(self) -> bool:
+        """Tell whether a break is too recent to know if its server lives."""
+        if not self.breaks:
+            return False
+        last = max(broken_at for _, broken_at, _ in self.breaks)
+        return time.monotonic() - last < AVOID_SECONDS
+
     def _possibly_run_on(self) -> set[str]:
         ended = {server_id for server_id in self.ran_on if self._has_ended(server_id)}
         running = {each.chain.first_server.id for each in self.attempts}
@@ -493,8 +542,8 @@
         """Return what decides whether a retry is allowed, for the event."""
         return (
             f"no retry is allowed after {len(self.job.sent_to)} attempt(s) of "
-            f"{self.job.route.max_attempts} and {self.refusals} refusal(s), suspicion "
-            f"{self.suspicion}"
+            f"{self.job.route.max_attempts}, {self.refusals} refusal(s) and "
+            f"{self.error_count} error(s), suspicion {self._suspicion()}"
         )
 
     # final responses
@@ -527,6 +576,8 @@
         self._respond_overloaded("the servers refused the request or were unreachable")
 
     def _handle_timeout(self) -> None:
+        if self.completed:
+            return
         if self.streaming:
             self.relay.record_end(
                 self.job,
--- a/packages/gateway/src/kumquatway_gateway/waiting/_order.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_order.py
@@ -23,6 +23,7 @@
     :param patient: whether it waits to its deadline however long that is expected to
         take, since its caller has part of the answer and no use for a refusal.
     :param avoid: IDs of servers that it must not use.
+    :param only: IDs of the first servers of the chains that it may use; None for any.
     """
 
     account: str
@@ -35,6 +36,17 @@
     begun: bool = False
     patient: bool = False
     avoid: frozenset[str] = frozenset()
+    only: frozenset[str] | None = None
+
+    @property
+    def restriction(self) -> tuple[frozenset[str], frozenset[str] | None]:
+        """What keeps the request from some chains; equal for none at all."""
+        return self.avoid, self.only
+
+    @property
+    def is_restricted(self) -> bool:
+        """Whether the request may not use every chain."""
+        return bool(self.avoid) or self.only is not None
 
 
 def _rank(
--- a/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
@@ -20,7 +20,8 @@
     """
     Queue of the requests that wait for a chain of one service.
 
-    :param claim: reserves capacity for a request, or returns None if there is none.
+    :param claim: reserves capacity for a request without the places that are reserved
+        for others, or returns None if there is none.
     :param release: frees the capacity reserved for a request that was cancelled.
     :param min_rate: returns the lowest rate at which requests are expected to end,
         tokens per second.
@@ -29,18 +30,20 @@
     :param blocked_seconds: returns for how long there will certainly be no capacity.
     :param can_serve: returns whether the capacity that others give back can ever be
         enough for a request, and in time.
+    :param places: returns the names of the places that a request may use.
     :param clock: returns monotonic seconds.
     """
 
     def __init__(
         self,
         *,
-        claim: Callable[[Waiter], T | None],
+        claim: Callable[..., T | None],
         release: Callable[[T], None],
         min_rate: Callable[[], float] = lambda: MIN_RATE,
         max_rate: Callable[[], float] = lambda: float("inf"),
         blocked_seconds: Callable[[], float] = lambda: 0.0,
         can_serve: Callable[[Waiter], bool] = lambda waiter: True,
+        places: Callable[[Waiter], frozenset[str]] = lambda waiter: frozenset(),
         clock: Callable[[], float] = time.monotonic,
     ):
         self.claim = claim
@@ -49,6 +52,7 @@
         self.max_rate = max_rate
         self.blocked_seconds = blocked_seconds
         self.can_serve = can_serve
+        self.places = places
         self.clock = clock
         self.waiting: dict[Waiter, asyncio.Future[T | None]] = {}
         self.in_service: dict[str, float] = {}
@@ -84,8 +88,8 @@
         :param waiter: the request.
         :return: the reservation, or None if the request is refused.
         """
-        if all(other.avoid for other in self.waiting):
-            reservation = self.claim(waiter)
+        if all(other.is_restricted for other in self.waiting):
+            reservation = self._claim(waiter, self._reserved())
             if reservation is not None:
                 return reservation
         now = self.clock()
@@ -130,23 +134,36 @@
         """
         Admit waiting requests until capacity runs out; refuse those in vain.
 
-        Load pattern: the servers that some requests must avoid are all that is up.
-        These wait without keeping others from the same servers.
+        Load pattern: chains that some requests must not use have room, and those that
+        they may use are full. Others get the former, but not the latter ahead of them.
         """
-        unmet: set[frozenset[str]] = set()  # what waiting requests avoid, in vain
-        while waiters := [each for each in self.waiting if each.avoid not in unmet]:
+        reserved: frozenset[str] = frozenset()
+        unmet: set[tuple] = set()  # restrictions of requests that found no room
+        while waiters := [one for one in self.waiting if one.restriction not in unmet]:
             waiter = next_waiter(waiters, self.in_service, self.clock())
-            reservation = self.claim(waiter)
+            reservation = self._claim(waiter, reserved)
             if reservation is None and self.can_serve(waiter):
-                if not waiter.avoid:
+                if not waiter.is_restricted:
                     return
-                unmet.add(waiter.avoid)
+                unmet.add(waiter.restriction)
+                reserved |= self.places(waiter)
                 continue
             future = self.waiting.pop(waiter)
             self.queued_tokens -= waiter.tokens
             if not future.done():
                 future.set_result(reservation)
 
+    def _claim(self, waiter: Waiter, reserved: frozenset[str]) -> T | None:
+        """Reserve capacity for a request in places that no other one waits for."""
+        if not reserved:
+            return self.claim(waiter)
+        return self.claim(waiter, reserved=reserved)
+
+    def _reserved(self) -> frozenset[str]:
+        """Return the places that waiting requests wait for."""
+        by_restriction = {waiter.restriction: waiter for waiter in self.waiting}
+        return frozenset().union(*map(self.places, by_restriction.values()))
+
     @staticmethod
     def _result(future: asyncio.Future[T | None]) -> T | None:
         return future.result() if future.done() else None
--- /dev/null
+++ b/packages/gateway/tests/test_parallel_attempts.py
@@ -0,0 +1,346 @@
+"""Tests of attempts that run beside each other, in orders that are rare."""
+
+import asyncio
+import time
+
+from parallel_site import HEAD, Site, begin_two, event, turns, until
+
+
+class TestBothAnswerInOneIteration:
+    """A silent server and its replacement answer in the same iteration of the loop."""
+
+    def _ids(self, stream):
+        return [
+            line
+            for kind, *rest in stream.job.caller.log
+            if kind == "data"
+            for line in rest[0].splitlines()
+            if line.startswith(b"id:")
+        ]
+
+    def test_resumed_and_revived(self):
+        async def scenario():
+            site = Site()
+            stream = site.job()
+            task, a, b = await begin_two(site, stream)
+            b.data_received(HEAD + event(3))
+            a.data_received(event(3))
+            await turns()
+            a.data_received(event(4) + b"0\r\n\r\n")
+            await asyncio.wait_for(task, 1)
+            assert self._ids(stream) == [b"id: 1", b"id: 2", b"id: 3", b"id: 4"]
+
+        asyncio.run(scenario())
+
+    def test_two_first_events(self):
+        async def scenario():
+            site = Site()
+            stream = site.job()
+            task, a, b = await begin_two(site, stream, first_events=0)
+            a.data_received(HEAD + event(1))
+            b.data_received(HEAD + event(1))
+            await turns()
+            task.cancel()
+            assert self._ids(stream) == [b"id: 1"]
+
+        asyncio.run(scenario())
+
+    def test_two_whole_responses(self):
+        async def scenario():
+            site = Site()
+            stream = site.job()
+            task, a, b = await begin_two(site, stream, first_events=0)
+            a.data_received(HEAD + event(1) + b"0\r\n\r\n")
+            b.data_received(HEAD + event(1) + b"0\r\n\r\n")
+            await asyncio.wait_for(task, 1)
+            await turns()
+            assert stream.job.caller.log[-1] == ("end",)
+
+        asyncio.run(scenario())
+
+
+class TestLeak:
+    """An attempt that is superseded before it has sent anything holds no capacity."""
+
+    def test_superseded_before_its_task_has_begun(self):
+        async def scenario():
+            site = Site()
+            stream = site.job()
+            task = asyncio.create_task(stream.run())
+            await turns()
+            a = site.pool.opened[0][1]
+            a.data_received(HEAD + event(1))
+            await turns()
+            [attempt] = stream.attempts
+            # hold the search back to find the moment at which the attempt is created
+            attempt._suspect(frozenset({attempt.chain.first_server.id}))
+            for _ in range(20):
+                if len(stream.attempts) == 2:
+                    break
+                await asyncio.sleep(0)
+            assert len(stream.attempts) == 2 and len(site.pool.opened) <= 2
+            started = len(site.pool.opened) == 2
+            a.data_received(event(2) + b"0\r\n\r\n")
+            await asyncio.wait_for(task, 1)
+            await turns()
+            assert (started, len(site.router.claims), site.router.own_loads) == (
+                started,
+                0,
+                {},
+            )
+
+        asyncio.run(scenario())
+
+    def test_superseded_in_the_same_iteration(self):
+        """The I/O of the silent attempt is handled right after the job's step."""
+
+        async def scenario():
+            site = Site()
+            stream = site.job()
+            original = stream._start_attempt
+            loop = asyncio.get_running_loop()
+            count = 0
+
+            def start_attempt(claim):
+                nonlocal count
+                count += 1
+                original(claim)
+
+            stream._start_attempt = start_attempt
+            task = asyncio.create_task(stream.run())
+            await turns()
+            a = site.pool.opened[0][1]
+            a.data_received(HEAD + event(1))
+            await turns()
+            [attempt] = stream.attempts
+            attempt._suspect(frozenset({attempt.chain.first_server.id}))
+            # A callback in each iteration, after all tasks, stands for an I/O handle in
+            # the ready queue of the job's step.
+            fired = False
+
+            def io():
+                nonlocal fired
+                if count == 2 and not fired:
+                    fired = True
+                    a.data_received(event(2) + b"0\r\n\r\n")
+                elif not fired:
+                    loop.call_soon(io)
+
+            loop.call_soon(io)
+            await asyncio.wait_for(task, 1)
+            await turns()
+            assert fired
+            assert (len(site.router.claims), site.router.own_loads) == (0, {})
+
+        asyncio.run(scenario())
+
+
+class TestStaleSearch:
+    """The silent attempt ends while its replacement waits for room."""
+
+    def test_uses_the_place_of_an_attempt_that_has_ended(self):
+        """b is full; the stream is silent at a, whose connection is then reset."""
+
+        async def scenario():
+            site = Site(timeout=3.0, slots=1)
+            other = site.job()
+            other_task = asyncio.create_task(other.run())
+            await turns()
+            site.pool.opened[0][1].data_received(HEAD + event(1))
+            stream = site.job()
+            task = asyncio.create_task(stream.run())
+            await turns()
+            a = site.pool.opened[1][1]
+            a.data_received(HEAD + b"".join(event(n) for n in range(1, 6)))
+            await turns()
+            [attempt] = stream.attempts
+            attempt._suspect(frozenset({attempt.chain.first_server.id}))
+            await turns()
+            assert stream.seeking is not None
+            a.connection_lost(ConnectionResetError())
+            try:
+                await until(lambda: len(site.pool.opened) == 3, seconds=1.5)
+            finally:
+                await asyncio.wait([task])
+                other_task.cancel()
+
+        asyncio.run(scenario())
+
+
+class TestErrors:
+    """Servers answer a stream that has begun with errors."""
+
+    def test_a_stream_that_gets_errors_sends_few_requests(self):
+        async def scenario():
+            site = Site(timeout=3.0, slack=100.0)
+            stream = site.job()
+            task = asyncio.create_task(stream.run())
+            await turns()
+            a = site.pool.opened[0][1]
+            a.data_received(HEAD + b"".join(event(n) for n in range(1, 6)))
+            await turns()
+            a.connection_lost(ConnectionResetError())
+            answered = 1
+            end = time.monotonic() + 1.0
+            while time.monotonic() < end:
+                await asyncio.sleep(0.001)
+                for _, conn in site.pool.opened[answered:]:
+                    answered += 1
+                    conn.data_received(
+                        b"HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n"
+                    )
+            sends = len(site.pool.opened)
+            task.cancel()
+            assert sends <= 10
+
+        asyncio.run(scenario())
+
+
+class TestSearchInVain:
+    """There are fewer retries than silent requests."""
+
+    def test_is_repeated_for_a_request_without_a_head(self):
+        """Four requests are silent at one server; there are two retries at first."""
+
+        async def scenario():
+            site = Site(timeout=3.0, slack=2.5)  # two retries
+            streams = [site.job() for _ in range(4)]
+            tasks = [asyncio.create_task(each.run()) for each in streams]
+            await turns()
+            assert len(site.pool.opened) == 4
+            for stream in streams:
+                [attempt] = stream.attempts
+                attempt._suspect(
+                    frozenset(
+                        s for s in ("a0", "b0") if s == attempt.chain.first_server.id
+                    )
+                )
+            await asyncio.sleep(0.1)
+            budget = site.relay.retry_budget("model")
+            budget.slack = 100.0  # the window has moved on
+            await asyncio.sleep(0.1)
+            for stream in streams:  # the checks go on
+                for attempt in stream.attempts:
+                    if attempt.sent_at and attempt.suspects:
+                        attempt._suspect(attempt.suspects)
+            await asyncio.sleep(0.5)
+            sent = len(site.pool.opened)
+            for task in tasks:
+                task.cancel()
+            assert sent == 8
+
+        asyncio.run(scenario())
+
+
+class TestFreeRetries:
+    """A retry is paid for, unless its connection failed."""
+
+    def test_only_the_retry_after_a_failed_connection_is_free(self):
+        async def scenario():
+            site = Site(chains="abcd", timeout=3.0, max_attempts=4)
+            stream = site.job()
+            task = asyncio.create_task(stream.run())
+            await turns()
+            budget = site.relay.retry_budget("model")
+            before = len(budget.retries)
+            addresses = {f"{n}0:80" for n in "abcd"}
+            first = site.pool.opened[0][0]
+            bad = sorted(addresses - {first})[0]
+            site.pool.refuse.add(bad)
+            # wake until the refused one was tried and one more was sent
+            for expected in (2, 3):
+                live = [each for each in stream.attempts if not each.suspects]
+                for attempt in live:
+                    attempt._suspect(frozenset({attempt.chain.first_server.id}))
+                await until(lambda n=expected: len(site.pool.opened) == n)
+                await turns()
+            arrivals = len(site.pool.opened) - 1
+            paid = len(budget.retries) - before
+            task.cancel()
+            assert paid >= arrivals
+
+        asyncio.run(scenario())
+
+
+class TestFinishedAtTheDeadline:
+    """The deadline passes as the response ends."""
+
+    def test_an_answer_that_is_complete_is_not_aborted(self):
+        async def scenario():
+            site = Site(timeout=0.3)
+            stream = site.job()
+            task = asyncio.create_task(stream.run())
+            await turns()
+            a = site.pool.opened[0][1]
+            a.data_received(HEAD + event(1))
+            await turns()
+            # the last bytes and the deadline in one iteration
+            a.data_received(b"0\r\n\r\n")
+            while not stream.completed:
+                await asyncio.sleep(0)
+                if stream.completed:
+                    break
+            log = list(stream.job.caller.log)
+            assert log[-1] == ("end",)
+            stream.job.timeout.reschedule(0)  # as end_requests does, or the deadline
+            await asyncio.wait([task])
+            assert stream.job.caller.log[-1] == ("end",), stream.job.caller.log[-1]
+
+        asyncio.run(scenario())
+
+    def test_the_same_by_order_of_callbacks(self):
+        """end_requests (or the timer) runs between the attempt's task and the job's."""
+
+        async def scenario():
+            site = Site(timeout=0.3)
+            stream = site.job()
+            site.relay.jobs.add(stream.job)
+            original = stream.finish
+
+            def finish(attempt):
+                original(attempt)
+                asyncio.get_running_loop().call_soon(site.relay.end_requests)
+
+            stream.finish = finish
+            task = asyncio.create_task(stream.run())
+            await turns()
+            a = site.pool.opened[0][1]
+            a.data_received(HEAD + event(1))
+            await turns()
+            a.data_received(b"0\r\n\r\n")
+            await asyncio.wait([task])
+            assert stream.job.caller.log[-1] == ("end",), stream.job.caller.log[-1]
+
+        asyncio.run(scenario())
+
+
+class TestResetsBeforeTheHead:
+    """A sound server resets new connections for a while."""
+
+    def test_do_not_end_a_stream_while_servers_are_sound(self):
+        """Each new connection is reset (maxConns); after 0.6 s they are taken."""
+
+        async def scenario():
+            site = Site(timeout=4.0)
+            stream = site.job()
+            task = asyncio.create_task(stream.run())
+            await turns()
+            a = site.pool.opened[0][1]
+            a.data_received(HEAD + b"".join(event(n) for n in range(1, 6)))
+            await turns()
+            begun = time.monotonic()
+            a.connection_lost(ConnectionResetError())
+            handled = 1
+            while time.monotonic() < begun + 1.2 and not task.done():
+                await asyncio.sleep(0.005)
+                for _, conn in site.pool.opened[handled:]:
+                    handled += 1
+                    if time.monotonic() < begun + 0.6:
+                        conn.connection_lost(ConnectionResetError())
+                    else:
+                        conn.data_received(HEAD + event(6) + b"0\r\n\r\n")
+            last = stream.job.caller.log[-1]
+            task.cancel()
+            assert last == ("end",), last
+
+        asyncio.run(scenario())
--- a/packages/gateway/tests/test_retry_choice.py
+++ b/packages/gateway/tests/test_retry_choice.py
@@ -18,6 +18,7 @@
     is_resumable=True,
     is_blocked=False,
     suspicion=0,
+    error_count=0,
     max_attempts=2,
     possibly_run_on=frozenset({"one"}),
 )
@@ -54,6 +55,10 @@
     def test_a_body_that_is_no_event_stream_does_not_start_again(self):
         assert choose_retry(replace(STREAM, is_resumable=False)) is RetryChoice.NONE
 
+    def test_errors_are_bounded_like_attempts(self):
+        failing = replace(STREAM, error_count=STREAM.max_attempts)
+        assert choose_retry(failing) is RetryChoice.NONE
+
     def test_a_request_that_may_crash_servers_reaches_no_further_one(self):
         crashing = replace(STREAM, suspicion=MAX_SUSPICION)
         assert choose_retry(crashing) is RetryChoice.NONE
--- a/packages/gateway/tests/test_stream_retries.py
+++ b/packages/gateway/tests/test_stream_retries.py
@@ -14,6 +14,7 @@
 from kumquatway_gateway.relay import Relay
 from kumquatway_gateway.relay._attempt import StreamAttempt
 from kumquatway_gateway.relay._event_relay import EventRelay
+from kumquatway_gateway.relay._retry_choice import RetryChoice
 from kumquatway_gateway.relay._streams import LAST_EVENT_SECONDS, StreamJob
 from kumquatway_gateway.waiting import MAX_WAIT_SECONDS, Waiter
 
@@ -76,7 +77,9 @@
         first = Waiter(
             account="a", priority=1, tokens=900.0, arrived=now - 3.0, deadline=now - 1.8
         )
-        asyncio.run(stream._wait_for_room(first, frozenset()))
+        stream.waiter = first
+        retry = stream._restricted(RetryChoice.ANY, frozenset())
+        asyncio.run(stream._wait_for_room(retry))
         [waiter] = admitted
         assert waiter.priority < first.priority
         return waiter.deadline - now
--- a/packages/gateway/tests/test_waiting.py
+++ b/packages/gateway/tests/test_waiting.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 from replays import (
     Clock,
@@ -144,6 +145,97 @@
         asyncio.run(scenario())
 
 
+class TestRestrictedRequests:
+    """
+    Requests that may use some places only.
+
+    Load pattern: a server is silent, and the streams on it wait for another one.
+    """
+
+    def setup_method(self):
+        self.room = {"one": 0.0, "two": 0.0}
+        self.claims = 0
+
+    def _places(self, waiter) -> frozenset[str]:
+        places = self.room.keys() - waiter.avoid
+        return frozenset(places if waiter.only is None else places & waiter.only)
+
+    def _claim(self, waiter, *, reserved: frozenset[str] = frozenset()):
+        self.claims += 1
+        for place in sorted(self._places(waiter) - reserved):
+            if self.room[place] >= waiter.tokens:
+                self.room[place] -= waiter.tokens
+                return place
+        return None
+
+    def _run(self, scenario) -> None:
+        async def run():
+            queue = AdmissionQueue(
+                claim=self._claim,
+                release=lambda place: None,
+                min_rate=lambda: 1e9,
+                places=self._places,
+            )
+            await scenario(queue)
+
+        asyncio.run(run())
+
+    def _wait(self, queue, **fields) -> asyncio.Task:
+        deadline = time.monotonic() + 30.0
+        waiter = make_waiter(at=time.monotonic(), deadline=deadline, **fields)
+        return asyncio.create_task(queue.admit(waiter))
+
+    def test_a_place_that_one_waits_for_is_not_taken_by_smaller_ones(self):
+        async def scenario(queue):
+            large = self._wait(
+                queue, tokens=20.0, priority=-1, avoid=frozenset({"one"})
+            )
+            await asyncio.sleep(0)
+            small = [self._wait(queue, tokens=2.0) for _ in range(20)]
+            for _ in range(10):
+                await asyncio.sleep(0)
+                self.room["two"] += 2.0
+                queue.admit_waiting()
+            for _ in range(5):
+                await asyncio.sleep(0)
+            assert large.done()
+            assert large.result() == "two"
+            assert not any(task.done() for task in small)
+            for task in small:
+                task.cancel()
+
+        self._run(scenario)
+
+    def test_others_use_the_places_that_one_must_avoid(self):
+        async def scenario(queue):
+            held = self._wait(queue, tokens=20.0, priority=-1, avoid=frozenset({"one"}))
+            await asyncio.sleep(0)
+            self.room["one"] = 2.0
+            other = self._wait(queue, tokens=2.0)
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert other.done()
+            assert not held.done()
+            held.cancel()
+
+        self._run(scenario)
+
+    def test_many_with_the_same_restriction_cost_one_claim_in_vain(self):
+        async def scenario(queue):
+            held = [
+                self._wait(queue, tokens=20.0, only=frozenset({"one"}))
+                for _ in range(50)
+            ]
+            await asyncio.sleep(0)
+            self.claims = 0
+            queue.admit_waiting()
+            assert self.claims == 1
+            for task in held:
+                task.cancel()
+
+        self._run(scenario)
+
+
 class TestRefusal:
     """Retry times of refused callers."""
 
