Tell lost upstreams from silent ones, and let a request end few of them

And the entry held a silence of one second against a sound VM once for each stream on it: its breaker opened, and it was ejected from its group after it was back.

Cause: a silence and the end of a process had the same reason, unreachable, so a bound on losses also ended streams that met false alarms, and all of them counted as faults.

The effect on breakers is by reasoning, without a test of its own.

What has certainly ended is told by its address, which refuses connections, by a higher incarnation, or by the engine's broken connection; it keeps the reason unreachable or reset. All else is silence, in reports of agents too. A stream ends at the fourth such loss without a token between them; silences are left as fast as before and keep the bound of 16.

--- a/packages/agent/src/kumquatway_agent/_agent.py
+++ b/packages/agent/src/kumquatway_agent/_agent.py
@@ -17,7 +17,7 @@
 from kumquatway_agent.orders import Orders, in_use
 from kumquatway_agent.service import ServiceCaller
 from kumquatway_agent.stage import StageRunner, Streams
-from kumquatway_core import Supervisor, Verdict, new_incarnation
+from kumquatway_core import Reason, Supervisor, Verdict, new_incarnation
 from kumquatway_core.engine import (
     ALL_STREAMS,
     EngineClient,
@@ -250,11 +250,12 @@
 
     def _on_peer_state(self, peer: Peer) -> None:
         if self.stage is not None and peer.state is PeerState.DOWN:
-            self.stage.lose_next_hop(peer.address)
+            reason = Reason.UNREACHABLE if peer.refused else Reason.SILENCE
+            self.stage.lose_next_hop(peer.address, reason)
 
     def _on_lost(self, peer: Peer, lost: list[Message]) -> None:
         if self.stage is not None:
-            self.stage.lose_next_hop(peer.address)
+            self.stage.lose_next_hop(peer.address, Reason.UNREACHABLE)
 
     def _send(self, address: str, message: Message) -> object:
         """Send a message; a route of one stage passes its tokens on in memory."""
--- a/packages/agent/src/kumquatway_agent/stage/_stage.py
+++ b/packages/agent/src/kumquatway_agent/stage/_stage.py
@@ -111,18 +111,19 @@
             self._replay(stream)
             self.outgoing.flush()
 
-    def lose_next_hop(self, address: str) -> None:
+    def lose_next_hop(self, address: str, reason: Reason) -> None:
         """
         Tell the entries of the streams that cannot be passed on.
 
         :param address: of an agent that does not answer or restarted.
+        :param reason: `SILENCE`, or `UNREACHABLE` if its process has ended.
         """
         for stream in list(self.streams.streams.values()):
             if stream.next_hop().address != address or not stream.done:
                 continue
             detail = "the next stage does not answer"
             index = stream.next_index()
-            self._trouble(stream.open, index, Reason.UNREACHABLE, detail)
+            self._trouble(stream.open, index, reason, detail)
 
     def hand_over(self) -> None:
         """Tell the entries to replace this stage, while it can still be cancelled."""
--- a/packages/agent/tests/test_stage.py
+++ b/packages/agent/tests/test_stage.py
@@ -353,6 +353,14 @@
         self.vm.stage._on_output(work, StepOutput(stream="s", data=b"late"))
         assert len(self.sent) == 1
 
+    @pytest.mark.parametrize("reason", [Reason.SILENCE, Reason.UNREACHABLE])
+    def test_a_silent_next_stage_is_told_from_one_that_ended(self, reason):
+        work = self.streams.take(self.item(0, opened=True))
+        self.vm.stage._on_output(work, StepOutput(stream="s", data=b"x"))
+        self.vm.stage.lose_next_hop(self.route[2].address, reason)
+        ((_, trouble),) = self.sent
+        assert (trouble.vm, trouble.reason) == (self.route[2].vm, reason)
+
 
 class TestBatcher:
     """Decodes go first, and prompts fill up the step within a budget."""
--- a/packages/core/src/kumquatway_core/engine/_client.py
+++ b/packages/core/src/kumquatway_core/engine/_client.py
@@ -182,8 +182,10 @@
                 await response.aclose()
             detail = f"engine answered {path} with {response.status_code}"
             verdict = may_have_run(Reason.UPSTREAM_ERROR, detail)
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+        except httpx.ConnectError as error:
             verdict = not_run(Reason.UNREACHABLE, f"engine call {path}: {error!r}")
+        except (httpx.ConnectTimeout, httpx.PoolTimeout) as error:
+            verdict = not_run(Reason.SILENCE, f"engine call {path}: {error!r}")
         except (TimeoutError, httpx.TimeoutException) as error:
             verdict = may_have_run(Reason.SILENCE, f"engine call {path}: {error!r}")
         except httpx.HTTPError as error:
--- a/packages/core/tests/test_engine_client.py
+++ b/packages/core/tests/test_engine_client.py
@@ -1,6 +1,7 @@
-"""Tests of the client of an engine over connections that are replaced."""
+"""Tests of the client of an engine: its connections and its verdicts."""
 
 import anyio
+import httpx
 import msgspec
 import pytest
 from starlette.applications import Starlette
@@ -8,6 +9,7 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
+from kumquatway_core import NOT_RUN, Reason
 from kumquatway_core.engine import EngineClient, EngineOrder, EngineOrderReply
 from kumquatway_core.http import serve
 from kumquatway_core.wire import Holding
@@ -77,3 +79,23 @@
             await client.close()
             group.cancel_scope.cancel()
         assert found == [EngineOrderReply(done=True)]
+
+
+class TestVerdicts:
+    """An engine that refuses is told from one that is silent."""
+
+    @pytest.mark.parametrize(
+        ("error", "reason"),
+        [
+            (httpx.ConnectError, Reason.UNREACHABLE),
+            (httpx.ConnectTimeout, Reason.SILENCE),
+        ],
+    )
+    async def test_a_connection_that_is_not_made_ran_nothing(self, error, reason):
+        class Transport(httpx.AsyncBaseTransport):
+            async def handle_async_request(self, request):
+                raise error("no connection")
+
+        client = EngineClient(url="http://engine", transport=Transport())
+        verdict = (await client.order(ORDER, LIMIT)).verdict
+        assert (verdict.ran, verdict.reason) == (NOT_RUN, reason)
--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -379,7 +379,7 @@
             self.streams.lose_address(status.address, "the engine does not answer")
 
     def _lose(self, address: str, detail: str) -> None:
-        self.streams.lose_address(address, detail)
+        self.streams.lose_address(address, detail, Reason.UNREACHABLE)
         self.calls.lose_address(address, detail)
 
     def _on_peer_state(self, peer: Peer) -> None:
@@ -388,12 +388,14 @@
             self.watcher.regain(peer.address)
         if peer.state is PeerState.DOWN:
             self.watcher.lose(peer.address)
-            self.streams.lose_address(peer.address, "the agent does not answer")
+            reason = Reason.UNREACHABLE if peer.refused else Reason.SILENCE
+            self.streams.lose_address(peer.address, "the agent does not answer", reason)
             self.calls.lose_peer(peer.address)
 
     def _on_lost(self, peer: Peer, lost: list[Message]) -> None:
         self.calls.lose(lost)
-        self.streams.lose_address(peer.address, "the agent restarted")
+        restarted = "the agent restarted"
+        self.streams.lose_address(peer.address, restarted, Reason.UNREACHABLE)
         self.watcher.renew(peer.address)
 
     def _on_join(self, member: Member) -> None:
--- a/packages/entry/src/kumquatway/streams/_session.py
+++ b/packages/entry/src/kumquatway/streams/_session.py
@@ -32,12 +32,14 @@
 )
 
 MAX_RECOVERIES = 16  # without a token between them
+MAX_LOSSES = 3  # among them, of which it is certain that something ended
 NO_ROUTE_WAIT = 0.1  # seconds between looks for a route
 FIRST_PIECE_BOUND = 30.0  # seconds of silence before the first token
 SILENCE_FLOOR = 10.0  # seconds; agents notice what fails long before
 SILENCE_FACTOR = 20  # of the usual time between tokens
 SMOOTHING = 0.2
 MAX_REFUSAL_WAIT = 1.0  # seconds
+LOSSES = frozenset((Reason.UNREACHABLE, Reason.RESET, Reason.UPSTREAM_ERROR))
 # Reasons of a stage that stands, but does not take the stream now.
 REFUSALS = frozenset(
     (Reason.NO_UPSTREAM, Reason.OVERLOADED, Reason.REFUSED, Reason.SHUTTING_DOWN)
@@ -145,6 +147,7 @@
         self.route: tuple[Stage, ...] = ()
         self.tokens: list[int] = []
         self.recoveries = 0
+        self.losses = 0
         self.refusals = 0
         self.dropped = 0
         self.usual_gap = 0.0
@@ -207,16 +210,19 @@
             return
         self._fail(trouble.vm, may_have_run(reason, trouble.detail))
 
-    def lose_address(self, address: str, detail: str) -> None:
+    def lose_address(
+        self, address: str, detail: str, reason: Reason = Reason.SILENCE
+    ) -> None:
         """
         Take in that an agent does not answer.
 
         :param address: of the agent.
         :param detail: one line for people.
+        :param reason: `SILENCE`, or `UNREACHABLE` if its process has ended.
         """
         for stage in self.route:
             if stage.address == address:
-                self._fail(stage.vm, may_have_run(Reason.UNREACHABLE, detail))
+                self._fail(stage.vm, may_have_run(reason, detail))
 
     def give_up(self, verdict: Verdict) -> None:
         """
@@ -267,6 +273,7 @@
             self.on_first(self, gap)
         self._last_piece = now
         self.recoveries = 0
+        self.losses = 0
         self.refusals = 0
         self._note_replays(set())
         self.tokens.append(piece.token)
@@ -342,10 +349,13 @@
 
     async def _count_failure(self) -> Verdict | None:
         """Bound the losses in a row, and space out the refusals in a row."""
-        last = next(iter(self._failed.values()))
-        if not all(verdict.reason in REFUSALS for verdict in self._failed.values()):
+        verdicts = tuple(self._failed.values())
+        last = verdicts[0]
+        if not all(verdict.reason in REFUSALS for verdict in verdicts):
             self.recoveries += 1
-            return last if self.recoveries > MAX_RECOVERIES else None
+            self.losses += any(verdict.reason in LOSSES for verdict in verdicts)
+            over = self.recoveries > MAX_RECOVERIES or self.losses > MAX_LOSSES
+            return last if over else None
         wait = backoff(self.refusals, cap=MAX_REFUSAL_WAIT) if self.refusals else 0.0
         self.refusals += 1
         if self.clock() + wait >= self.ask.deadline:
--- a/packages/entry/src/kumquatway/streams/_streams.py
+++ b/packages/entry/src/kumquatway/streams/_streams.py
@@ -11,7 +11,7 @@
 import anyio
 
 from kumquatway.streams._session import Ask, Routes, Session, ignore_first
-from kumquatway_core import Verdict
+from kumquatway_core import Reason, Verdict
 from kumquatway_core.events import Event
 from kumquatway_core.wire import Message, Pieces, Trouble
 
@@ -133,12 +133,15 @@
         if session is not None:
             session.take_trouble(trouble, reporter)
 
-    def lose_address(self, address: str, detail: str) -> None:
+    def lose_address(
+        self, address: str, detail: str, reason: Reason = Reason.SILENCE
+    ) -> None:
         """
         Take in that an agent does not answer, or restarted.
 
         :param address: of the agent.
         :param detail: one line for people.
+        :param reason: `SILENCE`, or `UNREACHABLE` if its process has ended.
         """
         for session in list(self.sessions.values()):
-            session.lose_address(address, detail)
+            session.lose_address(address, detail, reason)
--- a/packages/entry/tests/test_session.py
+++ b/packages/entry/tests/test_session.py
@@ -234,6 +234,32 @@
             assert bench.session.recoveries == 1
             group.cancel_scope.cancel()
 
+    async def test_silences_of_sound_stages_count_as_no_losses(self):
+        bench = Bench()
+        async with anyio.create_task_group() as group:
+            group.start_soon(bench.run)
+            for count in range(2 * MAX_LOSSES):
+                await bench.until(lambda count=count: bench.attempts() == count + 1)
+                if count % 2:
+                    bench.session.take_trouble(bench.trouble(Reason.SILENCE))
+                else:
+                    bench.session.lose_address(bench.session.route[0].vm, "silent")
+            await bench.until(lambda: bench.attempts() == 2 * MAX_LOSSES + 1)
+            bench.session.take_piece(bench.piece(0, finish="stop"))
+        assert [piece.token for piece in bench.yielded] == [0]
+
+    async def test_agents_that_restart_count_as_losses(self):
+        bench = Bench()
+        async with anyio.create_task_group() as group:
+            group.start_soon(bench.run)
+            for count in range(MAX_LOSSES + 1):
+                await bench.until(lambda count=count: bench.attempts() == count + 1)
+                vm = bench.session.route[0].vm
+                bench.session.lose_address(vm, "restarted", Reason.UNREACHABLE)
+            await bench.until(lambda: bench.yielded)
+        assert bench.attempts() == MAX_LOSSES + 1
+        assert bench.yielded[0].ran is MAY_HAVE_RUN
+
     async def test_a_stream_that_gets_on_survives_any_number_of_failures(self):
         bench = Bench()
         async with anyio.create_task_group() as group:
