--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -209,6 +209,18 @@
         await caller.complete(prompt, tokens=4)
         assert expected.startswith(caller.text())
 
+    @pytest.mark.parametrize("seconds", [0.6, 1.2, 1.8])
+    async def test_all_agents_of_a_stage_are_silent_and_go_on(self, fleet, seconds):
+        async def silence(vm: str) -> None:
+            agents = [f"vm-{replica}-1" for replica in range(2)]
+            for agent in agents:
+                fleet.freeze(agent)
+            await anyio.sleep(seconds)
+            for agent in agents:
+                fleet.thaw(agent)
+
+        await break_mid_stream(fleet, silence)
+
     async def test_an_agent_is_asked_to_end(self, fleet):
         ended: list[str] = []
 
