Cancel all streams of an engine at the start of its agent only

When the task that frees slots failed and was started again, every stream of the engine failed at its next step (upstream_error, unknown stream) and had to be recovered elsewhere.

Cause: the task begins by cancelling the streams of earlier lives of the agent, and did so at each restart of the task, in the middle of the streams of this life.

Evidence: test_a_failure_to_free_slots_ends_no_stream fails without the change: the stream gets this trouble and no further token.

The agent now remembers that it has cancelled them.

--- a/packages/agent/src/kumquatway_agent/_agent.py
+++ b/packages/agent/src/kumquatway_agent/_agent.py
@@ -93,6 +93,7 @@
         self.leaving = anyio.Event()
         self._freed: list[str] = []
         self._free_wake = anyio.Event()
+        self._cleared = False  # of the streams of earlier lives of the agent
         self._group: anyio.abc.TaskGroup | None = None
         self._routes: dict[type, Callable[[Message], None]] = self._handlers()
 
@@ -312,7 +313,9 @@
 
     async def _keep_freeing(self) -> None:
         """Free engine slots, many in one call."""
-        await self.engine.cancel((ALL_STREAMS,))
+        if not self._cleared:
+            self._cleared = True
+            await self.engine.cancel((ALL_STREAMS,))
         while True:
             await self._free_wake.wait()
             self._free_wake = anyio.Event()
--- a/packages/agent/tests/test_agent.py
+++ b/packages/agent/tests/test_agent.py
@@ -319,6 +319,27 @@
 
         await with_rig(use)
 
+    async def test_a_failure_to_free_slots_ends_no_stream(self, monkeypatch):
+        async def use(rig: Rig):
+            cancel = rig.agent.engine.cancel
+            failures = ["a fault of the test"]
+
+            async def fail_once(names):
+                if failures:
+                    raise RuntimeError(failures.pop())
+                return await cancel(names)
+
+            rig.engine.speed = Speed(layer_us=20_000)
+            rig.open_stream("r1")
+            await rig.until(lambda: rig.pieces("r1"))
+            monkeypatch.setattr(rig.agent.engine, "cancel", fail_once)
+            rig.agent._free(("r0.1.0",))
+            assert await rig.answer("r1") == EXPECTED
+            assert not failures
+            assert not rig.troubles()
+
+        await with_rig(use)
+
     async def test_an_order_changes_what_entries_hear(self):
         async def use(rig: Rig):
             row = LeaseRow(holder="a", fencing_number=3, duration=10.0, order_bound=0.0)
