Hold a silence of an agent against its service at most by its connection

After an agent of a plain service had been silent for a second, its upstream got no work for another second or for several, growing with each silence, though it was sound.

Cause: each call that was given up for the silence counted as a failure of the upstream.

Evidence: test_a_silence_of_the_agent_is_no_fault_of_each_call fails without the change.

An agent that does not answer is kept from work by its connection, and is used again once it answers. Calls that fail meanwhile are not counted; those of an agent whose address refuses connections are, as before.

--- a/packages/core/src/kumquatway_core/mesh/_mesh.py
+++ b/packages/core/src/kumquatway_core/mesh/_mesh.py
@@ -144,6 +144,15 @@
         peer = self.peers.get(address)
         return peer is not None and peer.state is PeerState.DOWN
 
+    def is_silent(self, address: str) -> bool:
+        """
+        Check whether an address does not answer, and does not refuse either.
+
+        :param address: `host:port` of the other process.
+        :return: False also if there is no peer for the address.
+        """
+        return self.is_down(address) and not self.peers[address].refused
+
     def _open(self, address: str) -> Peer:
         peer = Peer(
             context=self.context,
--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -170,6 +170,8 @@
             relay.silence()
             await wait_until(lambda: all(p.state is PeerState.DOWN for p in peers))
             assert [peer.refused for peer in peers] == [False, True]
+            addresses = [peer.address for peer in peers]
+            assert [local.mesh.is_silent(a) for a in addresses] == [True, False]
 
     async def test_a_restart_is_seen_as_a_new_incarnation(self):
         local = Node(address=free_address())
--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -155,7 +155,9 @@
         objects = Objects(channel=Channel(addresses=settings.platform.objects))
         self.claims = Claims(table=table, objects=objects)
         self.dispatcher = Dispatcher(
-            calls=GuardedCalls(calls=self.calls, groups=self.groups),
+            calls=GuardedCalls(
+                calls=self.calls, groups=self.groups, is_silent=self.mesh.is_silent
+            ),
             claims=self.claims,
             usable=self._usable,
             background=self._background,
--- a/packages/entry/src/kumquatway/calls/_guarded.py
+++ b/packages/entry/src/kumquatway/calls/_guarded.py
@@ -30,6 +30,8 @@
 
     :param calls: in flight.
     :param groups: the upstreams' records.
+    :param is_silent: tells whether the agent at an address does not answer now, which
+        keeps it from work and says nothing of its service.
     :param clock: monotonic seconds.
     """
 
@@ -38,10 +40,12 @@
         *,
         calls: Calls,
         groups: Groups,
+        is_silent: Callable[[str], bool] = lambda address: False,
         clock: Callable[[], float] = time.monotonic,
     ):
         self.calls = calls
         self.groups = groups
+        self.is_silent = is_silent
         self.clock = clock
 
     async def send(self, ask: ServiceAsk, member: Member) -> Answer | Verdict:
@@ -56,7 +60,9 @@
         self.groups.start(member.vm)
         result = await self.calls.send(ask, member)
         seconds = self.clock() - started
-        self.groups.end(member.vm, well=not is_fault(result), seconds=seconds)
+        well = not is_fault(result)
+        if well or not self.is_silent(member.address):
+            self.groups.end(member.vm, well=well, seconds=seconds)
         return result
 
 
--- a/packages/entry/tests/test_guarding.py
+++ b/packages/entry/tests/test_guarding.py
@@ -12,6 +12,7 @@
 from kumquatway.membership import Member
 from kumquatway.protect import Groups, MemoryBound, Newcomers
 from kumquatway.protect._breaker import FAILURES_IN_A_ROW, OPEN_SECONDS
+from kumquatway.protect._outliers import MIN_RECORDS
 from kumquatway.protect._slow_start import MIN_WEIGHT, RAMP_SECONDS
 from kumquatway.routing import choose_replacement, choose_route
 from kumquatway_core import Reason, may_have_run, not_run
@@ -121,6 +122,21 @@
             assert await calls.send(ASK, make_member("v0")) is result
         assert ("v0" in groups.out()) == is_out
 
+    @pytest.mark.parametrize("is_silent", [True, False])
+    async def test_a_silence_of_the_agent_is_no_fault_of_each_call(self, is_silent):
+        class Calls:
+            async def send(self, ask, member):
+                return may_have_run(Reason.SILENCE)
+
+        groups = Groups()
+        groups.keep({"desk": VMS})
+        calls = GuardedCalls(
+            calls=Calls(), groups=groups, is_silent=lambda address: is_silent
+        )
+        for _ in range(MIN_RECORDS):
+            await calls.send(ASK, make_member("v0"))
+        assert ("v0" in groups.out()) != is_silent
+
 
 class TestNewcomers:
     """Upstreams that began a short time ago."""
