Write down the end of a call whose handler fails

The time line showed a call of a plain service that began and never ended when its handler met an exception or was cancelled. The caller was told; operators could not tell it from a cut.

Cause: the end was written after the call, on the way that has a result.

Evidence: test_a_handler_that_fails_may_have_run, which now asks for the end too, fails without the change. Shown with an injected exception.

The end is written in any case: internal for an exception, cancelled for a handler that was ended, as for streams.

--- a/packages/entry/src/kumquatway/api/_services.py
+++ b/packages/entry/src/kumquatway/api/_services.py
@@ -16,7 +16,14 @@
 from kumquatway.api._errors import error_response
 from kumquatway.api._guard import request_id
 from kumquatway.calls import Answer, ServiceAsk
-from kumquatway_core import RAN, VERDICT_HEADER, Reason, Verdict, not_run
+from kumquatway_core import (
+    RAN,
+    VERDICT_HEADER,
+    Reason,
+    Verdict,
+    may_have_run,
+    not_run,
+)
 from kumquatway_core.events import Refused, RequestEnded, RequestStarted
 
 IDEMPOTENT = "kumquatway-idempotent"
@@ -109,22 +116,26 @@
     context.emit(
         RequestStarted(request=ask.request, account=caller.name, target=ask.service)
     )
-    result = await context.dispatcher.run(ask, caller.name, key)
-    if isinstance(result, Verdict):
-        verdict = result
-        response = error_response(result)
-    else:
-        verdict = Verdict(ran=RAN)
-        response = _response(result)
-    context.emit(
-        RequestEnded(
-            request=ask.request,
-            verdict=verdict.header_value(),
-            status=response.status_code,
-            reason=verdict.reason.value,
+    verdict = may_have_run(Reason.CANCELLED)
+    status = verdict.status()
+    try:
+        result = await context.dispatcher.run(ask, caller.name, key)
+        verdict = result if isinstance(result, Verdict) else Verdict(ran=RAN)
+        status = verdict.status() if verdict is result else result.status
+    except Exception:
+        verdict = may_have_run(Reason.INTERNAL)
+        status = verdict.status()
+        raise
+    finally:
+        context.emit(
+            RequestEnded(
+                request=ask.request,
+                verdict=verdict.header_value(),
+                status=status,
+                reason=verdict.reason.value,
+            )
         )
-    )
-    return response
+    return error_response(result) if verdict is result else _response(result)
 
 
 async def _ask(context: Context, request: Request, name: str) -> ServiceAsk | Verdict:
--- a/packages/entry/tests/test_api.py
+++ b/packages/entry/tests/test_api.py
@@ -301,6 +301,8 @@
         check_error(response, 500, "may-have-run")
         request = response.headers["X-Request-Id"]
         assert [line["extra"]["request"] for line in lines] == [request]
+        ended = last_end(deployment)
+        assert (ended.request, ended.reason) == (request, "internal")
 
 
 class TestBody:
