Count a request that hung its server, which answered others until it ended

What callers saw: a request hangs the part of its server that runs it, the server goes on answering others for a second or more and then ends. Such a request was not blocked in time and went on ending servers, with all that was in progress there.

Cause: evidence counted only if the server had answered nothing after the request was given up. Any answer to another request, in the seconds until the end, cleared it; the more sound traffic, the more surely. An answer to another request says only that the server lived until then.

Change: a request that was given up counts if its server is known to have ended within 15 s, with all the time until then as the time in which it may have been there by chance, unless the same request got through since it was sent. A server that outlives such a request by 15 s clears it, as an answer to it does. What broke off is judged as before: a server that answers after that lived on.

Evidence (virtual time): `TestRequestThatHangsItsServer` replays 24 loads with 0.2 to 5 s from hang to end, plain requests and streams.

Open, listed: callers that wait for 8 s for a request that hangs for 3.5 s or longer.

--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -16,6 +16,7 @@
 from kumquatway_gateway.quarantine._chance import Surroundings, rarity
 from kumquatway_gateway.quarantine._culprits import MIN_CRASHES, find_culprits
 from kumquatway_gateway.quarantine._evidence import Crash, CrashKey, Evidence, Suspect
+from kumquatway_gateway.quarantine._features import find_identity
 from kumquatway_gateway.quarantine._traffic import Traffic
 
 # Within which a server must be known to have ended after an answer broke off or was
@@ -246,18 +247,49 @@
                 self._recheck(each)
                 return True
             self.on_outcome("server lives")
+            self._record_outlived(each)
             return False
         key = (ended.id, ended.incarnation)
+        seconds = each.ended_at - each.sent_at
         if self.answered_at.get(key, 0.0) > each.ended_at + ALIVE_SECONDS:
-            self.on_outcome("server lived on")
-            return False
-        self._add_evidence(key, each, crashes)
+            if not self._may_have_hung(ended, each):
+                self.on_outcome("server lived on")
+                return False
+            seconds = self.clock() - each.sent_at
+        self._add_evidence(key, each, seconds, crashes)
         return False
 
+    def _record_outlived(self, each: _Unanswered) -> None:
+        """
+        Take note that a server outlived a request that this entry gave up.
+
+        Load pattern: a request takes longer than its callers wait, and servers end of
+        themselves.
+        """
+        identity = find_identity(each.features)
+        if not each.broken_off and identity is not None:
+            self.traffic.hear_survival(identity, 0.0)
+
+    def _may_have_hung(self, ended: Server, each: _Unanswered) -> bool:
+        """
+        Tell whether a server that answered others later may have ended of a request.
+
+        Load pattern: a request hangs a part of its server, which takes seconds to end.
+        An answer to another request says only that the server lived until then.
+        """
+        if each.broken_off or not self.fleet.has_run_ended(ended):
+            return False
+        identity = find_identity(each.features)
+        return identity is None or (self.traffic.last_survival(identity) < each.sent_at)
+
     def _add_evidence(
-        self, key: CrashKey, each: _Unanswered, crashes: dict[CrashKey, bool]
+        self,
+        key: CrashKey,
+        each: _Unanswered,
+        seconds: float,
+        crashes: dict[CrashKey, bool],
     ) -> None:
-        seconds = each.ended_at - each.sent_at
+        """Add a request that was, or may have been, at a server until its end."""
         self.traffic.record_loss(each.features, seconds)
         suspect = Suspect(
             features=each.features,
--- a/packages/gateway/tests/request_replay.py
+++ b/packages/gateway/tests/request_replay.py
@@ -39,6 +39,7 @@
     BEFORE = "before the answer"
     LATE = "late in the answer"
     SILENT = "falling silent"
+    HANGING = "after a while, in which they answer others"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -48,6 +49,9 @@
 
     :param other_servers: servers of other services, which nothing happens to.
     :param answer: shortest and longest time to answer.
+    :param hang: shortest and longest time from a fatal request to the end of a server
+        that answers others meanwhile.
+    :param caller_seconds: that callers wait for an answer.
     :param sound_rate: of requests that share some of account, path and body.
     :param accounts: number of accounts; so for paths.
     :param fatal_rate: of callers that send the fatal request.
@@ -67,6 +71,8 @@
     seconds: float = 40.0
     when: When = When.BEFORE
     answer: tuple[float, float] = (0.005, 0.05)
+    hang: tuple[float, float] = (0.2, 5.0)
+    caller_seconds: float = CALLER_SECONDS
     downtime: float = 3.0
     sound_rate: float = 10.0
     accounts: int = 4
@@ -335,7 +341,9 @@
         if job.fatal:
             in_touch = self._is_in_touch(job.entry)
             self.outcome.arrivals.append((self.now - self.began_at, in_touch))
-        if job.fatal and not ended:
+        if job.fatal and not ended and self.load.when is When.HANGING:
+            self._hang(job, incarnation)
+        elif job.fatal and not ended:
             share = 0.9 if self.load.when is When.LATE else self.random.random() * 0.5
             self.after(answer * share, self._crash_by, job, incarnation)
         else:
@@ -371,6 +379,24 @@
 
     # crashes
 
+    def _hang(self, job: _Job, incarnation: int) -> None:
+        """Leave a request without an answer; its server ends after a while."""
+        hang = self.random.uniform(*self.load.hang)
+        self.after(hang, self._crash_by, job, incarnation)
+        self.after(HEDGE_SECONDS, self._hedge, job, incarnation)
+        self.after(self.load.caller_seconds, self._abandon, job, incarnation)
+
+    def _hedge(self, job: _Job, incarnation: int) -> None:
+        """Ask a second server too, as the first one does not answer."""
+        if self._is_there(job, incarnation):
+            self._retry(replace(job))
+
+    def _abandon(self, job: _Job, incarnation: int) -> None:
+        """Give a request up as its caller leaves."""
+        if self._is_there(job, incarnation):
+            self.jobs[job.server].remove(job)
+            self._end_attempt(job, job.server, incarnation, broken_off=False)
+
     def _crash_by(self, job: _Job, incarnation: int) -> None:
         if self._incarnation(job) == incarnation and job.server not in self.down:
             self.outcome.crashes.append(self.now - self.began_at)
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -513,6 +513,38 @@
             self.entry.end(f"s{number}")
         assert not self.entry.blocks("=a")
 
+    @pytest.mark.parametrize("seconds", [0.5, 2.0, 5.0])
+    def test_a_server_that_answers_others_until_it_ends_may_have_hung(self, seconds):
+        for number in range(3):
+            self.entry.break_off(f"s{number}", f"=a m/x@{number}", 1.0, given_up=True)
+            self.clock.now += seconds
+            self.entry.quarantine.record_answer(self.entry.servers[f"s{number}"])
+            self.entry.survive("=b m/x")
+            self.entry.end(f"s{number}")
+        self.entry.settle()
+        assert self.entry.blocks("=a m/x")
+        assert not self.entry.blocks("=b m/x")
+
+    def test_an_answer_to_the_same_request_shows_that_it_was_not_the_cause(self):
+        for number in range(8):
+            self.entry.break_off(f"s{number}", f"=a@{number}", 1.0, given_up=True)
+            self.clock.now += 0.5
+            self.entry.survive("=a")
+            self.entry.quarantine.record_answer(self.entry.servers[f"s{number}"])
+            self.entry.end(f"s{number}")
+        self.entry.settle()
+        assert not self.entry.blocks("=a")
+
+    def test_a_server_that_outlives_a_request_shows_the_same(self):
+        for number in range(2):
+            self.entry.crash(f"s{number}", f"=a@{number}", given_up=True)
+        self.entry.break_off("s2", "=a@2", given_up=True)
+        self.clock.now += CONFIRMATION_SECONDS + 1
+        self.entry.quarantine.confirm_crashes()
+        self.entry.crash("s3", "=a@3", given_up=True)
+        self.entry.settle()
+        assert not self.entry.blocks("=a")
+
     def test_an_answer_of_the_next_incarnation_does_not(self):
         for number in range(3):
             old = self.entry.servers[f"s{number}"]
--- a/packages/gateway/tests/test_request_replay.py
+++ b/packages/gateway/tests/test_request_replay.py
@@ -5,6 +5,7 @@
 """
 
 import os
+from dataclasses import replace
 
 import pytest
 from request_replay import Load, RequestReplay, When
@@ -55,6 +56,32 @@
         assert outcome.message_bytes <= MAX_MESSAGE_BYTES
 
 
+# A server answers others for a while after the request that ends it.
+HANGING = {
+    f"{name}-{hang}": replace(load, when=When.HANGING, hang=(hang, hang))
+    for name, load in {
+        "usual": Load(servers=6, fatal_rate=0.3),
+        "much-sound-traffic": Load(servers=6, fatal_rate=0.3, sound_rate=100.0),
+        "streams": Load(**STREAMS, fatal_rate=0.3),
+        "patient": Load(servers=6, fatal_rate=0.3, caller_seconds=8.0),
+    }.items()
+    for hang in (0.2, 0.7, 1.3, 2.0, 3.5, 5.0)
+}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("load", HANGING.values(), ids=HANGING)
+class TestRequestThatHangsItsServer:
+    """Its server answered others until it ended, and the request was not blocked."""
+
+    def test_reaches_few_servers_and_blocks_no_sound_request(self, load, seed):
+        outcome = RequestReplay(load, seed).run()
+        late = outcome.late_arrivals(crashes=3, window=WINDOW_SECONDS)
+        assert late <= MAX_LATE_ARRIVALS
+        assert outcome.blocked_sound == []
+        assert outcome.served_sound > load.seconds
+
+
 QUIET = {
     "usual": Load(fatal_rate=0.0, own_ends=0.3),
     "streams": Load(**STREAMS, fatal_rate=0.0, own_ends=1.0),
@@ -76,6 +103,27 @@
         assert outcome.served_sound > load.seconds
 
 
+NEVER = (1e6, 1e6)
+_SLOW = Load(when=When.HANGING, hang=NEVER, servers=6, fatal_rate=0.3, seconds=120.0)
+TOO_SLOW = {
+    "usual": _SLOW,
+    "ends-often": replace(_SLOW, own_ends=0.1),
+    "patient": replace(_SLOW, own_ends=0.1, caller_seconds=8.0),
+    "much-sound-traffic": replace(_SLOW, own_ends=0.1, sound_rate=100.0),
+}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("load", TOO_SLOW.values(), ids=TOO_SLOW)
+class TestRequestThatTakesTooLong:
+    """Its callers always give it up, while servers end of themselves."""
+
+    def test_is_not_blocked(self, load, seed):
+        outcome = RequestReplay(load, seed).run()
+        assert outcome.refused_fatal == []
+        assert outcome.blocked_sound == []
+
+
 class TestSeedsThatFailed:
     """Replays in which sound requests were blocked."""
 
