Replay a part of prompts that hangs its servers

The replay of crashes gets a time for which a server answers others after a fatal request, which gets no answer and is given up after 2 s.

--- a/packages/gateway/tests/crash_replay.py
+++ b/packages/gateway/tests/crash_replay.py
@@ -16,6 +16,7 @@
 EVENT_SECONDS = 0.03
 BEGINNING_EVENTS = 3
 DOWNTIME_SECONDS = 4.0
+PATIENCE_SECONDS = 2.0  # of a caller without a first event
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -28,6 +29,8 @@
     :param lost: share of the messages between entries that are lost.
     :param own_ends: rate at which servers end of themselves.
     :param mass_end_at: when a third of the servers end at once, or 0.
+    :param hang: seconds for which a server answers others after a fatal request, which
+        gets no answer; 0 if the server crashes as it begins to answer.
     """
 
     entries: int = 3
@@ -41,6 +44,7 @@
     lost: float = 0.2
     own_ends: float = 0.1
     mass_end_at: float = 12.0
+    hang: float = 0.0
 
 
 @dataclass(eq=False)
@@ -157,6 +161,11 @@
         incarnation = self.incarnations[job.server]
         if job.fatal:
             self.outcome.fatal_arrivals.append(self.now)
+        if job.fatal and self.load.hang:
+            job.began_at = float("inf")
+            self.after(self.load.hang, self._crash_by, job, incarnation)
+            self.after(PATIENCE_SECONDS, self._give_up, job, incarnation)
+        elif job.fatal:
             delay = job.began_at + self.random.uniform(0.005, 0.1) - self.now
             self.after(delay, self._crash_by, job, incarnation)
         else:
@@ -176,10 +185,24 @@
     def _complete(self, job: _Job, incarnation: int) -> None:
         if self._runs(job, incarnation):
             self.jobs[job.server].discard(job)
+            job.entry.quarantine.record_answer(job.entry.fleet.servers[job.server])
             job.entry.quarantine.record_end(job.features)
             job.entry.quarantine.record_survival(job.features, job.sent_at)
             self.outcome.served_sound += 1
 
+    def _give_up(self, job: _Job, incarnation: int) -> None:
+        """End an attempt whose caller leaves."""
+        if self._runs(job, incarnation):
+            self.jobs[job.server].discard(job)
+            job.entry.quarantine.record_end(job.features)
+            job.entry.quarantine.record_unanswered(
+                (job.entry.fleet.servers[job.server],),
+                job.features,
+                job.sent_at,
+                broken_off=False,
+                attempt=job.attempt,
+            )
+
     # crashes
 
     def _crash_by(self, job: _Job, incarnation: int) -> None:
--- a/packages/gateway/tests/test_crash_replay.py
+++ b/packages/gateway/tests/test_crash_replay.py
@@ -40,6 +40,28 @@
         assert outcome.message_bytes <= MAX_MESSAGE_BYTES
 
 
+HANGING = {
+    f"{hang}": Load(hang=hang, fatal_rate=0.3, seconds=40.0, mass_end_at=0.0)
+    for hang in (0.7, 1.3, 2.5, 5.0)
+}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("load", HANGING.values(), ids=HANGING)
+class TestPartThatHangsItsServer:
+    """The server answers others for a while, and ends."""
+
+    def test_reaches_few_servers(self, load, seed):
+        outcome = CrashReplay(load, seed).run()
+        late = outcome.late_fatal_arrivals(crashes=5, window=WINDOW_SECONDS)
+        assert late <= MAX_LATE_ARRIVALS
+
+    def test_blocks_no_sound_request(self, load, seed):
+        outcome = CrashReplay(load, seed).run()
+        assert outcome.blocked_sound == 0
+        assert outcome.served_sound > 200
+
+
 COLD_START = LOADS["fatal-from-the-first-request-on"]
 
 
