Read pipelined requests that offer an upgrade one after the other

Callers saw: 400 and the end of the connection for requests that are proper, if 992 or more with an offer of another protocol came in one piece.

Cause: the data after such a head was parsed by a recursive call, one level for each request, up to the limit of recursion; the error was then taken for one of the request.

Change: a loop in place of the recursion.

Evidence: test_is_ignored_in_many_pipelined_requests fails without the change (2,000 requests in one piece).

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -311,23 +311,33 @@
 
     def _feed(self, data: bytes) -> None:
         """Parse data; an offer to upgrade the connection is ignored (RFC 9110, 7.8)."""
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade as upgrade:
-            method = self.parser.get_method()
-            if method == b"CONNECT" or self.parser.get_http_version() == "1.0":
-                self._reject(400, "tunnels are not supported, nor upgrades of HTTP/1.0")
+        while True:
+            try:
+                self.parser.feed_data(data)
                 return
-            # The parser takes what follows the head for another protocol, so a new one
-            # reads the request again, without the offer.
-            self._offers_upgrade = False
-            self.parser = httptools.HttpRequestParser(self)
-            head = render_request(
-                method.decode("latin-1"),
-                self._url.decode("latin-1"),
-                without_upgrade(self._fields),
-            )
-            self._feed(head + data[upgrade.args[0] :])
+            except httptools.HttpParserUpgrade as upgrade:
+                method = self.parser.get_method()
+                if method == b"CONNECT" or self.parser.get_http_version() == "1.0":
+                    self._reject(
+                        400, "tunnels are not supported, nor upgrades of HTTP/1.0"
+                    )
+                    return
+                data = self._without_offer(method) + data[upgrade.args[0] :]
+
+    def _without_offer(self, method: bytes) -> bytes:
+        """
+        Return the head of a request again, without its offer to upgrade.
+
+        The parser takes what follows the head for another protocol, so a new one reads
+        the request.
+        """
+        self._offers_upgrade = False
+        self.parser = httptools.HttpRequestParser(self)
+        return render_request(
+            method.decode("latin-1"),
+            self._url.decode("latin-1"),
+            without_upgrade(self._fields),
+        )
 
     def eof_received(self):
         """Treat a half-closed connection as a disconnect of the caller."""
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -153,6 +153,15 @@
 
         run_scenario(scenario)
 
+    def test_is_ignored_in_many_pipelined_requests(self):
+        """The connection was closed, with all requests on it unanswered."""
+        caller = CallerConnection(
+            limits=Limits, serve=None, on_opened=None, on_closed=None
+        )
+        caller.transport = SimpleNamespace(pause_reading=lambda: None)
+        caller.data_received(_post(b"a", *UPGRADE, b"Content-Length: 1") * 2000)
+        assert [request.body for request in caller.pending] == [b"a"] * 2000
+
     def test_other_options_of_the_connection_hold(self):
         async def scenario(echo):
             fields = (b"Connection: Upgrade, close", b"Upgrade: x")
