Tell an error of this program from a malformed message of the other side

Callers saw: 400 for a proper request where a callback of the parser had raised, which no caller retries. An exception in the relay of a response counted as bytes of the server that are not HTTP, and nothing of it was logged.

Cause: httptools reports what a callback raises as an HttpParserCallbackError, a kind of HttpParserError.

Change: such a request is refused as not run (503), and both errors are logged with their exception. The attempt ends as before, so the next server is tried.

Evidence: TestParserCallbackThatFails fails without the change.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -293,6 +293,11 @@
                 self._head_started_at = time.monotonic()
         try:
             self._feed(data)
+        except httptools.HttpParserCallbackError as error:
+            logger.opt(exception=error).error(
+                "a request could not be read: {!r}", error
+            )
+            self._reject(503, "an internal error")
         except httptools.HttpParserError as error:
             self._reject(400, f"the request is not HTTP/1.1: {error}")
         if not self._reading_body and self._head_bytes > self.limits().header_bytes:
--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 import httptools
+from loguru import logger
 
 from kumquatway_core.decoding import parse_count
 from kumquatway_gateway.http1._headers import Headers
@@ -250,6 +251,11 @@
         self._overhead_bytes += len(data)
         try:
             self.parser.feed_data(data)
+        except httptools.HttpParserCallbackError as error:
+            logger.opt(exception=error).error(
+                "a response could not be read: {!r}", error
+            )
+            self.abandon(ResponseEnd.GARBLED)
         except httptools.HttpParserError:
             self.abandon(ResponseEnd.GARBLED)
         if self._overhead_bytes > MAX_OVERHEAD_BYTES and self.exchange is not None:
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -7,6 +7,7 @@
 from types import SimpleNamespace
 
 import pytest
+from loguru import logger
 
 from kumquatway_fakes import free_address, reset_on_close
 from kumquatway_gateway.http1 import (
@@ -381,6 +382,41 @@
         run_scenario(scenario)
 
 
+class TestParserCallbackThatFails:
+    """An error of this program was taken for one of the other side."""
+
+    def test_the_request_is_refused_as_not_run(self, monkeypatch):
+        def fail(connection):
+            raise ZeroDivisionError
+
+        async def scenario(echo):
+            monkeypatch.setattr(CallerConnection, "on_message_complete", fail)
+            received = await echo.send(_post(b"", b"Content-Length: 0"))
+            assert received.startswith(b"HTTP/1.1 503")
+
+        run_scenario(scenario)
+
+    def test_an_error_in_the_sink_of_a_response_is_logged(self):
+        def fail(data):
+            raise ZeroDivisionError("in the sink")
+
+        async def scenario():
+            lines = []
+            handler = logger.add(lines.append, format="{message} {exception}")
+            response = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
+            async with _Server(response) as server:
+                connection = await ConnectionPool().connect("s", server.address)
+                exchange = Exchange()
+                exchange.relay_to(fail)
+                connection.send(exchange, render_request("GET", "/", [(b"Host", b"a")]))
+                async with asyncio.timeout(5):
+                    assert await exchange.ended is ResponseEnd.GARBLED
+            logger.remove(handler)
+            assert any("in the sink" in line for line in lines)
+
+        asyncio.run(scenario())
+
+
 class TestHandlerThatFails:
     """A request whose handler raised an exception ended without an answer."""
 
