--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -229,6 +229,40 @@
 
         run_scenario(scenario)
 
+    def test_expect_continue_waits_for_the_response_before(self):
+        """An interim response was written into the body of another response."""
+
+        async def scenario(echo):
+            respond = echo.listener.serve
+
+            async def stream(caller, incoming):
+                if incoming.body:
+                    await respond(caller, incoming)
+                    return
+                caller.start_stream(200, [], keep_alive=True)
+                caller.write_chunk(b"a")
+                async with asyncio.timeout(5):
+                    while not caller._reading_body:
+                        await asyncio.sleep(0.01)
+                caller.write_chunk(b"b")
+                caller.end_stream()
+
+            echo.listener.serve = stream
+            second = _post(b"", b"Content-Length: 1", b"Expect: 100-continue")
+            host, _, port = echo.address.rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(_post(b"", b"Content-Length: 0"))
+            async with asyncio.timeout(5):
+                await reader.readuntil(b"1\r\na\r\n")
+                writer.write(second)
+                assert await reader.readuntil(b"0\r\n\r\n") == b"1\r\nb\r\n0\r\n\r\n"
+                assert (await reader.readline()).startswith(b"HTTP/1.1 100 ")
+                writer.write(b"x")
+                assert (await reader.readuntil(b"ok:x")).count(b"HTTP/1.1 ") == 1
+            writer.close()
+
+        run_scenario(scenario)
+
     @pytest.mark.parametrize(
         ("data", "status"),
         [
