Keep the layers of servers in use while a silent server may go on

Callers see: as one server of the only chain is silent for a second, all others are ordered to hold other layers. What is in progress may end where it is, but nothing is accepted or resumed for the seconds that the loads take.

Cause: without a chain the placer rebuilt the pool at once. It did not tell a server that has ended from one that only does not respond at the moment.

Change: where a server fell silent less than 1.5 s ago, layers are not yet taken from servers in use. The time runs from when the placer first saw it down, so repeated checks do not prolong it. Spare servers and neighbours fill the gap at once as before, and so does a rebuild where the server has certainly ended, leaves or refuses work.

What it costs: where servers go dark for good, no chain is left and neither spare servers nor neighbours have room, the rebuild begins up to 1.5 s later.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -44,6 +44,7 @@
 MAX_SETTLE_SECONDS = 4.0  # longest wait for more servers before the first layout
 STABLE_SECONDS = 1.2  # without a fleet change, before spare layers are loaded
 REBUILD_SECONDS = 5.0  # without a fleet change, before a broken chain is replaced
+SILENCE_SECONDS = 1.5  # of a server that goes on after it, at most
 GAP_RESERVED_LOADS = 2  # of the parallel loads, reserved for filling gaps
 
 
@@ -118,6 +119,8 @@
         self.released = False
         self.known_ids: set[str] = set()
         self.up_ids: set[str] = set()
+        # When servers that may only be silent were first seen down, by ID.
+        self.silent_since: dict[str, float] = {}
         self.last_change_at = float("-inf")
         self.first_join_at = float("-inf")
         self.last_join_at = float("-inf")
@@ -212,6 +215,11 @@
         if up_ids != self.up_ids:
             self.up_ids = up_ids
             self.last_change_at = now
+        self.silent_since = {
+            name: self.silent_since.get(name, now)
+            for name, status in self.fleet.health.items()
+            if status.down and not (status.ended or status.refuses_work)
+        }
         ids = set(self.fleet.servers)
         if ids - self.known_ids:
             if now - self.last_join_at > MAX_SETTLE_SECONDS:
@@ -261,9 +269,7 @@
         """Plan the moves of a model service, and send as many orders as may run."""
         engine = router.engine
         self._drop_lost()
-        # Most servers that leave return within seconds, with or without their layers.
-        changed_recently = self.clock() - self.last_change_at < REBUILD_SECONDS
-        may_rebuild = not changed_recently or not router.chains()
+        may_rebuild = self._may_rebuild(router)
         moves = plan_moves(engine, self._snapshots(router), may_rebuild=may_rebuild)
         # Moves that fill gaps stay as first planned until they are ordered. All other
         # moves are planned again each time.
@@ -296,6 +302,26 @@
             self._start_order(engine, move)
             busy += 1
 
+    def _may_rebuild(self, router: ModelRouter) -> bool:
+        """
+        Tell whether layers may be taken from servers of chains in use.
+
+        Most servers that leave return within seconds, with or without their layers.
+        Without any chain this entry does not wait for them, except for one that may
+        only be silent: the requests on its chain go on, and a rebuild lasts longer.
+        """
+        if self.clock() - self.last_change_at >= REBUILD_SECONDS:
+            return True
+        return not router.chains() and not self._has_silent_server(router.service)
+
+    def _has_silent_server(self, service: str) -> bool:
+        """Tell whether a server fell silent so lately that it may go on."""
+        cutoff = self.clock() - SILENCE_SECONDS
+        return any(
+            since > cutoff and self._belongs_to(name, service)
+            for name, since in self.silent_since.items()
+        )
+
     def _is_stable(self) -> bool:
         """
         Tell whether no server recently went up or down.
