Name in the event of a silence what was decided by it, and the budget to two places

From the log of a play it could not be told whether a stream left for its own silence or for that of its whole chain, and 0.6 retries left were printed as 1, though a retry needs one.

--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -407,7 +407,8 @@
             self._suspect(frozenset({self.chain.first_server.id}))
         elif action is StallAction.LEAVE_ALL:
             self.relay.chain_pace.record_gap(self.chain, idle, now)
-            self._suspect(frozenset(stage.server.id for stage in self.chain.stages))
+            servers = frozenset(stage.server.id for stage in self.chain.stages)
+            self._suspect(servers, action)
 
     def _stream_status(
         self, idle: float, now: float, activity: ActivitySnapshot
@@ -437,14 +438,16 @@
             if not is_responding(stage.server)
         ]
 
-    def _suspect(self, servers: frozenset[str]) -> None:
+    def _suspect(
+        self, servers: frozenset[str], action: StallAction = StallAction.LEAVE
+    ) -> None:
         """Let another attempt begin without these servers, and keep this one open."""
         if servers <= self.suspects or not self.stream.may_replace(self, servers):
             return
         is_first = not self.suspects
         self.suspects |= servers
         if is_first:
-            self.record_failure("silence")
+            self.record_failure("silence", f"to {action.value}, ")
             self.record_unanswered(broken_off=False)
             if len(servers) > 1 or not self.events.count:
                 self.router.record_failure(self.chain)
@@ -457,11 +460,12 @@
 
     # events for the log
 
-    def record_failure(self, reason: str) -> None:
+    def record_failure(self, reason: str, decision: str = "") -> None:
         """
         Emit the event of an attempt that failed or fell silent.
 
         :param reason: kind of failure.
+        :param decision: what was decided by it, before the figures.
         """
         down = self.down_servers()
         idle = (time.monotonic() - self.events.last_event_at) * 1000
@@ -470,8 +474,8 @@
             self.job,
             down[0] if down else self.chain.first_server.id,
             reason,
-            f"after {self.events.count} events, idle for {idle:.0f} ms, "
-            f"{len(down)} server(s) of the chain down, {retries:.0f} retries left, "
+            f"{decision}after {self.events.count} events, idle for {idle:.0f} ms, "
+            f"{len(down)} server(s) of the chain down, {retries:.2f} retries left, "
             f"{self.describe_response()}",
         )
 
