Refuse a request at once after its last refusal

A request that had been refused more often than its route allows waited 0.4 s, as if for another try, before its 503: the pause stood before the decision.

--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -374,12 +374,16 @@
         A caller that has the beginning of a response waits for as long as it likes; any
         other one is told when no chain has room in time.
         """
-        await self._pause()
+        has_paused = False
         while True:
             choice = self._choose_retry()
             if not self._may_go_on(choice):
                 self.why_ended = self._describe_attempts()
                 return None
+            if not has_paused:
+                has_paused = True
+                await self._pause()
+                continue
             if choice is not RetryChoice.NONE:
                 claim = await self._claim(choice)
                 if claim is not None:
