--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -442,7 +442,7 @@
         self, servers: frozenset[str], action: StallAction = StallAction.LEAVE
     ) -> None:
         """Let another attempt begin without these servers, and keep this one open."""
-        if servers <= self.suspects or not self.stream.may_replace(self, servers):
+        if servers <= self.suspects or not self.stream.may_replace(servers):
             return
         is_first = not self.suspects
         self.suspects |= servers
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -312,11 +312,10 @@
 
     # the search for another place
 
-    def may_replace(self, attempt: StreamAttempt, servers: frozenset[str]) -> bool:
+    def may_replace(self, servers: frozenset[str]) -> bool:
         """
         Tell whether another attempt may begin while one is silent.
 
-        :param attempt: the silent attempt.
         :param servers: IDs of the servers that the other one must not use.
         """
         # A server may run a request that it has not yet responded to.
