--- a/packages/gateway/tests/parallel_site.py
+++ b/packages/gateway/tests/parallel_site.py
@@ -237,3 +237,25 @@
     await until(lambda: len(site.pool.opened) == 2)
     await turns()
     return task, a, site.pool.opened[1][1]
+
+
+async def begin_and_reset(site, stream):
+    """Run a stream, and reset its connection after five events."""
+    task = asyncio.create_task(stream.run())
+    await turns()
+    _, first = site.pool.opened[0]
+    first.data_received(HEAD + b"".join(event(n) for n in range(1, 6)))
+    await turns()
+    first.connection_lost(ConnectionResetError())
+    return task
+
+
+async def answer_further(site, task, answer, *, seconds=1.0):
+    """Let a function answer new connections for a while, or until a task ends."""
+    answered = len(site.pool.opened)
+    end = time.monotonic() + seconds
+    while not task.done() and time.monotonic() < end:
+        await asyncio.sleep(0.002)
+        for _, connection in site.pool.opened[answered:]:
+            answered += 1
+            answer(connection)
--- a/packages/gateway/tests/test_parallel_attempts.py
+++ b/packages/gateway/tests/test_parallel_attempts.py
@@ -3,7 +3,21 @@
 import asyncio
 import time
 
-from parallel_site import HEAD, Site, begin_two, event, turns, until
+import pytest
+from parallel_site import (
+    HEAD,
+    Site,
+    answer_further,
+    begin_and_reset,
+    begin_two,
+    event,
+    turns,
+    until,
+)
+from virtual_time import run_in_virtual_time
+
+REFUSAL = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+FOREIGN = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 1\r\n\r\nx"
 
 
 class TestBothAnswerInOneIteration:
@@ -344,3 +358,121 @@
             assert last == ("end",), last
 
         asyncio.run(scenario())
+
+
+class TestResetsAfterTheHead:
+    """Sound servers reset connections between the head and the next event."""
+
+    def test_do_not_end_a_stream_that_has_begun(self):
+        async def scenario():
+            site = Site(chains="abcd", timeout=4.0)
+            stream = site.job()
+            task = await begin_and_reset(site, stream)
+            resets = 0
+
+            def answer(connection):
+                nonlocal resets
+                resets += 1
+                connection.data_received(HEAD)
+                if resets <= 2:
+                    loop = asyncio.get_running_loop()
+                    error = ConnectionResetError()
+                    loop.call_later(0.001, connection.connection_lost, error)
+                else:
+                    connection.data_received(event(6) + b"0\r\n\r\n")
+
+            await answer_further(site, task, answer, seconds=4.0)
+            assert resets > 2
+            assert stream.job.caller.log[-1] == ("end",), stream.why_ended
+
+        run_in_virtual_time(scenario)
+
+
+class TestUselessAnswers:
+    """A stream that has begun gets nothing that it could go on with."""
+
+    @pytest.mark.parametrize("answer", [REFUSAL, FOREIGN], ids=["refusal", "foreign"])
+    def test_it_sends_few_requests(self, answer):
+        async def scenario():
+            site = Site(timeout=4.0)
+            task = await begin_and_reset(site, site.job())
+            await answer_further(site, task, lambda each: each.data_received(answer))
+            task.cancel()
+            assert 1 < len(site.pool.opened) <= 10
+
+        run_in_virtual_time(scenario)
+
+
+class TestRefusedBeforeTheHead:
+    """All servers refuse a request."""
+
+    def test_its_caller_is_told_at_once_after_the_last_refusal(self):
+        async def scenario():
+            site = Site(chains="abcd", timeout=4.0)
+            stream = site.job()
+            task = asyncio.create_task(stream.run())
+            refused_at = []
+
+            def refuse(connection):
+                refused_at.append(time.monotonic())
+                connection.data_received(REFUSAL)
+
+            await answer_further(site, task, refuse, seconds=4.0)
+            assert [entry[:2] for entry in stream.job.caller.log] == [("respond", 503)]
+            assert len(refused_at) > 1
+            assert time.monotonic() - refused_at[-1] < 0.01
+
+        run_in_virtual_time(scenario)
+
+
+class TestFalseBlock:
+    """Requests like a stream that has begun are blocked for a moment."""
+
+    def test_the_stream_waits_until_the_block_is_lifted(self):
+        async def scenario():
+            site = Site(timeout=4.0)
+            stream = site.job()
+            quarantine = site.relay.quarantine
+            task = asyncio.create_task(stream.run())
+            await turns()
+            [(_, first)] = site.pool.opened
+            first.data_received(HEAD + event(1))
+            await turns()
+            quarantine.seconds_blocked = lambda features: 1.0
+            first.connection_lost(ConnectionResetError())
+            await asyncio.sleep(0.1)
+            assert len(site.pool.opened) == 1
+            quarantine.seconds_blocked = lambda features: 0.0
+            await until(lambda: len(site.pool.opened) == 2)
+            site.pool.opened[1][1].data_received(HEAD + event(2) + b"0\r\n\r\n")
+            await asyncio.wait_for(task, 1)
+            assert stream.job.caller.log[-1] == ("end",), stream.why_ended
+
+        run_in_virtual_time(scenario)
+
+
+class TestSupersededWhileItConnects:
+    """A silent server goes on while the attempt beside it opens a connection."""
+
+    def test_the_other_server_does_not_count_as_one_that_ran_it(self):
+        async def scenario():
+            site = Site()
+            stream = site.job()
+            task = asyncio.create_task(stream.run())
+            await turns()
+            [(address, first)] = site.pool.opened
+            first.data_received(HEAD + event(1))
+            await turns()
+            site.pool.hang |= {"a0:80", "b0:80"} - {address}
+            [attempt] = stream.attempts
+            attempt._suspect(frozenset({attempt.chain.first_server.id}))
+            await until(lambda: len(stream.attempts) == 2)
+            await turns()
+            first.data_received(event(2))
+            await turns()
+            assert stream.attempts == [attempt]
+            assert stream.ran_on == set()
+            assert stream.job.sent_to == [attempt.chain.first_server.id]
+            task.cancel()
+
+        run_in_virtual_time(scenario)
