Record the gap of a stream before its end goes out

Whoever read the metrics just after the end of a stream missed its gap: since the attempt has a task of its own, the request was woken some steps later.

--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -105,6 +105,11 @@
                 attempt.cancel()
         if self.completed:
             await self._record_duration()
+        else:
+            self._record_gap()
+
+    def _record_gap(self) -> None:
+        """Record the longest gap between two events, if there were two."""
         if self.events.count > 1:
             self.relay.metrics.gaps.observe({}, self.events.longest_gap)
 
@@ -236,6 +241,7 @@
         :param attempt: the attempt that received it.
         """
         self._prefer(attempt)
+        self._record_gap()
         self._begin_response(attempt)
         if attempt.events.partial_event:
             self.job.caller.write_chunk(attempt.events.partial_event)
