--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -157,7 +157,11 @@
     def test_is_ignored_in_many_pipelined_requests(self):
         """The connection was closed, with all requests on it unanswered."""
         caller = CallerConnection(
-            limits=Limits, serve=None, on_opened=None, on_closed=None
+            limits=Limits,
+            serve=None,
+            bodies=RequestBodies(),
+            on_opened=None,
+            on_closed=None,
         )
         caller.transport = SimpleNamespace(pause_reading=lambda: None)
         caller.data_received(_post(b"a", *UPGRADE, b"Content-Length: 1") * 2000)
