--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -19,12 +19,13 @@
 import httptools
 from loguru import logger
 
-from kumquatway_core import VERDICT_HEADER, Reason, not_run
+from kumquatway_core import Reason, not_run
 from kumquatway_gateway.http1._headers import (
     Field,
     Headers,
     render_request,
     render_response,
+    verdict_fields,
     without_upgrade,
 )
 from kumquatway_gateway.http1._request_bodies import BodyShare, RequestBodies
@@ -451,8 +452,7 @@
         self._reject(
             verdict.status(),
             verdict.detail,
-            (VERDICT_HEADER.encode(), verdict.header_value().encode()),
-            (b"Retry-After", b"%.2f" % wait),
+            *verdict_fields(verdict),
         )
 
     def _drop_body(self) -> None:
--- a/packages/gateway/src/kumquatway_gateway/http1/_headers.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_headers.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterable
 from http import HTTPStatus
 
+from kumquatway_core import VERDICT_HEADER, Verdict
+
 Field = tuple[bytes, bytes]
 
 # Hop-by-hop fields (RFC 9110, 7.6.1) and framing fields, which are not forwarded.
@@ -124,3 +126,16 @@
     lines += [b"%s: %s\r\n" % field for field in fields]
     lines.append(b"\r\n")
     return b"".join(lines)
+
+
+def verdict_fields(verdict: Verdict) -> list[Field]:
+    """
+    Return the header fields that tell a caller the outcome of its request.
+
+    :param verdict: the outcome.
+    :return: the verdict, and when to come back if it says so.
+    """
+    fields = [(VERDICT_HEADER.encode(), verdict.header_value().encode())]
+    if verdict.retry_after is not None:
+        fields.append((b"Retry-After", b"%.2f" % verdict.retry_after))
+    return fields
--- a/packages/gateway/src/kumquatway_gateway/relay/_verdict_response.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_verdict_response.py
@@ -2,9 +2,9 @@
 Responses that the gateway sends on its own behalf, made from a verdict.
 """
 
-from kumquatway_core import VERDICT_HEADER, Verdict
+from kumquatway_core import Verdict
 from kumquatway_gateway.http1 import CallerConnection
-from kumquatway_gateway.http1._headers import Field
+from kumquatway_gateway.http1._headers import Field, verdict_fields
 
 PLAIN_TEXT = (b"Content-Type", b"text/plain; charset=utf-8")
 
@@ -19,12 +19,6 @@
     :param fields: header fields that every response of the gateway carries.
     :param verdict: outcome of the request; decides the status and `Retry-After`.
     """
-    response_fields = [
-        *fields,
-        PLAIN_TEXT,
-        (VERDICT_HEADER.encode(), verdict.header_value().encode()),
-    ]
-    if verdict.retry_after is not None:
-        response_fields.append((b"Retry-After", b"%.2f" % verdict.retry_after))
+    response_fields = [*fields, PLAIN_TEXT, *verdict_fields(verdict)]
     body = verdict.detail.encode() + b"\n"
     caller.respond(verdict.status(), response_fields, body, keep_alive=True)
--- a/packages/gateway/tests/parallel_site.py
+++ b/packages/gateway/tests/parallel_site.py
@@ -259,3 +259,21 @@
         for _, connection in site.pool.opened[answered:]:
             answered += 1
             answer(connection)
+
+
+async def finish_beside(site, stream, interrupt):
+    """Run a stream to its end, and call a function just after the end is written."""
+    finish = stream.finish
+
+    def finish_and_interrupt(attempt):
+        finish(attempt)
+        asyncio.get_running_loop().call_soon(interrupt)
+
+    stream.finish = finish_and_interrupt
+    task = asyncio.create_task(stream.run())
+    await turns()
+    connection = site.pool.opened[0][1]
+    connection.data_received(HEAD + event(1))
+    await turns()
+    connection.data_received(b"0\r\n\r\n")
+    await asyncio.wait([task])
--- a/packages/gateway/tests/test_parallel_attempts.py
+++ b/packages/gateway/tests/test_parallel_attempts.py
@@ -11,6 +11,7 @@
     begin_and_reset,
     begin_two,
     event,
+    finish_beside,
     turns,
     until,
 )
@@ -309,20 +310,7 @@
             site = Site(timeout=0.3)
             stream = site.job()
             site.relay.jobs.add(stream.job)
-            original = stream.finish
-
-            def finish(attempt):
-                original(attempt)
-                asyncio.get_running_loop().call_soon(site.relay.end_requests)
-
-            stream.finish = finish
-            task = asyncio.create_task(stream.run())
-            await turns()
-            a = site.pool.opened[0][1]
-            a.data_received(HEAD + event(1))
-            await turns()
-            a.data_received(b"0\r\n\r\n")
-            await asyncio.wait([task])
+            await finish_beside(site, stream, site.relay.end_requests)
             assert stream.job.caller.log[-1] == ("end",), stream.job.caller.log[-1]
 
         asyncio.run(scenario())
--- a/packages/gateway/tests/test_parallel_searches.py
+++ b/packages/gateway/tests/test_parallel_searches.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from parallel_site import HEAD, Site, event, turns
+from parallel_site import HEAD, Site, event, finish_beside, turns
 
 from kumquatway_gateway.http1 import Listener
 from kumquatway_gateway.model import Limits
@@ -18,20 +18,7 @@
         async def scenario():
             site = Site(timeout=5.0)
             stream = site.job()
-            original = stream.finish
-
-            def finish(attempt):
-                original(attempt)
-                asyncio.get_running_loop().call_soon(stream.job.timeout._on_timeout)
-
-            stream.finish = finish
-            task = asyncio.create_task(stream.run())
-            await turns()
-            a = site.pool.opened[0][1]
-            a.data_received(HEAD + event(1))
-            await turns()
-            a.data_received(b"0\r\n\r\n")
-            await asyncio.wait([task])
+            await finish_beside(site, stream, lambda: stream.job.timeout._on_timeout())
             assert stream.job.caller.log[-1] == ("end",), stream.job.caller.log[-1]
 
         asyncio.run(scenario())
