Keep the memory of requests that go on beside a silent server

A server fell silent for a second, and the holder of the lease loaded its layers on its neighbours at once, into memory that requests on the silent chain still held: they would have been broken off, though their server went on. What peers had on the chain was left out as well, since it is no chain any more.

The placer counts these chains, its peers' requests too, for as long as it waits for a silent server anyway (1.5 s), and not if the server has certainly ended. So a loss that is certain, or one whose neighbours have room, is repaired as soon as before; one that is only silent, and needs the memory of living requests, 1.5 s later. The router's own loads stay as they are: streams that seek a place would otherwise wait for the memory that they hold themselves.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -312,15 +312,14 @@
         """
         if self.clock() - self.last_change_at >= REBUILD_SECONDS:
             return True
-        return not router.chains() and not self._has_silent_server(router.service)
+        return not router.chains() and not any(
+            self._belongs_to(name, router.service) for name in self._silent_servers()
+        )
 
-    def _has_silent_server(self, service: str) -> bool:
-        """Tell whether a server fell silent so lately that it may go on."""
+    def _silent_servers(self) -> set[str]:
+        """Return the servers that fell silent so lately that they may go on."""
         cutoff = self.clock() - SILENCE_SECONDS
-        return any(
-            since > cutoff and self._belongs_to(name, service)
-            for name, since in self.silent_since.items()
-        )
+        return {name for name, since in self.silent_since.items() if since > cutoff}
 
     def _is_stable(self) -> bool:
         """
@@ -336,7 +335,7 @@
 
     def _snapshots(self, router: ModelRouter) -> list[ServerSnapshot]:
         in_use = router.servers_in_use()
-        tokens = router.tokens_by_server()
+        tokens = router.tokens_by_server(self._silent_servers())
         snapshots = []
         for server in self.fleet.servers.values():
             if server.service != router.service or not self.fleet.is_up(server):
--- a/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
@@ -90,6 +90,7 @@
         # Of the estimated durations, how many times longer requests took.
         self.delays = Durations(mean=1.0, deviation=0.1)
         self._chains: tuple[Chain, ...] = ()
+        self._former_chains: dict[str, Chain] = {}  # by ID of the first server
         self._generation = -1
         self._avoid_until = 0.0
 
@@ -105,11 +106,18 @@
         if self._generation != self.fleet.generation or now > self._avoid_until:
             self._generation = self.fleet.generation
             chains_before = self._chains
+            self._keep_former(chains_before)
             self._chains = find_chains(self.engine, self._candidates(now))
             if _stages(chains_before) != _stages(self._chains):
                 self._emit_chains_changed()
         return self._chains
 
+    def _keep_former(self, chains: tuple[Chain, ...]) -> None:
+        """Keep chains that peers may have requests on, as long as they are listed."""
+        self._former_chains.update((chain.first_server.id, chain) for chain in chains)
+        for first_id in self._former_chains.keys() - self.fleet.servers.keys():
+            del self._former_chains[first_id]
+
     def _emit_chains_changed(self) -> None:
         self.emit(
             ChainsChanged(
@@ -259,33 +267,37 @@
         chains.update(self.chains())
         return {stage.server.id for chain in chains for stage in chain.stages}
 
-    def tokens_by_server(self) -> dict[str, float]:
+    def tokens_by_server(self, silent: Collection[str] = ()) -> dict[str, float]:
         """
         Sum the tokens of the requests that run through each server, over all entries.
 
         Chains with a server that does not respond are left out, because their requests
-        move to other chains.
+        move to other chains, unless the server may only be silent.
 
+        :param silent: IDs of servers that may go on with their requests.
         :return: tokens by server ID.
         """
         by_first = {chain.first_server.id: chain for chain in self.chains()}
         used_tokens: dict[str, float] = {}
         for claim in self.claims:
             by_first.setdefault(claim.chain.first_server.id, claim.chain)
-            self._add_tokens(used_tokens, claim.chain, claim.waiter.tokens)
+            if self._may_progress(claim.chain, silent):
+                _add_tokens(used_tokens, claim.chain, claim.waiter.tokens)
+        if silent:
+            by_first = self._former_chains | by_first
         for first_id, load in self.peer_loads().items():
-            if first_id in by_first:
-                self._add_tokens(used_tokens, by_first[first_id], load.tokens)
+            chain = by_first.get(first_id)
+            if chain is not None and self._may_progress(chain, silent):
+                _add_tokens(used_tokens, chain, load.tokens)
         return used_tokens
 
-    def _add_tokens(
-        self, used_tokens: dict[str, float], chain: Chain, tokens: float
-    ) -> None:
+    def _may_progress(self, chain: Chain, silent: Collection[str]) -> bool:
+        """Tell whether the requests on a chain go on, or may do so."""
         servers = [stage.server for stage in chain.stages]
-        if not all(self.fleet.is_responding(server) for server in servers):
-            return
-        for server in servers:
-            used_tokens[server.id] = used_tokens.get(server.id, 0.0) + tokens
+        return all(
+            server.id in silent or self.fleet.is_responding(server)
+            for server in servers
+        )
 
     def loads(self) -> dict[str, ChainLoad]:
         """
@@ -572,6 +584,11 @@
     return max(0.0, chain.token_capacity - free)
 
 
+def _add_tokens(used_tokens: dict[str, float], chain: Chain, tokens: float) -> None:
+    for stage in chain.stages:
+        used_tokens[stage.server.id] = used_tokens.get(stage.server.id, 0.0) + tokens
+
+
 def _stages(chains: tuple[Chain, ...]) -> tuple[tuple[Stage, ...], ...]:
     return tuple(chain.stages for chain in chains)
 
