Leave retries for lost streams while others are only silent

Streams that fell silent for a second spent the retry budget on other servers, and then went on where they were. A stream whose server really broke off had no retry left, and waited for the window of ten seconds to move on. Cause: the budget knew no difference between an attempt that is lost and one that may yet be answered.

A request beside whose attempt another one is sought leaves a fifth of the entry's budget, and at least one retry. It may use all once its attempts have been silent for 1.5 s, or a server of their chain has certainly ended. So a lost stream goes on at once, a silence is noticed and left as soon as before while more than the fifth is there, and a server that is dark for good costs the last streams 1.5 s.

Weighed: a second budget for silence (less for each where only one of them occurs); no retry for silence below half of the budget (slower where it is ample).

Evidence: in virtual time eight streams run on three chains, one chain is silent, and there are two retries. Before, a stream that was reset on another chain found none; now it goes on within 0.1 s. A lasting silence and a server that has ended still use the budget up.

--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -438,6 +438,18 @@
             if not is_responding(stage.server)
         ]
 
+    def silent_seconds(self, now: float) -> float:
+        """
+        Return for how long the attempt has had no event.
+
+        :param now: monotonic seconds.
+        :return: seconds; infinite if a server of its chain has certainly ended.
+        """
+        has_run_ended = self.relay.fleet.has_run_ended
+        if any(has_run_ended(stage.server) for stage in self.chain.stages):
+            return float("inf")
+        return now - self.events.last_event_at
+
     def _suspect(
         self, servers: frozenset[str], action: StallAction = StallAction.LEAVE
     ) -> None:
--- a/packages/gateway/src/kumquatway_gateway/relay/_retry_choice.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_retry_choice.py
@@ -1,11 +1,13 @@
 """Decides whether a request to a model service may be sent once more, and where to."""
 
 import enum
-from collections.abc import Set
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 
 from kumquatway_gateway.quarantine import MAX_SUSPICION
 
+SILENCE_SECONDS = 1.5  # of a server that goes on after it, at most
+
 
 class RetryChoice(enum.Enum):
     """Servers that may get a request once more."""
@@ -66,3 +68,13 @@
     if len(request.possibly_run_on) < request.max_attempts:
         return RetryChoice.ANY
     return RetryChoice.SAME if request.streaming else RetryChoice.NONE
+
+
+def seem_lost(silent_seconds: Iterable[float]) -> bool:
+    """
+    Tell whether the attempts of a request have been silent for too long to go on.
+
+    :param silent_seconds: for how long each one in progress has had no event; infinite
+        for one whose chain has lost a server.
+    """
+    return all(seconds >= SILENCE_SECONDS for seconds in silent_seconds)
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -27,6 +27,7 @@
     RetryChoice,
     RetryStatus,
     choose_retry,
+    seem_lost,
 )
 from kumquatway_gateway.relay._verdict_response import respond_with_verdict
 from kumquatway_gateway.waiting import MAX_WAIT_SECONDS, Waiter, retry_after
@@ -325,7 +326,7 @@
         :param servers: IDs of the servers that the other one must not use.
         """
         # A server may run a request that it has not yet responded to.
-        if not self.job.route.idempotent or self._budget().remaining() < 1:
+        if not self.job.route.idempotent or not self._budget_allows():
             return False
         choice = self._choose_retry()
         if choice is RetryChoice.NONE:
@@ -418,17 +419,18 @@
 
     async def _claim(self, choice: RetryChoice) -> Claim | None:
         """Claim a chain, and draw on the retry budget; wait if no chain has room."""
-        budget = self._budget()
         # A connection that failed has cost no server anything.
         is_free = self.failed_connects > 0
-        if not is_free and budget.remaining() < 1:
+        if not is_free and not self._budget_allows():
             self.why_ended = "the retry budget is used up"
             return None
         waiter = self._restricted(choice, self._servers_in_use())
         claim = self.router.claim(waiter, frozenset(self.avoid))
         claim = claim or await self._wait_for_others(waiter)
         claim = claim or await self._wait_for_room(waiter)
-        if claim is not None and not is_free and not budget.try_withdraw():
+        if claim is None or is_free:
+            return claim
+        if not self._budget().try_withdraw(is_lost=self._seems_lost()):
             self.router.give_back(claim)
             return None
         return claim
@@ -486,6 +488,13 @@
         firsts = {each.chain.first_server.id for each in self.attempts}
         return frozenset(firsts.union(*(each.suspects for each in self.attempts)))
 
+    def _budget_allows(self) -> bool:
+        return self._budget().allows(is_lost=self._seems_lost())
+
+    def _seems_lost(self) -> bool:
+        now = time.monotonic()
+        return seem_lost(attempt.silent_seconds(now) for attempt in self.attempts)
+
     def _budget(self):
         return self.relay.retry_budget(self.job.service.name)
 
--- a/packages/gateway/src/kumquatway_gateway/waiting/_retry_budget.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_retry_budget.py
@@ -6,6 +6,7 @@
 
 # Share of the budget that is used: each entry counts only its own requests.
 SAFETY_FACTOR = 0.8
+LOSS_SHARE = 0.2  # of the budget, kept for requests whose attempts are lost
 
 
 class RetryBudget:
@@ -65,13 +66,27 @@
         slack_share = self.slack / max(1, self.entry_count())
         return SAFETY_FACTOR * (self.ratio * len(self.requests) + slack_share)
 
-    def try_withdraw(self) -> bool:
+    def allows(self, *, is_lost: bool = True) -> bool:
+        """
+        Tell whether a retry may be sent now.
+
+        Load pattern: many streams fall silent for a second and go on. What they spend
+        on other servers is missing where a server really breaks off its answers, so
+        they leave a part of the budget, and at least one retry.
+
+        :param is_lost: whether no attempt of the request may still be answered.
+        """
+        kept = 0.0 if is_lost else max(1.0, LOSS_SHARE * self._allowed())
+        return self.remaining() - kept >= 1
+
+    def try_withdraw(self, *, is_lost: bool = True) -> bool:
         """
         Spend one retry, if the budget allows it.
 
-        :return: False if less than one retry is left.
+        :param is_lost: as in `allows`.
+        :return: False if it does not.
         """
-        if self.remaining() < 1:
+        if not self.allows(is_lost=is_lost):
             return False
         self.retries.append(self.clock())
         return True
--- a/packages/gateway/tests/test_parallel_attempts.py
+++ b/packages/gateway/tests/test_parallel_attempts.py
@@ -247,6 +247,87 @@
         asyncio.run(scenario())
 
 
+class TestRetriesForLosses:
+    """
+    Silent streams spent the last retries, and one that was lost had none.
+
+    Load pattern: one of three chains is silent, at an entry with two retries.
+    """
+
+    @staticmethod
+    async def _check(site, seconds):
+        """Check all streams for stalls, as the entry does, for a while."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            site.relay.check_streams()
+            await asyncio.sleep(0.01)
+
+    async def _begin(self, site, count):
+        """Begin streams, and fall silent on the chain of the first one."""
+        streams = [site.job() for _ in range(count)]
+        tasks = [asyncio.create_task(each.run()) for each in streams]
+        await turns()
+        for _, connection in site.pool.opened:
+            connection.data_received(HEAD + event(1) + event(2))
+        await turns()
+        site.silent = streams[0].attempts[0].chain.first_server
+        site.fleet.set_health(site.silent, down=True, reason="test")
+        return streams, tasks
+
+    def _play(self, scenario):
+        async def cancel_all():
+            site = Site(chains="abc", slack=3.0, timeout=6.0, max_attempts=3)
+            streams, tasks = await self._begin(site, 8)
+            try:
+                await scenario(site, streams)
+            finally:
+                for task in tasks:
+                    task.cancel()
+
+        run_in_virtual_time(cancel_all)
+
+    def test_a_lost_stream_finds_one_left_by_silent_ones(self):
+        async def scenario(site, streams):
+            begun = len(site.pool.opened)
+            await self._check(site, 0.5)
+            assert len(site.pool.opened) > begun
+            [lost, *_] = [
+                (stream, attempt)
+                for stream in streams
+                for attempt in stream.attempts
+                if attempt.chain.first_server != site.silent and not attempt.suspects
+            ]
+            stream, attempt = lost
+            begun = len(site.pool.opened)
+            attempt.connection.connection_lost(ConnectionResetError())
+            await self._check(site, 0.1)
+            assert len(site.pool.opened) == begun + 1
+            assert [each.suspects for each in stream.attempts] == [frozenset()]
+
+        self._play(scenario)
+
+    def test_a_silence_that_lasts_uses_all(self):
+        async def scenario(site, streams):
+            budget = site.relay.retry_budget("model")
+            await self._check(site, 0.5)
+            assert budget.remaining() >= 1
+            await self._check(site, 1.5)
+            assert budget.remaining() < 1
+
+        self._play(scenario)
+
+    def test_a_server_that_has_certainly_ended_is_no_silence(self):
+        async def scenario(site, streams):
+            [last] = [
+                stage.server for stage in streams[0].attempts[0].chain.stages[-1:]
+            ]
+            site.fleet.set_health(last, down=True, ended=True, reason="test")
+            await self._check(site, 0.2)
+            assert site.relay.retry_budget("model").remaining() < 1
+
+        self._play(scenario)
+
+
 class TestFreeRetries:
     """A retry is paid for, unless its connection failed."""
 
--- a/packages/gateway/tests/test_waiting.py
+++ b/packages/gateway/tests/test_waiting.py
@@ -4,6 +4,7 @@
 import random
 import time
 
+import pytest
 from replays import (
     Clock,
     TokenPool,
@@ -293,6 +294,19 @@
         self.entries = 4
         assert self.budget.remaining() == before / 2
 
+    @pytest.mark.parametrize("slack", [0, 2, 3, 20, 100])
+    def test_silence_leaves_a_part_to_losses(self, slack):
+        self.budget.slack = slack
+        for _ in range(10):
+            self.budget.record_request()
+        total = self.budget.remaining()
+        while self.budget.try_withdraw(is_lost=False):
+            pass
+        left = self.budget.remaining()
+        assert left >= min(total, max(1.0, 0.2 * total))
+        assert left < max(1.0, 0.2 * total) + 1
+        assert self._spend_all() == int(left)
+
     def test_remaining_share(self):
         assert self.budget.remaining_share() == 1.0
         self._spend_all()
