Keep the other tasks while an entry drains for one that failed for good

Once a task of the entry had failed too often, the entry drained without its other tasks: a stream whose server fell silent meanwhile hung there until its connection was closed with the process, and neither configuration, gossip nor health checks went on. Cause: the supervisor cancels all its children when one fails for good, as on SIGTERM it does not until the end.

With `on_failure` a supervisor reports such a child and goes on with the others. The entry drains as after SIGTERM, and then raises the same `ProcessError`, now itself and not within a group, as its docstring says. Entry and agent of the other kind keep the supervisor as it was. A task that fails for good after the stop has begun changes nothing any more: it ended all others before.

--- a/packages/core/src/kumquatway_core/_supervise.py
+++ b/packages/core/src/kumquatway_core/_supervise.py
@@ -28,7 +28,8 @@
     Runs children concurrently until all have returned or it is cancelled.
 
     A child that returns is not started again. A child that raises is restarted. If it
-    raises too often, the supervisor itself fails, so that its parent can react.
+    raises too often, the supervisor itself fails, so that its parent can react; with
+    `on_failure` it goes on with its other children instead.
 
     :param name: name of the supervisor in logs.
     :param clock: monotonic clock, seconds.
@@ -37,6 +38,7 @@
     :param initial_backoff: upper bound of the first random delay before a restart,
         seconds; it doubles with each failure and is reset after a run that lasted
         longer than the period.
+    :param on_failure: called with the error of a child that raises too often.
     """
 
     def __init__(
@@ -47,12 +49,14 @@
         max_restarts: int = MAX_RESTARTS,
         restart_period: float = RESTART_PERIOD_SECONDS,
         initial_backoff: float = INITIAL_BACKOFF_SECONDS,
+        on_failure: Callable[[ProcessError], None] | None = None,
     ):
         self.name = name
         self.clock = clock
         self.max_restarts = max_restarts
         self.restart_period = restart_period
         self.initial_backoff = initial_backoff
+        self.on_failure = on_failure
         self.children: list[tuple[str, Child]] = []
         self.restarts = 0
         self._group: asyncio.TaskGroup | None = None
@@ -72,7 +76,8 @@
         """
         Run the children until all have returned.
 
-        :raises ProcessError: if a child failed more often than allowed.
+        :raises ProcessError: if a child failed more often than allowed, and there is
+            no `on_failure`.
         """
         async with asyncio.TaskGroup() as group:
             self._group = group
@@ -94,17 +99,26 @@
             now = self.clock()
             if now - started_at > self.restart_period:
                 backoff = self.initial_backoff
-            self._record_failure(name, failures, now)
+            failure = self._record_failure(name, failures, now)
+            if failure is not None:
+                if self.on_failure is None:
+                    raise failure
+                self.on_failure(failure)
+                return
             await asyncio.sleep(random.uniform(0, backoff))
             backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
 
-    def _record_failure(self, name: str, failures: deque[float], now: float) -> None:
+    def _record_failure(
+        self, name: str, failures: deque[float], now: float
+    ) -> ProcessError | None:
+        """Count a failure; return an error if there are more than allowed."""
         self.restarts += 1
         failures.append(now)
         while failures and now - failures[0] > self.restart_period:
             failures.popleft()
-        if len(failures) > self.max_restarts:
-            raise ProcessError(
-                f"{self.name}: child {name} failed {len(failures)} times "
-                f"within {self.restart_period:.0f} s, {self.max_restarts} are allowed"
-            )
+        if len(failures) <= self.max_restarts:
+            return None
+        return ProcessError(
+            f"{self.name}: child {name} failed {len(failures)} times "
+            f"within {self.restart_period:.0f} s, {self.max_restarts} are allowed"
+        )
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -14,6 +14,7 @@
 from kumquatway_core import Supervisor, new_incarnation
 from kumquatway_core.decoding import parse_count
 from kumquatway_core.events import Event, ProcessStarted, ProcessStopped
+from kumquatway_core.exceptions import ProcessError
 from kumquatway_core.leases import PLANNER_LEASE, Lease
 from kumquatway_gateway._follow import (
     ConfigurationFollower,
@@ -165,6 +166,7 @@
         self.started_at = clock()
         self.incarnation = new_incarnation()
         self.stopping = asyncio.Event()
+        self.failure: ProcessError | None = None  # of a task, for which this one stops
         # While it drains, once only requests keep it from its exit.
         self.is_out_of_rotation = False
         self.fleet = Fleet(emit=emit, clock=clock)
@@ -321,10 +323,13 @@
         failed = supervisor.done()
         if failed:
             self.stop()
+        # The tasks go on: requests in progress are watched until they end.
         await self._drain()
         if failed:
             supervisor.result()
         supervisor.cancel()
+        if self.failure is not None:
+            raise self.failure
         self.emit(
             ProcessStopped(
                 vm=self.settings.name,
@@ -342,6 +347,13 @@
         )
         self.stopping.set()
 
+    def _fail(self, error: ProcessError) -> None:
+        """Drain without a task that failed too often, and report it at the end."""
+        logger.error("{}", error)
+        if not self.stopping.is_set():
+            self.failure = error
+            self.stop()
+
     def is_ready(self) -> bool:
         """
         Tell whether the load balancer should send callers to this entry.
@@ -357,7 +369,7 @@
         return initialised and knows_blocks and not self.stopping.is_set()
 
     def _supervisor(self) -> Supervisor:
-        supervisor = Supervisor(name=self.settings.name)
+        supervisor = Supervisor(name=self.settings.name, on_failure=self._fail)
         supervisor.add("configuration", self.configuration.run)
         supervisor.add("servers", self.servers.run)
         supervisor.add("entries", self._follow_entries)
