Take no answer for whole that lacks an event which had begun

All else ends as its framing says, as before.

Evidence: both new tests of a lost event failed before (the stream had ended); the three of an answer that is rightly empty held before and after.

--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -284,7 +284,10 @@
 
     def _is_broken_off(self) -> bool:
         """Tell whether the stream ended too early, although its framing is complete."""
-        return self.is_event_stream and is_broken_off(
+        if not self.is_event_stream:
+            return False
+        # The attempt before it had begun an event that this one should have sent.
+        return self.events.has_lost_event or is_broken_off(
             self.head.framing,
             has_events=self.has_events,
             rest=self.events.partial_event,
--- a/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
@@ -8,6 +8,7 @@
 from kumquatway_gateway.relay._event_stream import (
     find_last_event_end,
     find_status_line,
+    is_inside_event,
     split_events,
 )
 
@@ -37,6 +38,7 @@
         "typical_gap",
         "resuming",
         "is_garbled",
+        "has_lost_event",
         "partial_event",
         "write",
         "last_write_at",
@@ -60,9 +62,12 @@
         self.typical_gap = INITIAL_GAP_SECONDS  # moving average, seconds
         self.resuming = False  # until the first new event after a restart
         self.is_garbled = False  # the server sent the head of a response as an event
+        self.has_lost_event = False  # one was incomplete, and has not come again
 
     def restart(self) -> None:
         """Drop an incomplete event, before another server resumes the stream."""
+        if is_inside_event(self.partial_event):
+            self.has_lost_event = True
         self.partial_event = b""
         self.is_garbled = False
         self.resuming = True
@@ -130,6 +135,7 @@
         if self.count:
             self.longest_gap = max(self.longest_gap, now - self.last_write_at)
         self.last_write_at = now
+        self.has_lost_event = False
         self.count += 1
         self.write(data)
 
--- a/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
@@ -70,7 +70,7 @@
     :param has_events: whether the body held an event.
     :param rest: what followed the last event.
     """
-    if _is_inside_event(rest):
+    if is_inside_event(rest):
         return True
     return framing is ResponseFraming.CLOSE and not has_events
 
@@ -88,5 +88,10 @@
     return is_broken_off(framing, has_events=end > 0, rest=body[end:])
 
 
-def _is_inside_event(rest: bytes) -> bool:
+def is_inside_event(rest: bytes) -> bool:
+    """
+    Tell whether a stream stopped in the middle of an event.
+
+    :param rest: what followed the last event.
+    """
     return any(line and not line.startswith(_COMMENT) for line in rest.splitlines())
--- a/packages/gateway/tests/test_parallel_attempts.py
+++ b/packages/gateway/tests/test_parallel_attempts.py
@@ -10,6 +10,7 @@
     answer_further,
     begin_and_reset,
     begin_two,
+    chunk,
     event,
     finish_beside,
     turns,
@@ -211,6 +212,53 @@
         asyncio.run(scenario())
 
 
+class TestEmptyRest:
+    """A stream is resumed at a server whose answer is complete and has no new event."""
+
+    @staticmethod
+    async def _resume(site, rest, *, partial):
+        """Break a stream off after five events, and answer its next attempt."""
+        stream = site.job()
+        task = asyncio.create_task(stream.run())
+        await turns()
+        a = site.pool.opened[0][1]
+        a.data_received(HEAD + b"".join(event(n) for n in range(1, 6)))
+        a.data_received(chunk(partial) if partial else b"")
+        await turns()
+        a.connection_lost(ConnectionResetError())
+        await until(lambda: len(site.pool.opened) == 2)
+        await turns()
+        site.pool.opened[1][1].data_received(HEAD + rest + b"0\r\n\r\n")
+        return stream, task
+
+    @pytest.mark.parametrize("rest", [b"", event(1) + event(5)])
+    def test_is_no_end_if_another_event_had_begun(self, rest):
+        """The stream ended as complete before its last event."""
+
+        async def scenario():
+            site = Site(timeout=6.0, max_attempts=3)
+            stream, task = await self._resume(site, rest, partial=b"id: 6\nda")
+            await until(lambda: len(site.pool.opened) == 3)
+            await turns()
+            site.pool.opened[2][1].data_received(HEAD + event(6) + b"0\r\n\r\n")
+            await asyncio.wait_for(task, 1)
+            *_, (_, last), end = stream.job.caller.log
+            assert (last, end) == (b"id: 6\ndata: x\n\n", ("end",))
+
+        run_in_virtual_time(scenario)
+
+    @pytest.mark.parametrize("partial", [b"", b": comment", b"\n"])
+    def test_is_the_end_if_none_had(self, partial):
+        async def scenario():
+            site = Site(timeout=6.0, max_attempts=3)
+            stream, task = await self._resume(site, b"", partial=partial)
+            await asyncio.wait_for(task, 1)
+            assert stream.job.caller.log[-1] == ("end",)
+            assert len(site.pool.opened) == 2
+
+        run_in_virtual_time(scenario)
+
+
 class TestSearchInVain:
     """There are fewer retries than silent requests."""
 
