Check no stream that another attempt has superseded

Where requests like one were blocked in the iteration in which another attempt superseded its own, the check of all streams raised an exception: the closed attempt was still among them, without a connection. The pass ended there, and others of the kind at servers were not taken back, as the generation of the blocks counted as seen. Found by reading. An attempt leaves the streams that are checked as it is superseded. The new test failed before with that exception.

--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -119,6 +119,7 @@
     def supersede(self) -> None:
         """End the attempt, as another one goes on with the response."""
         self.superseded = True
+        self.relay.active_streams.discard(self)
         if not self.suspects:
             self.record_unanswered(broken_off=False)
         if self.connection is None:
--- a/packages/gateway/tests/test_parallel_attempts.py
+++ b/packages/gateway/tests/test_parallel_attempts.py
@@ -75,6 +75,33 @@
         asyncio.run(scenario())
 
 
+class TestBlockedAsAnotherAttemptAnswers:
+    """Requests like one are blocked in the iteration that supersedes its attempt."""
+
+    def test_the_check_of_streams_goes_on(self, monkeypatch):
+        """It failed, and recalled no other request of the kind."""
+
+        async def scenario():
+            site = Site()
+            stream = site.job()
+            task, _, b = await begin_two(site, stream, first_events=0)
+            b.data_received(HEAD)
+            other = site.job()
+            other_task = asyncio.create_task(other.run())
+            await turns()
+            monkeypatch.setattr(site.relay, "is_blocked", lambda job: True)
+            site.relay.quarantine.generation += 1
+            b.data_received(event(1))
+            site.relay.check_streams()
+            assert [each.superseded for each in stream.attempts] == [False]
+            await until(lambda: other.job.caller.log)
+            assert other.job.caller.log[-1][:2] == ("respond", 502)
+            task.cancel()
+            await asyncio.wait([task, other_task])
+
+        asyncio.run(scenario())
+
+
 class TestLeak:
     """An attempt that is superseded before it has sent anything holds no capacity."""
 
