Tell callers at the deadline that a request was only refused

The servers that got a request to a model service had refused it as not run, and its deadline passed while it waited for another one: its caller was told that it may have run (504), though it may safely be sent again. Cause: at the deadline it counted whether a send was made, not what became of it. Found by reading. Only sends that may have run count now; a request that a server has and has not answered is told so as before. In virtual time 504 before, 503 now.

--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -603,8 +603,10 @@
             )
             self.job.caller.abort()
             return
-        if not self.job.sent_to:
-            self._respond_overloaded("no server was reached before the deadline")
+        if not (
+            self.may_have_run or any(each.may_have_run() for each in self.attempts)
+        ):
+            self._respond_overloaded("no server took the request before its deadline")
             return
         self._respond(
             may_have_run(Reason.DEADLINE, "the deadline of the request has passed")
--- a/packages/gateway/tests/test_parallel_searches.py
+++ b/packages/gateway/tests/test_parallel_searches.py
@@ -4,6 +4,7 @@
 import time
 
 from parallel_site import HEAD, Site, event, finish_beside, turns
+from virtual_time import run_in_virtual_time
 
 from kumquatway_gateway.http1 import Listener
 from kumquatway_gateway.model import Limits
@@ -24,6 +25,42 @@
         asyncio.run(scenario())
 
 
+class TestDeadlineOfARefusedRequest:
+    """The only send of a request was refused as not run, and its deadline passes."""
+
+    REFUSAL = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+
+    def _statuses(self, *, is_sent_again: bool) -> list[int]:
+        """Return what the caller is told; the other chain is full, or silent."""
+
+        async def scenario():
+            site = Site(chains="ab", slots=1, timeout=0.5)
+            stream = site.job()
+            task = asyncio.create_task(stream.run())
+            await turns()
+            other_tasks = []
+            for _ in range(0 if is_sent_again else 2):
+                other = site.job()
+                other.job.deadline += 5.0
+                other_tasks.append(asyncio.create_task(other.run()))
+                await turns()
+            site.pool.opened[0][1].data_received(self.REFUSAL)
+            await asyncio.wait([task])
+            for each in other_tasks:
+                each.cancel()
+            assert len(stream.job.sent_to) == (2 if is_sent_again else 1)
+            return [rest[0] for _, *rest in stream.job.caller.log]
+
+        return run_in_virtual_time(scenario)
+
+    def test_is_told_that_it_has_not_run(self):
+        """It was told that it may have run."""
+        assert self._statuses(is_sent_again=False) == [503]
+
+    def test_is_told_that_it_may_have_run_if_a_server_has_it(self):
+        assert self._statuses(is_sent_again=True) == [504]
+
+
 class TestStreamThatMayGoOnOnlyWhereItWas:
     """The attempts of a stream are used up, and its server is full."""
 
