Tell callers of plain services the same

As for model services: a server had refused a request as not run, the deadline passed while it waited for the connection to the next one, and its caller was told that it may have run. A plain request is at each server once at most, so what counts is whether a server that has not answered got it.

--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -255,13 +255,17 @@
             async with asyncio.timeout_at(deadline) as job.timeout:
                 await self._serve()
         except TimeoutError:
-            self.may_have_run = self.may_have_run or bool(self.job.sent_to)
+            self.may_have_run = self.may_have_run or self._is_at_a_server()
             self._give_up(Reason.DEADLINE, "the deadline of the request has passed")
         finally:
             job.timeout = None
             for task in self.running:
                 task.cancel()
 
+    def _is_at_a_server(self) -> bool:
+        """Tell whether a server that has not answered got the request."""
+        return any(server.id in self.job.sent_to for server in self.running.values())
+
     async def _serve(self) -> None:
         while True:
             if not self.running and self._is_too_late():
