Tell callers how long an idle connection may be used, and keep to it

Cause: responses did not say how long a connection stays open, so callers took the idle time of the configuration (15 s and less), and an entry that stops closes idle connections after 2.8 s. Who was idle meanwhile could not be told by `Connection: close`, and their next request crossed the close.

Ruled out: a shorter idle time of a new configuration. The wait of an idle connection keeps its end until it is over, and only then reads the limits again; it is bound now also where something else wakes it.

Change: responses to callers carry `Keep-Alive: timeout=2`, less where the limits allow less, and nothing where they allow less than two seconds. An idle connection stays open for a second longer at least. After SIGTERM no response says it, and the process stays until the time of each idle connection is over or the grace ends: 0.2 s longer than before at most, except after streams that began before the stop.

The tests of the listener here need the new setting, so on the old code they fail for its lack.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -64,7 +64,10 @@
 SILENCE_SECONDS = 1.0  # for which a sound server may pause in the middle of an answer
 EXIT_SECONDS = 0.3  # for the process to end
 DRAIN_CHECK_SECONDS = 0.05  # between checks for requests in progress
-LAST_REQUEST_SECONDS = 0.1  # for the first bytes on connections that were accepted last
+LAST_REQUEST_SECONDS = 0.1  # for connections that were accepted last
+# For which callers may use an idle connection. With the margin that the connection then
+# stays open for, about as long as an entry stays after SIGTERM.
+KEPT_SECONDS = 2
 LAST_RESPONSE_SECONDS = 0.05  # for the last responses to leave
 BLOCKS_PATIENCE_SECONDS = 2.0  # at the start, until ready without the store's blocks
 # Of the VM's memory. A body is there up to three times while it is sent to a server.
@@ -282,16 +285,19 @@
             max_bytes=REQUEST_BODIES_SHARE
             * (machine_memory() if memory is None else memory)
         )
-        self.caller_listener = self._listener(self.relay.serve, self._limits)
+        self.caller_listener = Listener(
+            limits=self._limits,
+            serve=self.relay.serve,
+            bodies=self.bodies,
+            kept_seconds=KEPT_SECONDS,
+        )
         self.readiness_listener = self._listener(self._serve_readiness)
         self.metrics_listener = self._listener(self._serve_metrics)
         self.peer_listener = self._listener(self._serve_peer)
         self._add_gauges()
 
-    def _listener(
-        self, serve: RequestHandler, limits: Callable[[], Limits] = Limits
-    ) -> Listener:
-        return Listener(limits=limits, serve=serve, bodies=self.bodies)
+    def _listener(self, serve: RequestHandler) -> Listener:
+        return Listener(limits=Limits, serve=serve, bodies=self.bodies)
 
     def emit(self, event: Event) -> None:
         """
@@ -402,9 +408,9 @@
         self.is_out_of_rotation = True
         await self._finish_requests(deadline)
         self.caller_listener.close()
-        # A connection that was accepted just before has yet to send its request.
+        # A connection that was accepted just before has yet to be counted.
         await asyncio.sleep(LAST_REQUEST_SECONDS)
-        await self._finish_requests(deadline)
+        await self._finish_connections(deadline)
         self.relay.end_requests()
         self.caller_listener.close_when_idle()
         await asyncio.sleep(LAST_RESPONSE_SECONDS)
@@ -414,6 +420,14 @@
         while self.caller_listener.unfinished_requests and self.clock() < deadline:
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
 
+    async def _finish_connections(self, deadline: float) -> None:
+        """Wait until no connection has a request, nor one that is expected."""
+        listener = self.caller_listener
+        while self.clock() < deadline and (
+            listener.unfinished_requests or listener.awaited_connections
+        ):
+            await asyncio.sleep(DRAIN_CHECK_SECONDS)
+
     async def _follow_entries(self) -> None:
         source = self.sources.entries
         await follow_entries(source, self.gossip, self.settings.peer_address)
--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -33,6 +33,8 @@
 FLUSH_CHECK_SECONDS = 0.02  # between looks at what a slow caller has yet to take
 MIN_READ_SECONDS = 0.05  # for bytes that this process is late to read
 MAX_PIPELINED_REQUESTS = 4  # queued on a connection before reading is paused
+KEPT_MARGIN_SECONDS = 1.0  # for a request that is sent as the time told runs out
+FIRST_REQUEST_SECONDS = 1.0  # after a connection was opened, at a shutdown
 LINGER_SECONDS = 2.0  # for a caller to read a rejection while it sends
 BODIES_RETRY_SECONDS = 1.0  # mean time until a body that was refused should come again
 NO_MEMORY = "the bodies of other requests take the memory of this entry"
@@ -96,6 +98,7 @@
     :param limits: returns the limits on requests that apply now.
     :param serve: writes the response to one request.
     :param bodies: decides which bodies are read.
+    :param kept_seconds: see `Listener`.
     :param on_opened: called with the connection once it is open.
     :param on_closed: called with the connection once its task has ended.
     """
@@ -106,12 +109,14 @@
         limits: Callable[[], RequestLimits],
         serve: RequestHandler,
         bodies: RequestBodies,
+        kept_seconds: int = 0,
         on_opened: Callable[["CallerConnection"], None],
         on_closed: Callable[["CallerConnection"], None],
     ):
         self.limits = limits
         self.serve = serve
         self.bodies = bodies
+        self.kept_seconds = kept_seconds
         self.on_opened = on_opened
         self.on_closed = on_closed
         self.transport: asyncio.Transport | None = None
@@ -127,6 +132,10 @@
         self.closing = False  # close after the requests that were read
         self.draining = False  # the same, with those that are being read
         self.ending = False  # the same, and close if there is none
+        self.caller_keeps = True  # the connection, after the request in progress
+        # For which a caller may trust an idle connection, and until when, monotonic.
+        self.trusted_seconds = FIRST_REQUEST_SECONDS if kept_seconds else 0.0
+        self.trusted_until = 0.0
         self.on_flow_change: Callable[[bool], None] | None = None
         self.writing_paused = False  # the write buffer is full
         self.task: asyncio.Task | None = None
@@ -148,6 +157,12 @@
         """Whether a request is being read or answered, or its answer leaves yet."""
         return self.busy or self.flushing or self._has_more()
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the caller may still send a request that it expects to be read."""
+        open_for_more = not (self.lost or self.closing or self.is_unfinished)
+        return open_for_more and time.monotonic() < self.trusted_until
+
     def _has_more(self) -> bool:
         """Tell whether another request is being read, or waits for its answer."""
         return bool(self.pending or self._reading_body or self._head_started_at)
@@ -168,8 +183,7 @@
         if self.lost:
             return
         head_fields = [*fields, (b"Content-Length", b"%d" % len(body))]
-        if not self._decide_keep_alive(keep_alive):
-            head_fields.append((b"Connection", b"close"))
+        head_fields += self._connection_fields(keep_alive)
         head = render_response(status, head_fields)
         self.response = ResponseProgress.COMPLETE
         self.transport.write(head if self.bodyless else head + body)
@@ -194,8 +208,7 @@
             head_fields.append((b"Transfer-Encoding", b"chunked"))
         else:
             self._reset_on_close(True)
-        if not self._decide_keep_alive(keep_alive and self.accepts_chunked):
-            head_fields.append((b"Connection", b"close"))
+        head_fields += self._connection_fields(keep_alive and self.accepts_chunked)
         head = render_response(status, head_fields)
         self.response = ResponseProgress.HEAD
         self.transport.write(head)
@@ -260,6 +273,18 @@
         self.draining = self.ending = True
         self.wakeup.set()
 
+    def _connection_fields(self, keep_alive: bool) -> list[Field]:
+        """Return the fields that tell how long the connection may be used."""
+        if not self._decide_keep_alive(keep_alive):
+            return [(b"Connection", b"close")]
+        if not self.kept_seconds or self.draining or not self.caller_keeps:
+            return []
+        self.trusted_seconds = min(
+            self.limits().idle_seconds, self.kept_seconds + KEPT_MARGIN_SECONDS
+        )
+        told = int(self.trusted_seconds - KEPT_MARGIN_SECONDS)
+        return [(b"Keep-Alive", b"timeout=%d" % told)] if told > 0 else []
+
     def _decide_keep_alive(self, keep_alive: bool) -> bool:
         """Tell whether another response follows; requests that were read get one."""
         if not keep_alive:
@@ -571,6 +596,7 @@
         self.response = ResponseProgress.NOTHING
         self.accepts_chunked = incoming.accepts_chunked
         self.bodyless = incoming.method == "HEAD"
+        self.caller_keeps = incoming.keep_alive
         try:
             await self.serve(self, incoming)
         except Exception as error:
@@ -595,6 +621,7 @@
 
     async def _next_request(self) -> IncomingRequest | RejectedRequest | None:
         idle_since = time.monotonic()
+        self.trusted_until = idle_since + self.trusted_seconds
         while not self.pending:
             if self.lost or self.closing or (self.ending and not self._has_more()):
                 return None
@@ -624,7 +651,7 @@
             return self._arrived + limits.idle_seconds
         if self._head_started_at:
             return self._head_started_at + limits.header_seconds
-        return idle_since + limits.idle_seconds
+        return max(idle_since + limits.idle_seconds, self.trusted_until)
 
     def _reject(self, status: int, detail: str, *fields: Field) -> None:
         if self.closing:
@@ -652,6 +679,8 @@
     :param limits: returns the limits on requests that apply now.
     :param serve: writes the response to one request.
     :param bodies: decides which bodies are read; by default, all are.
+    :param kept_seconds: for which callers are told that they may use an idle
+        connection, or 0 to tell them nothing. It stays open for longer.
     """
 
     def __init__(
@@ -660,10 +689,12 @@
         limits: Callable[[], RequestLimits],
         serve: RequestHandler,
         bodies: RequestBodies | None = None,
+        kept_seconds: int = 0,
     ):
         self.limits = limits
         self.serve = serve
         self.bodies = bodies or RequestBodies()
+        self.kept_seconds = kept_seconds
         self.connections: set[CallerConnection] = set()
         self.server: asyncio.Server | None = None
         self.draining = False
@@ -707,11 +738,17 @@
         """Number of requests that are being read or answered, see `is_unfinished`."""
         return sum(connection.is_unfinished for connection in self.connections)
 
+    @property
+    def awaited_connections(self) -> int:
+        """Number of idle connections that callers may still use, see `is_awaited`."""
+        return sum(connection.is_awaited for connection in self.connections)
+
     def _open(self) -> CallerConnection:
         connection = CallerConnection(
             limits=self.limits,
             serve=self.serve,
             bodies=self.bodies,
+            kept_seconds=self.kept_seconds,
             on_opened=self.connections.add,
             on_closed=self.connections.discard,
         )
