Accept what callers have opened before the listener of an entry closes

Cause: at the close of a listening socket the kernel resets connections that no one has accepted yet; a loop that is late leaves many. Also, an entry that always had requests in progress listened until the end of its grace, so that nothing was left of it for the last connections.

Change: `Listener.accept_and_close` accepts what is established and then closes. An entry listens until 0.5 s before the end of its drain; it accepts only what ends well before anyway, and refused the rest.

Evidence: `TestCloseOfTheListener` failed (connection reset) for 1 and for 50 connections when the listener was only closed.

What remains: a connection that is established between the last accept and the close, some microseconds.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -64,6 +64,7 @@
 SILENCE_SECONDS = 1.0  # for which a sound server may pause in the middle of an answer
 EXIT_SECONDS = 0.3  # for the process to end
 DRAIN_CHECK_SECONDS = 0.05  # between checks for requests in progress
+LAST_CONNECTION_SECONDS = 0.5  # from the last connections to the last requests
 LAST_REQUEST_SECONDS = 0.1  # for connections that were accepted last
 # For which callers may use an idle connection. With the margin that the connection then
 # stays open for, about as long as an entry stays after SIGTERM.
@@ -406,8 +407,8 @@
         leaves_at = min(started + OUT_OF_ROTATION_SECONDS, deadline)
         await asyncio.sleep(max(0.0, leaves_at - self.clock()))
         self.is_out_of_rotation = True
-        await self._finish_requests(deadline)
-        self.caller_listener.close()
+        await self._finish_requests(deadline - LAST_CONNECTION_SECONDS)
+        await self.caller_listener.accept_and_close()
         # A connection that was accepted just before has yet to be counted.
         await asyncio.sleep(LAST_REQUEST_SECONDS)
         await self._finish_connections(deadline)
--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -717,6 +717,22 @@
         if self.server is not None:
             self.server.close()
 
+    async def accept_and_close(self) -> None:
+        """
+        Stop listening, once what callers have opened is accepted.
+
+        The kernel resets connections that it has established and that no one accepts.
+        """
+        listening = [one.dup() for one in self.server.sockets] if self.server else []
+        self.close()
+        accepted = []
+        for one in listening:
+            with one:
+                accepted += _accept_all(one)
+        loop = asyncio.get_running_loop()
+        opened = (loop.connect_accepted_socket(self._open, raw) for raw in accepted)
+        await asyncio.gather(*opened, return_exceptions=True)
+
     def drain(self) -> None:
         """Close each connection after the last request that has arrived on it."""
         self.draining = True
@@ -756,6 +772,18 @@
         return connection
 
 
+def _accept_all(listening: socket.socket) -> list[socket.socket]:
+    """Accept the connections that are established on a non-blocking socket."""
+    accepted = []
+    while True:
+        try:
+            accepted.append(listening.accept()[0])
+        except ConnectionAbortedError:
+            continue  # its caller has left
+        except OSError:
+            return accepted
+
+
 def _content_length(fields: list[Field]) -> int:
     for name, value in fields:
         if name.lower() == b"content-length" and value.isdigit():
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -589,6 +589,38 @@
         run_scenario(scenario)
 
 
+class TestCloseOfTheListener:
+    """Connections that callers had opened and no one had accepted were reset."""
+
+    @pytest.mark.parametrize("count", [1, 50])
+    def test_requests_on_them_are_answered(self, count):
+        async def scenario(echo):
+            host, _, port = echo.address.rpartition(":")
+            data = _post(b"a", b"Content-Length: 1", b"Connection: close")
+            callers = []
+            for _ in range(count):  # the loop does not run meanwhile
+                caller = socket.create_connection((host, int(port)))
+                caller.sendall(data)
+                callers.append(caller)
+            await echo.listener.accept_and_close()
+            for caller in callers:
+                reader, writer = await asyncio.open_connection(sock=caller)
+                async with asyncio.timeout(5):
+                    assert (await reader.read()).endswith(b"ok:a")
+                writer.close()
+
+        run_scenario(scenario)
+
+    def test_none_is_accepted_later(self):
+        async def scenario(echo):
+            await echo.listener.accept_and_close()
+            await echo.listener.accept_and_close()
+            with pytest.raises(ConnectionRefusedError):
+                await echo.send(b"")
+
+        run_scenario(scenario)
+
+
 class TestTimeouts:
     """The time-out of an idle connection also ended requests that were being read."""
 
