Let callers read the last response before their connection closes

What callers saw: a response with `Connection: close` was cut, with the connection reset, where the caller had sent something after its request.

Cause: a close with unread bytes, or bytes that come after it, resets the connection, and the kernel drops what it has yet to send. The listener waited for its own buffer only. Rejections were guarded (`_linger`), other responses were not.

Change: after the last response the connection is half-closed, and what the caller sends is discarded until it closes too, for 2 s at most. Requests in progress do not include it, so it does not delay the exit.

Evidence: `TestCloseAfterTheLastResponse` failed before (connection reset, with a response of 500,000 bytes in the buffers of the kernel), both where the caller asks to close and in the drain.

What remains: the process does not wait for these 2 s at its exit, so there the same may happen to callers that send after they were told of the close.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -566,6 +566,8 @@
             await self._serve_request(incoming)
         finally:
             self._discard_share(incoming)
+        if self.closing and not self.pending and not self.lost:
+            await self._linger()
         return not self.closing or bool(self.pending)
 
     def _discard_share(
@@ -582,6 +584,8 @@
         A close with unread bytes resets the connection, and the response may get lost.
         """
         self._update_reading()
+        if self.transport.is_closing():
+            return
         self.transport.write_eof()
         try:
             async with asyncio.timeout(LINGER_SECONDS):
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -621,6 +621,46 @@
         run_scenario(scenario)
 
 
+class TestCloseAfterTheLastResponse:
+    """A close with unread bytes of the caller reset the connection."""
+
+    @pytest.mark.parametrize("told", ["caller", "drain"])
+    def test_the_response_arrives_beside_what_the_caller_still_sends(self, told):
+        size = 500_000  # in the buffers of the kernel when the connection closes
+
+        async def scenario(echo):
+            served = []
+
+            async def serve(caller, incoming):
+                served.append(caller)
+                caller.respond(200, [], bytes(size), keep_alive=True)
+
+            echo.listener.serve = serve
+            fields = [b"Connection: close"] if told == "caller" else []
+            if told == "drain":
+                echo.listener.drain()
+            host, _, port = echo.address.rpartition(":")
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+                caller.connect((host, int(port)))
+                caller.sendall(_post(b"a", b"Content-Length: 1", *fields))
+                async with asyncio.timeout(5):
+                    while not served or served[0].is_unfinished:
+                        await asyncio.sleep(0.01)
+                caller.sendall(_post(b"b", b"Content-Length: 1"))
+                await asyncio.sleep(0.05)  # a reset would arrive
+                caller.setblocking(False)
+                loop = asyncio.get_running_loop()
+                received = b""
+                async with asyncio.timeout(5):
+                    while data := await loop.sock_recv(caller, 65536):
+                        received += data
+            assert received.startswith(b"HTTP/1.1 200")
+            assert len(received.partition(b"\r\n\r\n")[2]) == size
+
+        run_scenario(scenario)
+
+
 class TestTimeouts:
     """The time-out of an idle connection also ended requests that were being read."""
 
