Tell callers of a time where the configuration allows between 1.25 and 2 s

Cause: where the idle time in force was under two seconds nothing was told, so callers took that of the configuration that they knew, which may be another one than that of the entry.

Change: callers are told at most four fifths of the idle time, in whole seconds, up to two. Changed in a test of this issue: 2.5 s tells 2 and no longer 1; 1.5 s, which told nothing, is new and tells 1.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -33,6 +33,7 @@
 FLUSH_CHECK_SECONDS = 0.02  # between looks at what a slow caller has yet to take
 MIN_READ_SECONDS = 0.05  # for bytes that this process is late to read
 MAX_PIPELINED_REQUESTS = 4  # queued on a connection before reading is paused
+KEPT_SHARE = 0.8  # of the idle time of a connection, at most, that callers are told
 KEPT_MARGIN_SECONDS = 1.0  # for a request that is sent as the time told runs out
 FIRST_REQUEST_SECONDS = 1.0  # after a connection was opened, at a shutdown
 LINGER_SECONDS = 2.0  # for a caller to read a rejection while it sends
@@ -279,10 +280,9 @@
             return [(b"Connection", b"close")]
         if not self.kept_seconds or self.draining or not self.caller_keeps:
             return []
-        self.trusted_seconds = min(
-            self.limits().idle_seconds, self.kept_seconds + KEPT_MARGIN_SECONDS
-        )
-        told = int(self.trusted_seconds - KEPT_MARGIN_SECONDS)
+        idle_seconds = self.limits().idle_seconds
+        told = min(self.kept_seconds, int(idle_seconds * KEPT_SHARE))
+        self.trusted_seconds = min(idle_seconds, told + KEPT_MARGIN_SECONDS)
         return [(b"Keep-Alive", b"timeout=%d" % told)] if told > 0 else []
 
     def _decide_keep_alive(self, keep_alive: bool) -> bool:
