Drain an entry also where its lease cannot be released

What callers would see: all requests in progress at an entry cut at its SIGTERM.

Cause: the drain begins with the release of the lease, which caught a time-out and errors of the store only. Any other exception ended the process.

Change: it is logged, and the drain goes on; the lease expires by itself.

Evidence: `TestErrorAtTheStop` failed before with the exception of the lease. Followed: what `Lease.release` reads and writes raises errors of the store, an unreadable row among them, all of which it catches; no input was found that raises another one.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -181,6 +181,11 @@
                 self.lease.name,
                 RELEASE_SECONDS,
             )
+        except Exception as error:
+            # The shutdown goes on: the lease expires by itself.
+            logger.opt(exception=error).error(
+                "lease {} was not released: {!r}", self.lease.name, error
+            )
 
     async def run(self) -> None:
         """Plan and send orders periodically while this entry holds the lease."""
