Serve no request whose caller has left before it was read

Cause of one way to it: a process that is late finds a request and the close after it in one connection. The close is read an iteration of the loop after the request, and by then the request's task has begun; with a kept connection to a server it has sent the request too. Change: a request is served an iteration later, and not if its connection is closing.

Test: test_http1.TestRequestOfACallerThatHasLeft, a request and a close, half-close or reset that wait together on a new and on a kept connection; all six cases were served before.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -602,7 +602,10 @@
         self.bodyless = incoming.method == "HEAD"
         self.caller_keeps = incoming.keep_alive
         try:
-            await self.serve(self, incoming)
+            # A close that this process is late to read is read after the request.
+            await asyncio.sleep(0)
+            if not self.transport.is_closing():
+                await self.serve(self, incoming)
         except Exception as error:
             self._respond_failed(incoming, error)
         finally:
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -420,6 +420,60 @@
         run_scenario(scenario)
 
 
+def _half_close(caller: socket.socket) -> None:
+    caller.shutdown(socket.SHUT_WR)
+
+
+def _reset(caller: socket.socket) -> None:
+    reset_on_close(caller)
+    caller.close()
+
+
+async def _opened(echo: _EchoListener) -> list[CallerConnection]:
+    """Wait until a connection is open, and return all that are."""
+    async with asyncio.timeout(5):
+        while not echo.listener.connections:
+            await asyncio.sleep(0.001)
+    return list(echo.listener.connections)
+
+
+async def _served(echo: _EchoListener) -> list[IncomingRequest]:
+    """Wait until a request was served and its connection is idle, and return all."""
+    async with asyncio.timeout(5):
+        while not echo.requests or echo.listener.unfinished_requests:
+            await asyncio.sleep(0.001)
+    return echo.requests
+
+
+class TestRequestOfACallerThatHasLeft:
+    """
+    Requests were sent on to servers long after their callers had left (GONE).
+
+    Load pattern: this process is late to read a request, and the caller leaves before.
+    """
+
+    @pytest.mark.parametrize("leave", [socket.socket.close, _half_close, _reset])
+    @pytest.mark.parametrize("kept", [False, True])
+    def test_is_not_served(self, leave, kept):
+        async def scenario(echo):
+            host, _, port = echo.address.rpartition(":")
+            caller = socket.create_connection((host, int(port)))
+            [connection] = await _opened(echo)
+            served = 0
+            if kept:
+                caller.sendall(_post(b"", b"Content-Length: 0"))
+                served = len(await _served(echo))
+            # Nothing runs in between, so both wait to be read by the next iteration.
+            caller.sendall(_post(b"", b"Content-Length: 0"))
+            leave(caller)
+            async with asyncio.timeout(5):
+                await connection.task
+            caller.close()
+            assert len(echo.requests) == served
+
+        run_scenario(scenario, Limits())
+
+
 class TestParserCallbackThatFails:
     """An error of this program was taken for one of the other side."""
 
