Keep no connection on which a refusal named no request

What callers saw: 503, not run, for a safe request of a plain service that a server ran. Cause: a faulty server writes a refusal once more on a kept connection. One without the ID of its request is taken for the answer to the next request, which the server runs. Change: a plain service's connection is closed after a refusal that names no request; one that does is told apart by its ID, and its connection is kept as before.

--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -62,6 +62,8 @@
 
     :param accepts: returns whether a response belongs to the request; a server may
         first send a late response to another request.
+    :param keeps_connection: returns whether the connection may carry another request
+        after a response.
     :param bodyless: whether the response has no body, whatever its header fields say.
     :param max_buffered_bytes: limit of the body while it has no sink.
     """
@@ -73,6 +75,7 @@
         "ended",
         "head",
         "buffered_bytes",
+        "keeps_connection",
         "max_buffered_bytes",
         "sink",
     )
@@ -81,6 +84,7 @@
         self,
         *,
         accepts: Callable[[int, Headers], bool] = accept_any,
+        keeps_connection: Callable[[int, Headers], bool] = accept_any,
         bodyless: bool = False,
         max_buffered_bytes: int = MAX_BUFFERED_BODY_BYTES,
     ):
@@ -88,6 +92,7 @@
         self.max_buffered_bytes = max_buffered_bytes
         loop = asyncio.get_running_loop()
         self.accepts = accepts
+        self.keeps_connection = keeps_connection
         self.sink: Callable[[bytes], None] | None = None
         self.body: list[bytes] = []  # what arrived without a sink
         self.buffered_bytes = 0
@@ -306,6 +311,8 @@
             self.reusable = False
             self.message.skipped = True
             return
+        if not exchange.keeps_connection(status, headers):
+            self.reusable = False
         if exchange.bodyless:
             self.message.framing = ResponseFraming.NO_BODY
         head = ResponseHead(
--- a/packages/gateway/src/kumquatway_gateway/relay/_dialect.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_dialect.py
@@ -54,12 +54,14 @@
     :param not_run: whether the server guarantees that it did not run the request.
     :param faulty_address: address of the server that caused a refusal, or "".
     :param signed: whether the response carries the server's stamp.
+    :param names_request: whether it names the request that it belongs to.
     :param notice: what the server says about itself.
     """
 
     not_run: bool
     faulty_address: str
     signed: bool
+    names_request: bool = False
     notice: ServerNotice = NO_NOTICE
 
 
