Remember events that an attempt had begun and never wrote

Cause: attempts begin where the one that wrote last has ended, and what others had begun was forgotten with them.

What an attempt had begun is now noted with the relay that the next one begins from, until an event is passed on. An event that the caller has, by its ID, is none that was lost.

--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -287,8 +287,9 @@
         """Tell whether the stream ended too early, although its framing is complete."""
         if not self.is_event_stream:
             return False
-        # The attempt before it had begun an event that this one should have sent.
-        return self.events.has_lost_event or is_broken_off(
+        # An attempt before it had begun an event that this one should have sent.
+        has_lost_event = self.events.has_lost_event or self.stream.events.has_lost_event
+        return has_lost_event or is_broken_off(
             self.head.framing,
             has_events=self.has_events,
             rest=self.events.partial_event,
--- a/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
@@ -66,12 +66,19 @@
 
     def restart(self) -> None:
         """Drop an incomplete event, before another server resumes the stream."""
-        if is_inside_event(self.partial_event):
+        if self.has_begun_event():
             self.has_lost_event = True
         self.partial_event = b""
         self.is_garbled = False
         self.resuming = True
 
+    def has_begun_event(self) -> bool:
+        """Tell whether an event that the caller does not have is incomplete."""
+        if not is_inside_event(self.partial_event):
+            return False
+        lines = self.partial_event[: self.partial_event.rfind(b"\n") + 1]
+        return not self.resuming or self._is_new(_last_id(lines))
+
     def fork(self, write: Callable[[bytes], None], *, resuming: bool) -> "EventRelay":
         """
         Return a relay for another response, which goes on after the same event.
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -295,6 +295,9 @@
             self.refusals += 1
             return
         self.ran_on.add(attempt.chain.first_server.id)
+        # Attempts after it begin where the last one to write has ended.
+        if attempt.events.has_begun_event():
+            self.events.has_lost_event = True
         attempt.record_failure(outcome.value)
         if attempt.progress() is not Progress.FLOWING:
             self.rejecting.add(attempt.faulty_server)
