Close a listener also if no descriptor is free

An entry that had used up its file descriptors failed in the middle of its drain, as it duplicates the listening sockets to accept what callers have opened; the requests in progress ended with the process. Without a free descriptor nothing can be accepted, so the listener just closes.

Evidence: the new test failed before with EMFILE, as did a trial with a real limit of 64 files.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import enum
 import random
 import socket
@@ -730,7 +731,11 @@
 
         The kernel resets connections that it has established and that no one accepts.
         """
-        listening = [one.dup() for one in self.server.sockets] if self.server else []
+        sockets = self.server.sockets if self.server is not None else ()
+        listening = []
+        # Without a free descriptor nothing could be accepted either.
+        with contextlib.suppress(OSError):
+            listening += (one.dup() for one in sockets)
         self.close()
         accepted = []
         for one in listening:
--- a/packages/gateway/tests/test_kept_connections.py
+++ b/packages/gateway/tests/test_kept_connections.py
@@ -1,7 +1,9 @@
 """Tests that callers know for how long they may use an idle connection."""
 
 import asyncio
+import errno
 import time
+from asyncio.trsock import TransportSocket
 from dataclasses import replace
 
 import pytest
@@ -171,3 +173,23 @@
             writer.close()
 
         _run(scenario)
+
+
+class TestNoFreeDescriptorAtAStop:
+    """The stop of the entry failed, and with it the requests in progress ended."""
+
+    def test_listener_closes(self, monkeypatch):
+        async def scenario(site):
+            def fail(self):
+                raise OSError(errno.EMFILE, "too many open files")
+
+            reader, writer = await site.connect()
+            await _call(reader, writer)
+            monkeypatch.setattr(TransportSocket, "dup", fail)
+            await site.listener.accept_and_close()
+            with pytest.raises(ConnectionRefusedError):
+                await site.connect()
+            await _call(reader, writer)
+            writer.close()
+
+        _run(scenario)
