Finish the requests in progress before an entry with agents ends for a failed task

Cause: the supervisor cancels all its children when one fails for good, the listener of callers among them, and the entry ended without its drain.

The entry goes on with its other tasks, takes no new request, ends once those in progress have ended, and then raises the same ProcessError. Evidence: the new test got 500 before and gets 200 now. The agent beside an upstream still ends at once (read, no test).

--- a/packages/entry/src/kumquatway/_entry.py
+++ b/packages/entry/src/kumquatway/_entry.py
@@ -39,6 +39,7 @@
     RouteChosen,
     StageFailed,
 )
+from kumquatway_core.exceptions import ProcessError
 from kumquatway_core.http import serve
 from kumquatway_core.leases import PLANNER_LEASE, Lease
 from kumquatway_core.mesh import Mesh, Peer, PeerState, Sender
@@ -175,7 +176,8 @@
         self.sweep_duty = self._duty(lease)
         self.sweep = ClaimSweeper(table=table, objects=objects, lease=lease)
         self.vms = VMList(channel=Channel(addresses=(settings.platform.vms,)))
-        self.supervisor = Supervisor(name=settings.name)
+        self.supervisor = Supervisor(name=settings.name, on_failure=self._fail)
+        self.failure: ProcessError | None = None  # of a task, for which this one ends
         self.tasks = 0
         self._group: anyio.abc.TaskGroup | None = None
         self._handlers: dict[type, Callable[[Message], object]] = {
@@ -190,7 +192,11 @@
         }
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
-        """Serve until told to leave or cancelled."""
+        """
+        Serve until told to leave or cancelled.
+
+        :raises ProcessError: at the end, if a task of this entry failed too often.
+        """
         async with anyio.create_task_group() as group:
             self._group = group
             await group.start(self.mesh.run)
@@ -202,11 +208,20 @@
             await self.leaving.wait()
             await self._finish()
             group.cancel_scope.cancel()
+        if self.failure is not None:
+            raise self.failure
 
     def leave(self) -> None:
         """Take no new request, and end once those in progress have ended."""
         self.leaving.set()
 
+    def _fail(self, error: ProcessError) -> None:
+        """Leave without a task that failed too often, and report it at the end."""
+        logger.error("{}", error)
+        if not self.leaving.is_set():
+            self.failure = error
+            self.leave()
+
     def emit(self, event: Event) -> None:
         """
         Write down an event and count it.
--- a/packages/entry/tests/test_planned_stop.py
+++ b/packages/entry/tests/test_planned_stop.py
@@ -7,8 +7,10 @@
 import httpx
 import pytest
 
+from kumquatway import _entry
 from kumquatway._demo import Deployment, Layout, Pipeline, _deployment
 from kumquatway_core.events import RequestStarted
+from kumquatway_core.exceptions import ProcessError
 from kumquatway_fakes import Speed
 
 KEY = "test-key"
@@ -128,3 +130,47 @@
             rig.entry.leave()
             await rig.until(lambda: rig.response is not None)
         assert rig.response.headers["Kumquatway-Verdict"] == "ran"
+
+
+class FailingTask:
+    """Adds a task to entries, which fails for good once it is told to."""
+
+    def __init__(self, monkeypatch):
+        self.told = anyio.Event()
+        self.error: BaseException | None = None  # with which the entry has ended
+        self.add_children = _entry.Entry._add_children
+        self.run_entry = _entry.Entry.run
+        monkeypatch.setattr(_entry.Entry, "_add_children", lambda e: self.add(e))
+        monkeypatch.setattr(_entry.Entry, "run", lambda e, **kw: self.run(e, **kw))
+
+    def add(self, entry) -> None:
+        self.add_children(entry)
+        entry.supervisor.max_restarts = 0
+        entry.supervisor.add("failing", self.fail)
+
+    async def fail(self) -> None:
+        await self.told.wait()
+        raise ZeroDivisionError
+
+    async def run(self, entry, **options) -> None:
+        try:
+            await self.run_entry(entry, **options)
+        except Exception as error:
+            self.error = error
+
+
+class TestTaskThatFailsForGood:
+    """Callers got 500 while their servers worked on, as the entry ended at once."""
+
+    async def test_a_call_in_progress_is_answered_first(self, monkeypatch):
+        task = FailingTask(monkeypatch)
+        async with running() as rig, anyio.create_task_group() as group:
+            service = rig.deployment.services["desk-0"]
+            service.faults.seconds = 1.0
+            group.start_soon(rig.post, "/services/desk/seats")
+            await rig.until(lambda: service.executions)
+            task.told.set()
+            await rig.until(lambda: rig.response is not None)
+            await rig.until(lambda: task.error is not None)
+        assert rig.response.status_code == 200
+        assert isinstance(task.error, ProcessError)
