Read a response of a plain service once

The dialect now tells from the two fields alone whether a connection is kept. TestRefusalThatIsRepeated holds as before; the stand-in for a dialect got the new method.

--- a/packages/gateway/src/kumquatway_gateway/relay/_dialect.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_dialect.py
@@ -54,14 +54,12 @@
     :param not_run: whether the server guarantees that it did not run the request.
     :param faulty_address: address of the server that caused a refusal, or "".
     :param signed: whether the response carries the server's stamp.
-    :param names_request: whether it names the request that it belongs to.
     :param notice: what the server says about itself.
     """
 
     not_run: bool
     faulty_address: str
     signed: bool
-    names_request: bool = False
     notice: ServerNotice = NO_NOTICE
 
 
@@ -77,6 +75,14 @@
     def accepts(self, request: Request, status: int, headers: Headers) -> bool:
         """Tell whether a response can belong to the request."""
 
+    def keeps_connection(self, status: int, headers: Headers) -> bool:
+        """
+        Tell whether another request may follow a response on its connection.
+
+        A faulty server may write a refusal once more, and one that names no request
+        would be taken for that of the next request, which may have run.
+        """
+
     def parse_response(self, status: int, headers: Headers) -> ResponseInfo:
         """Read what a response says about the request."""
 
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -14,7 +14,6 @@
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.http1 import (
     Exchange,
-    Headers,
     ResponseEnd,
     ResponseFraming,
     ResponseHead,
@@ -440,7 +439,7 @@
             accepts=lambda status, headers: dialect.accepts(
                 job.request, status, headers
             ),
-            keeps_connection=self._keeps_connection,
+            keeps_connection=dialect.keeps_connection,
             bodyless=job.request.method == "HEAD",
         )
         attempt = Attempt(
@@ -471,16 +470,6 @@
             if outcome is None or not outcome.not_run:
                 self._record_survival(server, exchange, sent_at)
 
-    def _keeps_connection(self, status: int, headers: Headers) -> bool:
-        """
-        Tell whether another request may follow a response on its connection.
-
-        A faulty server may write a refusal once more, and one that names no request
-        would be taken for that of the next request, which may have run.
-        """
-        info = self.relay.dialect.parse_response(status, headers)
-        return info.names_request or not info.not_run
-
     def _record_survival(
         self, server: Server, exchange: Exchange, sent_at: float
     ) -> None:
--- a/packages/gateway/tests/parallel_site.py
+++ b/packages/gateway/tests/parallel_site.py
@@ -126,6 +126,9 @@
     def accepts(self, request, status, headers):
         return True
 
+    def keeps_connection(self, status, headers):
+        return True
+
     def parse_response(self, status, headers):
         from kumquatway_gateway.model import NO_NOTICE
 
