--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -411,21 +411,16 @@
         await self.caller_listener.accept_and_close()
         # A connection that was accepted just before has yet to be counted.
         await asyncio.sleep(LAST_REQUEST_SECONDS)
-        await self._finish_connections(deadline)
+        await self._finish_requests(deadline, awaited=True)
         self.relay.end_requests()
         self.caller_listener.close_when_idle()
         await asyncio.sleep(LAST_RESPONSE_SECONDS)
 
-    async def _finish_requests(self, deadline: float) -> None:
-        """Wait until no request is being read or is in progress."""
-        while self.caller_listener.unfinished_requests and self.clock() < deadline:
-            await asyncio.sleep(DRAIN_CHECK_SECONDS)
-
-    async def _finish_connections(self, deadline: float) -> None:
-        """Wait until no connection has a request, nor one that is expected."""
+    async def _finish_requests(self, deadline: float, *, awaited: bool = False) -> None:
+        """Wait until no request is being read or in progress, nor one is awaited."""
         listener = self.caller_listener
         while self.clock() < deadline and (
-            listener.unfinished_requests or listener.awaited_connections
+            listener.unfinished_requests or (awaited and listener.awaited_connections)
         ):
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
 
