Believe no layer report longer for being passed on between entries

The holder of the lease knew all four chains, and so did an entry that was restarted.

Cause: an order's begin is told to all entries as a report (no layers yet, busy). It is to give way to the server list once the list has changed since the report was made. But a peer's copy of it arrives with an age that lacks its time on the way, so it counted as a newer report, and whether the list had changed was judged from when the copy came.

Now the time of the report itself decides. A copy that says what is known already is ignored, also once the list has caught up with it, and of reports after the same number of orders one of an ended order is newer than one of an order in progress.

Four tests failed before.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -102,10 +102,10 @@
         self.by_address: dict[str, Server] = {}
         self.health: dict[str, HealthStatus] = {}
         self.layer_reports: dict[str, LayerReport] = {}
-        # Listed layers at the time of each report.
-        self.listed_at_report: dict[str, LayerRange] = {}
-        # Incarnation and sequence of the last report that was dropped, by server.
-        self.last_sequences: dict[str, tuple[int, int]] = {}
+        # Time of the first list that showed the layers which are listed now, by server.
+        self.layers_listed_at: dict[str, float] = {}
+        # The last report of each server that the list has caught up with.
+        self.dropped_reports: dict[str, LayerReport] = {}
         # Incarnations that are known to leave, whatever the list says.
         self.leaving: dict[str, int] = {}
         self.pauses = Pauses(clock=clock)
@@ -144,8 +144,10 @@
             registrations.
         :param as_of: when the store had this list, monotonic seconds; by default now.
         """
+        as_of = self.clock() if as_of is None else as_of
         if up_to_date:
-            self.listed_at = self.clock() if as_of is None else as_of
+            self.listed_at = as_of
+        self._record_listed_layers(servers, as_of)
         dropped = self._drop_outdated_reports(servers)
         if servers == self.servers:
             if dropped:
@@ -185,6 +187,19 @@
             ):
                 self.leaving[name] = known.incarnation
 
+    def _record_listed_layers(self, servers: dict[str, Server], as_of: float) -> None:
+        """Record when each server's layers were first listed as they are now."""
+        for name, server in servers.items():
+            known = self.servers.get(name)
+            if (
+                known is None
+                or known.incarnation != server.incarnation
+                or known.layers != server.layers
+            ):
+                self.layers_listed_at[name] = as_of
+        for name in [name for name in self.layers_listed_at if name not in servers]:
+            del self.layers_listed_at[name]
+
     def _drop_outdated_reports(self, servers: dict[str, Server]) -> bool:
         """
         Drop reports that the list agrees with, or has certainly caught up with.
@@ -199,7 +214,7 @@
                 continue
             # The list does not show whether a server is still carrying out an order.
             agrees = server.layers == report.layers and not report.busy
-            changed = server.layers != self.listed_at_report.get(name)
+            changed = self.layers_listed_at[name] > report.reported_at
             late = self.listed_at - report.reported_at > LIST_LAG_SECONDS
             if agrees or (changed and late):
                 dropped = dropped or not agrees
@@ -224,9 +239,7 @@
             del self.ended_at[name]
 
     def _drop_report(self, server_id: str) -> None:
-        report = self.layer_reports.pop(server_id)
-        self.last_sequences[server_id] = (report.incarnation, report.sequence)
-        self.listed_at_report.pop(server_id, None)
+        self.dropped_reports[server_id] = self.layer_reports.pop(server_id)
 
     def mark_changed(self) -> None:
         """Record a change that affects routing."""
@@ -272,13 +285,11 @@
         :param server: a listed server.
         :return: number of orders.
         """
-        report = self.layer_reports.get(server.id)
-        if report is not None and report.incarnation == server.incarnation:
-            return report.sequence
-        incarnation, sequence = self.last_sequences.get(
-            server.id, (server.incarnation, 0)
-        )
-        return sequence if incarnation == server.incarnation else 0
+        for reports in (self.layer_reports, self.dropped_reports):
+            report = reports.get(server.id)
+            if report is not None and report.incarnation == server.incarnation:
+                return report.sequence
+        return 0
 
     def is_up(self, server: Server) -> bool:
         """
@@ -413,15 +424,19 @@
         self.mark_changed()
         return True
 
-    def update_layers(self, server_id: str, report: LayerReport) -> bool:
+    def update_layers(
+        self, server_id: str, report: LayerReport, *, is_copy: bool = False
+    ) -> bool:
         """
         Store a report of a server's layers, if it is the newest.
 
-        Of two reports, the one after more orders is newer, then the later one. Reports
-        that are older than the list are ignored.
+        Of two reports, the one after more orders is newer, then the one after their
+        end, then the later one. Reports that are older than the list are ignored.
 
         :param server_id: ID of the server.
         :param report: the server's report.
+        :param is_copy: whether a peer sent it, so that its age lacks the time that it
+            was on its way.
         :return: whether the report was stored.
         """
         server = self.servers.get(server_id)
@@ -431,20 +446,34 @@
             return False
         known = self.layer_reports.get(server_id)
         same_incarnation = known is not None and known.incarnation == report.incarnation
-        if same_incarnation and (known.sequence, known.reported_at) >= (
-            report.sequence,
+        if same_incarnation and (known.progress(), known.reported_at) >= (
+            report.progress(),
             report.reported_at,
         ):
             return False
+        if is_copy and self._is_repeated(server_id, report):
+            return False
         if self.listed_at - report.reported_at > LIST_LAG_SECONDS:
             return False
         before = (self.layers(server), self.loaded(server))
         self.layer_reports[server_id] = report
-        self.listed_at_report[server_id] = server.layers
         if (self.layers(server), self.loaded(server)) != before:
             self.mark_changed()
         return True
 
+    def _is_repeated(self, server_id: str, report: LayerReport) -> bool:
+        """Tell whether this entry had a peer's report already, or a newer one."""
+        known = self.layer_reports.get(server_id)
+        if known is not None:
+            return known.says_the_same_as(report)
+        dropped = self.dropped_reports.get(server_id)
+        return (
+            dropped is not None
+            and dropped.incarnation == report.incarnation
+            and dropped.progress() >= report.progress()
+            and report.reported_at - dropped.reported_at < LIST_LAG_SECONDS
+        )
+
     def slowdown(self, server: Server) -> float:
         """
         Return how many times longer than usual a server's work takes.
--- a/packages/gateway/src/kumquatway_gateway/model/_server.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_server.py
@@ -1,7 +1,7 @@
 """Defines an upstream server and the layers that it holds."""
 
 import enum
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
 class ServerState(enum.Enum):
@@ -103,3 +103,15 @@
     busy: bool
     reported_at: float
     loaded: int = 0
+
+    def progress(self) -> tuple[int, bool]:
+        """Return how far the server's run is: orders started, and whether all ended."""
+        return self.sequence, not self.busy
+
+    def says_the_same_as(self, other: "LayerReport") -> bool:
+        """
+        Tell whether two reports differ at most in their time.
+
+        :param other: a report of the same server.
+        """
+        return replace(other, reported_at=self.reported_at) == self
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -478,6 +478,7 @@
                     reported_at=now - report.age,
                     loaded=report.loaded,
                 ),
+                is_copy=True,
             )
         for leaving in message.leaving_servers:
             self.fleet.mark_leaving(leaving.server, leaving.incarnation)
--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -160,6 +160,31 @@
         assert self.second.fleet.layers(known) == layer_range(0, 12)
         assert self.second.fleet.slowdown(known) == 6.0
 
+    def test_layer_reports_that_are_passed_on_do_not_outlive_the_list(self):
+        """A list of servers shows the end of an order before the peers' messages do."""
+        empty = server("s1", "a", "big", layer_range(0, 0))
+        loaded = server("s1", "a", "big", layer_range(0, 10))
+        entries = (self.first, self.second)
+        for entry in entries:
+            entry.fleet.update_servers({"s1": empty})
+        started = LayerReport(
+            incarnation=1,
+            layers=layer_range(0, 0),
+            sequence=1,
+            busy=True,
+            reported_at=self.clock.now,
+        )
+        self.first.fleet.update_layers("s1", started)
+        for step in range(50):
+            listed = empty if step < 15 else loaded
+            messages = [entry.message() for entry in entries]
+            self.clock.now += 0.1
+            for entry, message in zip(entries, reversed(messages), strict=True):
+                entry.fleet.update_servers({"s1": listed})
+                entry.receive(message)
+        for entry in entries:
+            assert entry.fleet.layers(loaded) == layer_range(0, 10)
+
     def test_leaving_servers_are_shared(self):
         leaving = server("s1", "a", "big", layer_range(0, 10))
         fields = {name: getattr(leaving, name) for name in leaving.__slots__}
--- a/packages/gateway/tests/test_membership.py
+++ b/packages/gateway/tests/test_membership.py
@@ -189,6 +189,45 @@
         )
         assert self.fleet.loaded(self.one) == 9
 
+    def test_report_that_is_first_heard_after_its_order_does_not_outlive_the_list(self):
+        busy = replace(self._report(0, 2, 1), busy=True)
+        self.clock.now += 1.5
+        server = self._update_list(0, 8)
+        self.fleet.update_layers("one", busy, is_copy=True)
+        self.clock.now += 2.0
+        server = self._update_list(0, 8)
+        assert self.fleet.layers(server) == LayerRange(start=0, stop=8)
+
+    def test_report_that_is_heard_again_does_not_outlive_the_list(self):
+        busy = replace(self._report(0, 2, 1), busy=True)
+        self.fleet.update_layers("one", busy)
+        self.clock.now += 1.0
+        self._update_list(0, 8)
+        copy = replace(busy, reported_at=busy.reported_at + 1.5)
+        self.fleet.update_layers("one", copy, is_copy=True)
+        self.clock.now += 2.0
+        server = self._update_list(0, 8)
+        assert self.fleet.layers(server) == LayerRange(start=0, stop=8)
+
+    def test_new_report_of_a_peer_replaces_the_list_again(self):
+        """A server is cut off from the store, whose list shows older layers of it."""
+        self.fleet.update_layers("one", self._report(0, 8, 1))
+        self.clock.now += 1.0
+        self._update_list(0, 2)
+        self.clock.now += 2.0
+        server = self._update_list(0, 2)
+        assert self.fleet.layers(server) == LayerRange(start=0, stop=2)
+        self.fleet.update_layers("one", self._report(0, 8, 1), is_copy=True)
+        assert self.fleet.layers(server) == LayerRange(start=0, stop=8)
+
+    def test_report_of_an_order_in_progress_does_not_replace_that_of_its_end(self):
+        busy = replace(self._report(0, 2, 1), busy=True)
+        self.clock.now += 0.4
+        self.fleet.update_layers("one", self._report(0, 8, 1))
+        late = replace(busy, reported_at=busy.reported_at + 0.5)
+        self.fleet.update_layers("one", late, is_copy=True)
+        assert self.fleet.layers(self.one) == LayerRange(start=0, stop=8)
+
     def test_older_health_status_is_ignored(self):
         now = self.clock.now
         newer = HealthStatus(incarnation=7, down=True, observed_at=now, reason="silent")
