Send no request whose caller has left, also if its close was not read yet

Cause: a close takes up to four iterations of the event loop to end a request: one in which it is read, one in which the connection counts as lost, and two in which the tasks are cancelled. A place, a permit or a connection that is there in the first of them is used before. With too little processor time each iteration lasts long, and the close may wait for long to be read.

The caller's socket is now asked before each attempt is sent, whatever it waited for.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -9,6 +9,7 @@
 import contextlib
 import enum
 import random
+import select
 import socket
 import struct
 import time
@@ -260,6 +261,35 @@
         if self.transport is not None:
             self.transport.abort()
 
+    def has_left(self) -> bool:
+        """
+        Tell whether the caller has closed the connection, or its half of it.
+
+        A close that was not read counts: this process may be late, or have stopped
+        reading.
+        """
+        if self.lost or self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket"), select.POLLRDHUP)
+        return bool(poll.poll(0))
+
+    def end_if_left(self) -> bool:
+        """
+        Cancel the request in progress if its caller has left.
+
+        :return: whether the caller has left.
+        """
+        if not self.has_left():
+            return False
+        self._cancel_request()
+        self.transport.abort()
+        return True
+
+    def _cancel_request(self) -> None:
+        if self.busy and not self.flushing and self.task is not None:
+            self.task.cancel()
+
     def _reset_on_close(self, enabled: bool) -> None:
         """
         Choose how the connection ends, also if this process is killed.
@@ -382,8 +412,7 @@
         """Cancel the request in progress."""
         self.lost = True
         self.wakeup.set()
-        if self.busy and not self.flushing and self.task is not None:
-            self.task.cancel()
+        self._cancel_request()
 
     def pause_writing(self):
         """Report that the write buffer is full."""
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -409,6 +409,10 @@
             permits.give_back(server)
             self.relay.record_failure(job, server.id, "unreachable", str(error))
             return _not_sent(server)
+        if job.caller.end_if_left():
+            connection.abandon()
+            permits.give_back(server)
+            return _not_sent(server, denied=True)
         started = time.monotonic()
         self.router.record_start(server)
         failed = True
--- a/packages/gateway/tests/parallel_site.py
+++ b/packages/gateway/tests/parallel_site.py
@@ -116,6 +116,9 @@
     async def flush(self):
         pass
 
+    def end_if_left(self):
+        return False
+
 
 class Dialect:
     """Sends any request, and takes any response for a signed one."""
