Notice that a caller leaves while nothing is read from it

What callers saw: a caller that left was not noticed for as long as its connection was not read. Its request went on at a server, and those that it had sent after it followed.

Cause: reading is paused while more than four requests wait behind the one in progress, and while the body of the next one waits for memory. The event loop then reports no close.

While a request is in progress and reading is paused, the socket is now asked ten times a second.

Evidence: the 6 new tests failed before (the request was not ended within 0.5 s), in virtual time.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -35,6 +35,7 @@
 FLUSH_CHECK_SECONDS = 0.02  # between looks at what a slow caller has yet to take
 MIN_READ_SECONDS = 0.05  # for bytes that this process is late to read
 MAX_PIPELINED_REQUESTS = 4  # queued on a connection before reading is paused
+LEFT_CHECK_SECONDS = 0.1  # between looks for a caller's close while reading is paused
 KEPT_SHARE = 0.8  # of the idle time of a connection, at most, that callers are told
 KEPT_MARGIN_SECONDS = 1.0  # for a request that is sent as the time told runs out
 FIRST_REQUEST_SECONDS = 1.0  # after a connection was opened, at a shutdown
@@ -141,6 +142,7 @@
         self.trusted_until = 0.0
         self.on_flow_change: Callable[[bool], None] | None = None
         self.writing_paused = False  # the write buffer is full
+        self.reading_paused = False
         self.task: asyncio.Task | None = None
         self._url = b""
         self._fields: list[Field] = []
@@ -153,6 +155,7 @@
         self._body_bytes = 0
         self._body_share: BodyShare | None = None
         self._body_timer: asyncio.TimerHandle | None = None  # while the body waits
+        self._left_timer: asyncio.TimerHandle | None = None  # while reading is paused
         self._arrived = 0.0
 
     @property
@@ -366,11 +369,26 @@
         if self.lost:
             return
         queued = len(self.pending) > MAX_PIPELINED_REQUESTS
-        if not self.closing and (queued or self._body_timer is not None):
+        must_wait = queued or self._body_timer is not None
+        self.reading_paused = must_wait and not self.closing
+        if self.reading_paused:
             self.transport.pause_reading()
+            self._watch_for_close()
         else:
             self.transport.resume_reading()
 
+    def _watch_for_close(self) -> None:
+        """Look for the caller's close while reading is paused during a request."""
+        if self.reading_paused and self.busy and self._left_timer is None:
+            loop = asyncio.get_running_loop()
+            self._left_timer = loop.call_later(LEFT_CHECK_SECONDS, self._look_for_close)
+
+    def _look_for_close(self) -> None:
+        self._left_timer = None
+        in_progress = self.busy and not self.flushing
+        if not (in_progress and self.reading_paused and self.end_if_left()):
+            self._watch_for_close()
+
     def _feed(self, data: bytes) -> None:
         """Parse data; an offer to upgrade the connection is ignored (RFC 9110, 7.8)."""
         while True:
@@ -631,6 +649,7 @@
         self.accepts_chunked = incoming.accepts_chunked
         self.bodyless = incoming.method == "HEAD"
         self.caller_keeps = incoming.keep_alive
+        self._watch_for_close()
         try:
             # A close that this process is late to read is read after the request.
             await asyncio.sleep(0)
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -8,6 +8,7 @@
 
 import pytest
 from loguru import logger
+from virtual_time import virtual_time
 
 from kumquatway_fakes import free_address, reset_on_close
 from kumquatway_gateway.http1 import (
@@ -24,6 +25,7 @@
     Unreachable,
     render_request,
 )
+from kumquatway_gateway.http1._request_bodies import SMALL_BODY_BYTES
 from kumquatway_gateway.model import Limits
 
 SMALL = Limits(header_bytes=512, body_bytes=64, header_seconds=0.2, idle_seconds=0.3)
@@ -67,10 +69,12 @@
 
 
 def run_scenario(
-    scenario: Callable[[_EchoListener], Awaitable[None]], limits: Limits = SMALL
+    scenario: Callable[[_EchoListener], Awaitable[None]],
+    limits: Limits = SMALL,
+    bodies: RequestBodies | None = None,
 ) -> None:
     async def run():
-        echo = _EchoListener(limits)
+        echo = _EchoListener(limits, bodies)
         await echo.listener.start(echo.address)
         try:
             await scenario(echo)
@@ -474,6 +478,48 @@
         run_scenario(scenario, Limits())
 
 
+@pytest.mark.parametrize("leave", [socket.socket.close, _half_close, _reset])
+class TestCallerThatLeavesWhileNothingIsRead:
+    """
+    Its request went on, and so did those that it had sent after it.
+
+    Load pattern: reading is paused, as many requests wait behind the one in progress or
+    the body of the next one has to wait for memory.
+    """
+
+    def _leave(self, leave, requests: bytes, bodies: RequestBodies | None = None):
+        """Send requests, and leave while the first one is in progress."""
+
+        async def scenario(echo):
+            echo.may_respond = asyncio.Event()
+            host, _, port = echo.address.rpartition(":")
+            caller = socket.create_connection((host, int(port)))
+            [connection] = await _opened(echo)
+            caller.sendall(requests)
+            async with asyncio.timeout(5):
+                while not echo.requests or connection.transport.is_reading():
+                    await asyncio.sleep(0.001)
+            leave(caller)
+            async with asyncio.timeout(0.5):
+                await asyncio.wait([connection.task])
+            caller.close()
+            assert echo.cancelled
+            assert len(echo.requests) == 1
+
+        with virtual_time():
+            run_scenario(scenario, Limits(), bodies)
+
+    def test_behind_many_requests(self, leave):
+        self._leave(leave, _post(b"", b"Content-Length: 0") * 8)
+
+    def test_behind_a_body_that_waits_for_memory(self, leave):
+        size = SMALL_BODY_BYTES
+        length = b"Content-Length: %d" % size
+        first = _post(b"x" * size, length)
+        bodies = RequestBodies(max_bytes=1.5 * size)
+        self._leave(leave, first + _post(b"y" * 8, length), bodies)
+
+
 class TestParserCallbackThatFails:
     """An error of this program was taken for one of the other side."""
 
