Replace every clock by default in virtual time, and put each back

What was seen: with one entry in virtual time, follow_entries read the list of entries 8 times in 60 s. A read is due every 2 s there: it waits for 1 s and then sleeps for 1 s.

Cause: only keyword-only parameters of functions and methods got the virtual clock. follow_entries takes its clock in any position, so it waited by the machine's clock, and a test could not see a fault of it. Functions that are class methods, static methods or wrapped were not looked at either; the project has none with a clock yet. A module imported within a test kept the virtual clock for good, in tests of other folders too; no test did so.

--- a/packages/gateway/tests/virtual_time.py
+++ b/packages/gateway/tests/virtual_time.py
@@ -1,6 +1,7 @@
 """Runs scenarios of requests in virtual time: nothing waits, and no instant is late."""
 
 import asyncio
+import inspect
 import selectors
 import sys
 import time
@@ -133,15 +134,30 @@
 def replaced_clocks(clock: Clock) -> Iterator[None]:
     """Replace the clocks of this process, and those that functions have by default."""
     clocks = {time.monotonic: clock.monotonic, time.time: clock.wall}
+    originals = {replaced: original for original, replaced in clocks.items()}
     with ExitStack() as stack:
-        for function in _functions():
-            _replace_defaults(stack, function, clocks)
+        _exchange_defaults(clocks)
+        # What a module has by default that was imported meanwhile, too.
+        stack.callback(_exchange_defaults, originals)
         stack.enter_context(patch("time.monotonic", clock.monotonic))
         stack.enter_context(patch("time.time", clock.wall))
         stack.enter_context(patch("time.clock_gettime", clock.read))
         yield
 
 
+def _exchange_defaults(clocks: dict[Callable, Callable]) -> None:
+    """Exchange clocks that functions of the project have by default."""
+
+    def exchange(value: object) -> object:
+        return clocks.get(value, value) if callable(value) else value
+
+    for function in _functions():
+        if function.__defaults__:
+            function.__defaults__ = tuple(map(exchange, function.__defaults__))
+        for name, value in (function.__kwdefaults__ or {}).items():
+            function.__kwdefaults__[name] = exchange(value)
+
+
 def _functions() -> Iterator[FunctionType]:
     """Return the functions and methods of the project."""
     for name, module in list(sys.modules.items()):
@@ -149,16 +165,7 @@
             continue
         for value in list(vars(module).values()):
             members = vars(value).values() if isinstance(value, type) else (value,)
-            yield from (each for each in members if isinstance(each, FunctionType))
-
-
-def _replace_defaults(
-    stack: ExitStack, function: FunctionType, clocks: dict[Callable, Callable]
-) -> None:
-    replaced = {
-        name: clocks[value]
-        for name, value in (function.__kwdefaults__ or {}).items()
-        if callable(value) and value in clocks
-    }
-    if replaced:
-        stack.enter_context(patch.dict(function.__kwdefaults__, replaced))
+            for member in members:
+                function = inspect.unwrap(getattr(member, "__func__", member))
+                if isinstance(function, FunctionType):
+                    yield function
