Wait for the time-out of an idle connection in virtual time

Cause: the test sends 0.2 s before the connection has been idle for 1 s, by the machine's clock. A stall in between lets the product close the connection, as it should.

The scenario and its assertions are the same.

--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -807,7 +807,8 @@
                 assert (await reader.read()).endswith(b"ok:ab")
             writer.close()
 
-        run_scenario(scenario, limits)
+        with virtual_time():
+            run_scenario(scenario, limits)
 
     def test_of_an_idle_connection_follows_the_configuration(self):
         """A change of the configuration lets callers keep connections for longer."""
