Repeat attempts to connect to a held link in virtual time

What was seen: a connection that is tried while a link is held, and that link released 0.5 s later, opens after 1.02 s by the machine's clock and not within 10 s of virtual time.

Cause: a held link lets the kernel drop attempts to connect, and the kernel repeats them by its own clock. Virtual time was far ahead by then, so what happens on a connection that opens late was not tested. No test needs one now: the gateway gives up after 0.3 s.

The event loop repeats them after each second of its own time.

--- a/packages/gateway/tests/virtual_time.py
+++ b/packages/gateway/tests/virtual_time.py
@@ -3,6 +3,7 @@
 import asyncio
 import inspect
 import selectors
+import socket
 import sys
 import time
 from collections.abc import Callable, Coroutine, Iterator
@@ -18,6 +19,7 @@
 # real time, and its bounds in seconds.
 DELIVERY_SHARE = 0.02
 MIN_DELIVERY, MAX_DELIVERY = 0.001, 0.02
+CONNECT_RETRY_SECONDS = 1.0  # as Linux has it for the first attempts
 _read_real_clock = time.clock_gettime
 
 
@@ -86,6 +88,23 @@
         return []
 
 
+class _Loop(asyncio.SelectorEventLoop):
+    """
+    Event loop that repeats attempts to connect in virtual time.
+
+    :ivar dropping: host and port of listeners for which the kernel drops them.
+    """
+
+    def __init__(self, clock: Clock):
+        super().__init__(_SocketSelector(clock))
+        self.dropping: set[tuple[str, int]] = set()
+
+    async def sock_connect(self, sock: socket.socket, address: tuple) -> None:
+        while address in self.dropping:
+            await asyncio.sleep(CONNECT_RETRY_SECONDS)
+        await super().sock_connect(sock, address)
+
+
 class _Policy(asyncio.DefaultEventLoopPolicy):
     """Creates event loops of which all wait in virtual time."""
 
@@ -94,7 +113,7 @@
         self.clock = clock
 
     def new_event_loop(self) -> asyncio.AbstractEventLoop:
-        return asyncio.SelectorEventLoop(_SocketSelector(self.clock))
+        return _Loop(self.clock)
 
 
 def run_in_virtual_time(scenario: Callable[[], Coroutine[None, None, T]]) -> T:
