Divide the ports of tests between processes

Cause: free_address drew a port, saw that nobody listened at it and let it go. Another process could draw the same one until the program listened at it, seconds later where that program is a process of its own; what had been given was remembered within one process only.

The range is divided into blocks of 200 ports now. A process owns a block while it has the block's first port bound, so the system lets go of it when the process ends, however it ends.

The tests of the draw, which replaced its random numbers and its look at the port, are replaced by ones that use real sockets and all ports of a block: none twice, none in use, TCP or UDP. New: a range that is used up is an error instead of an endless search.

--- a/packages/fakes/src/kumquatway_fakes/_ports.py
+++ b/packages/fakes/src/kumquatway_fakes/_ports.py
@@ -12,11 +12,65 @@
 # would take one between its being found here and its being listened at.
 FIRST_PORT = 10_000
 END_PORT = 32_000
+BLOCK = 200  # ports
 
-_given: set[int] = set()
-_random = (
-    random.SystemRandom()
-)  # no seed that a test sets gives two runs the same ports
+
+class Ports:
+    """
+    The ports that one process gives.
+
+    They come in blocks. Whoever has the first port of a block bound owns the others,
+    so no other process gives them, listened at or not; the system lets go of the block
+    when its owner ends.
+
+    :param first: lowest port of the range that all processes share.
+    :param end: above the highest one.
+    """
+
+    def __init__(self, *, first: int = FIRST_PORT, end: int = END_PORT):
+        self.blocks = list(range(first, end, BLOCK))
+        # No seed that a test sets may have two processes try the same block first.
+        random.SystemRandom().shuffle(self.blocks)
+        self.held: list[socket.socket] = []
+        self.left: list[int] = []
+
+    def draw(self) -> int:
+        """
+        Find a port that nobody listens at, another at each call.
+
+        :return: a port that is free for TCP and UDP.
+        :raises RuntimeError: if other processes hold the rest of the range.
+        """
+        while True:
+            if not self.left:
+                self._take_block()
+            port = self.left.pop()
+            if _is_free(port):
+                return port
+
+    def close(self) -> None:
+        """Let go of the blocks."""
+        for lock in self.held:
+            lock.close()
+        self.held.clear()
+        self.left.clear()
+
+    def _take_block(self) -> None:
+        while self.blocks:
+            first = self.blocks.pop()
+            lock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                lock.bind((HOST, first))
+            except OSError:
+                lock.close()
+                continue
+            self.held.append(lock)
+            self.left = list(range(first + 1, first + BLOCK))
+            return
+        raise RuntimeError(f"no free port: {len(self.held)} blocks are used up")
+
+
+_ports = Ports()
 
 
 def free_address() -> str:
@@ -25,16 +79,7 @@
 
     :return: `host:port`, free for TCP and UDP.
     """
-    while True:
-        port = _draw()
-        # One that was given may not be listened at yet, and would be found again.
-        if port not in _given and _is_free(port):
-            _given.add(port)
-            return f"{HOST}:{port}"
-
-
-def _draw() -> int:
-    return _random.randrange(FIRST_PORT, END_PORT)
+    return f"{HOST}:{_ports.draw()}"
 
 
 def _is_free(port: int) -> bool:
--- a/packages/fakes/tests/test_ports.py
+++ b/packages/fakes/tests/test_ports.py
@@ -1,36 +1,104 @@
 """Tests of the ports that the stand-ins listen at."""
 
 import socket
+import subprocess
+import sys
 from pathlib import Path
 
-from kumquatway_fakes import HOST, _ports, free_address
+import pytest
+
+from kumquatway_fakes import HOST, free_address
+from kumquatway_fakes._ports import BLOCK, END_PORT, FIRST_PORT, Ports
 
 OUTGOING_PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
+KINDS = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
+MANY = 600
+DRAW_AND_WAIT = f"""
+import sys
+from kumquatway_fakes import free_address
+print(*(free_address() for _ in range({MANY})), flush=True)
+sys.stdin.read()
+"""
+
+
+@pytest.fixture
+def ports():
+    found = Ports()
+    yield found
+    found.close()
+
+
+@pytest.fixture
+def block(ports):
+    """Have `ports` own one block only; return its first port."""
+    first = ports.draw() // BLOCK * BLOCK
+    ports.blocks.clear()
+    return first
+
+
+def draw_all(ports: Ports) -> list[int]:
+    """Draw what is left."""
+    given = []
+    with pytest.raises(RuntimeError, match="no free port"):
+        while True:
+            given.append(ports.draw())
+    return given
 
 
 class TestPorts:
     """An address is given once, and stays free until it is listened at."""
 
-    def test_a_port_that_is_found_again_is_passed_over(self, monkeypatch):
-        found = iter([11_001, 11_001, 11_002])
-        monkeypatch.setattr(_ports, "_given", set())
-        monkeypatch.setattr(_ports, "_is_free", lambda port: True)
-        monkeypatch.setattr(_ports, "_draw", found.__next__)
-        assert free_address() == f"{HOST}:11001"
-        assert free_address() == f"{HOST}:11002"
-
-    def test_a_port_in_use_is_passed_over(self, monkeypatch):
-        for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-            with socket.socket(socket.AF_INET, kind) as used:
-                taken = int(free_address().rpartition(":")[2])
-                used.bind((HOST, taken))
-                found = iter([taken, *range(20_000, 20_100)])
-                monkeypatch.setattr(_ports, "_given", set())
-                monkeypatch.setattr(_ports, "_draw", found.__next__)
-                assert free_address() != f"{HOST}:{taken}"
-                monkeypatch.undo()
+    def test_no_address_is_given_twice(self):
+        given = [free_address() for _ in range(MANY)]
+        assert len(set(given)) == MANY
+        for address in given:
+            host, _, port = address.rpartition(":")
+            assert host == HOST
+            assert FIRST_PORT <= int(port) < END_PORT
+
+    @pytest.mark.parametrize("kind", KINDS)
+    def test_a_port_in_use_is_passed_over(self, block, ports, kind):
+        taken = block + BLOCK // 2
+        with socket.socket(socket.AF_INET, kind) as used:
+            used.bind((HOST, taken))
+            given = draw_all(ports)
+        assert given
+        assert taken not in given
 
     def test_no_outgoing_connection_can_take_the_port(self):
         if OUTGOING_PORTS.exists():
             lowest = int(OUTGOING_PORTS.read_text().split()[0])
-            assert lowest >= _ports.END_PORT
+            assert lowest >= END_PORT
+
+
+class TestTwoOwners:
+    """What one process was given no other one is, before it is listened at too."""
+
+    def test_no_two_processes_are_given_the_same_address(self):
+        with subprocess.Popen(
+            [sys.executable, "-c", DRAW_AND_WAIT],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        ) as other:
+            theirs = set(other.stdout.readline().split())
+            ours = {free_address() for _ in range(MANY)}
+            other.stdin.close()
+        assert len(theirs) == len(ours) == MANY
+        assert not theirs & ours
+
+    def test_no_port_of_a_block_that_is_held_is_given(self, block):
+        assert not draw_all(Ports(first=block, end=block + BLOCK))
+
+    def test_a_block_whose_owner_has_ended_is_given_again(self, block, ports):
+        ports.close()
+        other = Ports(first=block, end=block + BLOCK)
+        try:
+            assert block < other.draw() < block + BLOCK
+        finally:
+            other.close()
+
+    def test_no_port_is_given_twice_where_the_range_ends(self, block, ports):
+        given = draw_all(ports)
+        assert len(set(given)) == len(given)
+        assert all(block < port < block + BLOCK for port in given)
