Hold the addresses of a fleet for its processes

While an agent was killed its address was free for anyone too.

Cause: between the draw of an address and the bind of its process lie seconds, in which the port was bound by nobody.

A fleet keeps its ports bound, without listening, until it has ended. A listener with SO_REUSEADDR may share such a port (ZeroMQ, asyncio and hypercorn set it); a program that looks for any free port gets "in use", and a connection is refused as before.

--- a/packages/fakes/src/kumquatway_fakes/_ports.py
+++ b/packages/fakes/src/kumquatway_fakes/_ports.py
@@ -82,6 +82,28 @@
     return f"{HOST}:{_ports.draw()}"
 
 
+def hold(address: str) -> socket.socket:
+    """
+    Keep a port for a program that will listen at it, perhaps more than once.
+
+    Connections are refused until then. Linux lets a listener with `SO_REUSEADDR`, as
+    servers set it, share the port with a socket that does not listen; who looks for
+    any free port does not get it.
+
+    :param address: `host:port`, free for TCP.
+    :return: the socket that holds it, to be closed.
+    """
+    host, _, port = address.rpartition(":")
+    held = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        held.bind((host, int(port)))
+    except OSError:
+        held.close()
+        raise
+    return held
+
+
 def _is_free(port: int) -> bool:
     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
         with socket.socket(socket.AF_INET, kind) as probe:
--- a/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
+++ b/packages/fakes/src/kumquatway_fakes/fleet/_fleet.py
@@ -7,6 +7,7 @@
 import hashlib
 import json
 import signal
+import socket
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -15,7 +16,7 @@
 import msgspec
 
 from kumquatway_core.platform import VM, VMKind
-from kumquatway_fakes._ports import free_address
+from kumquatway_fakes._ports import free_address, hold
 from kumquatway_fakes._spec import (
     EngineSpec,
     HoldingSpec,
@@ -99,6 +100,7 @@
     """Where each process of a fleet listens, by VM and purpose."""
 
     found: dict[tuple[str, str], str] = field(default_factory=dict)
+    held: list[socket.socket] = field(default_factory=list)
 
     def of(self, name: str, purpose: str) -> str:
         """
@@ -110,9 +112,16 @@
         """
         key = (name, purpose)
         if key not in self.found:
-            self.found[key] = free_address()
+            address = free_address()
+            self.held.append(hold(address))
+            self.found[key] = address
         return self.found[key]
 
+    def close(self) -> None:
+        """Let go of the addresses."""
+        for held in self.held:
+            held.close()
+
 
 class Fleet:
     """
@@ -149,9 +158,10 @@
                 await self._entry_ready(entry.name, upstreams)
 
     def stop(self) -> None:
-        """End every process."""
+        """End every process and let go of the addresses."""
         for process in self.processes.values():
             process.stop()
+        self.addresses.close()
 
     def kill(self, name: str) -> None:
         """
