Let one request be demand enough in the test of a split rate

Cause: an entry asks for a part of an account's rate once its demand is above 0.05 / 2 entries, and a request of an account with the default 100 a second adds 0.005, which fades within 2 s. So each entry had to get more than 2.5 requests a second from a test that makes them one after the other, each with a client and a TLS context of its own: on a machine that is slower than that the levels stayed at 0.01 to 0.02 for all of the 20 s. The split did what it should.

The account has one request a second now, so a request adds 0.5. What is asserted is the same.

The test still fails where the entries do not know each other (Entry._entries without the others).

--- a/packages/entry/tests/test_exchange.py
+++ b/packages/entry/tests/test_exchange.py
@@ -25,6 +25,7 @@
 [services.desk]
 [accounts.guests]
 keys = ["{DIGEST}"]
+requests_per_second = 1.0
 """
 
 pytestmark = pytest.mark.anyio
