Give up idle connections to an engine before the engine does

A step that an agent sends on a connection that its engine is about to close ends as "may have run" (reset), and its stream leaves the stage.

Cause: the agent kept idle connections to its engine for 30 s, as long as the listener of the stand-in engines and of this project's own processes, so both ends gave up the same connection at the same time. Idle calls of the agent to its service and to the platform end after 15 s.

The agent now keeps them for 15 s too. Evidence: test_it_is_not_used_as_its_server_is_about_to_close_it failed before: 29 s after its last use the connection was used again. An engine that closes idle connections sooner than that (many servers do after 5 s) can still meet this: httpx does not read `Keep-Alive`.

--- a/packages/core/src/kumquatway_core/engine/_client.py
+++ b/packages/core/src/kumquatway_core/engine/_client.py
@@ -25,7 +25,7 @@
 KV_TRANSFER_TIMEOUT = 60.0  # seconds
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 MAX_KV_EXPORT_BYTES = 1024 * 1024 * 1024
-KEEPALIVE_EXPIRY = 30.0  # seconds until an idle pooled connection is closed
+KEEPALIVE_EXPIRY = 15.0  # seconds until an idle pooled connection is closed
 MEDIA_TYPE = "application/msgpack"
 
 
--- a/packages/core/tests/test_engine_client.py
+++ b/packages/core/tests/test_engine_client.py
@@ -1,6 +1,10 @@
 """Tests of the client of an engine: its connections and its verdicts."""
 
+import time
+from types import SimpleNamespace
+
 import anyio
+import httpcore
 import httpx
 import msgspec
 import pytest
@@ -12,6 +16,7 @@
 from kumquatway_core import NOT_RUN, Reason
 from kumquatway_core.engine import EngineClient, EngineOrder, EngineOrderReply
 from kumquatway_core.http import serve
+from kumquatway_core.http._serve import KEEP_ALIVE_SECONDS
 from kumquatway_core.wire import Holding
 from kumquatway_fakes import free_address
 
@@ -81,6 +86,36 @@
         assert found == [EngineOrderReply(done=True)]
 
 
+class TestIdleConnection:
+    """A step met the close of a connection that its engine had kept for long enough."""
+
+    async def test_it_is_not_used_as_its_server_is_about_to_close_it(self, monkeypatch):
+        clients = set()
+        passed = 0.0
+
+        async def state(request: Request) -> Response:
+            clients.add(request.client)
+            return Response(b"")
+
+        clock = SimpleNamespace(monotonic=lambda: time.monotonic() + passed)
+        monkeypatch.setattr(httpcore._async.http11, "time", clock)
+        address = free_address()
+        client = EngineClient(url=f"http://{address}")
+        app = Starlette(routes=[Route("/state", state)])
+        async with anyio.create_task_group() as group:
+            group.start_soon(serve, app, address)
+            with anyio.fail_after(LIMIT):
+                await listening(address)
+                for _ in range(2):
+                    await client.state()
+                assert len(clients) == 1
+                passed = KEEP_ALIVE_SECONDS - 1
+                await client.state()
+            await client.close()
+            group.cancel_scope.cancel()
+        assert len(clients) == 2
+
+
 class TestVerdicts:
     """An engine that refuses is told from one that is silent."""
 
