Reach the agent before a test of its verdicts

tests/test_verdicts.py, test_the_verdict_is_that_of_the_fault[bad path], failed once beside load 20 to 30: the verdict was "not run" as expected, with another reason.

Cause: the call was the first that the entry sent its agent. A new connection has 0.15 s for its first reply; in a process that stalls for longer it counts as down, and the call, which had not left, ends as "not run, unreachable". The product does what it should; this is not the fault that the case is about.

The rig waits until the agent has answered once, but where there is none. Assertions are the same.

--- a/tests/test_verdicts.py
+++ b/tests/test_verdicts.py
@@ -142,6 +142,14 @@
         await self.group.start(self.entry.run)
         if self.fault != "no agent":
             await self.group.start(self._run_agent)
+            await self._connect()
+
+    async def _connect(self) -> None:
+        """Reach the agent once, so that a late first reply is not the fault."""
+        peer = self.entry.peer(self.agent_address)
+        with anyio.fail_after(LIMIT):
+            while peer.state is not PeerState.UP:
+                await anyio.sleep(0.01)
 
     async def call(self, *, timeout: float) -> Answer | Verdict:
         status = Status(
