Run a supervisor beside a child that fails for good in virtual time

Cause: the test lets a child step each 0.01 s for 0.3 s of the machine's clock.

The assertions are the same.

--- a/packages/core/tests/test_supervise.py
+++ b/packages/core/tests/test_supervise.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from virtual_time import run_in_virtual_time
 
 from kumquatway_core import Supervisor
 from kumquatway_core.exceptions import ProcessError
@@ -12,8 +13,9 @@
     raise ZeroDivisionError
 
 
-async def _run(supervisor: Supervisor, *, seconds: float) -> list[str]:
+async def _run(*, seconds: float, **options) -> list[str]:
     """Run a failing child beside one that counts; return what the latter did."""
+    supervisor = Supervisor(name="s", **options)
     steps: list[str] = []
 
     async def count() -> None:
@@ -38,17 +40,20 @@
     """A child raises more often than allowed."""
 
     def test_ends_the_supervisor(self):
-        supervisor = Supervisor(name="s", max_restarts=0)
         with pytest.raises(ExceptionGroup) as caught:
-            asyncio.run(_run(supervisor, seconds=5.0))
+            run_in_virtual_time(lambda: _run(seconds=5.0, max_restarts=0))
         assert caught.group_contains(ProcessError)
 
     def test_ends_no_other_child_if_the_parent_is_told(self):
         failures: list[ProcessError] = []
-        supervisor = Supervisor(
-            name="s", max_restarts=2, initial_backoff=0.0, on_failure=failures.append
+        steps = run_in_virtual_time(
+            lambda: _run(
+                seconds=0.3,
+                max_restarts=2,
+                initial_backoff=0.0,
+                on_failure=failures.append,
+            )
         )
-        steps = asyncio.run(_run(supervisor, seconds=0.3))
         assert steps.count("step") > 3
         assert steps[-2:] == ["end", "timeout"]
         [failure] = failures
