--- a/packages/gateway/src/kumquatway_gateway/http1/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_pool.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from kumquatway_gateway.http1._large_bodies import LargeBodies
+from kumquatway_gateway.http1._timeouts import timeout_once_read
 from kumquatway_gateway.http1._upstream import UpstreamConnection
 
 CONNECT_TIMEOUT_SECONDS = 0.3  # 100 times the round-trip time to a server
@@ -70,7 +71,7 @@
             )
 
         try:
-            async with asyncio.timeout(timeout):
+            async with timeout_once_read(timeout):
                 _, connection = await loop.create_connection(protocol, host, int(port))
         except TimeoutError as error:
             raise Unreachable(
