Bound the ports that one run of the tests owns

A run of many tests would own block after block: 300 tests of the adapter drew 1,265 addresses, so a few whole runs side by side would use up the 110 blocks that all processes share, and the next would start without a port.

A process owns ten blocks at most and then begins again with its first ports. The port in use of a test is one that was free just before: a fixed one was in use by another program in one of three runs (EADDRINUSE in the test itself).

--- a/packages/fakes/src/kumquatway_fakes/_ports.py
+++ b/packages/fakes/src/kumquatway_fakes/_ports.py
@@ -13,6 +13,7 @@
 FIRST_PORT = 10_000
 END_PORT = 32_000
 BLOCK = 200  # ports
+MAX_BLOCKS = 10  # of a process
 
 
 class Ports:
@@ -21,7 +22,7 @@
 
     They come in blocks. Whoever has the first port of a block bound owns the others,
     so no other process gives them, listened at or not; the system lets go of the block
-    when its owner ends.
+    when its owner ends. One that has used up its blocks begins again with the first.
 
     :param first: lowest port of the range that all processes share.
     :param end: above the highest one.
@@ -36,14 +37,14 @@
 
     def draw(self) -> int:
         """
-        Find a port that nobody listens at, another at each call.
+        Find a port that nobody listens at, another one for a long time.
 
         :return: a port that is free for TCP and UDP.
         :raises RuntimeError: if other processes hold the rest of the range.
         """
         while True:
             if not self.left:
-                self._take_block()
+                self._refill()
             port = self.left.pop()
             if _is_free(port):
                 return port
@@ -55,6 +56,13 @@
         self.held.clear()
         self.left.clear()
 
+    def _refill(self) -> None:
+        if len(self.held) < MAX_BLOCKS:
+            self._take_block()
+            return
+        firsts = [lock.getsockname()[1] for lock in reversed(self.held)]
+        self.left = [port for first in firsts for port in _ports_of(first)]
+
     def _take_block(self) -> None:
         while self.blocks:
             first = self.blocks.pop()
@@ -65,17 +73,22 @@
                 lock.close()
                 continue
             self.held.append(lock)
-            self.left = list(range(first + 1, first + BLOCK))
+            self.left = _ports_of(first)
             return
         raise RuntimeError(f"no free port: {len(self.held)} blocks are used up")
 
 
+def _ports_of(first: int) -> list[int]:
+    """List the ports of a block that its owner gives, in the order of `pop`."""
+    return list(range(first + BLOCK - 1, first, -1))
+
+
 _ports = Ports()
 
 
 def free_address() -> str:
     """
-    Find an address that nobody listens at, another at each call.
+    Find an address that nobody listens at, another one for a long time.
 
     :return: `host:port`, free for TCP and UDP.
     """
--- a/packages/fakes/tests/test_ports.py
+++ b/packages/fakes/tests/test_ports.py
@@ -8,7 +8,7 @@
 import pytest
 
 from kumquatway_fakes import HOST, free_address
-from kumquatway_fakes._ports import BLOCK, END_PORT, FIRST_PORT, Ports
+from kumquatway_fakes._ports import BLOCK, END_PORT, FIRST_PORT, MAX_BLOCKS, Ports
 
 OUTGOING_PORTS = Path("/proc/sys/net/ipv4/ip_local_port_range")
 KINDS = (socket.SOCK_STREAM, socket.SOCK_DGRAM)
@@ -57,8 +57,10 @@
             assert FIRST_PORT <= int(port) < END_PORT
 
     @pytest.mark.parametrize("kind", KINDS)
-    def test_a_port_in_use_is_passed_over(self, block, ports, kind):
-        taken = block + BLOCK // 2
+    @pytest.mark.usefixtures("block")
+    def test_a_port_in_use_is_passed_over(self, ports, kind):
+        taken = ports.draw()
+        ports.left.append(taken)
         with socket.socket(socket.AF_INET, kind) as used:
             used.bind((HOST, taken))
             given = draw_all(ports)
@@ -102,3 +104,11 @@
         given = draw_all(ports)
         assert len(set(given)) == len(given)
         assert all(block < port < block + BLOCK for port in given)
+
+    def test_a_long_run_leaves_blocks_to_others(self, ports):
+        given = []
+        while len(set(given)) == len(given):
+            given.append(ports.draw())
+        assert len(ports.held) == MAX_BLOCKS
+        assert len(given) > MAX_BLOCKS * BLOCK // 2
+        assert len(given) - 1 - given.index(given[-1]) > MAX_BLOCKS * BLOCK // 2
