Take back that a late process waits for what has arrived

It let a time-out take effect eight iterations of the event loop later, so that an answer which has arrived is read. In an entry that has too little processor time an iteration is long, and a server that is really gone is noticed that much later, for each attempt; real loss is to be noticed as fast as before.

--- a/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
@@ -4,6 +4,7 @@
 Used for the platform's services, for servers and for peers.
 """
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -13,7 +14,6 @@
     ConnectionPool,
     Unreachable,
 )
-from kumquatway_gateway.http1._timeouts import timeout_once_read
 from kumquatway_gateway.http1._upstream import Exchange, ResponseEnd
 
 
@@ -102,7 +102,7 @@
         exchange = Exchange()
         connection.send(exchange, render_request(method, target, head) + body)
         try:
-            async with timeout_once_read(timeout):
+            async with asyncio.timeout(timeout):
                 end = await exchange.ended
         except TimeoutError as error:
             raise FetchFailed(
--- a/packages/gateway/src/kumquatway_gateway/http1/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_pool.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable
 
 from kumquatway_gateway.http1._large_bodies import LargeBodies
-from kumquatway_gateway.http1._timeouts import timeout_once_read
 from kumquatway_gateway.http1._upstream import UpstreamConnection
 
 CONNECT_TIMEOUT_SECONDS = 0.3  # 100 times the round-trip time to a server
@@ -71,7 +70,7 @@
             )
 
         try:
-            async with timeout_once_read(timeout):
+            async with asyncio.timeout(timeout):
                 _, connection = await loop.create_connection(protocol, host, int(port))
         except TimeoutError as error:
             raise Unreachable(
