--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -147,7 +147,8 @@
         as_of = self.clock() if as_of is None else as_of
         if up_to_date:
             self.listed_at = as_of
-        self._record_listed_layers(servers, as_of)
+        if servers is not self.servers:
+            self._record_listed_layers(servers, as_of)
         dropped = self._drop_outdated_reports(servers)
         if servers == self.servers:
             if dropped:
