--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -7,7 +7,7 @@
 
 from kumquatway_gateway.chains import ChainLoad
 from kumquatway_gateway.fleet import Fleet
-from kumquatway_gateway.model import LayerReport, ServerState
+from kumquatway_gateway.model import LayerRange, LayerReport, ServerState
 from kumquatway_gateway.peers import Freshness, Gossip
 from kumquatway_gateway.peers._gossip import (
     LOAD_EXPIRY_SECONDS,
@@ -145,15 +145,19 @@
         self.second.receive(delayed)
         assert self.second.fleet.is_up(self.second.fleet.servers["s1"])
 
-    def test_layer_reports_and_slowdowns_are_shared(self):
-        held = LayerReport(
+    def _report_layers(self, layers: LayerRange, *, busy: bool = False) -> None:
+        """Let the first entry know a report of the server."""
+        report = LayerReport(
             incarnation=1,
-            layers=layer_range(0, 12),
+            layers=layers,
             sequence=1,
-            busy=False,
+            busy=busy,
             reported_at=self.clock.now,
         )
-        self.first.fleet.update_layers("s1", held)
+        self.first.fleet.update_layers("s1", report)
+
+    def test_layer_reports_and_slowdowns_are_shared(self):
+        self._report_layers(layer_range(0, 12))
         self.first.fleet.update_slowdown("s1", 1, 6.0, self.clock.now)
         self.second.receive(self.first.message())
         known = self.second.fleet.servers["s1"]
@@ -167,14 +171,7 @@
         entries = (self.first, self.second)
         for entry in entries:
             entry.fleet.update_servers({"s1": empty})
-        started = LayerReport(
-            incarnation=1,
-            layers=layer_range(0, 0),
-            sequence=1,
-            busy=True,
-            reported_at=self.clock.now,
-        )
-        self.first.fleet.update_layers("s1", started)
+        self._report_layers(layer_range(0, 0), busy=True)
         for step in range(50):
             listed = empty if step < 15 else loaded
             messages = [entry.message() for entry in entries]
