Name once for how long a server that goes on may be silent

The placer and the choice of retries each had the same bound of 1.5 s under the same name; the placer now takes it from relay. The value and what uses it are the same. 190 tests of placement, retries and gossip pass.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -21,6 +21,7 @@
 from kumquatway_gateway.model import NO_LAYERS, Engine, LayerRange, LayerReport, Server
 from kumquatway_gateway.placement import Move, Purpose, ServerSnapshot, plan_moves
 from kumquatway_gateway.relay import (
+    SILENCE_SECONDS,
     EngineClient,
     HealthChecker,
     ModelRouter,
@@ -44,7 +45,6 @@
 MAX_SETTLE_SECONDS = 4.0  # longest wait for more servers before the first layout
 STABLE_SECONDS = 1.2  # without a fleet change, before spare layers are loaded
 REBUILD_SECONDS = 5.0  # without a fleet change, before a broken chain is replaced
-SILENCE_SECONDS = 1.5  # of a server that goes on after it, at most
 GAP_RESERVED_LOADS = 2  # of the parallel loads, reserved for filling gaps
 
 
--- a/packages/gateway/src/kumquatway_gateway/relay/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/__init__.py
@@ -20,8 +20,10 @@
 from kumquatway_gateway.relay._model_router import Claim, ModelRouter
 from kumquatway_gateway.relay._plain import PlainRouter
 from kumquatway_gateway.relay._relay import Relay
+from kumquatway_gateway.relay._retry_choice import SILENCE_SECONDS
 
 __all__ = [
+    "SILENCE_SECONDS",
     "ResponseInfo",
     "Claim",
     "Dialect",
--- a/packages/gateway/tests/test_layers_of_silent_servers.py
+++ b/packages/gateway/tests/test_layers_of_silent_servers.py
@@ -8,9 +8,8 @@
 
 from kumquatway_gateway.chains import ChainLoad
 from kumquatway_gateway.duties import Placer
-from kumquatway_gateway.duties._placer import SILENCE_SECONDS
 from kumquatway_gateway.fleet import Fleet
-from kumquatway_gateway.relay import ModelRouter
+from kumquatway_gateway.relay import SILENCE_SECONDS, ModelRouter
 from kumquatway_gateway.waiting import Waiter
 
 # No neighbour of "x" has room for its layers, but all servers together have.
