Search only what is new of an event that is incomplete

Callers of others waited: an event of 2 MB that arrives in pieces was copied and searched whole at each piece, and split into an object for each line at its end.

The search begins eight bytes before the new part, as far as the end of an event or a status line may reach back. Whether the event has begun is kept beside it.

--- a/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
@@ -8,10 +8,13 @@
 from kumquatway_gateway.relay._event_stream import (
     find_last_event_end,
     find_status_line,
-    is_inside_event,
+    has_field,
     split_events,
 )
 
+# Of an incomplete event, with what arrives next: may hold the end of an event, or the
+# beginning of a status line, that began before.
+OVERLAP_BYTES = 8
 ID_FIELD = b"id:"
 GAP_WEIGHT = 0.1  # of the newest gap in the moving average
 INITIAL_GAP_SECONDS = 0.03  # typical gap before any was measured
@@ -39,6 +42,7 @@
         "resuming",
         "is_garbled",
         "has_lost_event",
+        "is_inside_event",
         "partial_event",
         "write",
         "last_write_at",
@@ -54,7 +58,8 @@
         self.write = write
         self.last_id = last_id.encode()
         self.clock = clock
-        self.partial_event = b""
+        self.partial_event = bytearray()
+        self.is_inside_event = False  # the partial event is more than comments
         self.last_event_at = clock()  # when an event last became complete
         self.last_write_at = self.last_event_at
         self.longest_gap = 0.0  # seconds between two writes to the caller
@@ -66,18 +71,23 @@
 
     def restart(self) -> None:
         """Drop an incomplete event, before another server resumes the stream."""
-        if self.has_begun_event():
-            self.has_lost_event = True
-        self.partial_event = b""
+        self.drop_partial_event()
         self.is_garbled = False
         self.resuming = True
 
+    def drop_partial_event(self) -> None:
+        """Free an incomplete event, which is lost unless it comes again."""
+        if self.has_begun_event():
+            self.has_lost_event = True
+        self.partial_event = bytearray()
+        self.is_inside_event = False
+
     def has_begun_event(self) -> bool:
         """Tell whether an event that the caller does not have is incomplete."""
-        if not is_inside_event(self.partial_event):
+        if not self.is_inside_event:
             return False
         lines = self.partial_event[: self.partial_event.rfind(b"\n") + 1]
-        return not self.resuming or self._is_new(_last_id(lines))
+        return not self.resuming or self._is_new(_last_id(bytes(lines)))
 
     def fork(self, write: Callable[[bytes], None], *, resuming: bool) -> "EventRelay":
         """
@@ -89,6 +99,7 @@
         """
         other = copy.copy(self)
         other.write = write
+        other.partial_event = self.partial_event.copy()
         other.last_event_at = self.clock()
         if resuming:
             other.restart()
@@ -102,15 +113,19 @@
         """
         if self.is_garbled:
             return
-        if self.partial_event:
-            data = self.partial_event + data
-        foreign = find_status_line(data)
+        start = max(0, len(self.partial_event) - OVERLAP_BYTES)
+        before = bytes(self.partial_event[start:])  # only what is new is searched
+        new = before + data if before else data
+        foreign = find_status_line(new, is_line_start=not start)
         if foreign >= 0:
             self.is_garbled = True
-            data = data[:foreign]
-        end = find_last_event_end(data)
+            new = new[:foreign]
+        end = find_last_event_end(new)
         if not end:
-            self.partial_event = data
+            self.partial_event[start:] = new
+            self.is_inside_event = self.is_inside_event or has_field(
+                new, is_line_start=not start
+            )
             return
         now = self.clock()
         if self.count:
@@ -118,8 +133,9 @@
                 now - self.last_event_at - self.typical_gap
             )
         self.last_event_at = now
-        self.partial_event = data[end:]
-        complete = data[:end] if self.partial_event else data
+        complete = bytes(self.partial_event[:start]) + new[:end]
+        self.partial_event = bytearray(new[end:])
+        self.is_inside_event = has_field(new[end:])
         if self.resuming:
             complete = self._new_events(complete)
             if not complete:
--- a/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_stream.py
@@ -12,10 +12,13 @@
 
 MEDIA_TYPE = b"text/event-stream"
 STATUS_LINE = b"HTTP/1."
+Buffer = bytes | bytearray | memoryview
 _LF_END = b"\n\n"
 _CRLF_END = b"\n\r\n"
 _EVENT_END = re.compile(rb"\n\r?\n")
-_COMMENT = b":"
+# The beginning of a line that is neither empty nor a comment.
+_FIELD_LINE = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
+_FURTHER_FIELD_LINE = re.compile(rb"[\r\n][^:\r\n]")
 
 
 def is_event_stream(route: Route, head: ResponseHead) -> bool:
@@ -35,19 +38,20 @@
     return crlf + len(_CRLF_END) if crlf >= 0 else 0
 
 
-def find_status_line(data: bytes) -> int:
+def find_status_line(data: bytes, *, is_line_start: bool = True) -> int:
     """
     Find a line that begins the head of a response.
 
     No line of an event begins like it, but a faulty server may write an error in the
     middle of a stream.
 
-    :param data: part of a stream, from the beginning of a line.
+    :param data: part of a stream.
+    :param is_line_start: whether a line begins with the data.
     :return: offset of the line, or -1 if there is none.
     """
     if STATUS_LINE not in data:
         return -1
-    if data.startswith(STATUS_LINE):
+    if is_line_start and data.startswith(STATUS_LINE):
         return 0
     at = data.find(b"\n" + STATUS_LINE)
     return at + 1 if at >= 0 else -1
@@ -61,7 +65,7 @@
         start = match.end()
 
 
-def is_broken_off(framing: ResponseFraming, *, has_events: bool, rest: bytes) -> bool:
+def is_broken_off(framing: ResponseFraming, *, has_events: bool, rest: Buffer) -> bool:
     """
     Tell whether a stream ended too early, although its response is complete.
 
@@ -70,12 +74,12 @@
     :param has_events: whether the body held an event.
     :param rest: what followed the last event.
     """
-    if is_inside_event(rest):
+    if has_field(rest):
         return True
     return framing is ResponseFraming.CLOSE and not has_events
 
 
-def is_body_broken_off(framing: ResponseFraming, body: bytes) -> bool:
+def is_body_broken_off(framing: ResponseFraming, body: bytes | bytearray) -> bool:
     """
     Tell whether the whole body of a stream ended too early.
 
@@ -85,13 +89,18 @@
     if find_status_line(body) >= 0:
         return True
     end = find_last_event_end(body)
-    return is_broken_off(framing, has_events=end > 0, rest=body[end:])
+    rest = memoryview(body)[end:]
+    return is_broken_off(framing, has_events=end > 0, rest=rest)
 
 
-def is_inside_event(rest: bytes) -> bool:
+def has_field(data: Buffer, *, is_line_start: bool = True) -> bool:
     """
-    Tell whether a stream stopped in the middle of an event.
+    Tell whether a part of a stream has a line that is neither empty nor a comment.
 
-    :param rest: what followed the last event.
+    What follows the last event, and has one, is part of another event.
+
+    :param data: part of a stream.
+    :param is_line_start: whether a line begins with the data.
     """
-    return any(line and not line.startswith(_COMMENT) for line in rest.splitlines())
+    pattern = _FIELD_LINE if is_line_start else _FURTHER_FIELD_LINE
+    return pattern.search(data) is not None
