Count complete responses that have yet to leave, and fields of callers

A response counted until it was complete; what its caller had yet to take counted nowhere, nor did the objects of small fields and chunks of requests: two bytes in a chunk cost fifty. What has yet to leave takes its part of the bound on all responses, a head has 256 fields at most (431), and a body is one buffer.

Test: test_held_by_callers; before, three responses of 12 MB to callers that do not read were kept, and 1,000 fields taken.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -22,6 +22,7 @@
 from loguru import logger
 
 from kumquatway_core import Reason, not_run
+from kumquatway_core.memory import MemoryBudget
 from kumquatway_gateway.http1._headers import (
     Field,
     Headers,
@@ -35,6 +36,8 @@
 FLUSH_CHECK_SECONDS = 0.02  # between looks at what a slow caller has yet to take
 MIN_READ_SECONDS = 0.05  # for bytes that this process is late to read
 MAX_PIPELINED_REQUESTS = 4  # queued on a connection before reading is paused
+MAX_FIELDS = 256  # of a head and its trailers
+COPIED_BODY_BYTES = 64 * 1024  # larger bodies of responses are sent apart from the head
 LEFT_CHECK_SECONDS = 0.1  # between looks for a caller's close while reading is paused
 KEPT_SHARE = 0.8  # of the idle time of a connection, at most, that callers are told
 KEPT_MARGIN_SECONDS = 1.0  # for a request that is sent as the time told runs out
@@ -92,6 +95,10 @@
     COMPLETE = "complete"
 
 
+class _HeadTooLarge(Exception):
+    """The head of a request has too many fields; ends its parsing."""
+
+
 RequestHandler = Callable[["CallerConnection", IncomingRequest], Awaitable[None]]
 
 
@@ -103,6 +110,7 @@
     :param serve: writes the response to one request.
     :param bodies: decides which bodies are read.
     :param kept_seconds: see `Listener`.
+    :param memory: bounds what responses take.
     :param on_opened: called with the connection once it is open.
     :param on_closed: called with the connection once its task has ended.
     """
@@ -114,6 +122,7 @@
         serve: RequestHandler,
         bodies: RequestBodies,
         kept_seconds: int = 0,
+        memory: MemoryBudget | None = None,
         on_opened: Callable[["CallerConnection"], None],
         on_closed: Callable[["CallerConnection"], None],
     ):
@@ -121,6 +130,7 @@
         self.serve = serve
         self.bodies = bodies
         self.kept_seconds = kept_seconds
+        self.memory = memory or MemoryBudget(max_bytes=float("inf"))
         self.on_opened = on_opened
         self.on_closed = on_closed
         self.transport: asyncio.Transport | None = None
@@ -151,7 +161,7 @@
         self._reading_body = False
         self._continue_due = False  # before the caller sends the body
         self._offers_upgrade = False
-        self._body: list[bytes] = []
+        self._body = bytearray()
         self._body_bytes = 0
         self._body_share: BodyShare | None = None
         self._body_timer: asyncio.TimerHandle | None = None  # while the body waits
@@ -176,7 +186,12 @@
     # called by request handlers and by the listener
 
     def respond(
-        self, status: int, fields: Iterable[Field], body: bytes, *, keep_alive: bool
+        self,
+        status: int,
+        fields: Iterable[Field],
+        body: bytes | bytearray,
+        *,
+        keep_alive: bool,
     ) -> None:
         """
         Write a complete response.
@@ -192,7 +207,13 @@
         head_fields += self._connection_fields(keep_alive)
         head = render_response(status, head_fields)
         self.response = ResponseProgress.COMPLETE
-        self.transport.write(head if self.bodyless else head + body)
+        if self.bodyless:
+            self.transport.write(head)
+        elif len(body) <= COPIED_BODY_BYTES:
+            self.transport.write(head + body)
+        else:
+            self.transport.write(head)
+            self.transport.write(memoryview(body))
 
     def start_stream(
         self, status: int, fields: Iterable[Field], *, keep_alive: bool
@@ -246,13 +267,18 @@
         waited = 0.0
         size = self._unsent_bytes()
         self.flushing = True
-        while size:
-            await asyncio.sleep(FLUSH_CHECK_SECONDS)
-            before, size = size, self._unsent_bytes()
-            waited = 0.0 if size < before else waited + FLUSH_CHECK_SECONDS
-            if waited > self.limits().idle_seconds:
-                self.abort()
-                break
+        share = self.memory.begin(self, self.abort)
+        try:
+            while size:
+                self.memory.resize(share, size)
+                await asyncio.sleep(FLUSH_CHECK_SECONDS)
+                before, size = size, self._unsent_bytes()
+                waited = 0.0 if size < before else waited + FLUSH_CHECK_SECONDS
+                if waited > self.limits().idle_seconds:
+                    self.abort()
+                    break
+        finally:
+            self.memory.resize(share, 0)
         self.flushing = False
 
     def _unsent_bytes(self) -> int:
@@ -354,16 +380,21 @@
         try:
             self._feed(data)
         except httptools.HttpParserCallbackError as error:
-            logger.opt(exception=error).error(
-                "a request could not be read: {!r}", error
-            )
-            self._reject(503, "an internal error")
+            self._reject_unreadable(error)
         except httptools.HttpParserError as error:
             self._reject(400, f"the request is not HTTP/1.1: {error}")
         if not self._reading_body and self._head_bytes > self.limits().header_bytes:
             self._reject(431, "the head of the request is too large")
         self._update_reading()
 
+    def _reject_unreadable(self, error: httptools.HttpParserCallbackError) -> None:
+        """Reject a request that one of the callbacks did not accept."""
+        if isinstance(error.__context__, _HeadTooLarge):
+            self._reject(431, "the head of the request has too many fields")
+            return
+        logger.opt(exception=error).error("a request could not be read: {!r}", error)
+        self._reject(503, "an internal error")
+
     def _update_reading(self) -> None:
         """Pause reading while many requests are queued, or the body has to wait."""
         if self.lost:
@@ -459,6 +490,8 @@
 
     def on_header(self, name, value):
         """Store a header field."""
+        if len(self._fields) >= MAX_FIELDS:
+            raise _HeadTooLarge
         self._fields.append((name, value))
 
     def on_headers_complete(self):
@@ -470,7 +503,7 @@
         self._reading_body = True
         self._head_bytes = 0
         self._head_started_at = 0.0
-        self._body = []
+        self._body = bytearray()
         self._body_bytes = 0
         length = _content_length(self._fields)
         if self._head_size() > self.limits().header_bytes:
@@ -530,7 +563,7 @@
 
     def _drop_body(self) -> None:
         """Free the part of a body that has arrived."""
-        self._body = []
+        self._body = bytearray()
         self._stop_waiting()
         if self._body_share is not None:
             self.bodies.discard(self._body_share)
@@ -547,7 +580,7 @@
             self._reject(413, "the body of the request is too large")
         if self.closing:
             return
-        self._body.append(data)
+        self._body += data
         self.bodies.receive(self._body_share, len(data))
         if not self._body_share.admitted:
             self._wait_for_memory()
@@ -570,14 +603,14 @@
                 method=self.parser.get_method().decode("latin-1"),
                 target=self._url.decode("latin-1"),
                 headers=Headers(self._fields),
-                body=b"".join(self._body),
+                body=bytes(self._body),
                 arrived=self._arrived,
                 keep_alive=self.parser.should_keep_alive(),
                 accepts_chunked=self.parser.get_http_version() != "1.0",
                 share=share,
             )
         )
-        self._body = []
+        self._body = bytearray()
         self.wakeup.set()
 
     def _head_size(self) -> int:
@@ -737,6 +770,7 @@
     :param bodies: decides which bodies are read; by default, all are.
     :param kept_seconds: for which callers are told that they may use an idle
         connection, or 0 to tell them nothing. It stays open for longer.
+    :param memory: bounds what responses take that have yet to leave.
     """
 
     def __init__(
@@ -746,11 +780,13 @@
         serve: RequestHandler,
         bodies: RequestBodies | None = None,
         kept_seconds: int = 0,
+        memory: MemoryBudget | None = None,
     ):
         self.limits = limits
         self.serve = serve
         self.bodies = bodies or RequestBodies()
         self.kept_seconds = kept_seconds
+        self.memory = memory
         self.connections: set[CallerConnection] = set()
         self.server: asyncio.Server | None = None
         self.draining = False
@@ -825,6 +861,7 @@
             serve=self.serve,
             bodies=self.bodies,
             kept_seconds=self.kept_seconds,
+            memory=self.memory,
             on_opened=self.connections.add,
             on_closed=self.connections.discard,
         )
