Bound what all responses hold together, objects included

Operators of another system reported that a faulty server sent bytes without end and that the machine which had called it ran out of memory, with the requests of other clients.

Causes: bodies below 1 MB and incomplete events were counted by nobody, the limits of one response times the number of responses were the bound; a field of six bytes costs an object of 160, a chunk of two one of 50; 256 KB of each connection were parsed in one turn of the event loop; and what had arrived stayed, in reference cycles, after its end.

Each connection takes its share of one budget for what it keeps: head, fields, body, and the event that is incomplete. Beyond 24 MB the server that takes most loses its largest response; a sound one beside it goes on. A head has 256 fields at most, parsing ends at the first beyond them. Chunks that are nearly all overhead end a response like endless heads do. 16 KB are parsed at a time, and passed on at once. The refusal of a request keeps 64 KB. A connection that has closed, a stream that has ended or was superseded, refer to nothing that arrived.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -291,6 +291,7 @@
             serve=self.relay.serve,
             bodies=self.bodies,
             kept_seconds=KEPT_SECONDS,
+            memory=pool.memory,
         )
         self.readiness_listener = self._listener(self._serve_readiness)
         self.metrics_listener = self._listener(self._serve_metrics)
@@ -298,7 +299,9 @@
         self._add_gauges()
 
     def _listener(self, serve: RequestHandler) -> Listener:
-        return Listener(limits=Limits, serve=serve, bodies=self.bodies)
+        return Listener(
+            limits=Limits, serve=serve, bodies=self.bodies, memory=self.pool.memory
+        )
 
     def emit(self, event: Event) -> None:
         """
--- a/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
@@ -14,7 +14,11 @@
     ConnectionPool,
     Unreachable,
 )
-from kumquatway_gateway.http1._upstream import Exchange, ResponseEnd
+from kumquatway_gateway.http1._upstream import (
+    MAX_BUFFERED_BODY_BYTES,
+    Exchange,
+    ResponseEnd,
+)
 
 
 class FetchFailed(Exception):
@@ -62,6 +66,7 @@
         timeout: float = 1.0,
         pool_key: str = "",
         reuse: bool = True,
+        max_bytes: int = MAX_BUFFERED_BODY_BYTES,
         is_permitted: Callable[[], bool] = lambda: True,
     ) -> FetchedResponse:
         """
@@ -78,6 +83,7 @@
         :param pool_key: key of the connection in the pool; the address by default.
         :param reuse: whether to use and keep a pooled connection. On a new one, the
             response cannot be a late copy of an earlier one.
+        :param max_bytes: limit of the response's body.
         :param is_permitted: tells whether the request may still be sent; called just
             before, as connecting takes time and the process may have been paused.
         :return: the response.
@@ -99,7 +105,7 @@
         if not is_permitted():
             connection.abandon()
             raise FetchFailed(f"{address}: no longer permitted", sent=False)
-        exchange = Exchange()
+        exchange = Exchange(max_buffered_bytes=max_bytes)
         connection.send(exchange, render_request(method, target, head) + body)
         try:
             async with asyncio.timeout(timeout):
@@ -117,5 +123,5 @@
         return FetchedResponse(
             status=response.status,
             headers=response.headers,
-            body=b"".join(exchange.body),
+            body=bytes(exchange.body),
         )
--- a/packages/gateway/src/kumquatway_gateway/http1/_pool.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_pool.py
@@ -8,13 +8,14 @@
 import time
 from collections.abc import Callable
 
-from kumquatway_gateway.http1._large_bodies import LargeBodies
+from kumquatway_core.memory import MemoryBudget
 from kumquatway_gateway.http1._upstream import UpstreamConnection
 
 CONNECT_TIMEOUT_SECONDS = 0.3  # 100 times the round-trip time to a server
 DEFAULT_IDLE_SECONDS = 4.0  # for a server that sends no `Keep-Alive` timeout
 KEEP_ALIVE_SHARE = 0.5  # of the `Keep-Alive` timeout that a server sends
 MAX_IDLE_PER_SERVER = 64  # connections
+MAX_HELD_BYTES = 24 * 1024 * 1024  # of all responses that are being read or sent
 
 
 class Unreachable(Exception):
@@ -39,7 +40,7 @@
     def __init__(self, *, clock: Callable[[], float] = time.monotonic):
         self.clock = clock
         self.idle: dict[str, list[UpstreamConnection]] = {}
-        self.large_bodies = LargeBodies()
+        self.memory = MemoryBudget(max_bytes=MAX_HELD_BYTES)
 
     async def connect(
         self, server: str, address: str, timeout: float = CONNECT_TIMEOUT_SECONDS
@@ -66,7 +67,7 @@
 
         def protocol() -> UpstreamConnection:
             return UpstreamConnection(
-                on_reusable=on_reusable, large_bodies=self.large_bodies
+                on_reusable=on_reusable, memory=self.memory, sender=address
             )
 
         try:
--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -13,13 +13,19 @@
 from loguru import logger
 
 from kumquatway_core.decoding import parse_count
+from kumquatway_core.memory import MemoryBudget, MemoryShare
 from kumquatway_gateway.http1._headers import Headers
-from kumquatway_gateway.http1._large_bodies import LargeBodies
 
 MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024  # of a response without a sink, by default
-# Received in a row without any of the body: heads, chunk extensions, trailers, and
-# responses to other requests.
+# Received beyond twice the size of the body: heads, chunk sizes and extensions,
+# trailers, and responses to other requests.
 MAX_OVERHEAD_BYTES = 64 * 1024
+MAX_FIELDS = 256  # of a head and its trailers
+FIELD_BYTES = 160  # that the objects of a short field take
+READ_BYTES = 16 * 1024  # parsed at a time, so that no connection holds up the others
+
+# One for all connections: what is read is parsed before the next read.
+_read_buffer = bytearray(READ_BYTES)
 
 
 class ResponseEnd(enum.Enum):
@@ -51,6 +57,10 @@
     framing: ResponseFraming
 
 
+class _ResponseTooLarge(Exception):
+    """More of a response has arrived than may be kept; ends its parsing."""
+
+
 def accept_any(status: int, headers: Headers) -> bool:
     """Accept any response as the one to the request."""
     return True
@@ -93,9 +103,9 @@
         loop = asyncio.get_running_loop()
         self.accepts = accepts
         self.keeps_connection = keeps_connection
-        self.sink: Callable[[bytes], None] | None = None
-        self.body: list[bytes] = []  # what arrived without a sink
-        self.buffered_bytes = 0
+        self.sink: Callable[[bytes], int] | None = None
+        self.body = bytearray()  # what arrived without a sink
+        self.buffered_bytes = 0  # in the body, or by the sink
         self.head: asyncio.Future[ResponseHead | ResponseEnd] = loop.create_future()
         self.ended: asyncio.Future[ResponseEnd] = loop.create_future()
 
@@ -104,25 +114,26 @@
         if not self.head.done():
             self.head.set_result(head)
 
-    def relay_to(self, sink: Callable[[bytes], None]) -> None:
+    def relay_to(self, sink: Callable[[bytes], int], max_bytes: int) -> None:
         """
         Pass on the body as it arrives, with what was stored so far.
 
-        :param sink: called with each part of the body.
+        :param sink: called with each part of the body; returns how many bytes it keeps
+            until more arrives.
+        :param max_bytes: that the sink may keep.
         """
         self.sink = sink
-        stored, self.body = self.body, []
-        self.buffered_bytes = 0
-        for data in stored:
-            sink(data)
+        self.max_buffered_bytes = max_bytes
+        stored, self.body = self.body, bytearray()
+        self.buffered_bytes = sink(bytes(stored)) if stored else 0
 
     def feed(self, data: bytes) -> None:
         """Store a part of the body, or pass it to the sink."""
         if self.sink is not None:
-            self.sink(data)
+            self.buffered_bytes = self.sink(data)
             return
-        self.body.append(data)
-        self.buffered_bytes += len(data)
+        self.body += data
+        self.buffered_bytes = len(self.body)
 
     def framing(self) -> str:
         """Return what marks the end of the body, or "" without a head."""
@@ -147,9 +158,10 @@
         return f"framing {self.framing() or 'unknown'}, {self.end()}"
 
     def finish(self, end: ResponseEnd) -> None:
-        """Set how the response ended; a body that is too large is dropped."""
-        if end is ResponseEnd.TOO_LARGE:
-            self.body = []
+        """Set how the response ended; a body that was given up is dropped."""
+        self.sink = None
+        if end in (ResponseEnd.TOO_LARGE, ResponseEnd.GARBLED, ResponseEnd.ABANDONED):
+            self.body = bytearray()
         if not self.head.done():
             self.head.set_result(end)
         if not self.ended.done():
@@ -172,23 +184,26 @@
         return self.framing is ResponseFraming.CLOSE
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.BufferedProtocol):
     """
     The client side of one connection to a server.
 
     :param on_reusable: called with the connection when a response is complete and the
         connection can be used for another request.
-    :param large_bodies: bounds the bodies of all connections.
+    :param memory: bounds what the responses of all connections take.
+    :param sender: the server, whose responses are judged together.
     """
 
     def __init__(
         self,
         *,
         on_reusable: Callable[["UpstreamConnection"], None],
-        large_bodies: LargeBodies,
+        memory: MemoryBudget,
+        sender: str = "",
     ):
         self.on_reusable = on_reusable
-        self.large_bodies = large_bodies
+        self.memory = memory
+        self.sender = sender
         self.transport: asyncio.Transport | None = None
         self.parser = httptools.HttpResponseParser(self)
         self.message = _Message()
@@ -198,6 +213,8 @@
         self.keep_alive_seconds = 0.0  # as sent by the server, 0 if it sent none
         self.idle_since = 0.0
         self._overhead_bytes = 0
+        self._parts: list[bytes] = []  # of the body, from the bytes being parsed
+        self._share: MemoryShare | None = None  # while anything is held
 
     def send(self, exchange: Exchange, data: bytes) -> None:
         """
@@ -234,37 +251,82 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def buffered_bytes(self) -> int:
-        """Return how much of the current response is buffered."""
-        return self.exchange.buffered_bytes if self.exchange is not None else 0
-
     def give_up(self) -> None:
         """Abort the connection, as its response is too large."""
         self.abandon(ResponseEnd.TOO_LARGE)
 
-    # asyncio.Protocol
+    # asyncio.BufferedProtocol
 
     def connection_made(self, transport):
         """Store the transport."""
         self.transport = transport
 
+    def get_buffer(self, sizehint):
+        """Return the buffer to read into."""
+        return _read_buffer
+
+    def buffer_updated(self, nbytes):
+        """Parse what was read."""
+        self.data_received(bytes(memoryview(_read_buffer)[:nbytes]))
+
     def data_received(self, data):
         """Parse a response; unexpected data aborts the connection."""
         if self.exchange is None:
             self.abandon()
             return
         self._overhead_bytes += len(data)
+        end = self._parse(data)
+        if end is None and self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            end = ResponseEnd.TOO_LARGE
+        if end is not None:
+            self.abandon(end)
+        self._hold(self._held_bytes())
+
+    def _parse(self, data: bytes) -> ResponseEnd | None:
+        """Parse data and pass on the body; return how the response fails, or None."""
         try:
-            self.parser.feed_data(data)
+            try:
+                self.parser.feed_data(data)
+            finally:
+                self._pass_on()
         except httptools.HttpParserCallbackError as error:
-            logger.opt(exception=error).error(
-                "a response could not be read: {!r}", error
-            )
-            self.abandon(ResponseEnd.GARBLED)
+            return _failure(error.__context__ or error)
         except httptools.HttpParserError:
-            self.abandon(ResponseEnd.GARBLED)
-        if self._overhead_bytes > MAX_OVERHEAD_BYTES and self.exchange is not None:
-            self.give_up()
+            return ResponseEnd.GARBLED
+        except Exception as error:
+            return _failure(error)
+        return None
+
+    def _pass_on(self) -> None:
+        """Pass the parts of the body that were parsed to the exchange."""
+        if not self._parts:
+            return
+        parts, self._parts = self._parts, []
+        exchange = self.exchange
+        if exchange is None:
+            return
+        exchange.feed(parts[0] if len(parts) == 1 else b"".join(parts))
+        if exchange.buffered_bytes > exchange.max_buffered_bytes:
+            raise _ResponseTooLarge
+
+    def _held_bytes(self) -> int:
+        """Return what is kept of the response, objects included."""
+        if self.exchange is None:
+            return 0
+        fields = len(self.message.fields) * FIELD_BYTES
+        return self._overhead_bytes + fields + self.exchange.buffered_bytes
+
+    def _hold(self, size: int) -> None:
+        """Count what is kept of the response."""
+        share = self._share
+        if share is None:
+            if not size:
+                return
+            share = self._share = self.memory.begin(self.sender, self.give_up)
+        if not size:
+            self._share = None
+        if share.size != size:
+            self.memory.resize(share, size)
 
     def eof_received(self):
         """Complete a response without framing; any other one is truncated."""
@@ -281,6 +343,7 @@
         self.closed = True
         self.reusable = False
         self._finish(ResponseEnd.RESET if error is not None else ResponseEnd.CLOSED)
+        self.parser = None  # it refers to this connection
 
     # httptools callbacks
 
@@ -292,6 +355,8 @@
 
     def on_header(self, name, value):
         """Store a header field."""
+        if len(self.message.fields) >= MAX_FIELDS:
+            raise _ResponseTooLarge
         self.message.fields.append((name, value))
 
     def on_headers_complete(self):
@@ -326,21 +391,19 @@
             self.transport.close()
 
     def on_body(self, data):
-        """Pass part of the body to the exchange."""
-        exchange = self.exchange
-        if exchange is None or self.message.skipped:
+        """Take part of the body."""
+        if self.exchange is None or self.message.skipped:
             return
-        self._overhead_bytes = 0
-        exchange.feed(data)
-        if exchange.buffered_bytes > exchange.max_buffered_bytes:
-            self.give_up()
-        else:
-            self.large_bodies.observe(self)
+        self._overhead_bytes = max(0, self._overhead_bytes - 2 * len(data))
+        self._parts.append(data)
 
     def on_message_complete(self):
         """Complete the response and make the connection available for reuse."""
         if self.message.skipped or self.parser.get_status_code() < 200:
             return
+        self._pass_on()
+        if self.exchange is None:
+            return
         if self.message.ends_with_connection:
             return
         if not self.parser.should_keep_alive():
@@ -355,11 +418,19 @@
 
     def _finish(self, end: ResponseEnd) -> None:
         exchange, self.exchange = self.exchange, None
-        self.large_bodies.discard(self)
+        self._hold(0)
         if exchange is not None:
             exchange.finish(end)
 
 
+def _failure(error: BaseException) -> ResponseEnd:
+    """Return how a response ends whose parsing has raised an exception."""
+    if isinstance(error, _ResponseTooLarge):
+        return ResponseEnd.TOO_LARGE
+    logger.opt(exception=error).error("a response could not be read: {!r}", error)
+    return ResponseEnd.GARBLED
+
+
 def _find_framing(status: int, headers: Headers) -> ResponseFraming:
     """Return what ends the body of a response (RFC 9112, 6.3)."""
     if status in (204, 304):
--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -105,6 +105,8 @@
     def _end(self, task: asyncio.Task) -> None:
         """Give back what the attempt holds, and wake the request."""
         self.has_ended = True
+        if self.superseded or task.cancelled():
+            self.events.drop_partial_event()
         self.stream.changed.set()
         self._drop_connection()
         if self.exchange is None:
@@ -249,7 +251,7 @@
             return AttemptOutcome.CUT
         self.head = head
         self.is_event_stream = is_event_stream(self.job.route, head)
-        self.exchange.relay_to(self._on_body)
+        self.exchange.relay_to(self._on_body, MAX_EVENT_BYTES)
         end = await self.exchange.ended
         if self.superseded or end is not ResponseEnd.COMPLETE or self._is_broken_off():
             return self._handle_early_end(end)
@@ -258,19 +260,18 @@
         self.stream.finish(self)
         return AttemptOutcome.DONE
 
-    def _on_body(self, data: bytes) -> None:
-        """Relay a piece of the body; called for every event."""
+    def _on_body(self, data: bytes) -> int:
+        """Relay a piece of the body; return the size of an event that is incomplete."""
         if self.superseded:
-            return
+            return 0
         events = self.events
         if self.is_event_stream:
             events.feed(data)
         else:
             events.forward(data)
-        if len(events.partial_event) > MAX_EVENT_BYTES:
-            self.connection.give_up()
         if events.is_garbled:
             self.connection.abandon(ResponseEnd.GARBLED)
+        return len(events.partial_event)
 
     def _write(self, data: bytes) -> None:
         """Pass complete events on to the caller."""
@@ -319,7 +320,7 @@
         self.stream.may_have_run = True
         if end is ResponseEnd.COMPLETE:
             self.error_response = ErrorResponse(
-                head=head, body=b"".join(self.exchange.body)
+                head=head, body=bytes(self.exchange.body)
             )
         return AttemptOutcome.FAILED
 
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -190,7 +190,7 @@
 
     server: Server
     head: ResponseHead | None
-    body: bytes
+    body: bytes | bytearray
     not_run: bool
     reached: bool = True
     denied: bool = False
@@ -515,7 +515,7 @@
         detail = exchange.describe()
         if end is not ResponseEnd.COMPLETE:
             return _invalid(server, detail, broken_off=end in ENDS_BY_SERVER)
-        body = b"".join(exchange.body)
+        body = exchange.body
         if 200 <= head.status < 300:
             if not info.signed:
                 return _invalid(server, f"{detail}, not signed")
--- a/packages/gateway/src/kumquatway_gateway/relay/_refusal.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_refusal.py
@@ -4,6 +4,7 @@
 
 from kumquatway_gateway.http1 import Exchange
 
+MAX_BODY_BYTES = 64 * 1024  # of a refusal
 BODY_SECONDS = 0.1  # for the body of a refusal, so that its connection can be reused
 
 
@@ -13,4 +14,5 @@
 
     :param exchange: a request whose response has a head.
     """
+    exchange.max_buffered_bytes = MAX_BODY_BYTES
     await asyncio.wait((exchange.ended,), timeout=BODY_SECONDS)
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -104,6 +104,7 @@
             self._stop_seeking()
             for attempt in self.attempts:
                 attempt.cancel()
+            self.events.drop_partial_event()
         if self.completed:
             await self._record_duration()
         else:
@@ -306,6 +307,7 @@
             self.error_response = attempt.error_response or self.error_response
         else:
             self._suspect_crash(attempt)
+        attempt.events.drop_partial_event()
         if outcome is not AttemptOutcome.CUT and not self.events.count:
             self.router.record_failure(attempt.chain)
 
--- a/packages/gateway/tests/parallel_site.py
+++ b/packages/gateway/tests/parallel_site.py
@@ -7,9 +7,9 @@
 
 from engines import ENGINE, layer_range, server
 
+from kumquatway_core.memory import MemoryBudget
 from kumquatway_gateway.fleet import Fleet
 from kumquatway_gateway.http1 import Headers, Unreachable, UpstreamConnection
-from kumquatway_gateway.http1._large_bodies import LargeBodies
 from kumquatway_gateway.model import (
     Backend,
     GenerationSize,
@@ -83,7 +83,7 @@
             await asyncio.sleep(timeout)
             raise Unreachable("slow")
         conn = UpstreamConnection(
-            on_reusable=lambda c: None, large_bodies=LargeBodies()
+            on_reusable=lambda c: None, memory=MemoryBudget(max_bytes=float("inf"))
         )
         conn.connection_made(Transport(conn, self))
         self.opened.append((address, conn))
--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -545,7 +545,7 @@
             async with _Server(response) as server:
                 connection = await ConnectionPool().connect("s", server.address)
                 exchange = Exchange()
-                exchange.relay_to(fail)
+                exchange.relay_to(fail, max_bytes=0)
                 connection.send(exchange, render_request("GET", "/", [(b"Host", b"a")]))
                 async with asyncio.timeout(5):
                     assert await exchange.ended is ResponseEnd.GARBLED
@@ -897,7 +897,7 @@
             async with server:
                 exchange, end = await _request(pool, server, **fields)
                 await asyncio.sleep(0.02)
-                return b"".join(exchange.body), end, pool
+                return bytes(exchange.body), end, pool
 
         return asyncio.run(run())
 
--- a/packages/gateway/tests/test_pool.py
+++ b/packages/gateway/tests/test_pool.py
@@ -23,7 +23,7 @@
     exchange = Exchange()
     connection.send(exchange, render_request("GET", "/", [(b"Host", b"x")]))
     await exchange.ended
-    return b"".join(exchange.body)
+    return bytes(exchange.body)
 
 
 class _Servers:
