--- a/packages/core/src/kumquatway_core/memory.py
+++ b/packages/core/src/kumquatway_core/memory.py
@@ -5,9 +5,24 @@
 response is within its own limit, and all of them together exhaust the memory.
 """
 
+import ctypes
 from collections.abc import Callable, Hashable
 
 OBJECT_BYTES = 64  # that a small object takes besides its content, on average
+LARGE_BLOCK_BYTES = 128 * 1024
+_M_MMAP_THRESHOLD = -3  # of mallopt(3)
+
+
+def return_large_blocks() -> None:
+    """
+    Have the C library give large blocks back to the system once they are freed.
+
+    By default it does so until the first of them is freed, and then keeps others up to
+    its size. A C library that does not know the option is left as it is.
+    """
+    mallopt = getattr(ctypes.CDLL(None), "mallopt", None)
+    if mallopt is not None:
+        mallopt(_M_MMAP_THRESHOLD, LARGE_BLOCK_BYTES)
 
 
 class MemoryShare:
--- a/packages/core/tests/test_memory.py
+++ b/packages/core/tests/test_memory.py
@@ -1,5 +1,9 @@
 """Tests of the bound on what a process holds for others."""
 
+import subprocess
+import sys
+
+import pytest
 from hypothesis import given, strategies as st
 
 from kumquatway_core.memory import MemoryBudget
@@ -71,3 +75,39 @@
             assert budget.held == sum(each.share.size for each in readers)
             assert budget.held <= 100
             assert all(each.share.size == 0 for each in readers if each.closed)
+
+
+# Grows buffers as responses do, with small objects between them, and frees them.
+_GROW_AND_FREE = """
+import resource, sys
+from kumquatway_core.memory import return_large_blocks
+
+def resident():
+    with open("/proc/self/statm") as file:
+        return int(file.read().split()[1]) * resource.getpagesize()
+
+return_large_blocks()
+before, kept = resident(), []
+for _ in range(3):
+    buffers = [bytearray() for _ in range(40)]
+    for _ in range(60):
+        for buffer in buffers:
+            buffer += bytes(16384)
+            kept.append(bytes(600))
+    del buffers
+print(resident() - before - 600 * len(kept))
+"""
+
+
+@pytest.mark.skipif(sys.platform != "linux", reason="reads /proc")
+class TestFreedBuffers:
+    """The memory of responses that were freed stayed with the process."""
+
+    def test_are_given_back(self):
+        output = subprocess.run(
+            [sys.executable, "-c", _GROW_AND_FREE],
+            check=True,
+            capture_output=True,
+            env={"PYTHONPATH": ":".join(sys.path)},
+        ).stdout
+        assert int(output) < 8 << 20  # of 39 MB that were held at a time
