Close with an answer that ends too late to keep what it told

An answer that begins before a stop tells that its connection is kept for two seconds. If it ends in the last three seconds of the shutdown grace, the entry ends before that time is over, and a request that its caller sends meanwhile, as it was told it may, can cross the close and gets neither an answer nor a refusal.

Cause: the promise begins with the end of the answer, and the exit does not wait for it. An answer that ends later than that now ends with its connection: the close arrives with its last bytes, so the caller knows before it sends again. Where there is time the connection is kept as before.

A request that a caller sends ahead of the end of the answer, and that is not read by then, is lost to the close, as it is to any close.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -404,9 +404,9 @@
         started = self.clock()
         end = started + self.settings.shutdown_grace
         self.relay.begin_shutdown(end - MARGIN_SECONDS - SILENCE_SECONDS)
-        self.caller_listener.drain()
-        await self.placer.release()
         deadline = end - EXIT_SECONDS - LAST_RESPONSE_SECONDS
+        self.caller_listener.drain(deadline - started)
+        await self.placer.release()
         leaves_at = min(started + OUT_OF_ROTATION_SECONDS, deadline)
         await asyncio.sleep(max(0.0, leaves_at - self.clock()))
         self.is_out_of_rotation = True
--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import enum
+import math
 import random
 import select
 import socket
@@ -146,6 +147,7 @@
         self.closing = False  # close after the requests that were read
         self.draining = False  # the same, with those that are being read
         self.ending = False  # the same, and close if there is none
+        self.leaves_at = math.inf  # when it closes at the latest, monotonic seconds
         self.caller_keeps = True  # the connection, after the request in progress
         # For which a caller may trust an idle connection, and until when, monotonic.
         self.trusted_seconds = FIRST_REQUEST_SECONDS if kept_seconds else 0.0
@@ -647,10 +649,16 @@
             await self._serve_request(incoming)
         finally:
             self._discard_share(incoming)
+        if not (self._has_more() or self._outlasts_trust()):
+            self.closing = True
         if self.closing and not self.pending and not self.lost:
             await self._linger()
         return not self.closing or bool(self.pending)
 
+    def _outlasts_trust(self) -> bool:
+        """Tell whether the connection stays open for as long as its caller was told."""
+        return time.monotonic() + self.trusted_seconds <= self.leaves_at
+
     def _discard_share(
         self, incoming: IncomingRequest | RejectedRequest | None
     ) -> None:
@@ -790,6 +798,7 @@
         self.connections: set[CallerConnection] = set()
         self.server: asyncio.Server | None = None
         self.draining = False
+        self.leaves_at = math.inf  # see `CallerConnection`
 
     async def start(self, address: str) -> None:
         """
@@ -829,11 +838,24 @@
         opened = (loop.connect_accepted_socket(self._open, raw) for raw in accepted)
         await asyncio.gather(*opened, return_exceptions=True)
 
-    def drain(self) -> None:
-        """Close each connection after the last request that has arrived on it."""
+    def drain(self, seconds_left: float = math.inf) -> None:
+        """
+        Close each connection after the last request that has arrived on it.
+
+        A response that has begun may have told that its connection is kept. It is, if
+        there is time for what was told, and closes with the end of the response if not.
+
+        :param seconds_left: until the connections close at the latest.
+        """
         self.draining = True
+        self.leaves_at = time.monotonic() + seconds_left
         for connection in self.connections:
-            connection.draining = True
+            self._pass_on_drain(connection)
+
+    def _pass_on_drain(self, connection: CallerConnection) -> None:
+        """Tell a connection whether and until when it drains."""
+        connection.draining = self.draining
+        connection.leaves_at = self.leaves_at
 
     def close_when_idle(self) -> None:
         """Close each connection once no request is in progress on it."""
@@ -865,7 +887,7 @@
             on_opened=self.connections.add,
             on_closed=self.connections.discard,
         )
-        connection.draining = self.draining
+        self._pass_on_drain(connection)
         return connection
 
 
