Bound the responses to a process together

A faulty service sent bytes without end to several calls at once. Each body was within its own limit of 32 or 64 MB, and the agent that read them all ran out of memory; the calls of other callers ended with it.

All responses that a process reads now share a budget.

--- a/packages/core/src/kumquatway_core/engine/_client.py
+++ b/packages/core/src/kumquatway_core/engine/_client.py
@@ -26,6 +26,7 @@
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 MAX_KV_EXPORT_BYTES = 1024 * 1024 * 1024
 KEEPALIVE_EXPIRY = 15.0  # seconds until an idle pooled connection is closed
+POOL_LIMITS = httpx.Limits(keepalive_expiry=KEEPALIVE_EXPIRY)
 MEDIA_TYPE = "application/msgpack"
 
 
@@ -74,7 +75,9 @@
 
     def __init__(self, *, url: str, transport: httpx.AsyncBaseTransport | None = None):
         self.url = url
-        self.transport = transport
+        self.transport = None
+        if transport is not None:
+            self.transport = open_transport(POOL_LIMITS, transport=transport)
         self.http = self._open()
 
     def _open(self) -> httpx.AsyncBaseTransport:
@@ -83,7 +86,7 @@
         # there are many calls a second.
         if self.transport is not None:
             return self.transport
-        return open_transport(httpx.Limits(keepalive_expiry=KEEPALIVE_EXPIRY))
+        return open_transport(POOL_LIMITS)
 
     async def step(
         self, request: StepRequest, timeout: float
--- a/packages/core/src/kumquatway_core/http/_client.py
+++ b/packages/core/src/kumquatway_core/http/_client.py
@@ -9,7 +9,8 @@
 
 import httpx
 
-from kumquatway_core.http._limits import LimitedTransport
+from kumquatway_core.http._limits import LimitedTransport, process_memory
+from kumquatway_core.memory import MemoryBudget
 
 
 @functools.cache
@@ -23,6 +24,7 @@
     timeout: httpx.Timeout,
     limits: httpx.Limits,
     transport: httpx.AsyncBaseTransport | None = None,
+    memory: MemoryBudget = process_memory,
 ) -> httpx.AsyncClient:
     """
     Open a client with its own connection pool.
@@ -31,25 +33,33 @@
     :param timeout: default timeout of a request.
     :param limits: limits of the connection pool.
     :param transport: transport to use instead of the network, for tests.
+    :param memory: bounds what all responses take together.
     :return: the client; the caller must close it.
     """
-    if transport is None:
-        transport = open_transport(limits)
-    else:
-        transport = LimitedTransport(transport=transport)
     return httpx.AsyncClient(
-        base_url=url, transport=transport, timeout=timeout, trust_env=False
+        base_url=url,
+        transport=open_transport(limits, transport=transport, memory=memory),
+        timeout=timeout,
+        trust_env=False,
     )
 
 
-def open_transport(limits: httpx.Limits) -> httpx.AsyncBaseTransport:
+def open_transport(
+    limits: httpx.Limits,
+    *,
+    transport: httpx.AsyncBaseTransport | None = None,
+    memory: MemoryBudget = process_memory,
+) -> httpx.AsyncBaseTransport:
     """
     Open a connection pool without a client around it.
 
     :param limits: limits of the connection pool.
+    :param transport: transport to use instead of the network, for tests.
+    :param memory: bounds what all responses take together.
     :return: the transport; the caller must close it.
     """
-    transport = httpx.AsyncHTTPTransport(
-        verify=_tls_context(), limits=limits, trust_env=False
-    )
-    return LimitedTransport(transport=transport)
+    if transport is None:
+        transport = httpx.AsyncHTTPTransport(
+            verify=_tls_context(), limits=limits, trust_env=False
+        )
+    return LimitedTransport(transport=transport, memory=memory)
