Leave the event loop between two parts of a response

A service that sent chunks of one byte held the event loop of its agent for 2.9 to 4.2 s (20 to 400 calls, benchmarks/endless_senders_agents.py): a read brings up to 64 KB, and the parts in it are taken without waiting. The calls of others stood still; 2 of 3 that were made in 5 s were answered.

Each part is followed by a checkpoint.

test_others_run_between_two_parts fails on the code before.

--- a/packages/core/src/kumquatway_core/http/_limits.py
+++ b/packages/core/src/kumquatway_core/http/_limits.py
@@ -10,6 +10,7 @@
 
 import anyio
 import httpx
+from anyio.lowlevel import checkpoint
 
 from kumquatway_core.memory import OBJECT_BYTES, MemoryBudget
 
@@ -77,6 +78,8 @@
                 if body.tell() > self.limit:
                     await self._fail(f"the response has more than {self.limit} bytes")
                 self.memory.resize(self.share, self.head_size + body.tell())
+                # Thousands of parts may arrive at once, and none waits for the next.
+                await checkpoint()
         await self._fail("the responses to this process have too many bytes together")
 
     async def _fail(self, detail: str) -> None:
--- a/packages/core/tests/test_endless_responses.py
+++ b/packages/core/tests/test_endless_responses.py
@@ -5,6 +5,7 @@
 import anyio
 import httpx
 import pytest
+from anyio.lowlevel import checkpoint
 
 from kumquatway_core.engine import EngineClient, EngineFailure
 from kumquatway_core.http import open_client
@@ -50,6 +51,14 @@
         await anyio.sleep_forever()
 
 
+class BodyThatIsThere(Body):
+    """A body whose parts have all arrived, so that no read waits."""
+
+    async def __aiter__(self):
+        for _ in range(int(self.count)):
+            yield self.part
+
+
 class Servers(httpx.AsyncBaseTransport):
     """Answers each call with the body of its host, and the head."""
 
@@ -152,6 +161,27 @@
         assert client.sizes == [50_000] * 5
 
 
+class TestEventLoop:
+    """Reading what has arrived leaves the event loop to others in between."""
+
+    async def test_others_run_between_two_parts(self):
+        client = Client(faulty=lambda: BodyThatIsThere(b"x", 1000))
+        turns = 0
+
+        async def count_turns() -> None:
+            nonlocal turns
+            while True:
+                await checkpoint()
+                turns += 1
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(count_turns)
+            await client.get("faulty")
+            group.cancel_scope.cancel()
+        assert client.sizes == [1000]
+        assert turns >= 999
+
+
 class TestEngineReply:
     """What a reply of an engine takes, until it is refused."""
 
