Decode no compressed response

A service may answer with a compressed body, of any size once it is decoded: the limits hold before the decoding only. 20 calls with a body of 0.26 MB that decodes to 256 MB took an agent beyond the 2 GB that it was given (growth 1,801 MB; event loop held for 7 s).

Clients ask for no encoding now. The agent passes a compressed answer on as it came, with its Content-Encoding, and the other clients refuse one.

The answer TOO_LARGE, for bodies beyond the limit once decoded, has no case left.

--- a/packages/agent/src/kumquatway_agent/service/_caller.py
+++ b/packages/agent/src/kumquatway_agent/service/_caller.py
@@ -10,8 +10,8 @@
 import httpx
 from loguru import logger
 
-from kumquatway_core import RAN, Reason, Verdict, may_have_run, not_run
-from kumquatway_core.http import LIMIT_EXTENSION, open_client
+from kumquatway_core import Reason, Verdict, may_have_run, not_run
+from kumquatway_core.http import ENCODED_EXTENSION, LIMIT_EXTENSION, open_client
 from kumquatway_core.wire import Call, CallReply
 
 CONNECT_TIMEOUT = 1.0  # seconds
@@ -27,7 +27,6 @@
         "trailer",
         "transfer-encoding",
         "upgrade",
-        "content-encoding",
     )
 )
 
@@ -101,7 +100,7 @@
             return _failed(call, request)
         try:
             with anyio.fail_after(call.timeout):
-                return _reply(call, await http.send(request))
+                return await _send(http, request, call)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
             verdict = not_run(Reason.UNREACHABLE, repr(error))
         except (TimeoutError, httpx.TimeoutException):
@@ -129,23 +128,32 @@
             call.path,
             content=call.body,
             headers=list(call.headers),
-            extensions={LIMIT_EXTENSION: MAX_BODY},
+            extensions={LIMIT_EXTENSION: MAX_BODY, ENCODED_EXTENSION: True},
         )
     except (ValueError, TypeError, httpx.InvalidURL) as error:
         return not_run(Reason.BAD_REQUEST, str(error))
 
 
-def _reply(call: Call, answer: httpx.Response) -> CallReply:
-    if len(answer.content) > MAX_BODY:
-        verdict = Verdict(ran=RAN, reason=Reason.TOO_LARGE, detail="a large answer")
-        return _failed(call, verdict)
+async def _send(
+    http: httpx.AsyncClient, request: httpx.Request, call: Call
+) -> CallReply:
+    """Send a request; a compressed answer is passed on as it is."""
+    answer = await http.send(request, stream=True)
+    try:
+        body = b"".join([part async for part in answer.aiter_raw()])
+    finally:
+        await answer.aclose()
+    return _reply(call, answer, body)
+
+
+def _reply(call: Call, answer: httpx.Response, body: bytes) -> CallReply:
     return CallReply(
         call=call.call,
         verdict="ran",
         reason=Reason.NONE,
         status=answer.status_code,
         headers=tuple(_end_to_end(answer.headers)),
-        body=answer.content,
+        body=body,
     )
 
 
--- a/packages/core/src/kumquatway_core/http/_client.py
+++ b/packages/core/src/kumquatway_core/http/_client.py
@@ -9,7 +9,7 @@
 
 import httpx
 
-from kumquatway_core.http._limits import LimitedTransport, process_memory
+from kumquatway_core.http._limits import IDENTITY, LimitedTransport, process_memory
 from kumquatway_core.memory import MemoryBudget
 
 
@@ -38,6 +38,7 @@
     """
     return httpx.AsyncClient(
         base_url=url,
+        headers={"accept-encoding": IDENTITY},
         transport=open_transport(limits, transport=transport, memory=memory),
         timeout=timeout,
         trust_env=False,
--- a/packages/core/src/kumquatway_core/http/_limits.py
+++ b/packages/core/src/kumquatway_core/http/_limits.py
@@ -17,6 +17,8 @@
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024  # before any decoding, unless a request says so
 MAX_HELD_BYTES = 34 * 1024 * 1024  # of all responses that the process is reading
 LIMIT_EXTENSION = "kumquatway.max_response_bytes"
+ENCODED_EXTENSION = "kumquatway.accepts_encoded"
+IDENTITY = "identity"
 FIELD_BYTES = 4 * OBJECT_BYTES  # of a header field, besides its name and value
 
 process_memory = MemoryBudget(max_bytes=MAX_HELD_BYTES)
@@ -98,8 +100,10 @@
     """
     A transport that breaks off responses which are too long.
 
-    Reading such a response raises `httpx.RemoteProtocolError`. A request can set its
-    own limit with the extension `LIMIT_EXTENSION`.
+    Reading such a response raises `httpx.RemoteProtocolError`, and so does one that is
+    compressed, whose size is not known before it is decoded. A request can set its own
+    limit with the extension `LIMIT_EXTENSION`, and take a compressed response, which it
+    must not decode, with `ENCODED_EXTENSION`.
 
     :param transport: sends the requests.
     :param memory: bounds all responses together.
@@ -117,6 +121,9 @@
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
         """Send a request; the response has a limited body."""
         response = await self.transport.handle_async_request(request)
+        if _is_encoded(response) and ENCODED_EXTENSION not in request.extensions:
+            await response.aclose()
+            raise httpx.RemoteProtocolError("the response is compressed")
         response.stream = _LimitedStream(
             stream=response.stream,
             limit=request.extensions.get(LIMIT_EXTENSION, MAX_RESPONSE_BYTES),
@@ -131,5 +138,9 @@
         await self.transport.aclose()
 
 
+def _is_encoded(response: httpx.Response) -> bool:
+    return response.headers.get("content-encoding", IDENTITY).lower() != IDENTITY
+
+
 def _head_size(headers: httpx.Headers) -> int:
     return sum(len(name) + len(value) + FIELD_BYTES for name, value in headers.raw)
--- a/packages/core/tests/test_endless_responses.py
+++ b/packages/core/tests/test_endless_responses.py
@@ -1,5 +1,6 @@
 """Tests of responses without end, to the clients of services, engines and the store."""
 
+import gzip
 import tracemalloc
 
 import anyio
@@ -62,14 +63,13 @@
 class Servers(httpx.AsyncBaseTransport):
     """Answers each call with the body of its host, and the head."""
 
-    def __init__(self, fields: int = 0, **bodies):
+    def __init__(self, fields: int = 0, encoding: bytes = b"identity", **bodies):
         self.bodies = bodies
-        self.fields = fields
+        self.head = [(b"a", b"b")] * fields + [(b"content-encoding", encoding)]
 
     async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
-        headers = [(b"a", b"b")] * self.fields
         body = self.bodies[request.url.host]()
-        return httpx.Response(200, headers=headers, stream=body)
+        return httpx.Response(200, headers=self.head, stream=body)
 
 
 class Client:
@@ -182,6 +182,22 @@
         assert turns >= 999
 
 
+class TestCompressedResponse:
+    """A compressed response is not decoded, since it may be of any size."""
+
+    async def test_a_compressed_response_is_refused(self):
+        zeros = gzip.compress(bytes(10_000_000))
+        client = Client(encoding=b"gzip", faulty=lambda: Body(zeros, 1))
+        tracemalloc.start()
+        try:
+            await client.get("faulty")
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert client.failed == 1
+        assert peak < 1_000_000
+
+
 class TestEngineReply:
     """What a reply of an engine takes, until it is refused."""
 
--- a/packages/entry/src/kumquatway/api/_services.py
+++ b/packages/entry/src/kumquatway/api/_services.py
@@ -52,7 +52,7 @@
         "upgrade",
     )
 )
-# The agent asks for the encodings that it can undo.
+# The agent asks for no encoding: it undoes none.
 PRIVATE_HEADERS = HOP_HEADERS | {
     "accept-encoding",
     "authorization",
