Read a long configuration for as long as it goes on arriving

Cause: the whole answer of the store had to arrive within 0.8 s (1.8 s if it waits for a change), and a peer's copy within 0.6 s. An answer that was still arriving was given up, the store counted as lost, and the answer was begun again from its first byte.

All other calls keep their limits. A configuration counts as confirmed from when it was asked for, as the store may have a newer one by the end of a long transfer.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -109,6 +109,7 @@
             if wait and not await self._wait_for_newer(wait):
                 continue
             self._newer_in_store.clear()
+            started_at = self.clock()
             try:
                 found = await self.source.poll(CONFIGURATION_WAIT_SECONDS)
             except PlatformError as error:
@@ -117,7 +118,11 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             self._record_recovery()
-            self.relay.configuration_confirmed_at = self.clock()
+            # A long document may be older than the end of its transfer.
+            confirmed = self.clock() if found is None else started_at
+            self.relay.configuration_confirmed_at = max(
+                self.relay.configuration_confirmed_at, confirmed
+            )
             if found is not None and self.apply_from_store(found):
                 self.on_change()
 
--- a/packages/gateway/src/kumquatway_gateway/http1/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/__init__.py
@@ -11,7 +11,12 @@
     RequestHandler,
     ResponseProgress,
 )
-from kumquatway_gateway.http1._fetch import FetchedResponse, Fetcher, FetchFailed
+from kumquatway_gateway.http1._fetch import (
+    FetchedResponse,
+    Fetcher,
+    FetchFailed,
+    Transfer,
+)
 from kumquatway_gateway.http1._headers import Headers, render_request, render_response
 from kumquatway_gateway.http1._pool import ConnectionPool, Unreachable
 from kumquatway_gateway.http1._request_bodies import RequestBodies
@@ -39,6 +44,7 @@
     "ResponseFraming",
     "ResponseHead",
     "ResponseProgress",
+    "Transfer",
     "Unreachable",
     "UpstreamConnection",
     "render_request",
--- a/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -44,6 +45,19 @@
     body: bytes
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Transfer:
+    """
+    How long the body of a long response may take to arrive.
+
+    :param silence: longest time without any part of it, seconds.
+    :param total: longest time from the request to the end of the response, seconds.
+    """
+
+    silence: float
+    total: float
+
+
 class Fetcher:
     """
     Makes requests over pooled connections; closes one whose request has failed.
@@ -67,6 +81,7 @@
         pool_key: str = "",
         reuse: bool = True,
         max_bytes: int = MAX_BUFFERED_BODY_BYTES,
+        transfer: Transfer | None = None,
         is_permitted: Callable[[], bool] = lambda: True,
     ) -> FetchedResponse:
         """
@@ -84,6 +99,9 @@
         :param reuse: whether to use and keep a pooled connection. On a new one, the
             response cannot be a late copy of an earlier one.
         :param max_bytes: limit of the response's body.
+        :param transfer: lets a response that goes on arriving take longer than
+            `timeout`. Load pattern: many processes with thin links read a long
+            document at once. None gives it up before its end if the whole is late.
         :param is_permitted: tells whether the request may still be sent; called just
             before, as connecting takes time and the process may have been paused.
         :return: the response.
@@ -106,13 +124,18 @@
             connection.abandon()
             raise FetchFailed(f"{address}: no longer permitted", sent=False)
         exchange = Exchange(max_buffered_bytes=max_bytes)
+        sent_at = time.monotonic()
         connection.send(exchange, render_request(method, target, head) + body)
         try:
-            async with asyncio.timeout(timeout):
-                end = await exchange.ended
+            if transfer is None:
+                async with asyncio.timeout(timeout):
+                    end = await exchange.ended
+            else:
+                end = await _receive(exchange, timeout, transfer)
         except TimeoutError as error:
+            seconds = time.monotonic() - sent_at
             raise FetchFailed(
-                f"{address}: no response within {timeout} s", sent=True
+                f"{address}: no response within {seconds:.1f} s", sent=True
             ) from error
         finally:
             if not exchange.ended.done() or exchange.ended.cancelled():
@@ -125,3 +148,18 @@
             headers=response.headers,
             body=bytes(exchange.body),
         )
+
+
+async def _receive(
+    exchange: Exchange, timeout: float, transfer: Transfer
+) -> ResponseEnd:
+    """Wait for the end of a response for as long as parts of it arrive."""
+    start = time.monotonic()
+    deadline = start + timeout
+    while (seconds := deadline - time.monotonic()) > 0:
+        await asyncio.wait((exchange.ended,), timeout=seconds)
+        if exchange.ended.done():
+            return exchange.ended.result()
+        silent_at = exchange.arrived_at + transfer.silence
+        deadline = max(deadline, min(silent_at, start + transfer.total))
+    raise TimeoutError
--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import enum
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -80,6 +81,7 @@
 
     __slots__ = (
         "accepts",
+        "arrived_at",
         "body",
         "bodyless",
         "ended",
@@ -106,6 +108,7 @@
         self.sink: Callable[[bytes], int] | None = None
         self.body = bytearray()  # what arrived without a sink
         self.buffered_bytes = 0  # in the body, or by the sink
+        self.arrived_at = 0.0  # when the last part of the body came, monotonic seconds
         self.head: asyncio.Future[ResponseHead | ResponseEnd] = loop.create_future()
         self.ended: asyncio.Future[ResponseEnd] = loop.create_future()
 
@@ -129,6 +132,7 @@
 
     def feed(self, data: bytes) -> None:
         """Store a part of the body, or pass it to the sink."""
+        self.arrived_at = time.monotonic()
         if self.sink is not None:
             self.buffered_bytes = self.sink(data)
             return
--- a/packages/gateway/src/kumquatway_gateway/peers/_copies.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_copies.py
@@ -27,6 +27,7 @@
     Fetcher,
     FetchFailed,
     IncomingRequest,
+    Transfer,
 )
 from kumquatway_gateway.model import LayerRange, Server, ServerState
 
@@ -34,6 +35,8 @@
 SERVERS_PATH = "/copy/servers"
 MEDIA_TYPE = b"application/msgpack"
 FETCH_TIMEOUT_SECONDS = 0.6
+# Of a configuration, which may be long and is to be in force within 4 s.
+CONFIGURATION_TRANSFER = Transfer(silence=FETCH_TIMEOUT_SECONDS, total=3.0)
 
 
 class _ServerRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -189,7 +192,12 @@
         :param address: address of the peer, `host:port`.
         :return: the copy, or None if the request failed or returned no valid copy.
         """
-        return await self._fetch(address, CONFIGURATION_PATH, _configuration_decoder)
+        return await self._fetch(
+            address,
+            CONFIGURATION_PATH,
+            _configuration_decoder,
+            CONFIGURATION_TRANSFER,
+        )
 
     async def fetch_servers(self, address: str) -> ServersCopy | None:
         """
@@ -201,7 +209,11 @@
         return await self._fetch(address, SERVERS_PATH, _servers_decoder)
 
     async def _fetch(
-        self, address: str, path: str, decoder: ItemwiseDecoder[_Copy]
+        self,
+        address: str,
+        path: str,
+        decoder: ItemwiseDecoder[_Copy],
+        transfer: Transfer | None = None,
     ) -> _Copy | None:
         def skip(field: str, error: InvalidData) -> None:
             logger.warning(
@@ -214,7 +226,11 @@
 
         try:
             response = await self.fetcher.fetch(
-                address, "GET", path, timeout=FETCH_TIMEOUT_SECONDS
+                address,
+                "GET",
+                path,
+                timeout=FETCH_TIMEOUT_SECONDS,
+                transfer=transfer,
             )
             if response.status != 200:
                 return None
--- a/packages/gateway/tests/test_follow.py
+++ b/packages/gateway/tests/test_follow.py
@@ -236,6 +236,49 @@
         assert self.follower.seconds_until_read() == 0
 
 
+class _SlowStore:
+    """Sends a long document for 2 s, and says 2 s later that it is the newest one."""
+
+    def __init__(self, clock: _Clock):
+        self.clock = clock
+        self.calls = 0
+
+    async def poll(self, wait: float) -> ConfigurationDocument | None:
+        self.calls += 1
+        if self.calls == 3:
+            raise asyncio.CancelledError
+        self.clock.now += 2.0
+        return ConfigurationDocument(revision=5, data=b"") if self.calls == 1 else None
+
+
+class TestLongTransfer:
+    """The store may have a newer configuration by the end of a long transfer."""
+
+    def setup_method(self):
+        self.clock = _Clock()
+        self.start = self.clock.now
+        self.confirmed: list[float] = []
+        self.relay = SimpleNamespace(configuration_confirmed_at=float("-inf"))
+        self.follower = ConfigurationFollower(
+            source=_SlowStore(self.clock),
+            relay=self.relay,
+            copies=None,
+            emit=lambda event: None,
+            clock=self.clock,
+        )
+        self.follower.apply_from_store = self._apply
+
+    def _apply(self, document: ConfigurationDocument) -> bool:
+        self.confirmed.append(self.relay.configuration_confirmed_at)
+        return False
+
+    def test_the_document_is_confirmed_as_of_its_request(self):
+        with pytest.raises(asyncio.CancelledError):
+            asyncio.run(self.follower.run())
+        assert self.confirmed == [self.start]
+        assert self.relay.configuration_confirmed_at == self.start + 4.0
+
+
 class _Source:
     """Decodes documents that consist of their revision."""
 
