Send no request whose deadline has passed by the time its connection is open

Cause: a process that is late finds in one iteration of the event loop that a connection has opened, and that the time of the request is up. What waits for the connection goes on in the next iteration, just before it is cancelled, and sent the request. Only the caller's socket was asked before, and not the clock.

--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -167,7 +167,7 @@
         return AttemptOutcome.CUT
 
     async def _send_and_relay(self) -> AttemptOutcome:
-        if not await self._connect() or self.job.caller.end_if_left():
+        if not await self._connect() or not self.job.is_awaited():
             return AttemptOutcome.UNREACHED
         self._send()
         self.connection.set_reading(not self.job.caller.writing_paused)
--- a/packages/gateway/src/kumquatway_gateway/relay/_job.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_job.py
@@ -56,6 +56,15 @@
         """Return the time until the deadline, seconds."""
         return self.deadline - time.monotonic()
 
+    def is_awaited(self) -> bool:
+        """
+        Tell whether the request may be sent: its caller is there, and time is left.
+
+        A process that is late may find a connection open before it notices the end of
+        the request.
+        """
+        return self.seconds_left() > 0 and not self.caller.end_if_left()
+
     def age(self) -> float:
         """Return the time since the request arrived, seconds."""
         return time.monotonic() - self.request.arrived_at
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -409,7 +409,7 @@
             permits.give_back(server)
             self.relay.record_failure(job, server.id, "unreachable", str(error))
             return _not_sent(server)
-        if job.caller.end_if_left():
+        if not job.is_awaited():
             connection.abandon()
             permits.give_back(server)
             return _not_sent(server, denied=True)
