--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -16,7 +16,7 @@
     "request_bodies",
     "decisions",
 )
-LONG = ("control", "members", "recovery", "admission", "planner")
+LONG = ("control", "members", "recovery", "admission", "planner", "endless_senders")
 
 
 def run(name: str) -> None:
