--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -23,7 +23,7 @@
 MAX_OVERHEAD_BYTES = 64 * 1024
 MAX_FIELDS = 256  # of a head and its trailers
 FIELD_BYTES = 160  # that the objects of a short field take
-READ_BYTES = 16 * 1024  # parsed at a time, so that no connection holds up the others
+READ_BYTES = 4 * 1024  # parsed at a time, so that no connection holds up the others
 
 # One for all connections: what is read is parsed before the next read.
 _read_buffer = bytearray(READ_BYTES)
