Stay open to callers while connections that were kept are awaited

Cause: an entry closed its listener once its last request had ended, and then waited for what may still come on connections that it had told callers to keep. The balancer sends callers there, as no entry is ready.

Now these connections are awaited first, and the listener is closed after that, half a second before the end of the grace at the latest as before. The exit still waits for connections that were accepted last. A connection without a request doesn't count as kept, so new ones don't put off the exit.

test_stopped_entries failed on the code before: closed for 2.05 s before the exit; half a second may be. With it 0 tests of test_stopped_entries, test_kept_connections, test_end_to_end, test_reports_of_operators and test_http1 failed.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -399,7 +399,9 @@
         This entry accepts callers until it exits, and refuses what it cannot finish.
 
         Load pattern: a rolling restart. Once most entries of a data centre are out of
-        rotation, the load balancer sends callers to all of them, ready or not.
+        rotation, the load balancer sends callers to all of them, ready or not. A caller
+        whose stream began before may use its connection for seconds after the stream;
+        meanwhile, others are answered too.
         """
         started = self.clock()
         end = started + self.settings.shutdown_grace
@@ -410,20 +412,25 @@
         leaves_at = min(started + OUT_OF_ROTATION_SECONDS, deadline)
         await asyncio.sleep(max(0.0, leaves_at - self.clock()))
         self.is_out_of_rotation = True
-        await self._finish_requests(deadline - LAST_CONNECTION_SECONDS)
-        await self.caller_listener.accept_and_close()
+        listener = self.caller_listener
+        await self._finish_requests(
+            deadline - LAST_CONNECTION_SECONDS, lambda: listener.kept_connections
+        )
+        await listener.accept_and_close()
         # A connection that was accepted just before has yet to be counted.
         await asyncio.sleep(LAST_REQUEST_SECONDS)
-        await self._finish_requests(deadline, awaited=True)
+        await self._finish_requests(deadline, lambda: listener.awaited_connections)
         self.relay.end_requests()
         self.caller_listener.close_when_idle()
         await asyncio.sleep(LAST_RESPONSE_SECONDS)
 
-    async def _finish_requests(self, deadline: float, *, awaited: bool = False) -> None:
+    async def _finish_requests(
+        self, deadline: float, count_awaited: Callable[[], int]
+    ) -> None:
         """Wait until no request is being read or in progress, nor one is awaited."""
         listener = self.caller_listener
         while self.clock() < deadline and (
-            listener.unfinished_requests or (awaited and listener.awaited_connections)
+            listener.unfinished_requests or count_awaited()
         ):
             await asyncio.sleep(DRAIN_CHECK_SECONDS)
 
--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -181,6 +181,11 @@
         open_for_more = not (self.lost or self.closing or self.is_unfinished)
         return open_for_more and time.monotonic() < self.trusted_until
 
+    @property
+    def is_kept(self) -> bool:
+        """Whether the caller may send a request after one that was answered."""
+        return self.is_awaited and self.response is not ResponseProgress.NOTHING
+
     def _has_more(self) -> bool:
         """Tell whether another request is being read, or waits for its answer."""
         return bool(self.pending or self._reading_body or self._head_started_at)
@@ -877,6 +882,11 @@
         """Number of idle connections that callers may still use, see `is_awaited`."""
         return sum(connection.is_awaited for connection in self.connections)
 
+    @property
+    def kept_connections(self) -> int:
+        """Number of idle connections that callers may use again, see `is_kept`."""
+        return sum(connection.is_kept for connection in self.connections)
+
     def _open(self) -> CallerConnection:
         connection = CallerConnection(
             limits=self.limits,
