Receive little at once from a service, and give it back

400 calls to a service that sent bodies without end grew its agent by 94 to 125 MB, though the budget held: 256 KB may be received on each connection before they count, and the C library kept 84 to 99 MB once the calls had ended.

The connections to a service have a receive buffer of 32 KB, and agents and entries give large blocks back as the gateway does.

test_a_connection_receives_little_at_once fails on the code before; that the commands call return_large_blocks has no test of its own.

--- a/benchmarks/endless_senders_agents.py
+++ b/benchmarks/endless_senders_agents.py
@@ -142,8 +142,10 @@
 
 async def _agent(url: str, count: int) -> None:
     from kumquatway_agent.service import ServiceCaller
+    from kumquatway_core.memory import return_large_blocks
     from kumquatway_core.wire import Call
 
+    return_large_blocks()
     verdicts: dict[str, str] = {}
 
     def call(name: str, path: str) -> Call:
--- a/packages/agent/src/kumquatway_agent/_cli.py
+++ b/packages/agent/src/kumquatway_agent/_cli.py
@@ -16,6 +16,7 @@
 from kumquatway_agent._agent import Agent
 from kumquatway_core.exceptions import ConfigurationError
 from kumquatway_core.logs import configure
+from kumquatway_core.memory import return_large_blocks
 from kumquatway_core.settings import AgentSettings, read_agent
 
 BAD_SETTINGS = 2  # exit code
@@ -59,4 +60,5 @@
     configure(
         log_format=settings.log.format, level=settings.log.level, process=settings.vm
     )
+    return_large_blocks()
     anyio.run(serve_agent, settings)
--- a/packages/agent/src/kumquatway_agent/service/_caller.py
+++ b/packages/agent/src/kumquatway_agent/service/_caller.py
@@ -17,6 +17,8 @@
 CONNECT_TIMEOUT = 1.0  # seconds
 KEEPALIVE = 15.0  # seconds
 MAX_BODY = 32 * 1024 * 1024  # bytes of an answer
+# Bytes of each connection. The service is near, and hundreds of calls may run at once.
+RECEIVE_BUFFER = 32 * 1024
 HOP_HEADERS = frozenset(
     (
         "connection",
@@ -117,7 +119,13 @@
 
 def _client(url, transport, limits) -> httpx.AsyncClient:
     timeout = httpx.Timeout(None, connect=CONNECT_TIMEOUT)
-    return open_client(url, timeout=timeout, limits=limits, transport=transport)
+    return open_client(
+        url,
+        timeout=timeout,
+        limits=limits,
+        transport=transport,
+        receive_buffer=RECEIVE_BUFFER,
+    )
 
 
 def _build(http: httpx.AsyncClient, call: Call) -> httpx.Request | Verdict:
--- a/packages/agent/tests/test_service_caller.py
+++ b/packages/agent/tests/test_service_caller.py
@@ -1,8 +1,10 @@
 """Tests of the calls that an agent makes to the plain service beside it."""
 
 import gzip
+import socket
 import tracemalloc
 
+import anyio
 import httpx
 import pytest
 
@@ -75,3 +77,33 @@
 
         await call_service(httpx.MockTransport(answer))
         assert asked == ["identity"]
+
+
+class TestReceiveBuffers:
+    """What may arrive at once on hundreds of connections is small."""
+
+    async def test_a_connection_receives_little_at_once(self):
+        async with await anyio.create_tcp_listener(local_host="127.0.0.1") as listener:
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            caller = ServiceCaller(
+                name="s",
+                url=f"http://127.0.0.1:{port}",
+                incarnation=1,
+                send=lambda entry, reply: None,
+            )
+
+            async def answer(stream: anyio.abc.SocketStream) -> None:
+                await stream.receive()
+                await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                await anyio.sleep_forever()
+
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.serve, answer)
+                async with caller.kept.stream("GET", "/") as response:
+                    stream = response.extensions["network_stream"]
+                    client = stream.get_extra_info("socket")
+                    size = client.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+                await caller.close()
+                group.cancel_scope.cancel()
+        # The kernel reports twice the size that was asked for.
+        assert size <= 2 * 32 * 1024
--- a/packages/entry/src/kumquatway/_cli/_commands.py
+++ b/packages/entry/src/kumquatway/_cli/_commands.py
@@ -29,6 +29,7 @@
 from kumquatway_core.events import Record
 from kumquatway_core.exceptions import ConfigurationError
 from kumquatway_core.logs import configure
+from kumquatway_core.memory import return_large_blocks
 from kumquatway_core.settings import EntrySettings, read_entry
 from kumquatway_core.text import parse, validate as check_text
 
@@ -48,6 +49,7 @@
     configure(
         log_format=settings.log.format, level=settings.log.level, process=settings.name
     )
+    return_large_blocks()
     anyio.run(serve_entry, settings, source)
 
 
