--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -496,6 +496,11 @@
                 budget.remaining() for budget in self.relay.retry_budgets.values()
             ),
         )
+        add_gauge(
+            "kumquatway_response_bytes",
+            "Held of responses that are being read or sent, bytes.",
+            lambda: float(self.pool.memory.held),
+        )
         add_gauge(
             "kumquatway_blocks",
             "Sets of request features that reach no server, as they crash servers.",
