--- a/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
@@ -113,9 +113,10 @@
         """
         if self.is_garbled:
             return
-        start = max(0, len(self.partial_event) - OVERLAP_BYTES)
-        before = bytes(self.partial_event[start:])  # only what is new is searched
-        new = before + data if before else data
+        start, new = 0, data
+        if self.partial_event:  # only what is new is searched
+            start = max(0, len(self.partial_event) - OVERLAP_BYTES)
+            new = bytes(self.partial_event[start:]) + data
         foreign = find_status_line(new, is_line_start=not start)
         if foreign >= 0:
             self.is_garbled = True
@@ -133,9 +134,7 @@
                 now - self.last_event_at - self.typical_gap
             )
         self.last_event_at = now
-        complete = bytes(self.partial_event[:start]) + new[:end]
-        self.partial_event = bytearray(new[end:])
-        self.is_inside_event = has_field(new[end:])
+        complete = self._take_complete(start, new, end)
         if self.resuming:
             complete = self._new_events(complete)
             if not complete:
@@ -145,6 +144,17 @@
             self.last_id = event_id
         self._write(complete, now)
 
+    def _take_complete(self, start: int, new: bytes, end: int) -> bytes:
+        """Return the events that are complete, and keep what follows them."""
+        complete = bytes(self.partial_event[:start]) + new[:end] if start else new[:end]
+        if end < len(new):
+            self.partial_event = bytearray(new[end:])
+            self.is_inside_event = has_field(self.partial_event)
+        elif self.partial_event:
+            self.partial_event = bytearray()
+            self.is_inside_event = False
+        return complete
+
     def forward(self, data: bytes) -> None:
         """
         Write a piece of a body that is no event stream.
