Do not take the first part of a foreign head for an event

Where a server wrote the head of an error in the middle of a stream, and it arrived in two reads, its first part counted as a field of an event that was then lost. A caller that already had the last event never got the end of its stream: another server had nothing to add, and its answer counted as broken off.

Cause: since whether an event has begun is kept with the partial event, and was not asked anew when the head was cut from it.

Why: what is left of the partial event is searched again, once a response.

--- a/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_event_relay.py
@@ -124,6 +124,8 @@
         end = find_last_event_end(new)
         if not end:
             self.partial_event[start:] = new
+            if self.is_garbled:  # what had arrived of the head seemed to be a field
+                new, start, self.is_inside_event = self.partial_event, 0, False
             self.is_inside_event = self.is_inside_event or has_field(
                 new, is_line_start=not start
             )
--- a/packages/gateway/tests/test_event_relay.py
+++ b/packages/gateway/tests/test_event_relay.py
@@ -155,6 +155,17 @@
         assert b"".join(written) == b"id: 1\ndata: a\n\n"
         assert events.is_garbled
 
+    @pytest.mark.parametrize("rest", [b"", b": waiting\n"])
+    @pytest.mark.parametrize("cut", range(1, 7))
+    def test_is_no_lost_event_where_it_arrives_in_parts(self, cut, rest):
+        events = EventRelay(write=lambda data: None)
+        events.feed(b"id: 1\ndata: a\n\n" + rest + self.HEAD[:cut])
+        events.feed(self.HEAD[cut:])
+        assert events.is_garbled
+        assert not events.has_begun_event()
+        events.restart()
+        assert not events.has_lost_event
+
     def test_text_that_names_the_protocol_is_forwarded(self):
         written = []
         events = EventRelay(write=written.append)
--- a/packages/gateway/tests/test_events_lost_twice.py
+++ b/packages/gateway/tests/test_events_lost_twice.py
@@ -63,3 +63,31 @@
             assert log[-1] == ("end",)
 
         run_in_virtual_time(scenario)
+
+
+class TestHeadOfAnErrorThatArrivesInParts:
+    """Its first part counted as an event that was lost, and the stream did not end."""
+
+    def test_is_no_lost_event(self):
+        async def scenario():
+            site = Site(timeout=6.0, max_attempts=4)
+            stream = site.job()
+            task = asyncio.create_task(stream.run())
+            await until(lambda: len(site.pool.opened) == 1)
+            await turns()
+            _, connection = site.pool.opened[-1]
+            for data in (
+                HEAD + FIVE_EVENTS + chunk(b"HTTP"),
+                chunk(b"/1.1 503 \r\n\r\n"),
+            ):
+                connection.data_received(data)
+                await turns()
+            await until(lambda: len(site.pool.opened) == 2)
+            await turns()
+            _, connection = site.pool.opened[-1]
+            connection.data_received(HEAD + b"0\r\n\r\n")
+            await asyncio.wait((task,), timeout=1)
+            task.cancel()
+            assert stream.job.caller.log[-1] == ("end",)
+
+        run_in_virtual_time(scenario)
