Let streams in small chunks go on

Of a body that is passed on nothing stays, so the sum has no bound that a sound stream keeps.

Why: a body that is passed on sets the count back, as before; overhead in a row without any of it still ends the response, and so do chunks that are nearly all overhead where the body is stored.

--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -18,8 +18,9 @@
 from kumquatway_gateway.http1._headers import Headers
 
 MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024  # of a response without a sink, by default
-# Received beyond twice the size of the body: heads, chunk sizes and extensions,
-# trailers, and responses to other requests.
+# Received beyond twice the size of a body that is stored, or in a row without any of
+# one that is passed on: heads, chunk sizes and extensions, trailers, and responses to
+# other requests.
 MAX_OVERHEAD_BYTES = 64 * 1024
 MAX_FIELDS = 256  # of a head and its trailers
 FIELD_BYTES = 160  # that the objects of a short field take
@@ -309,6 +310,8 @@
         exchange = self.exchange
         if exchange is None:
             return
+        if exchange.sink is not None:
+            self._overhead_bytes = 0  # a stream may go on for long in small chunks
         exchange.feed(parts[0] if len(parts) == 1 else b"".join(parts))
         if exchange.buffered_bytes > exchange.max_buffered_bytes:
             raise _ResponseTooLarge
--- a/packages/gateway/tests/test_held_responses.py
+++ b/packages/gateway/tests/test_held_responses.py
@@ -125,6 +125,46 @@
 
         asyncio.run(scenario())
 
+    @pytest.mark.parametrize("chunk", [b"a", b"abc", b":\n\n"])
+    @pytest.mark.parametrize("chunks_at_a_time", [1, 1000])
+    def test_a_stream_in_small_chunks_goes_on(self, chunk, chunks_at_a_time):
+        async def scenario():
+            memory = ConnectionPool().memory
+            connection = _connect(memory)
+            exchange = Exchange()
+            connection.send(exchange, b"")
+            connection.data_received(CHUNKED)
+            passed_on = []
+
+            def sink(data):
+                passed_on.append(len(data))
+                return 0
+
+            exchange.relay_to(sink, PIECE_BYTES)
+            wire = b"%x\r\n%b\r\n" % (len(chunk), chunk)
+            for _ in range(100_000 // chunks_at_a_time):
+                connection.data_received(wire * chunks_at_a_time)
+            assert sum(passed_on) == 100_000 * len(chunk)
+            assert not exchange.ended.done()
+            assert memory.held < PIECE_BYTES
+
+        asyncio.run(scenario())
+
+    def test_a_stream_of_overhead_alone_ends(self):
+        async def scenario():
+            connection = _connect(ConnectionPool().memory)
+            exchange = Exchange()
+            connection.send(exchange, b"")
+            connection.data_received(CHUNKED + b"1\r\na\r\n")
+            exchange.relay_to(lambda data: 0, PIECE_BYTES)
+            connection.data_received(b"1\r\na\r\n1;")
+            for _ in range((128 << 10) // PIECE_BYTES):
+                if not connection.transport.aborted:
+                    connection.data_received(b"x" * PIECE_BYTES)
+            assert exchange.ended.result() is ResponseEnd.TOO_LARGE
+
+        asyncio.run(scenario())
+
     def test_lines_are_searched_without_objects(self):
         lines = b":\n" * (1 << 20)
         assert _growth(lambda: has_field(lines)) < SHARE_BYTES
