Free the head of a response with its response

A connection kept the head of its last response while it was idle: 3.9 MB for the 64 idle connections of one server whose heads have 60,000 bytes, more with each server, and counted by nobody, as a response that is complete holds nothing.

Cause: the connection referred to the last message until the next began.

Why: the message is replaced as its exchange ends.

--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -425,6 +425,7 @@
 
     def _finish(self, end: ResponseEnd) -> None:
         exchange, self.exchange = self.exchange, None
+        self.message = _Message()
         self._hold(0)
         if exchange is not None:
             exchange.finish(end)
--- a/packages/gateway/tests/test_held_responses.py
+++ b/packages/gateway/tests/test_held_responses.py
@@ -15,6 +15,7 @@
     ResponseEnd,
     UpstreamConnection,
 )
+from kumquatway_gateway.http1._pool import MAX_IDLE_PER_SERVER
 from kumquatway_gateway.relay._event_relay import EventRelay
 from kumquatway_gateway.relay._event_stream import has_field
 
@@ -266,3 +267,29 @@
                 gc.enable()
 
         asyncio.run(scenario())
+
+
+class TestIdleConnections:
+    """Each kept the head of its last response, 64 connections to a server."""
+
+    def test_keep_no_head(self):
+        async def scenario():
+            memory = ConnectionPool().memory
+            connections = [_connect(memory) for _ in range(MAX_IDLE_PER_SERVER)]
+
+            def receive():
+                for connection in connections:
+                    connection.send(Exchange(), b"")
+                    connection.data_received(OK + b"a: " + b"x" * 60_000 + b"\r\n")
+                    connection.data_received(b"Content-Length: 0\r\n\r\n")
+
+            tracemalloc.start()
+            try:
+                receive()
+                kept, _ = tracemalloc.get_traced_memory()
+            finally:
+                tracemalloc.stop()
+            assert all(connection.reusable for connection in connections)
+            assert kept < SHARE_BYTES
+
+        asyncio.run(scenario())
