Judge the connections of a caller's host together

Callers that do not read their answers, each holding little, made sound servers lose: with 64, 100 or 400 of them that fill the budget, one of eight responses of 160,000 bytes each from one server ended as "too large", as these together were more than what any caller held.

Cause: since each caller is a sender of its own in the budget, while all responses of a server are those of one sender.

Why: what callers have yet to take counts for their host, so a host whose callers hold most loses the largest. Callers behind one proxy are one.

--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -274,7 +274,7 @@
         waited = 0.0
         size = self._unsent_bytes()
         self.flushing = True
-        share = self.memory.begin(self, self.abort)
+        share = self.memory.begin(self._host(), self.abort)
         try:
             while size:
                 self.memory.resize(share, size)
@@ -288,6 +288,11 @@
             self.memory.resize(share, 0)
         self.flushing = False
 
+    def _host(self) -> str:
+        """Return the host of the caller, whose connections are judged together."""
+        host, *_ = self.transport.get_extra_info("peername") or ("",)
+        return host
+
     def _unsent_bytes(self) -> int:
         return 0 if self.lost else self.transport.get_write_buffer_size()
 
--- a/packages/gateway/tests/test_held_by_callers.py
+++ b/packages/gateway/tests/test_held_by_callers.py
@@ -6,7 +6,15 @@
 
 from kumquatway_core.memory import MemoryBudget
 from kumquatway_fakes import free_address
-from kumquatway_gateway.http1 import Listener
+from kumquatway_gateway.http1 import (
+    CallerConnection,
+    ConnectionPool,
+    Exchange,
+    Listener,
+    RequestBodies,
+    ResponseEnd,
+    UpstreamConnection,
+)
 from kumquatway_gateway.model import Limits
 
 
@@ -41,6 +49,76 @@
         asyncio.run(scenario())
 
 
+class _SlowTransport:
+    """The transport of a connection whose caller does not read."""
+
+    def __init__(self, host: str, unsent: int):
+        self.host = host
+        self.unsent = unsent
+
+    def get_extra_info(self, name: str) -> tuple[str, int] | None:
+        return (self.host, 1) if name == "peername" else None
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+    def abort(self) -> None:
+        self.unsent = 0
+
+
+class TestManyCallersThatDoNotRead:
+    """Each held little, so that the server with most responses lost one of them."""
+
+    @pytest.mark.parametrize("connections", [64, 100, 400])
+    def test_lose_before_the_responses_of_a_sound_server(self, connections):
+        body = bytes(160_000)
+
+        async def scenario():
+            memory = ConnectionPool().memory
+            tasks = []
+            for number in range(connections):
+                caller = CallerConnection(
+                    limits=Limits,
+                    serve=None,
+                    bodies=RequestBodies(),
+                    memory=memory,
+                    on_opened=lambda caller: None,
+                    on_closed=lambda caller: None,
+                )
+                caller.transport = _SlowTransport(
+                    f"192.0.2.{number % 4}", int(memory.max_bytes) // connections
+                )
+                tasks.append(asyncio.create_task(caller.flush()))
+            await asyncio.sleep(0)
+            assert memory.held > memory.max_bytes * 0.99
+            ends = [self._receive(memory, body) for _ in range(8)]
+            for connection, _ in ends:
+                connection.data_received(body[80_000:])
+            assert [end.result() for _, end in ends] == [ResponseEnd.COMPLETE] * 8
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            assert memory.held == 0
+
+        asyncio.run(scenario())
+
+    @staticmethod
+    def _receive(memory, body):
+        """Receive half of a response; return its connection and its end."""
+        connection = UpstreamConnection(
+            on_reusable=lambda connection: None, memory=memory, sender="sound"
+        )
+        connection.connection_made(_SlowTransport("", 0))
+        exchange = Exchange()
+        connection.transport.write = lambda data: None
+        connection.send(exchange, b"")
+        connection.data_received(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        )
+        connection.data_received(body[:80_000])
+        return connection, exchange.ended
+
+
 class TestSmallObjectsOfCallers:
     """Requests of many small fields or chunks."""
 
