--- a/packages/core/src/kumquatway_core/http/_client.py
+++ b/packages/core/src/kumquatway_core/http/_client.py
@@ -10,6 +10,7 @@
 
 import httpx
 
+from kumquatway_core.http._heads import install_field_limit
 from kumquatway_core.http._limits import IDENTITY, LimitedTransport, process_memory
 from kumquatway_core.memory import MemoryBudget
 
@@ -69,6 +70,7 @@
     :return: the transport; the caller must close it.
     """
     if transport is None:
+        install_field_limit()
         options = ()
         if receive_buffer is not None:
             options = ((socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer),)
--- a/packages/core/src/kumquatway_core/http/_limits.py
+++ b/packages/core/src/kumquatway_core/http/_limits.py
@@ -69,21 +69,25 @@
         await self.stream.aclose()
 
     async def _read(self) -> bytes:
-        body = io.BytesIO()
         parts = aiter(self.stream)
-        while not self.given_up:
-            with anyio.CancelScope() as self.reading:
-                part = await anext(parts, None)
-                if part is None:
-                    return body.getvalue()
-                body.write(part)
-                if body.tell() > self.limit:
-                    await self._fail(f"the response has more than {self.limit} bytes")
-                self.memory.resize(self.share, self.head_size + body.tell())
-                # Thousands of parts may arrive at once, and none waits for the next.
-                await checkpoint()
+        # It closes before an error is raised, whose traceback refers to it.
+        with io.BytesIO() as body:
+            while not self.given_up:
+                with anyio.CancelScope() as self.reading:
+                    part = await anext(parts, None)
+                    if part is None:
+                        return body.getvalue()
+                    body.write(part)
+                    await self._count(body.tell())
+                    # Thousands of parts may be there, and none waits for the next.
+                    await checkpoint()
         await self._fail("the responses to this process have too many bytes together")
 
+    async def _count(self, size: int) -> None:
+        if size > self.limit:
+            await self._fail(f"the response has more than {self.limit} bytes")
+        self.memory.resize(self.share, self.head_size + size)
+
     async def _fail(self, detail: str) -> None:
         await self.stream.aclose()
         raise httpx.RemoteProtocolError(detail)
--- a/packages/core/src/kumquatway_core/http/_serve.py
+++ b/packages/core/src/kumquatway_core/http/_serve.py
@@ -7,6 +7,7 @@
 
 from kumquatway_core.exceptions import ProcessError
 from kumquatway_core.http._connection import install_connection_class
+from kumquatway_core.http._heads import install_field_limit
 
 MAX_HEADER_BYTES = 16 * 1024
 KEEP_ALIVE_SECONDS = 30.0
@@ -39,6 +40,7 @@
     config.graceful_timeout = shutdown_grace
     config.include_server_header = False
     install_connection_class()
+    install_field_limit()
     stop_requested = anyio.Event()
     logger.debug("listening for HTTP requests on {}", address)
     async with anyio.create_task_group() as group:
--- a/packages/core/tests/test_endless_responses.py
+++ b/packages/core/tests/test_endless_responses.py
@@ -1,5 +1,6 @@
 """Tests of responses without end, to the clients of services, engines and the store."""
 
+import contextlib
 import gzip
 import tracemalloc
 
@@ -198,6 +199,52 @@
         assert peak < 1_000_000
 
 
+class TestFieldsOfAHead:
+    """Each field of a few bytes takes objects, and time of the event loop."""
+
+    async def read(self, fields: int) -> httpx.Response | httpx.HTTPError:
+        """Call a server that answers with as many fields."""
+        head = b"HTTP/1.1 204 No Content\r\n" + b"a: b\r\n" * fields + b"\r\n"
+
+        async def answer(stream: anyio.abc.SocketStream) -> None:
+            async with stream:
+                await stream.receive()
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    await stream.send(head)
+
+        async with (
+            await anyio.create_tcp_listener(local_host="127.0.0.1") as listener,
+            anyio.create_task_group() as group,
+        ):
+            group.start_soon(listener.serve, answer)
+            port = listener.extra(anyio.abc.SocketAttribute.local_port)
+            async with open_client(
+                f"http://127.0.0.1:{port}",
+                timeout=httpx.Timeout(LIMIT),
+                limits=httpx.Limits(),
+            ) as http:
+                try:
+                    return await http.get("/")
+                except httpx.HTTPError as error:
+                    return error
+                finally:
+                    group.cancel_scope.cancel()
+
+    async def test_too_many_are_refused_before_they_are_parsed(self):
+        tracemalloc.start()
+        try:
+            outcome = await self.read(10_000)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert isinstance(outcome, httpx.RemoteProtocolError)
+        assert peak < 2_000_000
+
+    async def test_as_many_as_sound_servers_send_are_read(self):
+        response = await self.read(200)
+        assert len(response.headers.get_list("a")) == 200
+
+
 class TestEngineReply:
     """What a reply of an engine takes, until it is refused."""
 
