Close a connection of the mesh whose message is too long, before it ends

A process sent a message without end, or of gigabytes, to an entry or an agent. The limit of 64 MB was looked at once the message was there, and until then the ZeroMQ thread kept it. The sockets have the limit now: a longer frame ends its connection as its length arrives.

TestMessageWithoutEnd sends the head of a frame of 1 GB; on the code before the connection stays open.

--- a/packages/core/src/kumquatway_core/mesh/_connection.py
+++ b/packages/core/src/kumquatway_core/mesh/_connection.py
@@ -7,6 +7,7 @@
 from zmq.utils.monitor import parse_monitor_message
 
 from kumquatway_core.mesh._traffic import Traffic
+from kumquatway_core.wire import MAX_MESSAGE_BYTES
 
 RECONNECT_MS = 50
 SEQUENCE_BYTES = 8
@@ -41,6 +42,7 @@
         self.socket.setsockopt(zmq.IDENTITY, identity.encode())
         self.socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         self.socket.setsockopt(zmq.SNDHWM, 0)
+        self.socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         # pyzmq derives its default endpoint from the file descriptor, which is
         # reused, so the endpoint would not be unique.
         endpoint = f"inproc://connection-{next(_monitor_numbers)}"
--- a/packages/core/src/kumquatway_core/mesh/_mesh.py
+++ b/packages/core/src/kumquatway_core/mesh/_mesh.py
@@ -12,7 +12,7 @@
 from kumquatway_core.mesh._inbox import Inbox, Sender
 from kumquatway_core.mesh._peer import OutgoingMessage, Peer, PeerState
 from kumquatway_core.mesh._traffic import Traffic
-from kumquatway_core.wire import Message
+from kumquatway_core.wire import MAX_MESSAGE_BYTES, Message
 
 IDLE_TIMEOUT = 120.0  # seconds without use after which a peer is closed
 IDLE_CHECK_INTERVAL = 10.0  # seconds
@@ -74,6 +74,8 @@
         self.context = zmq.asyncio.Context()
         self.socket = self.context.socket(zmq.ROUTER)
         self.socket.setsockopt(zmq.SNDHWM, 0)
+        # Longer ones are not read; without it they are kept until they end.
+        self.socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         self.inbox = Inbox(
             socket=self.socket,
             incarnation=incarnation,
--- a/packages/core/src/kumquatway_core/wire/__init__.py
+++ b/packages/core/src/kumquatway_core/wire/__init__.py
@@ -4,7 +4,7 @@
 Defines the messages between processes and their encoding.
 """
 
-from kumquatway_core.wire._codec import decode, encode
+from kumquatway_core.wire._codec import MAX_MESSAGE_BYTES, decode, encode
 from kumquatway_core.wire._digest import (
     DIGEST_BYTES,
     EMPTY_DIGEST,
@@ -44,6 +44,7 @@
 )
 
 __all__ = [
+    "MAX_MESSAGE_BYTES",
     "DIGEST_BYTES",
     "EMPTY_DIGEST",
     "TOKEN_BYTES",
--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -254,6 +254,34 @@
     context.destroy(linger=500)
 
 
+class TestMessageWithoutEnd:
+    """The connection of a sender whose message is too long is closed early."""
+
+    # ZMTP 3.0 (RFC 23): the greeting, a READY command, and the head of a long frame.
+    GREETING = (
+        b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"NULL".ljust(20, b"\0") + bytes(32)
+    )
+    READY = b"\x04\x1c\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER"
+    LONG_FRAME = b"\x02" + (1 << 30).to_bytes(8, "big")
+
+    @pytest.mark.anyio
+    async def test_it_is_closed_before_the_message_ends(self):
+        node = Node(address=free_address())
+        host, _, port = node.mesh.address.rpartition(":")
+        async with running(node):
+            stream = await anyio.connect_tcp(host, int(port))
+            async with stream:
+                await stream.send(self.GREETING + self.READY + self.LONG_FRAME)
+                closed = False
+                with anyio.move_on_after(1.0):
+                    try:
+                        while True:
+                            await stream.receive()
+                    except (anyio.EndOfStream, anyio.BrokenResourceError):
+                        closed = True
+        assert closed
+
+
 class TestTimeouts:
     """Heartbeat intervals and acknowledgement timeouts."""
 
