Bound the items that a peer or the store may send in one document

What was seen: an item of one to five bytes becomes an object of 80 to 100, and an invalid one a line of the log. 8 MB of them (a fetch may take 16) held the event loop for many seconds and took hundreds of MB; a datagram of 60 KB of invalid items took above 0.1 s.

Cause: decoders make the objects of all items first. The count is now checked before (commas of JSON, lengths of MessagePack), 1,000 invalid items make a document invalid as a whole, and eight of them are logged.

--- a/packages/core/src/kumquatway_core/decoding.py
+++ b/packages/core/src/kumquatway_core/decoding.py
@@ -16,6 +16,11 @@
 
 MAX_INTEGER = 2**53  # floats hold it exactly, and sums of many still fit in 64 bits
 MAX_LAYER = 65_535
+# Of what is decoded item by item; one of three bytes becomes an object of a hundred.
+MAX_ITEMS = 65_536  # of a collection
+MAX_JSON_VALUES = 200_000  # of a document
+MAX_INVALID_ITEMS = 1000  # of a document; beyond, it is invalid as a whole
+MAX_REPORTED_ITEMS = 8  # of those, one by one
 
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
@@ -24,6 +29,9 @@
 # Seconds since something happened: infinite if it never did, but not NaN.
 Age = Annotated[float, msgspec.Meta(ge=0.0)]
 
+# In MessagePack, by the first byte of an array or a map.
+_LENGTH_BYTES = {0xDC: 2, 0xDD: 4, 0xDE: 2, 0xDF: 4}
+
 # What msgspec raises on hostile bytes, beside its own errors: values that nest deeper
 # than the interpreter's recursion limit, and numbers that are out of range.
 _FAILURES = (msgspec.MsgspecError, RecursionError, OverflowError, ValueError)
@@ -31,6 +39,10 @@
 T = TypeVar("T")
 
 
+class TooManyItems(InvalidData):
+    """Data holds more items, or more invalid ones, than a sound process writes."""
+
+
 def parse_count(text: bytes) -> int | None:
     """
     Parse a number in a header field.
@@ -122,7 +134,8 @@
     """
     Decodes a struct, and leaves out those items of its collections that are invalid.
 
-    An optional field that is invalid gets its default.
+    An optional field that is invalid gets its default. Load pattern: a faulty process
+    sends items without end; to decode or report them all exhausts memory and time.
 
     :param kind: the struct; its tuples and dictionaries are collections of items.
     :param codec: `msgspec.json` or `msgspec.msgpack`.
@@ -130,6 +143,7 @@
 
     def __init__(self, kind: type[T], *, codec: ModuleType):
         self.kind = kind
+        self.is_json = codec is msgspec.json
         self._decoder = Decoder(kind, codec=codec)
         hints = get_type_hints(kind, include_extras=True)
         fields = msgspec.structs.fields(kind)
@@ -152,12 +166,14 @@
         :param on_invalid: called with the field and the error of each part left out.
         :return: an instance of the struct.
         :raises InvalidData: if the bytes are not a struct, or a required field that is
-            no collection is invalid.
+            no collection is invalid, or there are too many items.
         """
+        self._check_count(data)
         try:
             return self._decoder.decode(data)
         except InvalidData:
             outline = self._outline.decode(data)
+        on_invalid = _report_some(on_invalid)
         values = {}
         for name in self.kind.__struct_fields__:
             value = getattr(outline, name)
@@ -167,6 +183,20 @@
                 self._decode_part(values, name, value, on_invalid)
         return self.kind(**values)
 
+    def _check_count(self, data: bytes) -> None:
+        """Raise an error for too many items, before any of them becomes an object."""
+        if self.is_json:
+            if data.count(b",") > MAX_JSON_VALUES:
+                raise TooManyItems(f"more than {MAX_JSON_VALUES} values")
+            return
+        if len(data) <= MAX_ITEMS:  # an item takes a byte at least
+            return
+        outline = self._outline.decode(data)
+        for name in self._parts:
+            part = getattr(outline, name)
+            if part is not msgspec.UNSET and _length(memoryview(part)) > MAX_ITEMS:
+                raise TooManyItems(f"more than {MAX_ITEMS} items in {name}")
+
     def _decode_part(
         self,
         values: dict,
@@ -179,6 +209,8 @@
 
         try:
             values[name] = self._parts[name](bytes(raw), skip)
+        except TooManyItems:
+            raise
         except InvalidData as error:
             skip(error)
             if name in self._empty_if_invalid:
@@ -188,6 +220,23 @@
 _PartDecoder = Callable[[bytes, Callable[[InvalidData], None]], object]
 
 
+def _report_some(
+    on_invalid: Callable[[str, InvalidData], None],
+) -> Callable[[str, InvalidData], None]:
+    """Return a function that passes on few errors, and raises one for too many."""
+    count = 0
+
+    def report(field: str, error: InvalidData) -> None:
+        nonlocal count
+        count += 1
+        if count > MAX_INVALID_ITEMS:
+            raise TooManyItems(f"more than {MAX_INVALID_ITEMS} invalid items")
+        if count <= MAX_REPORTED_ITEMS:
+            on_invalid(field, error)
+
+    return report
+
+
 def _item_type(hint: object) -> object | None:
     """Return the type of a collection's items, or None for any other type."""
     arguments = get_args(hint)
@@ -228,6 +277,12 @@
     return decode_tuple
 
 
+def _length(data: memoryview) -> int:
+    """Return the number of items that MessagePack states, 0 if that is in one byte."""
+    width = _LENGTH_BYTES.get(data[0], 0)
+    return int.from_bytes(data[1 : 1 + width], "big")
+
+
 def _decode_valid(item: Decoder, raw: msgspec.Raw, on_invalid: Callable) -> tuple:
     """Return the decoded item in a tuple, which is empty if it is invalid."""
     try:
