Begin virtual time while finalizers import modules

Cause: the list is made of new tuples, so that a garbage collection may run in it; a finalizer that it calls (of an event loop's transport) may import a module. A copy of the dictionary is made in one step.

The new test lets each collection import a module, and failed with this error before.

--- a/packages/gateway/tests/test_virtual_time.py
+++ b/packages/gateway/tests/test_virtual_time.py
@@ -1,6 +1,7 @@
 """Tests of the virtual time in which other tests run."""
 
 import gc
+import itertools
 import sys
 import time
 from collections.abc import Callable, Iterator
@@ -95,3 +96,25 @@
             assert _clocks(module) == [clock.monotonic] * 6
             module.wrapped.cache_clear()
         assert _clocks(module) == [time.monotonic] * 6
+
+
+class TestStart:
+    """Virtual time did not begin, as the list of modules changed while it was read."""
+
+    def test_begins_while_finalizers_import_modules(self, monkeypatch):
+        numbers = itertools.count()
+
+        def import_module(phase: str, info: dict) -> None:
+            name = f"imported_by_a_finalizer_{next(numbers)}"
+            monkeypatch.setitem(sys.modules, name, ModuleType(name))
+
+        thresholds = gc.get_threshold()
+        gc.callbacks.append(import_module)
+        try:
+            gc.set_threshold(1)
+            with virtual_time():
+                pass
+        finally:
+            gc.set_threshold(*thresholds)
+            gc.callbacks.remove(import_module)
+        assert next(numbers) > 0
--- a/packages/gateway/tests/virtual_time.py
+++ b/packages/gateway/tests/virtual_time.py
@@ -179,7 +179,7 @@
 
 def _functions() -> Iterator[FunctionType]:
     """Return the functions and methods of the project."""
-    for name, module in list(sys.modules.items()):
+    for name, module in sys.modules.copy().items():
         if not name.startswith("kumquatway"):
             continue
         for value in list(vars(module).values()):
