Tell callers when an entry is back while all of them stop

Cause: SHUTDOWN_RETRY_SECONDS assumes that another entry serves. Where all stop one second after another, none does for 5 s.

Each entry now tells its peers when it is back (`back_in` in messages of gossip, 0 while it serves): a second after its grace, or after the exit once that has begun. While no peer serves, a refusal names a time between those at which the first and the last entry should be back; else .3 s as before.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -70,6 +70,7 @@
 # stays open for, about as long as an entry stays after SIGTERM.
 KEPT_SECONDS = 2
 LAST_RESPONSE_SECONDS = 0.05  # for the last responses to leave
+RESTART_SECONDS = 1.0  # from the exit until the next process serves
 BLOCKS_PATIENCE_SECONDS = 2.0  # at the start, until ready without the store's blocks
 # Of the VM's memory. A body is there up to three times while it is sent to a server.
 REQUEST_BODIES_SHARE = 1 / 8
@@ -170,6 +171,7 @@
         self.started_at = clock()
         self.incarnation = new_incarnation()
         self.stopping = asyncio.Event()
+        self.exit_by = float("inf")  # by `clock`, while it drains
         self.failure: ProcessError | None = None  # of a task, for which this one stops
         # While it drains, once only requests keep it from its exit.
         self.is_out_of_rotation = False
@@ -269,6 +271,8 @@
             clock=clock,
         )
         self.gossip.has_duty = lambda: self.placer.holds_lease
+        self.gossip.back_in = self.relay.own_return = self._back_in
+        self.relay.peer_returns = self.gossip.peer_returns
         self.gossip.reissued_in = lambda: self.configuration.reissued_in
         self.configuration.reads_store = self.servers.reads_store = self._reads_store
         self.copy_server = CopyServer(
@@ -404,7 +408,8 @@
         meanwhile, others are answered too.
         """
         started = self.clock()
-        end = started + self.settings.shutdown_grace
+        end = self.exit_by = started + self.settings.shutdown_grace
+        self.gossip.send_soon()
         self.relay.begin_shutdown(end - MARGIN_SECONDS - SILENCE_SECONDS)
         deadline = end - EXIT_SECONDS - LAST_RESPONSE_SECONDS
         self.caller_listener.drain(deadline - started)
@@ -416,6 +421,9 @@
         await self._finish_requests(
             deadline - LAST_CONNECTION_SECONDS, lambda: listener.kept_connections
         )
+        # Peers are told when this entry is back, which may be before its grace is over.
+        self.exit_by = min(end, self.clock())
+        self.gossip.send_soon()
         await listener.accept_and_close()
         # A connection that was accepted just before has yet to be counted.
         await asyncio.sleep(LAST_REQUEST_SECONDS)
@@ -565,6 +573,13 @@
         """Tell whether this entry reads the store without relying on peers."""
         return self.placer.holds_lease or not self.gossip.live_peers()
 
+    def _back_in(self) -> float:
+        """Return the time until this entry serves new requests, or 0 if it does."""
+        if not self.stopping.is_set():
+            return 0.0
+        left = min(self.settings.shutdown_grace, self.exit_by - self.clock())
+        return max(0.0, left) + RESTART_SECONDS
+
     def _freshness(self) -> Freshness:
         return Freshness(
             configuration_age=self.clock() - self.relay.configuration_confirmed_at,
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -168,6 +168,8 @@
     :param limits: some of the request rates that servers take, and limits that ended.
     :param survived: features of suspects that got through at the sender or its peers,
         and the seconds since then.
+    :param back_in: time until the sender serves new requests, seconds: 0 unless it
+        stops, and starts again then.
     """
 
     incarnation: Count
@@ -186,6 +188,7 @@
     survivors: dict[str, Count] = {}
     limits: tuple[_Limit, ...] = ()
     survived: dict[str, Age] = {}
+    back_in: Amount = 0.0
 
 
 class _Peer(msgspec.Struct, kw_only=True):
@@ -194,6 +197,7 @@
     received_at: float
     loads: dict[str, ChainLoad]
     has_duty: bool
+    back_in: float
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -253,6 +257,7 @@
         self.transport: asyncio.DatagramTransport | None = None
         self.has_duty: Callable[[], bool] = lambda: False
         self.reissued_in: Callable[[], int] = lambda: 0
+        self.back_in: Callable[[], float] = lambda: 0.0
         self.sent_bytes = 0
         self._send_requested = asyncio.Event()
 
@@ -371,6 +376,23 @@
             peer.has_duty and peer.received_at > since for peer in self.peers.values()
         )
 
+    def peer_returns(self) -> list[float]:
+        """
+        Return when each peer serves new requests.
+
+        :return: seconds, 0 for a peer that serves now. Left out are peers that fell
+            silent without a notice, or are not back long after they should be.
+        """
+        now = self.clock()
+        returns = []
+        for peer in self.peers.values():
+            silence = now - peer.received_at
+            if peer.back_in and silence < peer.back_in + PEER_EXPIRY_SECONDS:
+                returns.append(max(SEND_PERIOD_SECONDS, peer.back_in - silence))
+            elif not peer.back_in and silence < PEER_FAILURE_SECONDS:
+                returns.append(0.0)
+        return returns
+
     def peer_loads(self) -> dict[str, ChainLoad]:
         """
         Estimate the total load of the peers.
@@ -453,6 +475,7 @@
             received_at=now,
             loads=loads,
             has_duty=message.has_duty,
+            back_in=message.back_in,
         )
         for status in message.health:
             self.fleet.update_health(
@@ -657,4 +680,5 @@
                 )
                 for name, limit in fleet.limits.sample(MAX_LIMITS)
             ),
+            back_in=self.back_in(),
         )
--- a/packages/gateway/src/kumquatway_gateway/relay/_relay.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_relay.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import TypeVar
 
 from loguru import logger
@@ -47,10 +47,8 @@
 from kumquatway_gateway.relay._plain import PlainJob, PlainRouter
 from kumquatway_gateway.relay._streams import StreamJob
 from kumquatway_gateway.relay._verdict_response import respond_with_verdict
-from kumquatway_gateway.waiting import RetryBudget
+from kumquatway_gateway.waiting import RetryBudget, shutdown_retry_after
 
-# Until a caller refused at the shutdown should retry: other entries serve it.
-SHUTDOWN_RETRY_SECONDS = 0.3
 MAX_LOGGED_PARTS = 8  # of a prompt, in its event
 CHECK_INTERVAL_SECONDS = 0.01  # between checks of the active streams
 # Delay of a check above which this process counts as late: health checks that failed
@@ -121,6 +119,9 @@
         self.claim_trial: Callable[[frozenset[str]], Awaitable[bool]] = _no_trial
         # Time by which requests that begin now have to end, by `clock`.
         self.shutdown_at: float | None = None
+        # Return in how many seconds this entry, and each peer, serves new requests.
+        self.own_return: Callable[[], float] = lambda: 0.0
+        self.peer_returns: Callable[[], Iterable[float]] = tuple
         self.jobs: set[Job] = set()  # in progress
         # When the requests in progress were ended, by the event loop's clock.
         self.ended_at: float | None = None
@@ -436,7 +437,7 @@
         return not_run(
             Reason.SHUTTING_DOWN,
             "this entry is shutting down",
-            retry_after=SHUTDOWN_RETRY_SECONDS,
+            retry_after=shutdown_retry_after(self.own_return(), self.peer_returns()),
         )
 
     def is_blocked(self, job: Job) -> bool:
--- a/packages/gateway/src/kumquatway_gateway/waiting/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/__init__.py
@@ -2,7 +2,7 @@
 
 from kumquatway_gateway.waiting._order import AGING_SECONDS, Waiter, next_waiter
 from kumquatway_gateway.waiting._queue import MAX_WAIT_SECONDS, AdmissionQueue
-from kumquatway_gateway.waiting._retry_after import retry_after
+from kumquatway_gateway.waiting._retry_after import retry_after, shutdown_retry_after
 from kumquatway_gateway.waiting._retry_budget import RetryBudget
 
 __all__ = [
@@ -13,4 +13,5 @@
     "AdmissionQueue",
     "next_waiter",
     "retry_after",
+    "shutdown_retry_after",
 ]
--- a/packages/gateway/src/kumquatway_gateway/waiting/_retry_after.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_retry_after.py
@@ -1,9 +1,11 @@
 """Choose the time after which a refused caller should retry."""
 
 import random as _random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 MIN_RETRY_SECONDS = 0.3
+SHUTDOWN_RETRY_SECONDS = 0.3  # until a retry finds an entry that serves
+MIN_SPREAD_SECONDS = 1.0  # of the callers that return to an entry that is back
 JITTER = 0.5  # largest deviation from the estimate in each direction, as a share of it
 
 
@@ -30,3 +32,27 @@
         return max(MIN_RETRY_SECONDS, earliest) * (1 + 2 * JITTER * random())
     middle = max(MIN_RETRY_SECONDS, estimate)
     return middle * (1 - JITTER + 2 * JITTER * random())
+
+
+def shutdown_retry_after(
+    own_return: float,
+    peer_returns: Iterable[float],
+    *,
+    random: Callable[[], float] = _random.random,
+) -> float:
+    """
+    Draw the retry time of a request that an entry refuses as it stops.
+
+    Load pattern: all entries stop, one second after another. Callers retry a few times,
+    and nobody serves them before the first entry is back. All would come to that one if
+    they were not spread over the time in which the others come back.
+
+    :param own_return: time until this entry serves again, seconds.
+    :param peer_returns: the same of each other entry; 0 for one that serves now.
+    :return: time after which to retry, seconds.
+    """
+    returns = [own_return, *peer_returns]
+    first = min(returns)
+    if first <= 0:
+        return SHUTDOWN_RETRY_SECONDS
+    return first + random() * max(MIN_SPREAD_SECONDS, max(returns) - first)
--- a/packages/gateway/tests/test_gossip.py
+++ b/packages/gateway/tests/test_gossip.py
@@ -12,6 +12,7 @@
 from kumquatway_gateway.peers._gossip import (
     LOAD_EXPIRY_SECONDS,
     MAX_TARGETS,
+    PEER_EXPIRY_SECONDS,
     PEER_FAILURE_SECONDS,
     REPEAT_SECONDS,
     SEND_PERIOD_SECONDS,
@@ -206,6 +207,24 @@
         self.clock.now += PEER_FAILURE_SECONDS + 0.1
         assert not self.second.gossip.is_lease_held_by_peer()
 
+    def test_a_peer_that_stops_tells_when_it_is_back(self):
+        self.second.receive(self.first.message())
+        assert self.second.gossip.peer_returns() == [0.0]
+        self.first.gossip.back_in = lambda: 6.0
+        self.second.receive(self.first.message())
+        self.clock.now += 5.0
+        assert self.second.gossip.peer_returns() == [1.0]
+        self.clock.now += 2.0
+        [overdue] = self.second.gossip.peer_returns()
+        assert 0.0 < overdue < 1.0
+        self.clock.now += PEER_EXPIRY_SECONDS
+        assert self.second.gossip.peer_returns() == []
+
+    def test_a_peer_that_fell_silent_without_notice_is_not_counted_as_serving(self):
+        self.second.receive(self.first.message())
+        self.clock.now += PEER_FAILURE_SECONDS + 0.1
+        assert self.second.gossip.peer_returns() == []
+
     def test_own_and_invalid_datagrams_are_ignored(self):
         self.first.receive(self.first.message())
         self.first.receive(b"\x00garbage")
--- a/packages/gateway/tests/test_waiting.py
+++ b/packages/gateway/tests/test_waiting.py
@@ -22,6 +22,7 @@
     RetryBudget,
     next_waiter,
     retry_after,
+    shutdown_retry_after,
 )
 
 
@@ -255,6 +256,30 @@
     def test_never_immediately(self):
         assert retry_after(0.0, random=lambda: 0.0) > 0.1
 
+    def test_a_caller_refused_at_the_shutdown_returns_soon_if_a_peer_serves(self):
+        assert shutdown_retry_after(9.0, [0.0, 4.0]) < 0.5
+
+    @pytest.mark.parametrize("peers", [[], [9.0], [0.25, 9.0]])
+    def test_else_callers_return_as_the_entries_should_be_back(self, peers):
+        returns = [6.0, *peers]
+        rng = random.Random(1)
+        times = [
+            shutdown_retry_after(6.0, peers, random=rng.random) for _ in range(200)
+        ]
+        assert min(returns) <= min(times) <= min(returns) + 0.2
+        last = max([*returns, min(returns) + 1.0])
+        assert last - 0.2 <= max(times) <= last
+
+    def test_no_caller_returns_while_all_entries_are_away(self):
+        """Load pattern: four entries stop at 1 s, and each is away for 9 s."""
+        rng = random.Random(1)
+        stops = [0.0, 1.0, 2.0, 3.0]
+        for step in range(300, 900):
+            now = step / 100
+            own, *peers = rng.sample([stop + 9.0 - now for stop in stops], len(stops))
+            wait = shutdown_retry_after(own, peers, random=rng.random)
+            assert now + wait >= stops[0] + 9.0
+
 
 class TestBudget:
     """Retry budget that the entries share."""
