Exit no later for requests that come while kept connections are awaited

Cause: what came meanwhile was accepted by the grace alone, and at each look one of those was in progress.

Once no request is in progress, new ones are to end before the last kept connection is over, so that these alone decide when the entry exits. Peers are told of that time.

The new test failed before: the entry was there 3.6 s after its last stream, with a grace of 30 s; kept connections are over 3 s after it.

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -410,7 +410,8 @@
         started = self.clock()
         end = self.exit_by = started + self.settings.shutdown_grace
         self.gossip.send_soon()
-        self.relay.begin_shutdown(end - MARGIN_SECONDS - SILENCE_SECONDS)
+        shutdown_at = end - MARGIN_SECONDS - SILENCE_SECONDS
+        self.relay.begin_shutdown(shutdown_at)
         deadline = end - EXIT_SECONDS - LAST_RESPONSE_SECONDS
         self.caller_listener.drain(deadline - started)
         await self.placer.release()
@@ -418,12 +419,15 @@
         await asyncio.sleep(max(0.0, leaves_at - self.clock()))
         self.is_out_of_rotation = True
         listener = self.caller_listener
+        last_connection_at = deadline - LAST_CONNECTION_SECONDS
+        await self._finish_requests(last_connection_at)
+        # New requests are to end before those that are still awaited would.
+        self.exit_by = min(end, self.clock() + listener.kept_seconds_left)
+        self.relay.begin_shutdown(min(shutdown_at, self.exit_by))
+        self.gossip.send_soon()
         await self._finish_requests(
-            deadline - LAST_CONNECTION_SECONDS, lambda: listener.kept_connections
+            last_connection_at, lambda: listener.kept_connections
         )
-        # Peers are told when this entry is back, which may be before its grace is over.
-        self.exit_by = min(end, self.clock())
-        self.gossip.send_soon()
         await listener.accept_and_close()
         # A connection that was accepted just before has yet to be counted.
         await asyncio.sleep(LAST_REQUEST_SECONDS)
@@ -433,7 +437,7 @@
         await asyncio.sleep(LAST_RESPONSE_SECONDS)
 
     async def _finish_requests(
-        self, deadline: float, count_awaited: Callable[[], int]
+        self, deadline: float, count_awaited: Callable[[], int] = lambda: 0
     ) -> None:
         """Wait until no request is being read or in progress, nor one is awaited."""
         listener = self.caller_listener
--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -892,6 +892,12 @@
         """Number of idle connections that callers may use again, see `is_kept`."""
         return sum(connection.is_kept for connection in self.connections)
 
+    @property
+    def kept_seconds_left(self) -> float:
+        """Time until no connection is kept any more, if none is used again, seconds."""
+        kept = [one.trusted_until for one in self.connections if one.is_kept]
+        return max(kept) - time.monotonic() if kept else 0.0
+
     def _open(self) -> CallerConnection:
         connection = CallerConnection(
             limits=self.limits,
