Let others run between messages that have arrived

The inbox gives way after every 20 ms.

test_others_run_between_them fails on the code before, with a hold of 1 s of the test's clock. test_parts_without_end_are_not_kept shows another fault, which is not mended: a message of endless parts is kept whole.

--- a/packages/core/src/kumquatway_core/mesh/_inbox.py
+++ b/packages/core/src/kumquatway_core/mesh/_inbox.py
@@ -7,6 +7,7 @@
 import anyio
 import zmq
 import zmq.asyncio
+from anyio.lowlevel import checkpoint
 from loguru import logger
 
 from kumquatway_core.exceptions import WireError
@@ -16,6 +17,7 @@
 
 ACK_INTERVAL = 0.05  # seconds
 ACK_THRESHOLD_BYTES = 1024 * 1024  # unacknowledged bytes that trigger an early Ack
+MAX_TURN = 0.02  # seconds for which messages hold the event loop
 MAX_SENDERS = 10_000
 FRAME_COUNT = 3  # identity, sequence number, message
 
@@ -77,10 +79,15 @@
         """Receive messages until cancelled."""
         async with anyio.create_task_group() as group:
             group.start_soon(self._send_due_acks)
+            turn_ends_at = self.clock() + MAX_TURN
             while True:
                 frames = await self.socket.recv_multipart()
                 self.traffic.add_received(frames[1:])
                 await self._receive(frames)
+                # Neither of these waits while there are messages.
+                if self.clock() >= turn_ends_at:
+                    await checkpoint()
+                    turn_ends_at = self.clock() + MAX_TURN
 
     async def _receive(self, frames: list[bytes]) -> None:
         try:
--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -1,20 +1,29 @@
 """Tests of the mesh over TCP connections, some through a faulty relay."""
 
+import contextlib
 from contextlib import asynccontextmanager
 
 import anyio
 import pytest
 import zmq.asyncio
+from anyio.lowlevel import checkpoint
 from hypothesis import given, settings, strategies as st
 
 from kumquatway_core import Verdict
 from kumquatway_core.exceptions import WireError
-from kumquatway_core.mesh import AckDelayEstimator, Mesh, PeerState, heartbeat_interval
+from kumquatway_core.mesh import (
+    AckDelayEstimator,
+    Mesh,
+    PeerState,
+    _mesh,
+    heartbeat_interval,
+)
 from kumquatway_core.mesh._heartbeats import (
     HEARTBEAT_BYTES,
     HEARTBEAT_BYTES_PER_SECOND,
     MIN_ACK_TIMEOUT,
 )
+from kumquatway_core.mesh._inbox import Inbox
 from kumquatway_core.wire import Beat, Cancel, Steps, decode, encode
 from kumquatway_fakes import Relay, free_address
 
@@ -264,6 +273,13 @@
     READY = b"\x04\x1c\x05READY\x0bSocket-Type\x00\x00\x00\x06DEALER"
     LONG_FRAME = b"\x02" + (1 << 30).to_bytes(8, "big")
 
+    async def greet(self, stream: anyio.abc.SocketStream) -> None:
+        """Exchange what comes before messages."""
+        await stream.send(self.GREETING + self.READY)
+        received = b""
+        while b"ROUTER" not in received:
+            received += await stream.receive()
+
     @pytest.mark.anyio
     async def test_it_is_closed_before_the_message_ends(self):
         node = Node(address=free_address())
@@ -271,7 +287,8 @@
         async with running(node):
             stream = await anyio.connect_tcp(host, int(port))
             async with stream:
-                await stream.send(self.GREETING + self.READY + self.LONG_FRAME)
+                await self.greet(stream)
+                await stream.send(self.LONG_FRAME)
                 closed = False
                 with anyio.move_on_after(1.0):
                     try:
@@ -281,6 +298,69 @@
                         closed = True
         assert closed
 
+    @pytest.mark.anyio
+    async def test_parts_without_end_are_not_kept(self, monkeypatch):
+        monkeypatch.setattr(_mesh, "MAX_MESSAGE_BYTES", 100_000)
+        node = Node(address=free_address())
+        host, _, port = node.mesh.address.rpartition(":")
+        part = b"\x03" + (1 << 16).to_bytes(8, "big") + bytes(1 << 16)
+        sent = 0
+        async with running(node):
+            stream = await anyio.connect_tcp(host, int(port))
+            async with stream:
+                await self.greet(stream)
+                with (
+                    anyio.move_on_after(10.0),
+                    contextlib.suppress(anyio.BrokenResourceError),
+                ):
+                    while sent < 64 << 20:  # more than the kernel holds
+                        await stream.send(part)
+                        sent += len(part)
+        assert sent < 64 << 20
+
+
+class TestManyMessages:
+    """Messages that have arrived leave the event loop to others in between."""
+
+    @pytest.mark.anyio
+    async def test_others_run_between_them(self):
+        now = 0.0
+        frames = [b"a:1|1|1", (1).to_bytes(8, "big"), encode(make_message(1))]
+
+        class Socket:
+            async def recv_multipart(self) -> list[bytes]:
+                nonlocal now
+                now += 0.001
+                if now > 1.0:
+                    await anyio.sleep_forever()
+                return frames
+
+            async def send_multipart(self, frames: list[bytes]) -> None:
+                """Take an acknowledgement."""
+
+        inbox = Inbox(
+            socket=Socket(),
+            incarnation=1,
+            handle=lambda sender, message: None,
+            hlc=int,
+            merge_hlc=lambda clock: None,
+            clock=lambda: now,
+        )
+        holds = []
+
+        async def watch() -> None:
+            while now <= 1.0:
+                started = now
+                await checkpoint()
+                holds.append(now - started)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch)
+            group.start_soon(inbox.run)
+            await anyio.wait_all_tasks_blocked()
+            group.cancel_scope.cancel()
+        assert max(holds) < 0.1
+
 
 class TestTimeouts:
     """Heartbeat intervals and acknowledgement timeouts."""
