Keep few messages of a sender that sends faster than they are handled

It keeps 16 now, and then leaves the rest to the sender's connection.

test_few_are_kept_for_an_inbox_that_does_not_read fails on the code before.

--- a/packages/core/src/kumquatway_core/mesh/_mesh.py
+++ b/packages/core/src/kumquatway_core/mesh/_mesh.py
@@ -14,6 +14,7 @@
 from kumquatway_core.mesh._traffic import Traffic
 from kumquatway_core.wire import MAX_MESSAGE_BYTES, Message
 
+MAX_WAITING_MESSAGES = 16  # of each sender, in the queue of the socket
 IDLE_TIMEOUT = 120.0  # seconds without use after which a peer is closed
 IDLE_CHECK_INTERVAL = 10.0  # seconds
 
@@ -76,6 +77,7 @@
         self.socket.setsockopt(zmq.SNDHWM, 0)
         # Longer ones are not read; without it they are kept until they end.
         self.socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        self.socket.setsockopt(zmq.RCVHWM, MAX_WAITING_MESSAGES)
         self.inbox = Inbox(
             socket=self.socket,
             incarnation=incarnation,
--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -320,7 +320,25 @@
 
 
 class TestManyMessages:
-    """Messages that have arrived leave the event loop to others in between."""
+    """Messages that come faster than they are handled."""
+
+    @pytest.mark.anyio
+    async def test_few_are_kept_for_an_inbox_that_does_not_read(self):
+        mesh = Node(address=free_address()).mesh
+        mesh.socket.bind(f"tcp://{mesh.address}")
+        host, _, port = mesh.address.rpartition(":")
+        message = b"\x02" + (1 << 20).to_bytes(8, "big") + bytes(1 << 20)
+        sent = 0
+        try:
+            async with await anyio.connect_tcp(host, int(port)) as stream:
+                await TestMessageWithoutEnd().greet(stream)
+                with anyio.move_on_after(1.0):
+                    while sent < 64:  # more than the kernel holds
+                        await stream.send(message)
+                        sent += 1
+        finally:
+            mesh.context.destroy(linger=0)
+        assert sent < 64
 
     @pytest.mark.anyio
     async def test_others_run_between_them(self):
