Count failed responses while other servers are asked

Complete error responses of up to 1 MB (streams) and 16 MB (plain) were kept, counted by nobody, until the next server had answered or the deadline had passed: eight of 800,000 bytes beside silent servers took 13.0 MB of traced memory for streams and 6.5 MB for plain requests; with 100 and 400 requests the budget of 24 MB did not bind.

Cause: a response holds nothing once it is complete, though the request keeps its body.

Why: the kept response has a share of its server in the budget until the request ends. One that is dropped is answered as "may have run", as the server had run it. Two test stands got a pool with a budget for it.

--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -55,7 +55,7 @@
     """A complete response of a server with a status other than 200."""
 
     head: ResponseHead
-    body: bytes
+    body: bytes | bytearray
 
 
 class StreamAttempt:
@@ -319,9 +319,8 @@
         end = await self.exchange.ended
         self.stream.may_have_run = True
         if end is ResponseEnd.COMPLETE:
-            self.error_response = ErrorResponse(
-                head=head, body=bytes(self.exchange.body)
-            )
+            body, self.exchange.body = self.exchange.body, bytearray()
+            self.error_response = ErrorResponse(head=head, body=body)
         return AttemptOutcome.FAILED
 
     def _avoid_faulty_server(self, info: ResponseInfo) -> None:
--- a/packages/gateway/src/kumquatway_gateway/relay/_plain.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_plain.py
@@ -6,7 +6,7 @@
 import random
 import time
 from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from loguru import logger
 
@@ -26,6 +26,7 @@
 from kumquatway_gateway.relay._durations import Durations
 from kumquatway_gateway.relay._event_stream import is_body_broken_off, is_event_stream
 from kumquatway_gateway.relay._job import Job
+from kumquatway_gateway.relay._kept_response import KeptResponse
 from kumquatway_gateway.relay._refusal import wait_for_refusal_body
 from kumquatway_gateway.relay._verdict_response import respond_with_verdict
 from kumquatway_gateway.waiting import retry_after
@@ -242,7 +243,7 @@
         self.job = job
         self.tried: set[str] = set()
         self.may_have_run = False
-        self.failed_response: _Outcome | None = None
+        self.failed = KeptResponse[_Outcome](memory=relay.pool.memory)
         self.running: dict[asyncio.Task, Server] = {}
         self.suspicion = 0  # of having crashed the servers that took the request
 
@@ -261,6 +262,7 @@
             job.timeout = None
             for task in self.running:
                 task.cancel()
+            self.failed.drop()
 
     def _is_at_a_server(self) -> bool:
         """Tell whether a server that has not answered got the request."""
@@ -281,11 +283,8 @@
             if not done:
                 self._start_hedge()
                 continue
-            for outcome in done:
-                if outcome.succeeded:
-                    self._deliver(outcome)
-                    return
-                self._record_failure(outcome)
+            if self._settle(done):
+                return
             if self.running:
                 continue
             if not self._may_retry():
@@ -294,6 +293,16 @@
                 )
                 return
 
+    def _settle(self, done: list[_Outcome]) -> bool:
+        """Deliver a success among outcomes, or record them; return whether one was."""
+        for outcome in done:
+            if outcome.succeeded:
+                self._deliver(outcome)
+                return True
+            self._record_failure(outcome)
+        done.clear()  # so that a body is free once it is not kept
+        return False
+
     def _is_too_late(self) -> bool:
         """Tell whether an attempt would be the first to run, and end after the exit."""
         shutdown_at = self.relay.shutdown_at
@@ -372,7 +381,7 @@
         return False
 
     def _record_failure(self, outcome: _Outcome) -> None:
-        self.last_failure = outcome
+        self.last_failure = replace(outcome, body=b"")
         if outcome.denied:
             return
         if not outcome.reached:
@@ -388,7 +397,7 @@
             detail = f"no valid response: {outcome.detail}"
             self.relay.record_failure(self.job, outcome.server.id, "reset", detail)
         if outcome.is_deliverable:
-            self.failed_response = outcome
+            self.failed.keep(outcome, outcome.server.address)
 
     def _record_suspicion(self, server: Server) -> None:
         """Record that a server broke off its response to the request."""
@@ -550,8 +559,8 @@
 
     def _give_up(self, reason: Reason, detail: str) -> None:
         """Relay the last failed response, or send a verdict if there is none."""
-        if self.failed_response is not None:
-            self._deliver(self.failed_response)
+        if self.failed.response is not None:
+            self._deliver(self.failed.response)
             return
         verdict = self._verdict(reason, detail)
         self.relay.record_end(self.job, verdict)
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -22,6 +22,7 @@
 )
 from kumquatway_gateway.relay._event_relay import EventRelay
 from kumquatway_gateway.relay._job import Job
+from kumquatway_gateway.relay._kept_response import KeptResponse
 from kumquatway_gateway.relay._model_router import Claim, ModelRouter
 from kumquatway_gateway.relay._retry_choice import (
     RetryChoice,
@@ -70,7 +71,7 @@
         self.media_type: bytes | None = None  # of what the caller gets
         self.completed = False
         self.may_have_run = False  # a server may have run the request
-        self.error_response: ErrorResponse | None = None
+        self.failed = KeptResponse[ErrorResponse](memory=relay.pool.memory)
         self.interrupted_at = 0.0  # when the stream was interrupted, 0 while it is not
         self.avoid: set[str] = set()  # IDs of servers that failed
         self.rejecting: set[str] = set()  # those among them that gave no answer at all
@@ -105,6 +106,7 @@
             for attempt in self.attempts:
                 attempt.cancel()
             self.events.drop_partial_event()
+            self.failed.drop()
         if self.completed:
             await self._record_duration()
         else:
@@ -304,13 +306,19 @@
             self.rejecting.add(attempt.faulty_server)
         if outcome is AttemptOutcome.FAILED:
             self.error_count += 1
-            self.error_response = attempt.error_response or self.error_response
+            self._keep(attempt)
         else:
             self._suspect_crash(attempt)
         attempt.events.drop_partial_event()
         if outcome is not AttemptOutcome.CUT and not self.events.count:
             self.router.record_failure(attempt.chain)
 
+    def _keep(self, attempt: StreamAttempt) -> None:
+        """Keep the complete response of an attempt that failed, if it has one."""
+        response, attempt.error_response = attempt.error_response, None
+        if response is not None:
+            self.failed.keep(response, attempt.chain.first_server.address)
+
     def _suspect_crash(self, attempt: StreamAttempt) -> None:
         """Record that the request may have ended the servers of an attempt."""
         is_cut = attempt.outcome is AttemptOutcome.CUT
@@ -584,12 +592,11 @@
             )
             job.caller.abort()
             return
-        if self.error_response is not None:
-            head = self.error_response.head
+        response = self.failed.response
+        if response is not None:
+            head = response.head
             fields = head.headers.forwardable()
-            job.caller.respond(
-                head.status, fields, self.error_response.body, keep_alive=True
-            )
+            job.caller.respond(head.status, fields, response.body, keep_alive=True)
             verdict = Verdict(ran=RAN, reason=Reason.UPSTREAM_ERROR)
             self.relay.record_end(job, verdict, head.status)
             return
--- a/packages/gateway/tests/parallel_site.py
+++ b/packages/gateway/tests/parallel_site.py
@@ -75,6 +75,7 @@
         self.opened = []  # (server, connection)
         self.refuse = set()
         self.hang = set()
+        self.memory = MemoryBudget(max_bytes=float("inf"))
 
     async def connect(self, key, address, timeout=0.3):
         if address in self.refuse:
--- a/packages/gateway/tests/test_endless_senders.py
+++ b/packages/gateway/tests/test_endless_senders.py
@@ -146,6 +146,7 @@
 
     def __init__(self, address: str):
         self.pool = ConnectionPool()
+        self.memory = self.pool.memory
         self.address = address
 
     async def connect(self, key, address, timeout=CONNECT_SECONDS):
--- a/packages/gateway/tests/test_stream_retries.py
+++ b/packages/gateway/tests/test_stream_retries.py
@@ -8,7 +8,7 @@
 from test_gossip import _Clock
 
 from kumquatway_gateway.fleet import Fleet
-from kumquatway_gateway.http1 import ResponseEnd
+from kumquatway_gateway.http1 import ConnectionPool, ResponseEnd
 from kumquatway_gateway.model import Backend, Route, RouteKind
 from kumquatway_gateway.quarantine import Quarantine
 from kumquatway_gateway.relay import Relay
@@ -68,7 +68,7 @@
             request=SimpleNamespace(last_event_id=""),
         )
         stream = StreamJob(
-            relay=None,
+            relay=SimpleNamespace(pool=ConnectionPool()),
             router=SimpleNamespace(queue=SimpleNamespace(admit=admit)),
             job=job,
         )
