Take an answer of the store or a server that is whole as its time is up

What was seen: a process that is late finds in one iteration of the event loop that the answer to a call is there, and that the time for the call is up. The time won: the store or the server counted as unreachable (test_pool, test_a_response_that_has_arrived_is_read[2], in KNOWN-RED).

Cause: the timeout cancels what waits for the end of the answer, although the end is known.

The end is now looked at once the time is up. No iteration is added, so a real loss is noticed as fast as before.

--- a/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_fetch.py
@@ -127,11 +127,7 @@
         sent_at = time.monotonic()
         connection.send(exchange, render_request(method, target, head) + body)
         try:
-            if transfer is None:
-                async with asyncio.timeout(timeout):
-                    end = await exchange.ended
-            else:
-                end = await _receive(exchange, timeout, transfer)
+            end = await _receive(exchange, timeout, transfer)
         except TimeoutError as error:
             seconds = time.monotonic() - sent_at
             raise FetchFailed(
@@ -151,15 +147,20 @@
 
 
 async def _receive(
-    exchange: Exchange, timeout: float, transfer: Transfer
+    exchange: Exchange, timeout: float, transfer: Transfer | None
 ) -> ResponseEnd:
-    """Wait for the end of a response for as long as parts of it arrive."""
+    """
+    Wait for the end of a response, or for as long as parts of it arrive.
+
+    A response that is complete in the iteration in which the time is up counts.
+    """
     start = time.monotonic()
     deadline = start + timeout
     while (seconds := deadline - time.monotonic()) > 0:
         await asyncio.wait((exchange.ended,), timeout=seconds)
         if exchange.ended.done():
             return exchange.ended.result()
-        silent_at = exchange.arrived_at + transfer.silence
-        deadline = max(deadline, min(silent_at, start + transfer.total))
+        if transfer is not None:
+            silent_at = exchange.arrived_at + transfer.silence
+            deadline = max(deadline, min(silent_at, start + transfer.total))
     raise TimeoutError
