Keep little of what a peer names

Cause: what a peer names was kept by its name, with a bound in time or in number of crashes at most. Now an entry knows 4,096 peers, those heard last, and 64 incarnations of each; loads are kept of listed servers only, and features and attempts as long as this entry's own may be. A block that names a longer feature is left out as a whole, since fewer features would block more requests.

--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -21,7 +21,13 @@
 from kumquatway_gateway.fleet import Fleet, HealthStatus
 from kumquatway_gateway.limits import NamedLimit, is_permit_message
 from kumquatway_gateway.model import LayerRange, LayerReport, parse_address
-from kumquatway_gateway.quarantine import BlockState, Crash, Quarantine, Suspect
+from kumquatway_gateway.quarantine import (
+    MAX_FEATURE_LENGTH,
+    BlockState,
+    Crash,
+    Quarantine,
+    Suspect,
+)
 
 SEND_PERIOD_SECONDS = 0.25
 MIN_SEND_INTERVAL_SECONDS = 0.05  # between messages, also when more are requested
@@ -48,6 +54,10 @@
 BEGINNING_WEIGHT = 2
 OTHER_WEIGHT = 1
 MAX_BLOCKS = 3  # in a message
+# Of what messages may name; a faulty peer names something else in each.
+MAX_PEERS = 4096
+MAX_INCARNATIONS = 64  # of a peer, the newest ones
+MAX_ATTEMPT_LENGTH = 256  # characters
 MAX_LIMITS = 2  # of servers in a message, chosen at random
 
 
@@ -213,6 +223,11 @@
     )
 
 
+def _valid_features(features: tuple[str, ...]) -> frozenset[str]:
+    """Return the features of a peer that may be those of requests."""
+    return frozenset(f for f in features if len(f) <= MAX_FEATURE_LENGTH)
+
+
 class Gossip(asyncio.DatagramProtocol):
     """
     Sends this entry's state to its peers and receives theirs.
@@ -461,12 +476,16 @@
         loads = {
             load.server: ChainLoad(tokens=load.tokens, requests=load.requests)
             for load in message.loads
+            if load.server in self.fleet.servers
         }
-        self.addresses.add(message.address)
+        if len(self.addresses) < MAX_PEERS:
+            self.addresses.add(message.address)
         self.fleet.permits.ranking.record_alive(message.address)
         previous = self.peers.get(message.address)
         incarnations = previous.incarnations if previous else set()
         incarnations.add(message.incarnation)
+        if len(incarnations) > MAX_INCARNATIONS:
+            incarnations.discard(min(incarnations))
         if message.incarnation < max(incarnations):
             return
         self.peers[message.address] = _Peer(
@@ -477,6 +496,8 @@
             has_duty=message.has_duty,
             back_in=message.back_in,
         )
+        if len(self.peers) > MAX_PEERS:
+            del self.peers[min(self.peers, key=self._last_heard)]
         for status in message.health:
             self.fleet.update_health(
                 status.server,
@@ -524,15 +545,18 @@
         self._apply_crashes(message)
         self.on_message(message)
 
+    def _last_heard(self, address: str) -> float:
+        return self.peers[address].received_at
+
     def _apply_crashes(self, message: GossipMessage) -> None:
         now = self.clock()
         for crash in message.crashes:
             suspects = [
                 Suspect(
-                    features=frozenset(s.features),
+                    features=_valid_features(s.features),
                     seconds=s.seconds,
                     beginning=s.weight >= BEGINNING_WEIGHT,
-                    attempt=s.attempt,
+                    attempt=s.attempt if len(s.attempt) <= MAX_ATTEMPT_LENGTH else "",
                 )
                 for s in crash.suspects
             ]
@@ -545,7 +569,9 @@
                 lifted=block.lifted,
                 changed_at=now - max(0.0, block.age),
             )
-            self.quarantine.receive_block(frozenset(block.features), state)
+            features = _valid_features(block.features)
+            if len(features) == len(set(block.features)):  # fewer would block more
+                self.quarantine.receive_block(features, state)
         self.quarantine.receive_survivals(message.survived)
 
     def _send(self, max_targets: int) -> None:
