Forget the reports of servers that have ended

What was seen (read, then shown by test_ended_servers): each server that reported its layers and ended leaves a report in memory for good; servers start under new IDs.

Cause: Fleet.dropped_reports lost no entry. It keeps those of listed servers and of the 1,000 that were dropped last, which may be listed again after an outage of the store.

Evidence: the test fails without the change and passes with it; so do those of membership, gossip, layers of silent servers, health and expired leases.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -28,6 +28,7 @@
 # How long ended servers are remembered: longer than callers wait (20 s).
 ENDED_RETENTION_SECONDS = 30.0
 AVOID_SECONDS = 0.4  # after a server reported that it is full or gives up layers
+MAX_UNLISTED_REPORTS = 1000  # of servers that may be listed again
 LIMIT_NOTICE_SECONDS = 1.0  # least time between sending changed limits to peers
 NO_INCARNATION = 0  # of a server that reports none
 
@@ -161,6 +162,9 @@
         self.by_address = {server.address: server for server in servers.values()}
         for name in [name for name in self.layer_reports if name not in servers]:
             self._drop_report(name)
+        unlisted = [name for name in self.dropped_reports if name not in servers]
+        for name in unlisted[:-MAX_UNLISTED_REPORTS]:
+            del self.dropped_reports[name]
         for table in (self.health, self.leaving, self.avoided_until, self.slowdowns):
             for name in [name for name in table if name not in servers]:
                 del table[name]
