--- a/packages/gateway/src/kumquatway_gateway/http1/_caller.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_caller.py
@@ -25,6 +25,7 @@
 from kumquatway_core import Reason, not_run
 from kumquatway_core.memory import MemoryBudget
 from kumquatway_gateway.http1._headers import (
+    MAX_FIELDS,
     Field,
     Headers,
     render_request,
@@ -37,7 +38,6 @@
 FLUSH_CHECK_SECONDS = 0.02  # between looks at what a slow caller has yet to take
 MIN_READ_SECONDS = 0.05  # for bytes that this process is late to read
 MAX_PIPELINED_REQUESTS = 4  # queued on a connection before reading is paused
-MAX_FIELDS = 256  # of a head and its trailers
 COPIED_BODY_BYTES = 64 * 1024  # larger bodies of responses are sent apart from the head
 LEFT_CHECK_SECONDS = 0.1  # between looks for a caller's close while reading is paused
 KEPT_SHARE = 0.8  # of the idle time of a connection, at most, that callers are told
--- a/packages/gateway/src/kumquatway_gateway/http1/_headers.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_headers.py
@@ -5,6 +5,8 @@
 
 from kumquatway_core import VERDICT_HEADER, Verdict
 
+MAX_FIELDS = 256  # of a head and its trailers; each takes the memory of its objects
+
 Field = tuple[bytes, bytes]
 
 # Hop-by-hop fields (RFC 9110, 7.6.1) and framing fields, which are not forwarded.
--- a/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
+++ b/packages/gateway/src/kumquatway_gateway/http1/_upstream.py
@@ -15,14 +15,13 @@
 
 from kumquatway_core.decoding import parse_count
 from kumquatway_core.memory import MemoryBudget, MemoryShare
-from kumquatway_gateway.http1._headers import Headers
+from kumquatway_gateway.http1._headers import MAX_FIELDS, Headers
 
 MAX_BUFFERED_BODY_BYTES = 16 * 1024 * 1024  # of a response without a sink, by default
 # Received beyond twice the size of a body that is stored, or in a row without any of
 # one that is passed on: heads, chunk sizes and extensions, trailers, and responses to
 # other requests.
 MAX_OVERHEAD_BYTES = 64 * 1024
-MAX_FIELDS = 256  # of a head and its trailers
 FIELD_BYTES = 160  # that the objects of a short field take
 READ_BYTES = 4 * 1024  # parsed at a time, so that no connection holds up the others
 
