--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -16,7 +16,7 @@
     "request_bodies",
     "decisions",
 )
-LONG = ("control", "members", "recovery", "admission", "planner", "endless_senders")
+LONG = ("control", "members", "recovery", "admission", "planner")
 
 
 def run(name: str) -> None:
--- a/packages/gateway/tests/test_endless_senders.py
+++ b/packages/gateway/tests/test_endless_senders.py
@@ -2,7 +2,7 @@
 Tests that bytes without end, to many requests at once, cost little memory and time.
 
 Load pattern: all servers of a service are faulty, and each writes as fast as it is
-read. `benchmarks/endless_senders.py` measures the same on an entry as a process.
+read. `platform/benchmarks/endless_senders.py` measures the same on a process.
 """
 
 import asyncio
