Judge lists of servers by the store's clock, whoever read them

Cause: the outage was known by failed reads of the list. An entry reads only when its copy is 1.1 s old, the others' copies are passed on with ages that lack the time on the way, and each copy that was taken, though as old as the outage, set the outage to none and the grace to nothing. So whether lapsed servers were kept hung on which message came last before the store's return (trial, with lines added to the log: 15 failed reads, each forgotten 25 to 190 ms later; "listed 13 known 41 missing 28 outage None").

Mend: a list carries the time at which the store had it, by its own steady clock. Two lists more than 1.4 s apart leave a gap in which registrations may have lapsed; servers that are missing are kept for 2.3 s from its end, whoever read either list. Peers tell of a gap by its two times, which do not change as they are passed on; an entry that has a list of that time knows better. A second interruption begins the time anew.

Tests replaced as strictly: those of TestMembership and TestServers that told the outage by failed reads tell it by the times of the lists; "newer list of a peer ends the outage" asserted the fault itself, and now says that peers' lists which follow each other show that there is none.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -17,16 +17,21 @@
 
 from kumquatway_core.events import ConfigurationChanged, DependencyChanged, Event
 from kumquatway_core.exceptions import ConfigurationError, PlatformError
-from kumquatway_core.platform import UNKNOWN_GENERATION
 from kumquatway_gateway._sources import (
     ConfigurationDocument,
     ConfigurationSource,
     EntrySource,
     ServerSource,
 )
-from kumquatway_gateway.fleet import Fleet, Membership
-from kumquatway_gateway.model import Configuration, Server
-from kumquatway_gateway.peers import CopyClient, Gossip, GossipMessage, digest_servers
+from kumquatway_gateway.fleet import REREGISTRATION_GRACE_SECONDS, Fleet, Membership
+from kumquatway_gateway.model import Configuration, Server, ServerList
+from kumquatway_gateway.peers import (
+    CopyClient,
+    Gossip,
+    GossipMessage,
+    decode_gap,
+    digest_servers,
+)
 from kumquatway_gateway.relay import Relay
 
 # Timeouts of one poll of the store. Peers rely on its result, so each is well below the
@@ -39,6 +44,8 @@
 # platform.
 CONFIGURATION_MAX_AGE_SECONDS = 1.4
 SERVERS_MAX_AGE_SECONDS = 1.1
+# The same after an outage, so that a further interruption is noticed.
+GRACE_PAUSE_SECONDS = 0.25
 RETRY_SECONDS = 0.25  # after a failed poll
 # Bytes that a peer may have to send if all others fetch its configuration at once: half
 # a second of the slowest link (10 Mbit/s in the users' deployments).
@@ -374,13 +381,12 @@
         self.fleet = fleet
         self.copies = copies
         self.clock = clock
-        self.membership = Membership(clock=clock)
+        self.membership = Membership()
         self.read_at = float("-inf")  # when the list was read from the store
         # Whether this entry reads the store regularly, without relying on peers.
         self.reads_store: Callable[[], bool] = lambda: True
         # Called when a list from the store changed the fleet.
         self.on_change: Callable[[], None] = lambda: None
-        self._store_generation = UNKNOWN_GENERATION
         self._digest = 0
         self._digested_servers: dict[str, Server] | None = None
         self._fetching: asyncio.Task | None = None
@@ -388,29 +394,28 @@
     async def run(self) -> None:
         """Read the store whenever the peers' messages are not recent enough."""
         while True:
-            wait = self.seconds_until_read()
-            if wait:
-                await asyncio.sleep(wait)
+            pause = self.seconds_until_read()
+            if pause:
+                await asyncio.sleep(pause)
                 continue
+            # Neither an outdated list nor servers that register again are waited for.
+            is_urgent = self._is_outdated() or self.grace_left() > 0.0
             try:
-                listed = await self.source.poll(SERVERS_WAIT_SECONDS)
+                found = await self.source.poll(
+                    0.0 if is_urgent else SERVERS_WAIT_SECONDS
+                )
             except PlatformError:
-                self.membership.record_store_failure()
+                self.membership.record_failure()
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            if self.source.generation != self._store_generation:
-                self._record_generation()
             before = self.fleet.generation
-            self._apply(self.membership.update(listed), self.clock())
+            self._update(found, self.clock())
             if self.fleet.generation != before:
                 self.on_change()
-            await asyncio.sleep(SERVERS_PAUSE_SECONDS)
-
-    def _record_generation(self) -> None:
-        """Record that the list is from another generation of the store."""
-        if self._store_generation != UNKNOWN_GENERATION:
-            self.membership.record_restore()
-        self._store_generation = self.source.generation
+            in_grace = self.grace_left() > 0.0
+            await asyncio.sleep(
+                GRACE_PAUSE_SECONDS if in_grace else SERVERS_PAUSE_SECONDS
+            )
 
     def seconds_until_read(self) -> float:
         """
@@ -420,61 +425,115 @@
         """
         if self.reads_store():
             return 0.0
-        return max(0.0, self.read_at + SERVERS_MAX_AGE_SECONDS - self.clock())
+        return max(0.0, SERVERS_MAX_AGE_SECONDS - self.age())
+
+    def age(self) -> float:
+        """Return the seconds since the list was read from the store."""
+        return self.clock() - self.read_at
+
+    def grace_left(self) -> float:
+        """Return for how long servers that the list lacks are kept, seconds."""
+        return self.membership.grace_left(self.age())
 
     def digest(self) -> int:
-        """Return the digest of the list that routing uses."""
-        if self._digested_servers is not self.fleet.servers:
-            self._digested_servers = self.fleet.servers
-            self._digest = digest_servers(self._digested_servers)
+        """Return the digest of the newest list, without the servers that are kept."""
+        listed = self.membership.newest.servers if self.membership.newest else {}
+        if self._digested_servers is not listed:
+            self._digested_servers = listed
+            self._digest = digest_servers(listed)
         return self._digest
 
     def receive(self, message: GossipMessage) -> None:
         """
         Process what a peer reports about its list, if that is newer than this one.
 
-        A different list is fetched; the same list confirms this entry's copy.
+        A different list is fetched; the same list confirms this entry's copy. So is the
+        list of a peer that keeps servers of which this entry cannot know.
 
         :param message: the peer's message.
         """
         freshness = message.freshness
-        if freshness is None or (
-            self.reads_store() and self._age() < SERVERS_MAX_AGE_SECONDS
-        ):
+        if freshness is None:
             return
-        if freshness.servers_age >= self._age():
+        gap = decode_gap(freshness.gap)
+        newest = self.membership.newest
+        is_newer = self.membership.is_newer(freshness.listed_at, freshness.generation)
+        relies_on_peers = not self.reads_store() or self._is_outdated()
+        if self.membership.may_learn(gap, freshness.generation):
+            self._begin_fetch(message.address)
+        elif not (is_newer and relies_on_peers):
             return
-        if freshness.servers_digest == self.digest():
-            self._adopt(self.fleet.servers, freshness.servers_age, freshness.grace)
-        elif self._fetching is None:
-            task = asyncio.get_running_loop().create_task(self.fetch(message.address))
+        elif newest is None or freshness.servers_digest != self.digest():
+            self._begin_fetch(message.address)
+        else:
+            confirmed = ServerList(
+                servers=newest.servers,
+                listed_at=freshness.listed_at,
+                generation=freshness.generation,
+            )
+            self._update(confirmed, self.clock() - freshness.servers_age, gap=gap)
+
+    def _is_outdated(self) -> bool:
+        return self.age() >= SERVERS_MAX_AGE_SECONDS
+
+    def _begin_fetch(self, address: str) -> None:
+        if self._fetching is None:
+            task = asyncio.get_running_loop().create_task(self.fetch(address))
             self._fetching = task
             task.add_done_callback(self._clear_fetching)
 
     async def fetch(self, address: str) -> None:
         """
-        Fetch a peer's list, and adopt it if it is newer than this entry's.
+        Fetch a peer's list, and adopt what it has that this entry cannot know.
 
         :param address: address of the peer.
         """
         copy = await self.copies.fetch_servers(address)
-        if copy is not None and copy.age < self._age():
-            self._adopt(copy.servers(), copy.age, copy.grace)
+        if copy is None:
+            return
+        found = copy.server_list()
+        gap = decode_gap(copy.gap)
+        lapsed = copy.lapsed_servers()
+        if self.membership.is_newer(found.listed_at, found.generation):
+            self._update(found, self.clock() - copy.age, gap=gap, lapsed=lapsed)
+        elif self.membership.may_learn(gap, copy.generation):
+            self.membership.learn(lapsed, gap)
+            self._log_gap()
+            self._apply()
 
     def _clear_fetching(self, task: asyncio.Task) -> None:
         self._fetching = None
 
-    def _age(self) -> float:
-        return self.clock() - self.read_at
+    def _update(self, found: ServerList, read_at: float, **known_by_peer) -> None:
+        """
+        Replace the list by a newer one.
 
-    def _adopt(self, servers: dict[str, Server], age: float, grace: float) -> None:
-        self.membership.adopt(servers, grace)
-        self._apply(servers, self.clock() - age)
+        :param found: list of the store, read by this entry or a peer.
+        :param read_at: when it was read, monotonic seconds.
+        :param known_by_peer: what the peer knows of outages, see `Membership.update`.
+        """
+        before, gap = self.membership.servers, self.membership.gap
+        after = self.membership.update(found, **known_by_peer)
+        self.read_at = max(self.read_at, read_at)
+        if self.membership.gap is not gap:
+            self._log_gap()
+        self._apply(is_same=after is before)
+
+    def _log_gap(self) -> None:
+        gap = self.membership.gap
+        logger.warning(
+            "no list of servers is known of {:.1f} s, so the store may have been away; "
+            "{} servers that the list lacks are kept for {} s",
+            gap.end - gap.start,
+            len(self.membership.lapsed()),
+            REREGISTRATION_GRACE_SECONDS,
+        )
 
-    def _apply(self, servers: dict[str, Server], read_at: float) -> None:
-        self.read_at = read_at
+    def _apply(self, *, is_same: bool = False) -> None:
         self.fleet.update_servers(
-            servers, up_to_date=self.membership.is_up_to_date(), as_of=read_at
+            self.fleet.servers if is_same else self.membership.servers,
+            up_to_date=self.membership.is_up_to_date(),
+            as_of=self.read_at,
         )
 
 
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -43,6 +43,7 @@
     Freshness,
     Gossip,
     GossipMessage,
+    encode_gap,
 )
 from kumquatway_gateway.quarantine import BlockKeeper, BlockSource, Quarantine
 from kumquatway_gateway.relay import (
@@ -278,9 +279,8 @@
         self.copy_server = CopyServer(
             revision=self.configuration.revision,
             document=lambda: self.configuration.document.data,
-            servers=lambda: self.fleet.servers,
+            membership=self.servers.membership,
             read_at=lambda: self.servers.read_at,
-            grace=self.servers.membership.grace_left,
             read_in=lambda: self.configuration.document.read_in,
             reissued_in=lambda: self.configuration.reissued_in,
             clock=clock,
@@ -585,12 +585,16 @@
         return max(0.0, left) + RESTART_SECONDS
 
     def _freshness(self) -> Freshness:
+        listed = self.servers.membership.newest
         return Freshness(
             configuration_age=self.clock() - self.relay.configuration_confirmed_at,
             servers_digest=self.servers.digest(),
-            servers_age=self.clock() - self.servers.read_at,
-            grace=self.servers.membership.grace_left(),
+            servers_age=self.servers.age(),
+            grace=self.servers.grace_left(),
             document_bytes=len(self.configuration.document.data),
+            listed_at=listed.listed_at if listed else 0.0,
+            generation=listed.generation if listed else 0,
+            gap=encode_gap(self.servers.membership),
         )
 
     def _receive(self, message: GossipMessage) -> None:
--- a/packages/gateway/src/kumquatway_gateway/_sources.py
+++ b/packages/gateway/src/kumquatway_gateway/_sources.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from kumquatway_gateway.model import Configuration, Server
+from kumquatway_gateway.model import Configuration, ServerList
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -84,21 +84,14 @@
 
 
 class ServerSource(Protocol):
-    """
-    Reads the platform's list of servers.
-
-    :ivar generation: generation of the store that the list is from; it rises when the
-        store came back from an older copy.
-    """
-
-    generation: int
+    """Reads the platform's list of servers."""
 
-    async def poll(self, wait: float) -> tuple[Server, ...]:
+    async def poll(self, wait: float) -> ServerList:
         """
         Wait for a change of the list of servers.
 
         :param wait: longest time to wait, seconds.
-        :return: all servers in the list.
+        :return: the whole list.
         :raises PlatformError: if the store did not respond.
         """
 
--- a/packages/gateway/src/kumquatway_gateway/fleet/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/__init__.py
@@ -11,6 +11,9 @@
     HealthStatus,
 )
 from kumquatway_gateway.fleet._membership import (
+    MAX_GAP_AFTER_FAILURE_SECONDS,
+    MAX_GAP_IN_GRACE_SECONDS,
+    MAX_GAP_SECONDS,
     REREGISTRATION_GRACE_SECONDS,
     Membership,
 )
@@ -22,6 +25,9 @@
     "REREGISTRATION_GRACE_SECONDS",
     "Fleet",
     "HealthStatus",
+    "MAX_GAP_AFTER_FAILURE_SECONDS",
+    "MAX_GAP_IN_GRACE_SECONDS",
+    "MAX_GAP_SECONDS",
     "MAX_PAUSE_SECONDS",
     "Membership",
     "Pauses",
--- a/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
@@ -1,21 +1,28 @@
 """Tracks the platform's server list and bridges outages of the store."""
 
-import time
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, replace
 
-from kumquatway_gateway.model import Server, ServerState
+from kumquatway_gateway.model import Gap, Server, ServerList, ServerState
 
 # After an outage of the store, servers write their lapsed registrations again within
 # two seconds (service discovery of the users' platform).
 REREGISTRATION_GRACE_SECONDS = 2.3
 REMEMBERED_SECONDS = 30.0  # longer than copies of the store are old
-OUTAGE_SECONDS = 1.0  # outages longer than this may have let registrations lapse
+# Between two lists, beyond which registrations of live servers may have lapsed. They do
+# so 3.6 s after the last heartbeat, which may be 1.2 s old as an outage begins, and a
+# second more if the server was silent.
+MAX_GAP_SECONDS = 1.4
+# The same while servers are registering again, and lists follow each other faster: an
+# interruption that is too short to let registrations lapse still delays those.
+MAX_GAP_IN_GRACE_SECONDS = 1.0
+MAX_GAP_AFTER_FAILURE_SECONDS = 0.6  # the same, if a read has failed
+NEVER = float("-inf")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class _Removal:
-    """When an incarnation of a server left the list."""
+    """When an incarnation of a server left the list, by the store's clock."""
 
     incarnation: int
     removed_at: float
@@ -25,84 +32,181 @@
     """
     The servers of the list, and those whose registration lapsed in a store outage.
 
-    During an outage the last list stays in force. For a short time after the outage,
-    servers whose registration is missing are kept, since they may not have registered
-    again yet.
+    What is believed follows from the lists and the times at which the store had them,
+    whoever read them. If the store was not read for a while, it may have been away, and
+    registrations of live servers may have lapsed. For a short time afterwards, servers
+    that are missing are kept, since they may not have registered again yet.
 
-    :param clock: monotonic seconds.
+    All times are by the store's clock, in seconds.
+
+    :ivar newest: the newest list, or None before the first one.
+    :ivar servers: the servers in use, by ID.
+    :ivar gap: the last time for which no list is known, or None.
     """
 
-    def __init__(self, *, clock: Callable[[], float] = time.monotonic):
-        self.clock = clock
+    def __init__(self):
+        self.newest: ServerList | None = None
         self.servers: dict[str, Server] = {}
-        self.outage_since: float | None = None
-        self.grace_until = float("-inf")
+        self.gap: Gap | None = None
+        self.read_failed = False  # since the newest list
         # End of the time in which the list may be from an older copy of the store.
-        self.restored_until = float("-inf")
+        self.restored_until = NEVER
+        # Times of the last lists, which show that the store answered then.
+        self.listed_at: deque[float] = deque()
         # Incarnations that left the list, by server; an older copy still has them.
         self.removed: dict[str, _Removal] = {}
 
-    def record_restore(self) -> None:
-        """
-        Record that the store came back from a copy that is some seconds old.
+    @property
+    def kept_until(self) -> float:
+        """Return until when servers that the list lacks are kept."""
+        return self.gap.end + REREGISTRATION_GRACE_SECONDS if self.gap else NEVER
+
+    def record_failure(self) -> None:
+        """Record that the store did not respond to this entry."""
+        self.read_failed = True
 
-        Servers that registered or left since are not listed, or listed as before, until
-        they and the platform have written again.
+    def is_newer(self, listed_at: float, generation: int) -> bool:
         """
-        self.restored_until = self.clock() + REREGISTRATION_GRACE_SECONDS
-        self.grace_until = self.restored_until
+        Tell whether a list is newer than the one in force.
 
-    def record_store_failure(self) -> None:
-        """Record that the store did not respond."""
-        if self.outage_since is None:
-            self.outage_since = self.clock()
+        :param listed_at: when the store had the list.
+        :param generation: generation of the store.
+        """
+        return self.newest is None or (generation, listed_at) > (
+            self.newest.generation,
+            self.newest.listed_at,
+        )
 
     def is_up_to_date(self) -> bool:
         """
-        Tell whether the servers were recently able to write their registrations.
+        Tell whether the servers were able to write their registrations lately.
 
         :return: False until the grace period after an outage has passed.
         """
-        return self.clock() >= self.grace_until
+        return self.newest is not None and self.newest.listed_at >= self.kept_until
 
-    def grace_left(self) -> float:
+    def grace_left(self, age: float) -> float:
         """
-        Return for how long lapsed registrations are still kept.
+        Return for how long missing servers are still kept.
 
-        :return: seconds, 0 if there was no recent outage.
+        :param age: seconds since the newest list was read.
+        :return: seconds, 0 if there was no outage lately.
+        """
+        if self.newest is None:
+            return 0.0
+        return max(0.0, self.kept_until - self.newest.listed_at - age)
+
+    def lapsed(self) -> dict[str, Server]:
+        """Return the servers that are kept though the list lacks them, by ID."""
+        listed = self.newest.servers if self.newest is not None else {}
+        return {name: s for name, s in self.servers.items() if name not in listed}
+
+    def update(
+        self,
+        found: ServerList,
+        *,
+        gap: Gap | None = None,
+        lapsed: dict[str, Server] | None = None,
+    ) -> dict[str, Server]:
         """
-        return max(0.0, self.grace_until - self.clock())
+        Replace the list, whether this entry or a peer has read it.
 
-    def adopt(self, servers: dict[str, Server], grace: float) -> None:
+        :param found: a list of the store.
+        :param gap: the last time for which the peer knows no list, or None.
+        :param lapsed: servers that the peer keeps since then, by ID.
+        :return: its servers and those that are kept, by ID; the same object as before
+            if nothing has changed.
         """
-        Replace the list by a peer's list.
+        if self.newest is not None:
+            if self._is_overtaken(found):
+                return self.servers
+            if found.servers == self.newest.servers:
+                found = replace(found, servers=self.newest.servers)
+        self._record_gap(found)
+        self._record_time(found.listed_at)
+        self.read_failed = False
+        self.newest = found
+        if self.may_learn(gap, found.generation):
+            return self.learn(lapsed or {}, gap)
+        if found.servers is not self.servers:
+            self._replace_servers(self.servers)
+        return self.servers
+
+    def may_learn(self, gap: Gap | None, generation: int) -> bool:
+        """
+        Tell whether a peer missed lists that this entry has not seen either.
+
+        An entry that has started since an outage does not know which servers the list
+        lacks. One that has a list of that time knows that there was no outage.
 
-        :param servers: the peer's servers, by ID.
-        :param grace: the peer's `grace_left`, seconds.
+        :param gap: the last time for which the peer knows no list, or None.
+        :param generation: generation of the store that the peer's list is from.
+        """
+        if gap is None or self.newest is None or generation != self.newest.generation:
+            return False
+        kept_until = gap.end + REREGISTRATION_GRACE_SECONDS
+        if not gap.start < gap.end <= self.newest.listed_at < kept_until:
+            return False
+        return kept_until > self.kept_until and not any(
+            gap.start < listed_at < gap.end for listed_at in self.listed_at
+        )
+
+    def learn(self, lapsed: dict[str, Server], gap: Gap) -> dict[str, Server]:
         """
-        self.outage_since = None
-        self.grace_until = self.clock() + grace if grace else float("-inf")
-        self.servers = servers
+        Keep the servers that a peer keeps, see `may_learn`.
 
-    def update(self, listed: Iterable[Server]) -> dict[str, Server]:
+        :param lapsed: servers that the peer's list lacks, by ID.
+        :param gap: the last time for which the peer knows no list.
+        :return: the servers in use, by ID.
         """
-        Replace the list by a full list from the store.
+        self.gap = gap
+        self._replace_servers({**lapsed, **self.servers})
+        return self.servers
+
+    def _is_overtaken(self, found: ServerList) -> bool:
+        """Tell whether a newer list came while this one was on its way."""
+        lead = self.newest.listed_at - found.listed_at
+        return self.newest.generation == found.generation and 0 < lead < MAX_GAP_SECONDS
+
+    def _record_gap(self, found: ServerList) -> None:
+        """Begin a grace period if registrations may have lapsed before a list."""
+        known = self.newest
+        if known is None:
+            return
+        is_restored = found.generation != known.generation and bool(known.generation)
+        if is_restored or found.listed_at - known.listed_at > self._max_gap():
+            self.gap = Gap(start=known.listed_at, end=found.listed_at)
+        if is_restored:
+            self.restored_until = self.kept_until
+
+    def _max_gap(self) -> float:
+        """Return the time until the next list in which no registration is delayed."""
+        if self.is_up_to_date():
+            return MAX_GAP_SECONDS
+        if self.read_failed:
+            return MAX_GAP_AFTER_FAILURE_SECONDS
+        return MAX_GAP_IN_GRACE_SECONDS
+
+    def _record_time(self, listed_at: float) -> None:
+        self.listed_at.append(listed_at)
+        cutoff = listed_at - REREGISTRATION_GRACE_SECONDS - MAX_GAP_SECONDS
+        while self.listed_at[0] < cutoff:
+            self.listed_at.popleft()
+
+    def _replace_servers(self, known: dict[str, Server]) -> None:
+        """
+        Derive the servers in use from the list and those known before.
 
-        :param listed: the servers in the store's list.
-        :return: these servers and those kept during the grace period, by ID.
+        :param known: servers that may be kept, by ID.
         """
-        now = self.clock()
-        if self.outage_since is not None and now - self.outage_since > OUTAGE_SECONDS:
-            self.grace_until = now + REREGISTRATION_GRACE_SECONDS
-        self.outage_since = None
-        found = {server.id: server for server in listed}
+        now = self.newest.listed_at
+        found = dict(self.newest.servers)
         if now < self.restored_until:
             self._drop_removed(found)
-        if now < self.grace_until:
-            self._keep_lapsed(found)
+        if now < self.kept_until:
+            _keep_lapsed(found, known)
         self._record_removed(found, now)
-        self.servers = found
-        return found
+        self.servers = self.newest.servers if found == self.newest.servers else found
 
     def _record_removed(self, found: dict[str, Server], now: float) -> None:
         for server_id, server in self.servers.items():
@@ -121,10 +225,11 @@
             if server is not None and server.incarnation == removal.incarnation:
                 del found[server_id]
 
-    def _keep_lapsed(self, found: dict[str, Server]) -> None:
-        """Add the known servers that are not listed and whose address is free."""
-        used_addresses = {server.address for server in found.values()}
-        for server in self.servers.values():
-            replaced = server.id in found or server.address in used_addresses
-            if not replaced and server.state is ServerState.READY:
-                found[server.id] = server
+
+def _keep_lapsed(found: dict[str, Server], known: dict[str, Server]) -> None:
+    """Add the known servers that are not listed and whose address is free."""
+    used_addresses = {server.address for server in found.values()}
+    for server in known.values():
+        replaced = server.id in found or server.address in used_addresses
+        if not replaced and server.state is ServerState.READY:
+            found[server.id] = server
--- a/packages/gateway/src/kumquatway_gateway/model/_server.py
+++ b/packages/gateway/src/kumquatway_gateway/model/_server.py
@@ -63,6 +63,36 @@
     slots: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Gap:
+    """
+    A time for which no list of the store is known, so that it may have been away.
+
+    :param start: time of the last list before it, by the store's clock, seconds.
+    :param end: time of the first list after it.
+    """
+
+    start: float
+    end: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerList:
+    """
+    The platform's list of servers, as its store had it at one time.
+
+    :param servers: the registered servers, by ID.
+    :param listed_at: when the store had this list, by its own clock, seconds; 0 if it
+        does not tell.
+    :param generation: generation of the store; it rises when the store came back from
+        an older copy, and is 0 if unknown.
+    """
+
+    servers: dict[str, Server]
+    listed_at: float
+    generation: int = 0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ServerNotice:
     """
--- a/packages/gateway/src/kumquatway_gateway/peers/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/__init__.py
@@ -5,7 +5,9 @@
     CopyClient,
     CopyServer,
     ServersCopy,
+    decode_gap,
     digest_servers,
+    encode_gap,
 )
 from kumquatway_gateway.peers._gossip import Freshness, Gossip, GossipMessage
 
@@ -17,5 +19,7 @@
     "Gossip",
     "ServersCopy",
     "GossipMessage",
+    "decode_gap",
     "digest_servers",
+    "encode_gap",
 ]
--- a/packages/gateway/src/kumquatway_gateway/peers/_copies.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_copies.py
@@ -22,6 +22,7 @@
     Layer,
 )
 from kumquatway_core.exceptions import InvalidData
+from kumquatway_gateway.fleet import Membership
 from kumquatway_gateway.http1 import (
     CallerConnection,
     Fetcher,
@@ -29,7 +30,7 @@
     IncomingRequest,
     Transfer,
 )
-from kumquatway_gateway.model import LayerRange, Server, ServerState
+from kumquatway_gateway.model import Gap, LayerRange, Server, ServerList, ServerState
 
 CONFIGURATION_PATH = "/copy/configuration"
 SERVERS_PATH = "/copy/servers"
@@ -71,25 +72,50 @@
 
 class ServersCopy(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
-    A peer's list of servers.
+    A peer's list of servers, and those that it keeps though the list lacks them.
 
     :param age: seconds since the list was read from the store.
-    :param records: the servers.
-    :param grace: seconds for which registrations that expired during an outage of the
-        store stay in the list.
+    :param records: the servers in the list and those that are kept.
+    :param grace: seconds for which servers that the list lacks are kept after an outage
+        of the store, for older versions.
+    :param listed_at: when the store had the list, by its clock, seconds; 0 if unknown.
+    :param generation: generation of the store that the list is from, 0 if unknown.
+    :param gap: start and end of the last time for which the peer knows no list, by the
+        store's clock, seconds; None if servers that the list lacks are not kept.
+    :param lapsed: IDs of the servers that the list lacks.
     """
 
     age: Age
     records: tuple[_ServerRecord, ...]
     grace: Amount = 0.0
+    listed_at: Amount = 0.0
+    generation: Count = 0
+    gap: tuple[Amount, Amount] | None = None
+    lapsed: tuple[str, ...] = ()
+
+    def server_list(self) -> ServerList:
+        """Return the list as the store had it."""
+        return ServerList(
+            servers=self._servers(lapsed=False),
+            listed_at=self.listed_at,
+            generation=self.generation,
+        )
 
-    def servers(self) -> dict[str, Server]:
+    def lapsed_servers(self) -> dict[str, Server]:
         """
-        Return the servers in the list.
+        Return the servers that the peer keeps though the list lacks them.
 
         :return: the servers by ID.
         """
-        return {record.id: _to_server(record) for record in self.records}
+        return self._servers(lapsed=True)
+
+    def _servers(self, *, lapsed: bool) -> dict[str, Server]:
+        names = frozenset(self.lapsed)
+        return {
+            record.id: _to_server(record)
+            for record in self.records
+            if (record.id in names) is lapsed
+        }
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -104,10 +130,8 @@
 
     :param revision: returns the revision of the configuration that this entry uses.
     :param document: returns the configuration in the format of the store.
-    :param servers: returns the servers by ID.
+    :param membership: the servers, and the list that they are from.
     :param read_at: returns when the list was read from the store, seconds of `clock`.
-    :param grace: returns the seconds for which registrations that expired during an
-        outage of the store stay in the list.
     :param read_in: returns the generation of the store that the configuration was read
         in.
     :param reissued_in: returns the generation of the last reissue known, or 0.
@@ -119,9 +143,8 @@
         *,
         revision: Callable[[], int],
         document: Callable[[], bytes],
-        servers: Callable[[], dict[str, Server]],
+        membership: Membership,
         read_at: Callable[[], float],
-        grace: Callable[[], float],
         read_in: Callable[[], int] = lambda: 0,
         reissued_in: Callable[[], int] = lambda: 0,
         clock: Callable[[], float] = time.monotonic,
@@ -130,9 +153,8 @@
         self.read_in = read_in
         self.reissued_in = reissued_in
         self.document = document
-        self.servers = servers
+        self.membership = membership
         self.read_at = read_at
-        self.grace = grace
         self.clock = clock
         self._handlers = {
             CONFIGURATION_PATH: self._copy_configuration,
@@ -168,10 +190,16 @@
         )
 
     def _copy_servers(self) -> ServersCopy:
+        membership = self.membership
+        age = self.clock() - self.read_at()
         return ServersCopy(
-            age=min(1e6, self.clock() - self.read_at()),
-            records=tuple(_to_record(server) for server in self.servers().values()),
-            grace=self.grace(),
+            age=min(1e6, age),
+            records=tuple(_to_record(one) for one in membership.servers.values()),
+            grace=membership.grace_left(age),
+            listed_at=membership.newest.listed_at if membership.newest else 0.0,
+            generation=membership.newest.generation if membership.newest else 0,
+            gap=encode_gap(membership),
+            lapsed=tuple(membership.lapsed()),
         )
 
 
@@ -242,6 +270,27 @@
             return None
 
 
+def encode_gap(membership: Membership) -> tuple[float, float] | None:
+    """
+    Return what to tell peers of the last gap between two lists.
+
+    :param membership: the servers, and the list that they are from.
+    :return: start and end by the store's clock, seconds; None if it is over for long.
+    """
+    if membership.gap is None or membership.is_up_to_date():
+        return None
+    return membership.gap.start, membership.gap.end
+
+
+def decode_gap(gap: tuple[float, float] | None) -> Gap | None:
+    """
+    Return the gap that a peer tells of, see `encode_gap`.
+
+    :param gap: start and end by the store's clock, seconds, or None.
+    """
+    return None if gap is None else Gap(start=gap[0], end=gap[1])
+
+
 def digest_servers(servers: dict[str, Server]) -> int:
     """
     Compute a digest of a list of servers, which is equal on all entries.
@@ -292,5 +341,7 @@
     "CopyClient",
     "CopyServer",
     "ServersCopy",
+    "decode_gap",
     "digest_servers",
+    "encode_gap",
 ]
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -140,9 +140,14 @@
         newest.
     :param servers_digest: digest of the list of servers, see `digest_servers`.
     :param servers_age: seconds since the list was read from the store.
-    :param grace: seconds for which registrations that expired during an outage of the
-        store stay in the list.
+    :param grace: seconds for which servers that the list lacks are kept after an outage
+        of the store, for older versions.
     :param document_bytes: size of the configuration document, bytes.
+    :param listed_at: when the store had the list of servers, by its clock, seconds; 0
+        if unknown.
+    :param generation: generation of the store that the list is from, 0 if unknown.
+    :param gap: start and end of the last time for which the sender knows no list, by
+        the store's clock, seconds; None if servers that the list lacks are not kept.
     """
 
     configuration_age: Age
@@ -150,6 +155,9 @@
     servers_age: Age
     grace: Amount = 0.0
     document_bytes: Count = 0
+    listed_at: Amount = 0.0
+    generation: Count = 0
+    gap: tuple[Amount, Amount] | None = None
 
 
 class GossipMessage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/gateway/tests/test_copies.py
+++ b/packages/gateway/tests/test_copies.py
@@ -8,8 +8,9 @@
 from engines import layer_range, server
 
 from kumquatway_fakes import free_address
+from kumquatway_gateway.fleet import REREGISTRATION_GRACE_SECONDS, Membership
 from kumquatway_gateway.http1 import ConnectionPool, Fetcher, Listener
-from kumquatway_gateway.model import Limits
+from kumquatway_gateway.model import Limits, Server, ServerList
 from kumquatway_gateway.peers import CopyClient, CopyServer
 
 DOCUMENT = b"x" * 20_000
@@ -21,18 +22,28 @@
 
     def __init__(self):
         self.sizes: list[int] = []
-        self.servers = {"s1": server("s1", "a", "big", layer_range(0, 10))}
+        self.servers = {
+            name: server(name, "a", "big", layer_range(0, 10)) for name in ("s1", "s2")
+        }
+        self.listed = {"s1": self.servers["s1"]}
+        self.membership = Membership()
+        self._list(1000.0, self.servers)
+        self._list(1005.0, self.listed)
         self.copy_server = CopyServer(
             revision=lambda: 7,
             document=lambda: DOCUMENT,
-            servers=lambda: self.servers,
+            membership=self.membership,
             read_at=lambda: 10.0,
-            grace=lambda: 1.5,
             clock=lambda: 10.5,
         )
         self.address = free_address()
         self.listener = Listener(limits=Limits, serve=self._serve)
 
+    def _list(self, listed_at: float, servers: dict[str, Server]) -> None:
+        self.membership.update(
+            ServerList(servers=servers, listed_at=listed_at, generation=3)
+        )
+
     async def _serve(self, caller, incoming) -> None:
         if self.copy_server.handles(incoming):
             self.copy_server.handle(caller, incoming)
@@ -67,8 +78,13 @@
     def test_servers_are_sent_without_the_configuration(self):
         async def scenario(peer, client):
             copy = await client.fetch_servers(peer.address)
-            assert copy.servers() == peer.servers
-            assert (copy.age, copy.grace) == (0.5, 1.5)
+            assert copy.server_list() == ServerList(
+                servers=peer.listed, listed_at=1005.0, generation=3
+            )
+            assert copy.lapsed_servers() == {"s2": peer.servers["s2"]}
+            assert copy.gap == (1000.0, 1005.0)
+            assert copy.age == 0.5
+            assert copy.grace == pytest.approx(REREGISTRATION_GRACE_SECONDS - 0.5)
             response = await client.fetcher.fetch(peer.address, "GET", "/copy/servers")
             assert len(response.body) < 500
 
@@ -111,7 +127,7 @@
     def test_the_other_servers_hold(self, record):
         sound = ["s1", "model", "x:1", "a", False, 1, "big", 0, 10, 1, 8]
         copy = self._fetch([0.5, [record, sound], 0.0])
-        assert list(copy.servers()) == ["s1"]
+        assert list(copy.server_list().servers) == ["s1"]
 
     @pytest.mark.parametrize("age", [-1.0, float("nan")])
     def test_an_age_that_is_none(self, age):
--- a/packages/gateway/tests/test_follow.py
+++ b/packages/gateway/tests/test_follow.py
@@ -11,10 +11,12 @@
 from kumquatway_gateway._follow import (
     CONFIGURATION_MAX_AGE_SECONDS,
     SERVERS_MAX_AGE_SECONDS,
+    SERVERS_WAIT_SECONDS,
     ConfigurationFollower,
     ServerFollower,
 )
-from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.fleet import REREGISTRATION_GRACE_SECONDS, Fleet
+from kumquatway_gateway.model import ServerList
 from kumquatway_gateway.peers import (
     ConfigurationCopy,
     Freshness,
@@ -35,6 +37,11 @@
         return self.now
 
 
+def _store_time(clock: _Clock) -> float:
+    """Return the time of the store's clock, which is not that of the entries."""
+    return clock.now + 7000.0
+
+
 def _message(freshness: Freshness, revision: int = 1) -> GossipMessage:
     return GossipMessage(
         incarnation=9,
@@ -51,16 +58,25 @@
 class _CopyClient:
     """Returns copies of one peer's list of servers."""
 
-    def __init__(self, *names: str, age: float = 0.0, grace: float = 0.0):
+    def __init__(self, clock: _Clock, *names: str, age: float = 0.0):
+        self.clock = clock
         self.listed = _listed(*names)
         self.age = age
-        self.grace = grace
+        self.lapsed: tuple[str, ...] = ()
+        self.gap: tuple[float, float] | None = None
         self.requested: list[str] = []
 
     async def fetch_servers(self, address: str) -> ServersCopy:
         self.requested.append(address)
         records = tuple(_to_record(one) for one in self.listed.values())
-        return ServersCopy(age=self.age, records=records, grace=self.grace)
+        return ServersCopy(
+            age=self.age,
+            records=records,
+            listed_at=_store_time(self.clock) - self.age,
+            generation=1,
+            lapsed=self.lapsed,
+            gap=self.gap,
+        )
 
 
 def _listed(*names: str) -> dict:
@@ -73,16 +89,21 @@
     def setup_method(self):
         self.clock = _Clock()
         self.fleet = Fleet(clock=self.clock)
-        self.copies = _CopyClient("s1", "s2")
+        self.copies = _CopyClient(self.clock, "s1", "s2")
         self.follower = ServerFollower(
             source=None, fleet=self.fleet, copies=self.copies, clock=self.clock
         )
         self.follower.reads_store = lambda: False
 
-    def _receive(self, *names: str, age: float, grace: float = 0.0) -> None:
+    def _receive(self, *names: str, age: float, gap: tuple | None = None) -> None:
         digest = digest_servers(_listed(*names))
         freshness = Freshness(
-            configuration_age=0.0, servers_digest=digest, servers_age=age, grace=grace
+            configuration_age=0.0,
+            servers_digest=digest,
+            servers_age=age,
+            listed_at=_store_time(self.clock) - age,
+            generation=1,
+            gap=gap,
         )
 
         async def receive():
@@ -144,20 +165,113 @@
         self._receive("s1", "s2", age=0.1)
         assert set(self.fleet.servers) == {"s1", "s2"}
 
+    def _read(self, *names: str) -> set[str]:
+        """Let this entry read the store; return the IDs of the servers in use."""
+        found = ServerList(
+            servers=_listed(*names), listed_at=_store_time(self.clock), generation=1
+        )
+        self.follower._update(found, self.clock.now)
+        return set(self.fleet.servers)
+
     def test_grace_period_of_a_peer_is_adopted(self):
-        self.copies.grace = 1.5
-        self._receive("s1", "s2", age=0.0, grace=1.5)
+        end = _store_time(self.clock) - REREGISTRATION_GRACE_SECONDS + 1.5
+        self.copies.gap = gap = (end - 4.0, end)
+        self.copies.lapsed = ("s2",)
+        self._receive("s1", age=0.0, gap=gap)
         assert not self.follower.membership.is_up_to_date()
-        assert set(self.follower.membership.update([])) == {"s1", "s2"}
-        self.clock.now += 1.6
-        assert self.follower.membership.update([]) == {}
+        assert set(self.fleet.servers) == {"s1", "s2"}
+        self.clock.now += 0.9
+        assert self._read("s1") == {"s1", "s2"}
+        self.clock.now += 0.7
+        assert self._read("s1") == {"s1"}
+
+    def test_what_a_peer_keeps_is_fetched_though_its_list_is_older(self):
+        """This entry has started and read the store after the outage."""
+        end = _store_time(self.clock) - 0.3
+        self._read("s1")
+        self.copies.lapsed = ("s2",)
+        self.copies.gap = gap = (end - 4.0, end)
+        self.copies.age = 0.3
+        self._receive("s1", age=0.3, gap=gap)
+        assert set(self.fleet.servers) == {"s1", "s2"}
+        self._receive("s1", age=0.3, gap=gap)
+        assert self.copies.requested == [PEER]
 
-    def test_newer_list_of_a_peer_ends_the_outage(self):
+    def test_lists_of_peers_that_follow_each_other_show_that_there_is_no_outage(self):
+        """The store turns this entry away and serves its peers."""
+        self._receive("s1", "s2", age=0.0)
+        for _ in range(10):
+            self.clock.now += 0.5
+            self._receive("s1", "s2", age=0.1)
+        assert self._read() == set()
+
+    def test_copy_that_is_as_old_as_the_outage_does_not_end_it(self):
+        """Such a copy made an entry drop servers that lapsed, and its chains."""
+        self._receive("s1", "s2", age=0.0)
+        for _ in range(9):
+            self.clock.now += 0.5
+            age = self.clock.now - 50.0
+            self.copies.age = age
+            self._receive("s1", "s2", age=age)
+        self.clock.now += 0.1
+        assert self._read() == {"s1", "s2"}
+        assert not self.follower.membership.is_up_to_date()
+
+    def test_short_list_of_a_peer_after_an_outage_drops_no_server(self):
         self._receive("s1", "s2", age=0.0)
-        self.follower.membership.record_store_failure()
         self.clock.now += 5.0
+        self.copies.listed = _listed("s1")
+        self._receive("s1", age=0.1)
+        assert set(self.fleet.servers) == {"s1", "s2"}
+
+    def test_copy_does_not_grow_younger_as_it_is_passed_on(self):
         self._receive("s1", "s2", age=0.0)
-        assert self.follower.membership.update([]) == {}
+        listed_at = _store_time(self.clock)
+        digest = digest_servers(_listed("s1", "s2"))
+        for _ in range(20):
+            self.clock.now += 0.1
+            freshness = Freshness(
+                configuration_age=0.0,
+                servers_digest=digest,
+                servers_age=max(0.0, self.follower.age() - 0.05),
+                listed_at=listed_at,
+                generation=1,
+            )
+            self.follower.receive(_message(freshness))
+        assert self.follower.age() == pytest.approx(2.0)
+        assert self.follower.seconds_until_read() == 0
+
+    def test_list_of_an_older_release_is_adopted_only_as_the_first(self):
+        """It does not tell when the store had its list."""
+        freshness = Freshness(configuration_age=0.0, servers_digest=9, servers_age=0.0)
+
+        async def receive():
+            self.follower.receive(_message(freshness))
+            if self.follower._fetching:
+                await self.follower._fetching
+
+        asyncio.run(receive())
+        assert set(self.fleet.servers) == {"s1", "s2"}
+        self._read("s1")
+        self.clock.now += 3.0
+        asyncio.run(receive())
+        assert self.copies.requested == [PEER]
+
+    def test_outdated_list_is_not_waited_for(self):
+        waits: list[float] = []
+
+        class Source:
+            async def poll(_, wait: float) -> ServerList:
+                waits.append(wait)
+                if len(waits) == 2:
+                    raise asyncio.CancelledError
+                return ServerList(servers={}, listed_at=1.0)
+
+        self.follower.source = Source()
+        self.follower.reads_store = lambda: True
+        with pytest.raises(asyncio.CancelledError):
+            asyncio.run(self.follower.run())
+        assert waits == [0.0, SERVERS_WAIT_SECONDS]
 
 
 class TestConfiguration:
--- a/packages/gateway/tests/test_membership.py
+++ b/packages/gateway/tests/test_membership.py
@@ -2,14 +2,26 @@
 
 from dataclasses import replace
 
+import pytest
+
 from kumquatway_gateway.fleet import (
     ENDED_RETENTION_SECONDS,
+    MAX_GAP_AFTER_FAILURE_SECONDS,
+    MAX_GAP_IN_GRACE_SECONDS,
+    MAX_GAP_SECONDS,
     REREGISTRATION_GRACE_SECONDS,
     Fleet,
     HealthStatus,
     Membership,
 )
-from kumquatway_gateway.model import LayerRange, LayerReport, Server, ServerState
+from kumquatway_gateway.model import (
+    Gap,
+    LayerRange,
+    LayerReport,
+    Server,
+    ServerList,
+    ServerState,
+)
 
 
 class _Clock:
@@ -29,70 +41,199 @@
     """The server list, with store failures and lapsed registrations."""
 
     def setup_method(self):
-        self.clock = _Clock()
-        self.members = Membership(clock=self.clock)
-        self.members.update([_server("one"), _server("two")])
+        self.now = 100.0  # by the store's clock
+        self.generation = 1
+        self.members = Membership()
+        self._update(_server("one"), _server("two"))
+
+    def _update(self, *listed: Server) -> dict[str, Server]:
+        return self.members.update(
+            ServerList(
+                servers={server.id: server for server in listed},
+                listed_at=self.now,
+                generation=self.generation,
+            )
+        )
+
+    def _follow(self, seconds: float, *listed: Server) -> None:
+        """Read the list every half a second."""
+        end = self.now + seconds
+        while self.now < end:
+            self.now += 0.5
+            self._update(*listed)
 
     def test_removed_server_is_dropped_immediately_without_an_outage(self):
-        self.clock.now += 1.9
-        assert set(self.members.update([_server("one")])) == {"one"}
+        self._follow(2.0, _server("one"), _server("two"))
+        self.members.record_failure()
+        self.now += 1.1
+        assert set(self._update(_server("one"))) == {"one"}
 
-    def test_single_failed_call_does_not_start_a_grace_period(self):
-        self.members.record_store_failure()
-        self.clock.now += 0.3
-        assert set(self.members.update([_server("one")])) == {"one"}
+    def test_a_list_that_was_missed_does_not_start_a_grace_period(self):
+        self.now += MAX_GAP_SECONDS - 0.01
+        assert set(self._update(_server("one"))) == {"one"}
 
     def test_registrations_that_lapse_in_an_outage_are_kept_for_the_grace_period(self):
-        self.members.record_store_failure()
-        self.clock.now += 4.0
-        assert set(self.members.update([])) == {"one", "two"}
+        self.now += 4.0
+        assert set(self._update()) == {"one", "two"}
         assert not self.members.is_up_to_date()
-        self.clock.now += REREGISTRATION_GRACE_SECONDS + 0.1
-        assert self.members.update([_server("one")]).keys() == {"one"}
+        assert self.members.grace_left(0.0) == pytest.approx(
+            REREGISTRATION_GRACE_SECONDS
+        )
+        self._follow(REREGISTRATION_GRACE_SECONDS - 0.4, _server("one"))
+        assert set(self.members.servers) == {"one", "two"}
+        assert set(self.members.lapsed()) == {"two"}
+        self.now += 0.5
+        assert self._update(_server("one")).keys() == {"one"}
         assert self.members.is_up_to_date()
+        assert self.members.grace_left(0.0) == 0.0
+
+    @pytest.mark.parametrize(
+        ("seconds", "failed"),
+        [(MAX_GAP_AFTER_FAILURE_SECONDS, True), (MAX_GAP_IN_GRACE_SECONDS, False)],
+    )
+    def test_second_outage_in_the_grace_period_begins_it_anew(self, seconds, failed):
+        self.now += 4.0
+        self._update()
+        self._follow(1.0, _server("one"))
+        if failed:
+            self.members.record_failure()
+        self.now += seconds + 0.1
+        assert set(self._update(_server("one"))) == {"one", "two"}
+        self._follow(REREGISTRATION_GRACE_SECONDS - 0.5, _server("one"))
+        assert set(self.members.servers) == {"one", "two"}
+        self.now += 0.6
+        assert set(self._update(_server("one"))) == {"one"}
+
+    def test_failed_read_does_not_begin_the_grace_period_anew_if_a_peer_has_a_list(
+        self,
+    ):
+        self.now += 4.0
+        self._update()
+        for _ in range(5):
+            self.members.record_failure()
+            self._follow(0.5, _server("one"))
+        assert set(self.members.servers) == {"one"}
+
+    def test_lost_message_does_not_begin_the_grace_period_anew(self):
+        self.now += 4.0
+        self._update()
+        for _ in range(3):
+            self.now += MAX_GAP_AFTER_FAILURE_SECONDS + 0.2
+            self._update(_server("one"))
+        assert set(self.members.servers) == {"one"}
+
+    def test_confirmed_list_does_not_drop_what_lapsed(self):
+        self.now += 4.0
+        self._update(_server("one"))
+        self._follow(1.0, _server("one"))
+        assert set(self.members.servers) == {"one", "two"}
+
+    def test_unchanged_list_is_the_same_object(self):
+        before = self.members.servers
+        self.now += 0.5
+        assert self._update(_server("one"), _server("two")) is before
+
+    def test_list_that_was_overtaken_is_ignored(self):
+        self.now += 0.5
+        self._update(_server("one"))
+        self.now -= 0.2
+        assert set(self._update(_server("one"), _server("two"))) == {"one"}
 
     def test_leaving_server_is_not_kept_after_an_outage(self):
-        self.members.update([_server("one", state=ServerState.LEAVING)])
-        self.members.record_store_failure()
-        self.clock.now += 4.0
-        assert self.members.update([]) == {}
+        self._update(_server("one", state=ServerState.LEAVING))
+        self.now += 4.0
+        assert self._update() == {}
+
+    def _restore(self) -> None:
+        self.generation += 1
+        self.now += 0.1
 
     def test_servers_that_an_older_copy_lacks_are_kept_for_the_grace_period(self):
-        self.members.record_restore()
-        assert set(self.members.update([_server("one")])) == {"one", "two"}
-        self.clock.now += REREGISTRATION_GRACE_SECONDS + 0.1
-        assert set(self.members.update([_server("one")])) == {"one"}
+        self._restore()
+        assert set(self._update(_server("one"))) == {"one", "two"}
+        self._follow(REREGISTRATION_GRACE_SECONDS, _server("one"))
+        assert set(self._update(_server("one"))) == {"one"}
 
     def test_servers_that_had_left_are_dropped_from_an_older_copy(self):
         one, two = _server("one"), _server("two")
-        self.members.update([one])
-        self.members.record_restore()
-        assert set(self.members.update([one, two])) == {"one"}
+        self.now += 0.5
+        self._update(one)
+        self._restore()
+        assert set(self._update(one, two)) == {"one"}
         restarted = replace(two, incarnation=7)
-        assert set(self.members.update([one, restarted])) == {"one", "two"}
+        self.now += 0.5
+        assert set(self._update(one, restarted)) == {"one", "two"}
 
     def test_after_the_grace_period_the_list_counts(self):
         one, two = _server("one"), _server("two")
-        self.members.update([one])
-        self.members.record_restore()
-        self.members.update([one, two])
-        self.clock.now += REREGISTRATION_GRACE_SECONDS + 0.1
-        assert set(self.members.update([one, two])) == {"one", "two"}
+        self.now += 0.5
+        self._update(one)
+        self._restore()
+        self._update(one, two)
+        self._follow(REREGISTRATION_GRACE_SECONDS, one, two)
+        assert set(self._update(one, two)) == {"one", "two"}
 
     def test_a_lapsed_registration_may_return_after_an_outage(self):
         one, two = _server("one"), _server("two")
-        self.members.update([one])
-        self.members.record_store_failure()
-        self.clock.now += 4.0
-        assert set(self.members.update([one, two])) == {"one", "two"}
+        self._update(one)
+        self.now += 4.0
+        assert set(self._update(one, two)) == {"one", "two"}
 
     def test_server_whose_address_is_reused_is_not_kept(self):
-        self.members.record_store_failure()
-        self.clock.now += 4.0
-        found = self.members.update([_server("three", address="one:1")])
+        self.now += 4.0
+        found = self._update(_server("three", address="one:1"))
         assert set(found) == {"two", "three"}
 
 
+class TestOutageSeenByAPeer:
+    """An entry that starts after an outage cannot know which servers lapsed."""
+
+    def setup_method(self):
+        self.members = Membership()
+        self._update(100.0)
+
+    def _update(self, listed_at: float) -> None:
+        one = {"one": _server("one")}
+        self.members.update(ServerList(servers=one, listed_at=listed_at, generation=1))
+
+    def _learn(self, start: float, end: float) -> bool:
+        gap = Gap(start=start, end=end)
+        if not self.members.may_learn(gap, 1):
+            return False
+        self.members.learn({"two": _server("two")}, gap)
+        return True
+
+    def test_what_the_peer_keeps_is_kept_as_long(self):
+        assert self._learn(95.0, 99.7)
+        assert set(self.members.servers) == {"one", "two"}
+        assert not self._learn(95.0, 99.7)
+        self._update(101.0)
+        assert set(self.members.servers) == {"one", "two"}
+        self._update(102.0)
+        assert set(self.members.servers) == {"one"}
+
+    def test_the_list_wins(self):
+        gap = Gap(start=95.0, end=99.7)
+        assert self.members.may_learn(gap, 1)
+        self.members.learn({"one": _server("one", incarnation=9)}, gap)
+        assert self.members.servers == {"one": _server("one")}
+
+    def test_an_entry_that_has_a_list_of_that_time_knows_better(self):
+        """The peer was frozen."""
+        for tick in range(1, 10):
+            self._update(100.0 + tick)
+        assert not self._learn(104.5, 108.5)
+
+    @pytest.mark.parametrize(
+        ("start", "end"), [(90.0, 97.6), (99.0, 100.1), (99.0, 1e15), (99.9, 99.1)]
+    )
+    def test_a_time_that_is_long_ago_or_ahead_or_reversed_is_ignored(self, start, end):
+        assert not self._learn(start, end)
+
+    def test_of_another_generation_is_ignored(self):
+        assert not self.members.may_learn(Gap(start=95.0, end=99.7), 2)
+
+
 class TestFleet:
     """Layer reports, health and ended servers, next to the server list."""
 
