Mend what the review of the lists by the store's clock found

A failed read counts only if it began after the newest list was taken. - Without a regular reader, lists were 1.1 s apart, which began the grace anew each time. Entries rely on peers for .4 s in the grace, until a list from after it is there. - An entry that was frozen kept what had left: it has a gap where others have lists. They tell since when their lists follow each other, which narrows a gap or shows it to be none. - An entry that started as the store returned and read first never learnt what lapsed. - One message with a time far ahead kept servers for good; such times are refused, and an own list that is behind starts anew. A list of no servers at no time is no first list. - A response without a time, or a slow store (.65 s a call), led to a needless grace. - An own list that a peer's overtook replaced it; a copy in a restore differed from its digest and was fetched at each message; times piled up as the clock went back.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -27,6 +27,7 @@
 from kumquatway_gateway.model import Configuration, Server, ServerList
 from kumquatway_gateway.peers import (
     CopyClient,
+    Freshness,
     Gossip,
     GossipMessage,
     decode_gap,
@@ -44,8 +45,12 @@
 # platform.
 CONFIGURATION_MAX_AGE_SECONDS = 1.4
 SERVERS_MAX_AGE_SECONDS = 1.1
-# The same after an outage, so that a further interruption is noticed.
+# Both after an outage, so that a further interruption is noticed.
 GRACE_PAUSE_SECONDS = 0.25
+GRACE_MAX_AGE_SECONDS = 0.4
+# By which a peer's list may be newer than the store's clock, as this entry knows it.
+MAX_LEAD_SECONDS = 2.0
+MIN_WAIT_SECONDS = 0.001  # shorter ones are due to rounding
 RETRY_SECONDS = 0.25  # after a failed poll
 # Bytes that a peer may have to send if all others fetch its configuration at once: half
 # a second of the slowest link (10 Mbit/s in the users' deployments).
@@ -390,32 +395,56 @@
         self._digest = 0
         self._digested_servers: dict[str, Server] | None = None
         self._fetching: asyncio.Task | None = None
+        self._replaced_at = float("-inf")  # when the newest list was taken
 
     async def run(self) -> None:
         """Read the store whenever the peers' messages are not recent enough."""
         while True:
-            pause = self.seconds_until_read()
-            if pause:
-                await asyncio.sleep(pause)
+            wait = self.seconds_until_read()
+            if wait:
+                await asyncio.sleep(wait)
                 continue
             # Neither an outdated list nor servers that register again are waited for.
-            is_urgent = self._is_outdated() or self.grace_left() > 0.0
+            is_urgent = self._is_outdated() or self._in_grace()
+            wait = 0.0 if is_urgent else SERVERS_WAIT_SECONDS
+            started_at = self.clock()
             try:
-                found = await self.source.poll(
-                    0.0 if is_urgent else SERVERS_WAIT_SECONDS
-                )
+                found = await self.source.poll(wait)
             except PlatformError:
-                self.membership.record_failure()
+                self._record_failure(started_at)
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
-            before = self.fleet.generation
-            self._update(found, self.clock())
-            if self.fleet.generation != before:
-                self.on_change()
-            in_grace = self.grace_left() > 0.0
-            await asyncio.sleep(
-                GRACE_PAUSE_SECONDS if in_grace else SERVERS_PAUSE_SECONDS
-            )
+            self._record_read(found, started_at)
+            # A store that is slow is read as often.
+            delay = self.clock() - started_at - wait
+            pause = GRACE_PAUSE_SECONDS if is_urgent else SERVERS_PAUSE_SECONDS
+            await asyncio.sleep(max(0.0, pause - max(0.0, delay)))
+
+    def _record_read(self, found: ServerList, started_at: float) -> None:
+        """
+        Take a list of the store, unless a peer's newer one came meanwhile.
+
+        :param found: the list that was read.
+        :param started_at: when the read began, monotonic seconds.
+        """
+        is_newer = self.membership.is_newer(found.listed_at, found.generation)
+        if not is_newer and started_at < self._replaced_at:
+            return
+        before = self.fleet.generation
+        self._update(found, self.clock())
+        if self.fleet.generation != before:
+            self.on_change()
+
+    def _record_failure(self, started_at: float) -> None:
+        """
+        Record that a read of the store has failed, if it tells of the time since then.
+
+        A read that hung in an outage may fail after a peer has read the list.
+
+        :param started_at: when the read began, monotonic seconds.
+        """
+        if started_at > self._replaced_at:
+            self.membership.record_failure()
 
     def seconds_until_read(self) -> float:
         """
@@ -425,7 +454,14 @@
         """
         if self.reads_store():
             return 0.0
-        return max(0.0, SERVERS_MAX_AGE_SECONDS - self.age())
+        return 0.0 if self._is_outdated() else self._max_age() - self.age()
+
+    def _max_age(self) -> float:
+        return GRACE_MAX_AGE_SECONDS if self._in_grace() else SERVERS_MAX_AGE_SECONDS
+
+    def _in_grace(self) -> bool:
+        membership = self.membership
+        return membership.newest is not None and not membership.is_up_to_date()
 
     def age(self) -> float:
         """Return the seconds since the list was read from the store."""
@@ -453,8 +489,9 @@
         :param message: the peer's message.
         """
         freshness = message.freshness
-        if freshness is None:
+        if freshness is None or not self._may_be(freshness.listed_at):
             return
+        self._narrow_gap(freshness)
         gap = decode_gap(freshness.gap)
         newest = self.membership.newest
         is_newer = self.membership.is_newer(freshness.listed_at, freshness.generation)
@@ -473,8 +510,21 @@
             )
             self._update(confirmed, self.clock() - freshness.servers_age, gap=gap)
 
+    def _narrow_gap(self, freshness: Freshness) -> None:
+        if self.membership.narrow_gap(
+            freshness.followed_since, freshness.listed_at, freshness.generation
+        ):
+            self._apply()
+
     def _is_outdated(self) -> bool:
-        return self.age() >= SERVERS_MAX_AGE_SECONDS
+        return self.age() > self._max_age() - MIN_WAIT_SECONDS
+
+    def _may_be(self, listed_at: float) -> bool:
+        """Tell whether the store's clock may have reached the time of a peer's list."""
+        newest = self.membership.newest
+        if newest is None or not newest.listed_at:
+            return True
+        return listed_at < newest.listed_at + self.age() + MAX_LEAD_SECONDS
 
     def _begin_fetch(self, address: str) -> None:
         if self._fetching is None:
@@ -489,7 +539,7 @@
         :param address: address of the peer.
         """
         copy = await self.copies.fetch_servers(address)
-        if copy is None:
+        if copy is None or not copy.records or not self._may_be(copy.listed_at):
             return
         found = copy.server_list()
         gap = decode_gap(copy.gap)
@@ -497,7 +547,8 @@
         if self.membership.is_newer(found.listed_at, found.generation):
             self._update(found, self.clock() - copy.age, gap=gap, lapsed=lapsed)
         elif self.membership.may_learn(gap, copy.generation):
-            self.membership.learn(lapsed, gap)
+            # What that list has may have lapsed by the time of this entry's one.
+            self.membership.learn({**found.servers, **lapsed}, gap)
             self._log_gap()
             self._apply()
 
@@ -515,6 +566,7 @@
         before, gap = self.membership.servers, self.membership.gap
         after = self.membership.update(found, **known_by_peer)
         self.read_at = max(self.read_at, read_at)
+        self._replaced_at = self.clock()
         if self.membership.gap is not gap:
             self._log_gap()
         self._apply(is_same=after is before)
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -595,6 +595,7 @@
             listed_at=listed.listed_at if listed else 0.0,
             generation=listed.generation if listed else 0,
             gap=encode_gap(self.servers.membership),
+            followed_since=max(0.0, self.servers.membership.followed_since),
         )
 
     def _receive(self, message: GossipMessage) -> None:
--- a/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
@@ -48,9 +48,12 @@
         self.newest: ServerList | None = None
         self.servers: dict[str, Server] = {}
         self.gap: Gap | None = None
+        self.earlier_gap: Gap | None = None  # in force if a peer shows `gap` to be none
         self.read_failed = False  # since the newest list
         # End of the time in which the list may be from an older copy of the store.
         self.restored_until = NEVER
+        # Time since which lists are known to follow each other without a gap.
+        self.followed_since = NEVER
         # Times of the last lists, which show that the store answered then.
         self.listed_at: deque[float] = deque()
         # Incarnations that left the list, by server; an older copy still has them.
@@ -134,7 +137,7 @@
 
     def may_learn(self, gap: Gap | None, generation: int) -> bool:
         """
-        Tell whether a peer missed lists that this entry has not seen either.
+        Tell whether a peer misses lists of a time that this entry cannot know of.
 
         An entry that has started since an outage does not know which servers the list
         lacks. One that has a list of that time knows that there was no outage.
@@ -144,11 +147,16 @@
         """
         if gap is None or self.newest is None or generation != self.newest.generation:
             return False
-        kept_until = gap.end + REREGISTRATION_GRACE_SECONDS
-        if not gap.start < gap.end <= self.newest.listed_at < kept_until:
+        unknown = self._unknown_part(gap)
+        if (
+            unknown is None
+            or unknown.end - unknown.start < MAX_GAP_AFTER_FAILURE_SECONDS
+        ):
             return False
-        return kept_until > self.kept_until and not any(
-            gap.start < listed_at < gap.end for listed_at in self.listed_at
+        kept_until = unknown.end + REREGISTRATION_GRACE_SECONDS
+        return (
+            unknown.end <= self.newest.listed_at < kept_until
+            and kept_until > self.kept_until
         )
 
     def learn(self, lapsed: dict[str, Server], gap: Gap) -> dict[str, Server]:
@@ -159,10 +167,45 @@
         :param gap: the last time for which the peer knows no list.
         :return: the servers in use, by ID.
         """
-        self.gap = gap
+        self._begin_grace(self._unknown_part(gap))
         self._replace_servers({**lapsed, **self.servers})
         return self.servers
 
+    def narrow_gap(self, since: float, until: float, generation: int) -> bool:
+        """
+        Narrow the last gap to the time for which a peer has no list either.
+
+        An entry that was frozen has a gap where others have lists.
+
+        :param since: time since which the peer's lists follow each other.
+        :param until: time of the peer's newest list.
+        :param generation: generation of the store that the peer's list is from.
+        :return: whether the gap has changed.
+        """
+        gap = self.gap
+        if (
+            gap is None
+            or generation != self.newest.generation
+            or gap.end - gap.start <= MAX_GAP_SECONDS
+        ):
+            return False
+        if gap.start < since < gap.end:
+            self._begin_grace(Gap(start=gap.start, end=since))
+        elif 0 < since <= gap.start and until >= gap.end:
+            self.gap, self.earlier_gap = self.earlier_gap, None
+            self.followed_since = since
+        else:
+            return False
+        self._replace_servers(self.servers)
+        return True
+
+    def _unknown_part(self, gap: Gap) -> Gap | None:
+        """Return the part of a peer's gap for which this entry knows no list either."""
+        if self.followed_since > gap.start:
+            return Gap(start=gap.start, end=min(gap.end, self.followed_since))
+        is_known = any(gap.start < listed_at < gap.end for listed_at in self.listed_at)
+        return None if is_known else gap
+
     def _is_overtaken(self, found: ServerList) -> bool:
         """Tell whether a newer list came while this one was on its way."""
         lead = self.newest.listed_at - found.listed_at
@@ -171,13 +214,36 @@
     def _record_gap(self, found: ServerList) -> None:
         """Begin a grace period if registrations may have lapsed before a list."""
         known = self.newest
-        if known is None:
+        if known is None or not known.listed_at:
+            self.followed_since = found.listed_at
+        elif not self.is_newer(found.listed_at, found.generation):
+            self._forget_times(found)
+        elif self._is_restored(found) or (
+            found.listed_at - known.listed_at > self._max_gap()
+        ):
+            self._begin_grace(Gap(start=known.listed_at, end=found.listed_at))
+            if self._is_restored(found):
+                self.restored_until = self.kept_until
+                self.listed_at.clear()  # the clock of an older copy may be behind
+
+    def _is_restored(self, found: ServerList) -> bool:
+        """Tell whether the store came back from an older copy before a list."""
+        return 0 < self.newest.generation < found.generation
+
+    def _begin_grace(self, gap: Gap) -> None:
+        if self.gap is not None and self.gap.end <= gap.start:
+            self.earlier_gap = self.gap
+        self.gap = gap
+        self.followed_since = gap.end
+
+    def _forget_times(self, found: ServerList) -> None:
+        """Forget what a peer told of times that the store's clock has not reached."""
+        if found.listed_at == self.newest.listed_at:
             return
-        is_restored = found.generation != known.generation and bool(known.generation)
-        if is_restored or found.listed_at - known.listed_at > self._max_gap():
-            self.gap = Gap(start=known.listed_at, end=found.listed_at)
-        if is_restored:
-            self.restored_until = self.kept_until
+        self.restored_until = NEVER
+        self.listed_at.clear()
+        self.removed.clear()
+        self._begin_grace(Gap(start=0.0, end=found.listed_at))
 
     def _max_gap(self) -> float:
         """Return the time until the next list in which no registration is delayed."""
--- a/packages/gateway/src/kumquatway_gateway/peers/_copies.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_copies.py
@@ -191,15 +191,17 @@
 
     def _copy_servers(self) -> ServersCopy:
         membership = self.membership
+        lapsed = membership.lapsed()
+        listed = membership.newest.servers if membership.newest else {}
         age = self.clock() - self.read_at()
         return ServersCopy(
             age=min(1e6, age),
-            records=tuple(_to_record(one) for one in membership.servers.values()),
+            records=tuple(_to_record(one) for one in {**listed, **lapsed}.values()),
             grace=membership.grace_left(age),
             listed_at=membership.newest.listed_at if membership.newest else 0.0,
             generation=membership.newest.generation if membership.newest else 0,
             gap=encode_gap(membership),
-            lapsed=tuple(membership.lapsed()),
+            lapsed=tuple(lapsed),
         )
 
 
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -148,6 +148,8 @@
     :param generation: generation of the store that the list is from, 0 if unknown.
     :param gap: start and end of the last time for which the sender knows no list, by
         the store's clock, seconds; None if servers that the list lacks are not kept.
+    :param followed_since: time since which the sender's lists follow each other without
+        a gap, by the store's clock, seconds; 0 if unknown.
     """
 
     configuration_age: Age
@@ -158,6 +160,7 @@
     listed_at: Amount = 0.0
     generation: Count = 0
     gap: tuple[Amount, Amount] | None = None
+    followed_since: Amount = 0.0
 
 
 class GossipMessage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/gateway/tests/test_follow.py
+++ b/packages/gateway/tests/test_follow.py
@@ -6,7 +6,7 @@
 import pytest
 from engines import layer_range, server
 
-from kumquatway_core.exceptions import ConfigurationError
+from kumquatway_core.exceptions import ConfigurationError, PlatformUnavailable
 from kumquatway_gateway import ConfigurationDocument
 from kumquatway_gateway._follow import (
     CONFIGURATION_MAX_AGE_SECONDS,
@@ -257,6 +257,34 @@
         asyncio.run(receive())
         assert self.copies.requested == [PEER]
 
+    def test_read_that_hung_in_an_outage_does_not_prolong_the_grace_period(self):
+        """A peer has read the list before it fails."""
+        self._receive("s1", "s2", age=0.0)
+        self.clock.now += 4.0
+        test = self
+
+        class Source:
+            async def poll(_, wait: float) -> ServerList:
+                test.clock.now += 0.3
+                test._read("s1")
+                test.clock.now += 0.3
+                raise PlatformUnavailable("silent")
+
+        self.follower.source = Source()
+        self.follower.reads_store = lambda: True
+
+        async def run_until_failure():
+            task = asyncio.create_task(self.follower.run())
+            await asyncio.sleep(0.01)
+            task.cancel()
+
+        asyncio.run(run_until_failure())
+        for seconds in (0.4, 0.8):
+            self.clock.now += seconds
+            assert self._read("s1") == {"s1", "s2"}
+        self.clock.now += 0.9
+        assert self._read("s1") == {"s1"}
+
     def test_outdated_list_is_not_waited_for(self):
         waits: list[float] = []
 
