--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -333,15 +333,20 @@
         self.emit(ProcessStarted(vm=self.settings.name, incarnation=self.incarnation))
         supervisor = asyncio.create_task(self._supervisor().run())
         stopping = asyncio.create_task(self.stopping.wait())
-        await asyncio.wait((supervisor, stopping), return_when=asyncio.FIRST_COMPLETED)
-        failed = supervisor.done()
-        if failed:
-            self.stop()
-        # The tasks go on: requests in progress are watched until they end.
-        await self._drain()
-        if failed:
-            supervisor.result()
-        supervisor.cancel()
+        try:
+            await asyncio.wait(
+                (supervisor, stopping), return_when=asyncio.FIRST_COMPLETED
+            )
+            failed = supervisor.done()
+            if failed:
+                self.stop()
+            # The tasks go on: requests in progress are watched until they end.
+            await self._drain()
+            if failed:
+                supervisor.result()
+        finally:
+            supervisor.cancel()
+            stopping.cancel()
         if self.failure is not None:
             raise self.failure
         self.emit(
