Confirm the configuration by the store's clock

What callers would see: an outdated configuration for longer than the bound of 2 s of the users' platform if the entry that reads the store loses it, and denials by rules that may no longer hold, as the configuration never looks stale.

The cause: the age of a confirmation lacks the time on its way, so it grew younger each time that it was passed on, and each entry confirmed the others' copies with what it had from them. No entry read the store as long as they talked to each other.

Why it works: a message confirms a copy only if the store had it later, by its own clock, than this entry knows, as for the list of servers. Each reading thus counts once at each entry. Peers of an older release do not tell this time, and confirm nothing; entries read the store themselves until all are new.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -98,6 +98,9 @@
         self.reissued_in = 0
         self.last_read: ConfigurationDocument | None = None  # from the store
         self.outage_since: float | None = None
+        # When the store last had no newer configuration, as far as this entry knows:
+        # generation, and seconds by the store's clock.
+        self.confirmed = (0, 0.0)
         # Whether this entry reads the store regularly, without relying on peers.
         self.reads_store: Callable[[], bool] = lambda: True
         # Called when the store returned a newer revision.
@@ -131,9 +134,10 @@
                 continue
             self._record_recovery()
             # A long document may be older than the end of its transfer.
-            confirmed = self.clock() if found is None else started_at
-            self.relay.configuration_confirmed_at = max(
-                self.relay.configuration_confirmed_at, confirmed
+            self._confirm(
+                self.source.generation,
+                self.source.read_at,
+                self.clock() if found is None else started_at,
             )
             if found is not None and self.apply_from_store(found):
                 self.on_change()
@@ -153,7 +157,9 @@
         """
         Process what a peer reports about its configuration.
 
-        A newer revision is fetched; the same revision confirms this entry's copy.
+        A newer revision is fetched; the same revision confirms this entry's copy, if
+        the store had it later than this entry knows. Otherwise the message says nothing
+        new, and its age lacks the time for which it was passed on.
 
         :param message: the peer's message.
         """
@@ -168,10 +174,23 @@
             else:
                 self.fetch_from(message.address)
         elif message.revision == self.revision() and message.freshness is not None:
-            confirmed = self.clock() - message.freshness.configuration_age
-            self.relay.configuration_confirmed_at = max(
-                self.relay.configuration_confirmed_at, confirmed
-            )
+            freshness = message.freshness
+            confirmed = (freshness.configuration_generation, freshness.configuration_at)
+            if confirmed > self.confirmed:
+                self._confirm(*confirmed, self.clock() - freshness.configuration_age)
+
+    def _confirm(self, generation: int, store_time: float, at: float) -> None:
+        """
+        Record that the store had no newer configuration.
+
+        :param generation: generation of the store.
+        :param store_time: when that was, by the store's clock, seconds.
+        :param at: the same, monotonic seconds.
+        """
+        self.confirmed = (generation, store_time)
+        self.relay.configuration_confirmed_at = max(
+            self.relay.configuration_confirmed_at, at
+        )
 
     def _compare_reissue(self, message: GossipMessage) -> None:
         """
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -591,6 +591,7 @@
 
     def _freshness(self) -> Freshness:
         listed = self.servers.membership.newest
+        generation, configured_at = self.configuration.confirmed
         return Freshness(
             configuration_age=self.clock() - self.relay.configuration_confirmed_at,
             servers_digest=self.servers.digest(),
@@ -601,6 +602,8 @@
             generation=listed.generation if listed else 0,
             gap=encode_gap(self.servers.membership),
             followed_since=max(0.0, self.servers.membership.followed_since),
+            configuration_at=configured_at,
+            configuration_generation=generation,
         )
 
     def _receive(self, message: GossipMessage) -> None:
--- a/packages/gateway/src/kumquatway_gateway/_sources.py
+++ b/packages/gateway/src/kumquatway_gateway/_sources.py
@@ -63,7 +63,15 @@
 
 
 class ConfigurationSource(Protocol):
-    """Reads the operators' configuration."""
+    """
+    Reads the operators' configuration.
+
+    :ivar generation: generation of the store at the last reading, 0 if unknown.
+    :ivar read_at: time of that reading by the store's clock, seconds.
+    """
+
+    generation: int
+    read_at: float
 
     async def poll(self, wait: float) -> ConfigurationDocument | None:
         """
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -150,6 +150,9 @@
         the store's clock, seconds; None if servers that the list lacks are not kept.
     :param followed_since: time since which the sender's lists follow each other without
         a gap, by the store's clock, seconds; 0 if unknown.
+    :param configuration_at: when the store had no newer configuration, by its clock,
+        seconds; 0 if unknown.
+    :param configuration_generation: generation of the store at that time, 0 if unknown.
     """
 
     configuration_age: Age
@@ -161,6 +164,8 @@
     generation: Count = 0
     gap: tuple[Amount, Amount] | None = None
     followed_since: Amount = 0.0
+    configuration_at: Amount = 0.0
+    configuration_generation: Count = 0
 
 
 class GossipMessage(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/packages/gateway/tests/test_follow.py
+++ b/packages/gateway/tests/test_follow.py
@@ -320,7 +320,13 @@
         self.follower.fetch_from = self.fetched.append
 
     def _receive(self, revision: int, age: float) -> None:
-        freshness = Freshness(configuration_age=age, servers_digest=0, servers_age=0.0)
+        freshness = Freshness(
+            configuration_age=age,
+            servers_digest=0,
+            servers_age=0.0,
+            configuration_at=_store_time(self.clock) - age,
+            configuration_generation=1,
+        )
         self.follower.receive(_message(freshness, revision))
 
     def test_newer_revision_is_fetched(self):
@@ -381,6 +387,9 @@
 class _SlowStore:
     """Sends a long document for 2 s, and says 2 s later that it is the newest one."""
 
+    generation = 1
+    read_at = 0.0
+
     def __init__(self, clock: _Clock):
         self.clock = clock
         self.calls = 0
