Count the time for which a message was held up

What callers would see: servers that live and get no work, or requests sent to servers that have ended, at all entries, after one process got no processor (or a link held its datagrams back) for seconds; and requests that crash servers reach further ones, as the word that such a server is up takes back its crash.

The cause: an observation in a gossip message has the age that it had as it was sent. An entry that was held up reads messages that waited for it as if they were new, dates what they say as later than what its peers have seen since, and tells them so.

The evidence: test_passed_on, TestEntryThatWasHeldUp.

Why it works: messages tell when they were sent, by the sender's clock. The least difference from their arrival, of the last 20 to 40 s, is what the clocks differ by with the usual way; what exceeds it is added to each age in the message. A message of an older release counts as in time. Messages are nine bytes longer.

--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -21,6 +21,7 @@
 from kumquatway_gateway.fleet import Fleet, HealthStatus
 from kumquatway_gateway.limits import NamedLimit, is_permit_message
 from kumquatway_gateway.model import LayerRange, LayerReport, parse_address
+from kumquatway_gateway.peers._lateness import Lateness
 from kumquatway_gateway.quarantine import (
     MAX_FEATURE_LENGTH,
     BlockState,
@@ -196,6 +197,7 @@
         and the seconds since then.
     :param back_in: time until the sender serves new requests, seconds: 0 unless it
         stops, and starts again then.
+    :param sent_at: monotonic seconds of the sender, 0 if unknown.
     """
 
     incarnation: Count
@@ -215,6 +217,7 @@
     limits: tuple[_Limit, ...] = ()
     survived: dict[str, Age] = {}
     back_in: Amount = 0.0
+    sent_at: Amount = 0.0
 
 
 class _Peer(msgspec.Struct, kw_only=True):
@@ -224,6 +227,7 @@
     loads: dict[str, ChainLoad]
     has_duty: bool
     back_in: float
+    lateness: Lateness
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -244,6 +248,19 @@
     return frozenset(f for f in features if len(f) <= MAX_FEATURE_LENGTH)
 
 
+def _with_age(message: GossipMessage, late: float) -> GossipMessage:
+    """Return a message whose copies are older by the time for which it was late."""
+    freshness = message.freshness
+    if not late or freshness is None:
+        return message
+    aged = msgspec.structs.replace(
+        freshness,
+        configuration_age=freshness.configuration_age + late,
+        servers_age=freshness.servers_age + late,
+    )
+    return msgspec.structs.replace(message, freshness=aged)
+
+
 class Gossip(asyncio.DatagramProtocol):
     """
     Sends this entry's state to its peers and receives theirs.
@@ -504,6 +521,9 @@
             incarnations.discard(min(incarnations))
         if message.incarnation < max(incarnations):
             return
+        is_known = previous is not None and previous.incarnation == message.incarnation
+        lateness = previous.lateness if is_known else Lateness()
+        late = lateness.measure(message.sent_at, now)
         self.peers[message.address] = _Peer(
             incarnation=message.incarnation,
             incarnations=incarnations,
@@ -511,16 +531,31 @@
             loads=loads,
             has_duty=message.has_duty,
             back_in=message.back_in,
+            lateness=lateness,
         )
         if len(self.peers) > MAX_PEERS:
             del self.peers[min(self.peers, key=self._last_heard)]
+        self._apply_observations(message, now - late)
+        self._apply_crashes(message, late)
+        self.on_message(_with_age(message, late))
+
+    def _apply_observations(self, message: GossipMessage, due_at: float) -> None:
+        """
+        Tell the fleet what a peer knows of servers.
+
+        Load pattern: a process gets no processor, or a link holds datagrams back, for
+        seconds. What they say of servers is then as old, and may be over.
+
+        :param due_at: when the message would have arrived without that, monotonic
+            seconds.
+        """
         for status in message.health:
             self.fleet.update_health(
                 status.server,
                 HealthStatus(
                     incarnation=status.incarnation,
                     down=status.down,
-                    observed_at=now - status.age,
+                    observed_at=due_at - status.age,
                     reason=status.reason,
                     ended=status.ended,
                     refuses_work=status.refuses_work,
@@ -535,7 +570,7 @@
                     layers=layers,
                     sequence=report.sequence,
                     busy=report.busy,
-                    reported_at=now - report.age,
+                    reported_at=due_at - report.age,
                     loaded=report.loaded,
                 ),
                 is_copy=True,
@@ -547,7 +582,7 @@
                 slowdown.server,
                 slowdown.incarnation,
                 slowdown.factor,
-                now - slowdown.age,
+                due_at - slowdown.age,
             )
         for limit in message.limits:
             self.fleet.update_limit(
@@ -555,16 +590,14 @@
                 NamedLimit(
                     incarnation=limit.incarnation,
                     rate=limit.rate,
-                    observed_at=now - limit.age,
+                    observed_at=due_at - limit.age,
                 ),
             )
-        self._apply_crashes(message)
-        self.on_message(message)
 
     def _last_heard(self, address: str) -> float:
         return self.peers[address].received_at
 
-    def _apply_crashes(self, message: GossipMessage) -> None:
+    def _apply_crashes(self, message: GossipMessage, late: float) -> None:
         now = self.clock()
         for crash in message.crashes:
             suspects = [
@@ -577,18 +610,20 @@
                 for s in crash.suspects
             ]
             server = (crash.server, crash.incarnation)
-            self.quarantine.receive_crash(server, suspects, crash.age)
+            self.quarantine.receive_crash(server, suspects, crash.age + late)
         for block in message.blocks:
             state = BlockState(
                 version=block.version,
                 trials=block.trials,
                 lifted=block.lifted,
-                changed_at=now - max(0.0, block.age),
+                changed_at=now - block.age - late,
             )
             features = _valid_features(block.features)
             if len(features) == len(set(block.features)):  # fewer would block more
                 self.quarantine.receive_block(features, state)
-        self.quarantine.receive_survivals(message.survived)
+        self.quarantine.receive_survivals(
+            {feature: age + late for feature, age in message.survived.items()}
+        )
 
     def _send(self, max_targets: int) -> None:
         data = _encoder.encode(self._build_message())
@@ -723,4 +758,5 @@
                 for name, limit in fleet.limits.sample(MAX_LIMITS)
             ),
             back_in=self.back_in(),
+            sent_at=now,
         )
--- a/packages/gateway/tests/test_passed_on.py
+++ b/packages/gateway/tests/test_passed_on.py
@@ -7,13 +7,19 @@
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
 import pytest
+from engines import layer_range, server
 
 from kumquatway_gateway._follow import (
     CONFIGURATION_MAX_AGE_SECONDS,
     ConfigurationFollower,
 )
-from kumquatway_gateway.peers import Freshness, GossipMessage
+from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.peers import Freshness, Gossip, GossipMessage
+from kumquatway_gateway.peers._gossip import SEND_PERIOD_SECONDS, _encoder
+from kumquatway_gateway.peers._lateness import PERIOD_SECONDS
+from kumquatway_gateway.quarantine import Quarantine
 
 WAY_SECONDS = 0.05
 GENERATION = 1
@@ -140,3 +146,136 @@
         self.first.relay.configuration_confirmed_at = self.clock.now
         self._pass_on(self.first, self.second)
         assert self.second.follower.seconds_until_read() == 0
+
+
+class _Talker:
+    """An entry that knows one server, and talks about it by a clock of its own."""
+
+    def __init__(self, name: str, clock: _Clock, clock_lead: float = 0.0):
+        self.clock = clock
+        self.clock_lead = clock_lead
+        self.fleet = Fleet(clock=self.read_clock)
+        self.server = server("s1", "a", "big", layer_range(0, 10))
+        self.fleet.update_servers({"s1": self.server})
+        self.quarantine = Quarantine(fleet=self.fleet, clock=self.read_clock)
+        self.copies: list[Freshness] = []
+        self.gossip = Gossip(
+            quarantine=self.quarantine,
+            address=name,
+            incarnation=1,
+            fleet=self.fleet,
+            own_loads=dict,
+            revision=lambda: 1,
+            freshness=lambda: Freshness(
+                configuration_age=0.1, servers_digest=5, servers_age=0.2
+            ),
+            on_message=lambda message: self.copies.append(message.freshness),
+            clock=self.read_clock,
+        )
+
+    def read_clock(self) -> float:
+        return self.clock.now + self.clock_lead
+
+    def observe(self, *, down: bool) -> None:
+        """Observe the server."""
+        self.fleet.set_health(self.server, down=down, reason="test")
+
+    def is_up(self) -> bool:
+        return self.fleet.is_up(self.server)
+
+    def message(self) -> bytes:
+        return _encoder.encode(self.gossip._build_message())
+
+    def receive(self, data: bytes) -> None:
+        self.gossip.datagram_received(data, ("x", 1))
+
+
+class TestEntryThatWasHeldUp:
+    """It took messages that had waited for it for news, and told its peers so."""
+
+    def setup_method(self):
+        self.clock = _Clock()
+        self.observer = _Talker("10.0.0.1:9", self.clock)
+        self.held_up = _Talker("10.0.0.2:9", self.clock, clock_lead=3000.0)
+        self.other = _Talker("10.0.0.3:9", self.clock, clock_lead=400.0)
+        self._talk()
+
+    def _talk(self) -> None:
+        """Let all entries hear each other."""
+        entries = (self.observer, self.held_up, self.other)
+        for sender in entries:
+            message = sender.message()
+            for receiver in entries:
+                receiver.receive(message)
+
+    @pytest.mark.parametrize("was_down", [True, False])
+    def test_a_server_is_as_it_was_seen_last(self, was_down):
+        """A server that recovered was down again, and one that was lost was up."""
+        self.clock.now += 1.0
+        self.observer.observe(down=not was_down)
+        self.clock.now += 1.0
+        self.observer.observe(down=was_down)
+        waiting = self.observer.message()
+        self.clock.now += 3.0
+        self.observer.observe(down=not was_down)
+        self.other.receive(self.observer.message())
+        self.clock.now += 2.0
+        self.held_up.receive(waiting)
+        self.other.receive(self.held_up.message())
+        assert self.other.is_up() is was_down
+        self.held_up.receive(self.other.message())
+        assert self.held_up.is_up() is was_down
+
+    def test_a_crash_stays_known_though_its_server_was_up_before(self):
+        self.observer.observe(down=True)
+        self.clock.now += 1.0
+        self.observer.observe(down=False)
+        waiting = self.observer.message()
+        self.clock.now += 1.0
+        self.other.fleet.set_health(
+            self.other.server, down=True, reason="test", ended=True
+        )
+        self.other.quarantine.record_unanswered(
+            (self.other.server,), frozenset({"part"}), self.clock.now, broken_off=True
+        )
+        assert self.other.quarantine.evidence.crashes
+        self.clock.now += 2.0
+        self.held_up.receive(waiting)
+        self.other.receive(self.held_up.message())
+        self.other.quarantine.confirm_crashes()
+        assert self.other.quarantine.evidence.crashes
+
+    def test_copies_of_the_store_are_as_old_as_they_are(self):
+        waiting = self.observer.message()
+        self.clock.now += 5.0
+        self.held_up.receive(waiting)
+        freshness = self.held_up.copies[-1]
+        assert freshness.configuration_age == pytest.approx(5.1)
+        assert freshness.servers_age == pytest.approx(5.2)
+
+    def test_a_loss_is_noticed_at_once(self):
+        self.held_up.receive(self.observer.message())
+        self.clock.now += 5.0
+        self.observer.observe(down=True)
+        message = self.observer.message()
+        self.clock.now += WAY_SECONDS
+        self.held_up.receive(message)
+        assert not self.held_up.is_up()
+
+    def test_a_clock_that_stood_still_is_trusted_again(self):
+        """As that of a VM that was moved."""
+        self.observer.clock_lead = -8.0
+        for _ in range(int(2 * PERIOD_SECONDS / SEND_PERIOD_SECONDS) + 1):
+            self.clock.now += SEND_PERIOD_SECONDS
+            self.held_up.receive(self.observer.message())
+        assert self.held_up.copies[-1].configuration_age == pytest.approx(0.1)
+
+    def test_a_message_of_an_older_release_counts_as_in_time(self):
+        self.observer.observe(down=True)
+        message = self.observer.gossip._build_message()
+        old = _encoder.encode(message)
+        self.clock.now += WAY_SECONDS
+        fields = msgspec.msgpack.decode(old)
+        self.held_up.receive(msgspec.msgpack.encode(fields[:-1]))
+        assert not self.held_up.is_up()
+        assert self.held_up.copies[-1].configuration_age == pytest.approx(0.1)
