Keep the time at which a request got through as it is passed on

What callers would see: requests that crash servers are kept away from them later, or not at all, if they got through once after the first two crashes.

The cause: entries tell each other how long ago a request with a suspected feature got through, also as they heard it from each other. The age lacks the way of each message, so each took the other's copy for a later success, and the one success moved past the crashes after it, which then no longer counted.

--- a/packages/gateway/src/kumquatway_gateway/model/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/model/__init__.py
@@ -18,6 +18,7 @@
     RouteKind,
     Service,
 )
+from kumquatway_gateway.model._copies import may_be_copy
 from kumquatway_gateway.model._request import GenerationSize, Request
 from kumquatway_gateway.model._server import (
     NO_LAYERS,
@@ -54,5 +55,6 @@
     "ServerNotice",
     "ServerState",
     "Service",
+    "may_be_copy",
     "parse_address",
 ]
--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -279,7 +279,7 @@
         self.traffic.record_harmless(each.features)
         identity = find_identity(each.features)
         if identity is not None:
-            self.traffic.hear_survival(identity, 0.0)
+            self.traffic.note_survival(identity)
 
     def _may_have_hung(self, ended: Server, each: _Unanswered) -> bool:
         """
--- a/packages/gateway/src/kumquatway_gateway/quarantine/_traffic.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_traffic.py
@@ -5,6 +5,8 @@
 import time
 from collections.abc import Callable, Iterable
 
+from kumquatway_gateway.model import may_be_copy
+
 PERIOD_SECONDS = 30.0  # traffic counts for this time, and up to twice that
 MAX_FEATURES = 8192  # that are measured in one such period
 # For which a request counts at least. One that is sent to a silent server stays there
@@ -92,7 +94,7 @@
         self._rotate()
         self.answered.add(features, max(seconds, MIN_ANSWER_SECONDS))
         for feature in features:
-            self.hear_survival(feature, 0.0)
+            self.note_survival(feature)
 
     def record_loss(self, features: Iterable[str], seconds: float) -> None:
         """
@@ -105,15 +107,24 @@
         self.lost.add(features, seconds)
         self.lost_requests.add((ALL, *features), 1)
 
+    def note_survival(self, feature: str) -> None:
+        """
+        Take note that a request with a suspected feature just got through here.
+
+        :param feature: a feature; one of no suspect is ignored.
+        """
+        if feature in self.survived_at:
+            self.survived_at[feature] = self.clock()
+
     def hear_survival(self, feature: str, age: float) -> None:
         """
-        Take note that a request with a suspected feature got through.
+        Take note that a request with a suspected feature got through at a peer.
 
         :param feature: a feature; one of no suspect is ignored.
         :param age: seconds since then.
         """
         at = self.clock() - max(0.0, age)
-        if at > self.survived_at.get(feature, at):
+        if not may_be_copy(at, self.survived_at.get(feature, at)):
             self.survived_at[feature] = at
 
     def last_survival(self, feature: str) -> float:
--- a/packages/gateway/tests/test_passed_on.py
+++ b/packages/gateway/tests/test_passed_on.py
@@ -19,7 +19,7 @@
 from kumquatway_gateway.peers import Freshness, Gossip, GossipMessage
 from kumquatway_gateway.peers._gossip import SEND_PERIOD_SECONDS, _encoder
 from kumquatway_gateway.peers._lateness import PERIOD_SECONDS
-from kumquatway_gateway.quarantine import Quarantine
+from kumquatway_gateway.quarantine import Quarantine, Suspect
 
 WAY_SECONDS = 0.05
 GENERATION = 1
@@ -279,3 +279,54 @@
         self.held_up.receive(msgspec.msgpack.encode(fields[:-1]))
         assert not self.held_up.is_up()
         assert self.held_up.copies[-1].configuration_age == pytest.approx(0.1)
+
+
+class TestSurvivalThatGrowsYounger:
+    """A request that got through once was taken for harmless after later crashes."""
+
+    def setup_method(self):
+        self.clock = _Clock()
+        self.entries = [_Talker(f"10.0.0.{n}:9", self.clock) for n in (1, 2)]
+        self.crashes = 0
+
+    def _crash(self) -> None:
+        """Let both entries know of the end of another server, of the same request."""
+        self.crashes += 1
+        suspect = Suspect(features=frozenset({"=a"}), seconds=0.1)
+        for entry in self.entries:
+            entry.quarantine.receive_crash((f"s{self.crashes}", 1), [suspect], 0.0)
+
+    def _talk(self, seconds: float) -> None:
+        end = self.clock.now + seconds
+        first, second = self.entries
+        while self.clock.now < end:
+            for sender, receiver in ((first, second), (second, first)):
+                message = sender.message()
+                self.clock.now += WAY_SECONDS
+                receiver.receive(message)
+
+    def _counted(self) -> list[int]:
+        return [len(e.quarantine.evidence.crashes_of("=a")) for e in self.entries]
+
+    def test_crashes_after_it_count(self):
+        self._crash()
+        self._crash()
+        self._talk(1.0)
+        self.entries[0].quarantine.traffic.record_survival(("=a",), 0.5)
+        self._talk(1.0)
+        assert self._counted() == [0, 0]
+        self._crash()
+        self._crash()
+        self._talk(20.0)
+        assert self._counted() == [2, 2]
+
+    def test_a_later_one_counts(self):
+        self._crash()
+        self._crash()
+        self.entries[0].quarantine.traffic.record_survival(("=a",), 0.5)
+        self._talk(1.0)
+        self._crash()
+        self.clock.now += 0.1
+        self.entries[0].quarantine.traffic.record_survival(("=a",), 0.5)
+        self._talk(1.0)
+        assert self._counted() == [0, 0]
