Keep the time of a server's health as it is passed on

What callers would see: a server that refused work once gets none for much longer than the 6 s after which it is tried again, and one that recovered may be taken for down until it is probed once more.

The cause: entries repeat that a server is down as long as they believe it. The age lacks the way of each message, so each took the other's copy for a later observation; it never aged, and outlasted a recovery that was seen after it.

The evidence: test_passed_on, TestRefusalThatGrowsYounger. Of two entries whose messages take 50 ms, the refusal was 0 s old after 10 s, and a recovery 0.3 s after it was undone by its copy; both tests failed before.

Why it works: a peer's word that says what is known replaces the known time only if it is later by more than the times of copies differ (0.5 s). A word that says something else counts as before, so that a loss is noticed as fast.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -7,7 +7,7 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from kumquatway_core.events import Event, MembershipChanged
 from kumquatway_gateway.fleet._pauses import Pauses
@@ -18,6 +18,7 @@
     Server,
     ServerNotice,
     ServerState,
+    may_be_copy,
 )
 
 # The list lags behind the servers by a heartbeat of 1.2 s and the 0.8 s that the store
@@ -53,6 +54,15 @@
     ended: bool = False
     refuses_work: bool = False
 
+    def says_the_same_as(self, other: "HealthStatus") -> bool:
+        """
+        Tell whether two observations differ at most in their time and reason.
+
+        :param other: an observation of the same server.
+        """
+        times = {"observed_at": self.observed_at, "reason": self.reason}
+        return replace(other, **times) == self
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Slowdown:
@@ -407,12 +417,16 @@
         if self.update_health(server.id, status):
             self.on_local_change()
 
-    def update_health(self, server_id: str, status: HealthStatus) -> bool:
+    def update_health(
+        self, server_id: str, status: HealthStatus, *, is_copy: bool = False
+    ) -> bool:
         """
         Store an observation of this entry or of a peer, if it is the newest.
 
         :param server_id: ID of the server.
         :param status: the observation.
+        :param is_copy: whether a peer sent it, so that its age lacks the time that it
+            was on its way.
         :return: whether the server went down or up.
         """
         server = self.servers.get(server_id)
@@ -421,6 +435,13 @@
         known = self.health.get(server_id)
         if known is not None and known.observed_at >= status.observed_at:
             return False
+        is_repeated = known is not None and known.says_the_same_as(status)
+        if (
+            is_copy
+            and is_repeated
+            and may_be_copy(status.observed_at, known.observed_at)
+        ):
+            return False
         was_down = known is not None and known.down
         self.health[server_id] = status
         if was_down == status.down:
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -560,6 +560,7 @@
                     ended=status.ended,
                     refuses_work=status.refuses_work,
                 ),
+                is_copy=True,
             )
         for report in message.layer_reports:
             layers = LayerRange(start=report.start, stop=report.stop)
--- a/packages/gateway/tests/test_passed_on.py
+++ b/packages/gateway/tests/test_passed_on.py
@@ -281,6 +281,17 @@
         assert self.held_up.copies[-1].configuration_age == pytest.approx(0.1)
 
 
+def _talk(entries: list[_Talker], seconds: float) -> None:
+    """Let two entries exchange messages."""
+    first, second = entries
+    end = first.clock.now + seconds
+    while first.clock.now < end:
+        for sender, receiver in ((first, second), (second, first)):
+            message = sender.message()
+            first.clock.now += WAY_SECONDS
+            receiver.receive(message)
+
+
 class TestSurvivalThatGrowsYounger:
     """A request that got through once was taken for harmless after later crashes."""
 
@@ -296,37 +307,63 @@
         for entry in self.entries:
             entry.quarantine.receive_crash((f"s{self.crashes}", 1), [suspect], 0.0)
 
-    def _talk(self, seconds: float) -> None:
-        end = self.clock.now + seconds
-        first, second = self.entries
-        while self.clock.now < end:
-            for sender, receiver in ((first, second), (second, first)):
-                message = sender.message()
-                self.clock.now += WAY_SECONDS
-                receiver.receive(message)
-
     def _counted(self) -> list[int]:
         return [len(e.quarantine.evidence.crashes_of("=a")) for e in self.entries]
 
     def test_crashes_after_it_count(self):
         self._crash()
         self._crash()
-        self._talk(1.0)
+        _talk(self.entries, 1.0)
         self.entries[0].quarantine.traffic.record_survival(("=a",), 0.5)
-        self._talk(1.0)
+        _talk(self.entries, 1.0)
         assert self._counted() == [0, 0]
         self._crash()
         self._crash()
-        self._talk(20.0)
+        _talk(self.entries, 20.0)
         assert self._counted() == [2, 2]
 
     def test_a_later_one_counts(self):
         self._crash()
         self._crash()
         self.entries[0].quarantine.traffic.record_survival(("=a",), 0.5)
-        self._talk(1.0)
+        _talk(self.entries, 1.0)
         self._crash()
         self.clock.now += 0.1
         self.entries[0].quarantine.traffic.record_survival(("=a",), 0.5)
-        self._talk(1.0)
+        _talk(self.entries, 1.0)
         assert self._counted() == [0, 0]
+
+
+class TestRefusalThatGrowsYounger:
+    """A server that refused work once was not tried again for long."""
+
+    def setup_method(self):
+        self.clock = _Clock()
+        self.entries = [_Talker(f"10.0.0.{n}:9", self.clock) for n in (1, 2)]
+
+    def _refuse(self) -> None:
+        first = self.entries[0]
+        first.fleet.set_health(first.server, down=True, refuses_work=True, reason="")
+
+    def _ages(self) -> list[float]:
+        now = self.clock.now
+        return [now - e.fleet.health["s1"].observed_at for e in self.entries]
+
+    def test_it_is_as_old_as_it_is(self):
+        self._refuse()
+        _talk(self.entries, 10.0)
+        assert min(self._ages()) == pytest.approx(10.0, abs=2 * WAY_SECONDS)
+
+    def test_a_later_one_counts(self):
+        self._refuse()
+        _talk(self.entries, 3.0)
+        self._refuse()
+        _talk(self.entries, 2.0)
+        assert max(self._ages()) < 2.5
+
+    def test_a_recovery_ends_it_at_once(self):
+        self._refuse()
+        _talk(self.entries, 0.3)
+        self.entries[1].observe(down=False)
+        _talk(self.entries, 0.1)
+        assert all(entry.is_up() for entry in self.entries)
