Keep the time at which a server named its limit as it is passed on

What callers would see: a limit that a server raised or ended stays in force, and requests wait or are refused, while entries ask each other for permits.

The cause: each message about a limit tells how long ago the server named it, without the way of the message, so that each entry took the other's copy for a later naming. A limit is raised or ended only by the answer to a request that was sent after it was last named; of a limit that never ages, there is none.

The evidence: test_passed_on, TestLimitThatGrowsYounger.

--- a/packages/gateway/src/kumquatway_gateway/limits/_named.py
+++ b/packages/gateway/src/kumquatway_gateway/limits/_named.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from kumquatway_gateway.model import Server
+from kumquatway_gateway.model import Server, may_be_copy
 
 MAX_RATE = 1e6  # requests per second
 # How long the end of a limit is remembered: longer than copies of it are on their way.
@@ -117,6 +117,9 @@
             return False
         if known is not None and limit.observed_at <= known.observed_at:
             return False
+        is_repeated = known is not None and known.rate == rate
+        if is_repeated and may_be_copy(limit.observed_at, known.observed_at):
+            return False
         if known is None and rate is None:
             return False
         observed_at = min(limit.observed_at, self.clock())
--- a/packages/gateway/tests/test_passed_on.py
+++ b/packages/gateway/tests/test_passed_on.py
@@ -16,6 +16,7 @@
     ConfigurationFollower,
 )
 from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.model import ServerNotice
 from kumquatway_gateway.peers import Freshness, Gossip, GossipMessage
 from kumquatway_gateway.peers._gossip import SEND_PERIOD_SECONDS, _encoder
 from kumquatway_gateway.peers._lateness import PERIOD_SECONDS
@@ -367,3 +368,33 @@
         self.entries[1].observe(down=False)
         _talk(self.entries, 0.1)
         assert all(entry.is_up() for entry in self.entries)
+
+
+class TestLimitThatGrowsYounger:
+    """Answers that showed the end of a server's limit seemed to be from before it."""
+
+    def setup_method(self):
+        self.clock = _Clock()
+        self.entries = [_Talker(f"10.0.0.{n}:9", self.clock) for n in (1, 2)]
+
+    def _name(self, rate: float | None, asked_at: float) -> None:
+        first = self.entries[0]
+        notice = ServerNotice(max_request_rate=rate)
+        first.fleet.record_notice(first.server, notice, asked_at)
+
+    def _rates(self) -> list[float | None]:
+        return [entry.fleet.limits.rate(entry.server) for entry in self.entries]
+
+    def test_it_ends_with_an_answer_that_took_a_while(self):
+        self._name(5.0, self.clock.now)
+        _talk(self.entries, 5.0)
+        self._name(None, self.clock.now - 2.0)
+        _talk(self.entries, 1.0)
+        assert self._rates() == [None, None]
+
+    def test_an_answer_from_before_it_does_not_end_it(self):
+        self._name(5.0, self.clock.now)
+        _talk(self.entries, 1.0)
+        self._name(None, self.clock.now - 2.0)
+        _talk(self.entries, 1.0)
+        assert self._rates() == [5.0, 5.0]
