Order no layers under an expired lease that a peer has taken over

What callers would see: layers that are loaded twice and given up again, and chains that are away meanwhile, as two entries order at once, each for a layout of its own.

The cause: during an outage of the store the last holder of the lease goes on, as nobody can take it. It took its own failed reads for the outage of all: if only this entry lost the store, a peer took the lease over, said so, and both ordered until a server that had seen the new number refused the old one. An entry that was held up for seconds went on in the same way until it had asked the store, and told peers that it held the lease, so that they did not ask for it.

The evidence: test_lost_store, over the whole path: 8 s after the holder lost the store, it and its successor may order. It and three tests of TestEntryThatHeldTheLease failed before.

An entry says that it holds the lease only until that expires by its own clock; in an outage of the store for all entries nobody says so, and the last holder goes on as before (test_lost_store).

--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -271,7 +271,7 @@
             emit=emit,
             clock=clock,
         )
-        self.gossip.has_duty = lambda: self.placer.holds_lease
+        self.gossip.has_duty = self.placer.has_duty
         self.gossip.back_in = self.relay.own_return = self._back_in
         self.relay.peer_returns = self.gossip.peer_returns
         self.gossip.reissued_in = lambda: self.configuration.reissued_in
--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -116,6 +116,7 @@
         # Servers polled because of an order that this entry does not track.
         self.polled_servers: set[str] = set()
         self.holds_lease = False
+        self.asked_at = float("-inf")  # the store, for the lease
         self.released = False
         self.known_ids: set[str] = set()
         self.up_ids: set[str] = set()
@@ -131,6 +132,7 @@
         """Acquire and renew the lease until `release` is called."""
         while not self.released:
             held = await self.lease.acquire_or_renew()
+            self.asked_at = self.clock()
             if self.released:
                 return
             if held != self.holds_lease:
@@ -210,10 +212,25 @@
         if self.released:
             return None
         number = self.lease.fencing_number_if_held(LEASE_MARGIN_SECONDS)
-        if number is None and self.fenced:
+        if number is None and self._may_hold_expired_lease():
             number = self.lease.uncontested_fencing_number()
         return None if number in self.rejected_numbers else number
 
+    def _may_hold_expired_lease(self) -> bool:
+        """
+        Tell whether the last holder may go on, as no other entry can have the lease.
+
+        Load pattern: only this entry loses the store, or it gets no processor for
+        seconds. A peer then takes the lease over, and this entry does not read so.
+        """
+        if not self.fenced or self.is_held_by_peer():
+            return False
+        return self.clock() - self.asked_at < self.lease.duration
+
+    def has_duty(self) -> bool:
+        """Tell peers whether this entry holds the lease, by its own clock."""
+        return self.holds_lease and self.lease.is_held()
+
     def _record_fleet_changes(self) -> None:
         now = self.clock()
         up_ids = {s.id for s in self.fleet.servers.values() if self.fleet.is_up(s)}
--- a/packages/gateway/tests/test_expired_lease.py
+++ b/packages/gateway/tests/test_expired_lease.py
@@ -108,6 +108,66 @@
         assert placer.pending == {}
 
 
+class _ExpiredLease:
+    """A lease that expired, and of which no other holder was read."""
+
+    duration = 3.0
+
+    def fencing_number_if_held(self, margin: float) -> int | None:
+        return None
+
+    def uncontested_fencing_number(self) -> int | None:
+        return FENCING_NUMBER
+
+    async def acquire_or_renew(self) -> bool:
+        return False
+
+    def is_held(self) -> bool:
+        return False
+
+
+class TestEntryThatHeldTheLease:
+    """It went on as the store's outage had ended for all others, and two ordered."""
+
+    def setup_method(self):
+        self.now = 100.0
+        self.lease = _ExpiredLease()
+        self.placer = _placer(self.lease, None, Fleet())
+        self.placer.fenced = True
+        self.placer.clock = lambda: self.now
+
+    def _ask_the_store(self) -> None:
+        async def ask():
+            task = asyncio.create_task(self.placer.maintain_lease())
+            await asyncio.sleep(0)
+            task.cancel()
+
+        asyncio.run(ask())
+
+    def test_it_goes_on_while_the_store_is_away(self):
+        self._ask_the_store()
+        assert self.placer._fencing_number() == FENCING_NUMBER
+
+    def test_it_orders_nothing_while_a_peer_holds_the_lease(self):
+        self._ask_the_store()
+        self.placer.is_held_by_peer = lambda: True
+        assert self.placer._fencing_number() is None
+        self.placer.is_held_by_peer = lambda: False
+        assert self.placer._fencing_number() == FENCING_NUMBER
+
+    def test_it_asks_the_store_first_after_it_was_held_up(self):
+        self._ask_the_store()
+        self.now += 5.0
+        assert self.placer._fencing_number() is None
+        self._ask_the_store()
+        assert self.placer._fencing_number() == FENCING_NUMBER
+
+    def test_it_does_not_tell_peers_that_it_holds_the_lease(self):
+        """They would not ask the store for it."""
+        self.placer.holds_lease = True
+        assert not self.placer.has_duty()
+
+
 class TestFetch:
     """A call that is permitted at first, and no longer once it is connected."""
 
