Take no holder of the lease for gone after a pause of this entry

What callers would see: nothing in most cases; for up to half a second two entries that order layers, and a duty that moves without need.

The cause: a holder counts as gone if nothing was heard of it for 1.6 s, also if it was this entry that got no processor for that long, and the messages wait for it. It then takes the lease over unless it happens to read one of the holder's messages before it has read the row of the lease.

The evidence: test_passed_on, test_a_live_peer_is_not_taken_for_gone; it failed before.

Why it works: the loop that sends messages notes when it ran. After a pause of more than 1 s an entry counts the silence of its peers from the end of the pause. A newer incarnation at the address of the holder still says at once that it has ended, and the lease expires as before.

--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -34,6 +34,8 @@
 MIN_SEND_INTERVAL_SECONDS = 0.05  # between messages, also when more are requested
 LOAD_EXPIRY_SECONDS = 1.5  # a peer's last reported load is ignored after this time
 PEER_FAILURE_SECONDS = 1.6  # six messages missed; the peer's lease may be taken over
+# Between two rounds of `Gossip.run`, after which the messages in between wait unread.
+HELD_UP_SECONDS = 1.0
 PEER_EXPIRY_SECONDS = 8.0  # a peer is not counted after this time without a message
 MISSED_INTERVALS = 4.0  # mean times between messages; 1 in 50 of live peers
 REPEAT_SECONDS = 6.0  # an observation is repeated in messages for this time
@@ -300,6 +302,8 @@
         self.on_message = on_message
         self.clock = clock
         self.started_at = clock()
+        self.ran_at: float | None = None  # last round of `run`
+        self.listening_since = float("-inf")  # without a long pause between rounds
         self.addresses: set[str] = set()
         self.peers: dict[str, _Peer] = {}
         self.transport: asyncio.DatagramTransport | None = None
@@ -318,6 +322,7 @@
         )
         try:
             while True:
+                self._record_round()
                 self._send(
                     MAX_URGENT_TARGETS if self._send_requested.is_set() else MAX_TARGETS
                 )
@@ -333,6 +338,14 @@
         finally:
             self.transport.close()
 
+    def _record_round(self) -> None:
+        if self._is_held_up():
+            self.listening_since = self.clock()
+        self.ran_at = self.clock()
+
+    def _is_held_up(self) -> bool:
+        return self.ran_at is not None and self.clock() - self.ran_at > HELD_UP_SECONDS
+
     def send_soon(self) -> None:
         """
         Send a message now, or once the minimum interval since the last one has passed.
@@ -400,15 +413,20 @@
         """
         Return whether a peer's process has ended or is no longer sending messages.
 
+        Load pattern: this entry gets no processor for seconds, and has heard nobody
+        since, as the messages wait for it.
+
         :param incarnation: incarnation of the peer's process.
         :return: True if a newer incarnation uses the same address, or if several
             messages in a row were missed; False for an unknown incarnation. If several
             peers have the incarnation, True if that holds for all of them.
         """
         since = self.clock() - PEER_FAILURE_SECONDS
+        has_listened = self.listening_since < since and not self._is_held_up()
         peers = [p for p in self.peers.values() if incarnation in p.incarnations]
         return bool(peers) and all(
-            peer.incarnation != incarnation or peer.received_at < since
+            peer.incarnation != incarnation
+            or (has_listened and peer.received_at < since)
             for peer in peers
         )
 
--- a/packages/gateway/tests/test_passed_on.py
+++ b/packages/gateway/tests/test_passed_on.py
@@ -11,6 +11,7 @@
 import pytest
 from engines import layer_range, server
 
+from kumquatway_fakes import free_address
 from kumquatway_gateway._follow import (
     CONFIGURATION_MAX_AGE_SECONDS,
     ConfigurationFollower,
@@ -246,6 +247,25 @@
         self.other.quarantine.confirm_crashes()
         assert self.other.quarantine.evidence.crashes
 
+    def test_a_live_peer_is_not_taken_for_gone(self):
+        """The lease was taken from a holder whose messages waited."""
+
+        async def scenario():
+            self.held_up.gossip.address = free_address()
+            running = asyncio.create_task(self.held_up.gossip.run())
+            await asyncio.sleep(0.05)
+            self.clock.now += 5.0
+            assert not self.held_up.gossip.is_gone(1)
+            await asyncio.sleep(2 * SEND_PERIOD_SECONDS)
+            assert not self.held_up.gossip.is_gone(1)
+            for _ in range(3):
+                self.clock.now += 0.6
+                await asyncio.sleep(SEND_PERIOD_SECONDS + 0.1)
+            assert self.held_up.gossip.is_gone(1)
+            running.cancel()
+
+        asyncio.run(scenario())
+
     def test_copies_of_the_store_are_as_old_as_they_are(self):
         waiting = self.observer.message()
         self.clock.now += 5.0
