Keep the time at which a server was seen to be slow as it is passed on

What callers would see: a server that was slow once is avoided for longer, as no entry looks whether it still is; and it may be taken for slow again after it was seen to work at its usual speed.

The cause: an entry looks at a slow server only if nobody has just done so. The age of an observation lacks the way of the message, so each entry took the other's copy for a later one, and the observation never aged.

The evidence: test_passed_on, TestSlownessThatGrowsYounger.

Another factor counts as before.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -523,7 +523,13 @@
         return self.slowdown(server) > SLOWDOWN_THRESHOLD
 
     def update_slowdown(
-        self, server_id: str, incarnation: int, factor: float, observed_at: float
+        self,
+        server_id: str,
+        incarnation: int,
+        factor: float,
+        observed_at: float,
+        *,
+        is_copy: bool = False,
     ) -> None:
         """
         Store a server's slowdown, if it is the newest observation.
@@ -532,6 +538,8 @@
         :param incarnation: incarnation of the server that was observed.
         :param factor: how many times longer than usual its work takes.
         :param observed_at: time of the observation, monotonic seconds.
+        :param is_copy: whether a peer sent it, so that its age lacks the time that it
+            was on its way.
         """
         server = self.servers.get(server_id)
         if server is None or server.incarnation != incarnation:
@@ -539,6 +547,9 @@
         known = self.slowdowns.get(server_id)
         if known is not None and observed_at <= known.observed_at:
             return
+        is_repeated = known is not None and known.factor == factor
+        if is_copy and is_repeated and may_be_copy(observed_at, known.observed_at):
+            return
         before = self.slowdown(server)
         differs = abs(before - factor) > MIN_SLOWDOWN_CHANGE * before
         last_change = known.changed_at if known is not None else float("-inf")
--- a/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_gossip.py
@@ -602,6 +602,7 @@
                 slowdown.incarnation,
                 slowdown.factor,
                 due_at - slowdown.age,
+                is_copy=True,
             )
         for limit in message.limits:
             self.fleet.update_limit(
--- a/packages/gateway/tests/test_passed_on.py
+++ b/packages/gateway/tests/test_passed_on.py
@@ -418,3 +418,39 @@
         self._name(None, self.clock.now - 2.0)
         _talk(self.entries, 1.0)
         assert self._rates() == [5.0, 5.0]
+
+
+class TestSlownessThatGrowsYounger:
+    """Nobody looked whether a slow server still was, as it seemed just observed."""
+
+    def setup_method(self):
+        self.clock = _Clock()
+        self.entries = [_Talker(f"10.0.0.{n}:9", self.clock) for n in (1, 2)]
+
+    def _observe(self, factor: float) -> None:
+        fleet = self.entries[0].fleet
+        incarnation = self.entries[0].server.incarnation
+        fleet.update_slowdown("s1", incarnation, factor, fleet.clock())
+
+    def _ages(self) -> list[float]:
+        now = self.clock.now
+        return [now - e.fleet.slowdowns["s1"].observed_at for e in self.entries]
+
+    def test_it_is_as_old_as_it_is(self):
+        self._observe(4.0)
+        _talk(self.entries, 3.0)
+        assert min(self._ages()) == pytest.approx(3.0, abs=2 * WAY_SECONDS)
+
+    def test_a_later_one_counts(self):
+        self._observe(4.0)
+        _talk(self.entries, 3.0)
+        self._observe(4.0)
+        _talk(self.entries, 1.0)
+        assert max(self._ages()) < 1.2
+
+    def test_another_factor_counts_at_once(self):
+        self._observe(4.0)
+        _talk(self.entries, 0.1)
+        self._observe(1.0)
+        _talk(self.entries, 0.1)
+        assert not any(e.fleet.is_slow(e.server) for e in self.entries)
