Test that an entry that was held up brings no replaced layers back

The report of an entry that was held up for 5 s looked more than 2.2 s newer than the same one that the list had replaced, and was adopted; without the measurement this test fails.

--- a/packages/gateway/tests/test_passed_on.py
+++ b/packages/gateway/tests/test_passed_on.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from dataclasses import replace
 from types import SimpleNamespace
 
 import msgspec
@@ -17,7 +18,7 @@
     ConfigurationFollower,
 )
 from kumquatway_gateway.fleet import Fleet
-from kumquatway_gateway.model import ServerNotice
+from kumquatway_gateway.model import LayerReport, ServerNotice
 from kumquatway_gateway.peers import Freshness, Gossip, GossipMessage
 from kumquatway_gateway.peers._gossip import SEND_PERIOD_SECONDS, _encoder
 from kumquatway_gateway.peers._lateness import PERIOD_SECONDS
@@ -247,6 +248,26 @@
         self.other.quarantine.confirm_crashes()
         assert self.other.quarantine.evidence.crashes
 
+    def test_layers_that_the_list_has_replaced_stay_replaced(self):
+        report = LayerReport(
+            incarnation=self.observer.server.incarnation,
+            layers=layer_range(0, 5),
+            sequence=1,
+            busy=False,
+            reported_at=self.observer.read_clock(),
+        )
+        self.observer.fleet.update_layers("s1", report)
+        waiting = self.observer.message()
+        self.other.receive(waiting)
+        self.clock.now += 3.0
+        listed = replace(self.other.server, layers=layer_range(5, 10))
+        self.other.fleet.update_servers({"s1": listed})
+        assert self.other.fleet.layers(listed) == layer_range(5, 10)
+        self.clock.now += 2.0
+        self.held_up.receive(waiting)
+        self.other.receive(self.held_up.message())
+        assert self.other.fleet.layers(listed) == layer_range(5, 10)
+
     def test_a_live_peer_is_not_taken_for_gone(self):
         """The lease was taken from a holder whose messages waited."""
 
