Let the last holder go on for as long as an attempt to get the lease may take

An entry that does not hold the lease asks for it every 1.5 s, and an attempt of two calls that the store leaves unanswered takes 1.6 s. The bound of 3 s was below their sum, so that the last holder might pause for a moment in an outage.

--- a/packages/gateway/src/kumquatway_gateway/duties/_placer.py
+++ b/packages/gateway/src/kumquatway_gateway/duties/_placer.py
@@ -32,6 +32,7 @@
 LEASE_MARGIN_SECONDS = 0.3  # remaining lease time required to send an order
 HOLDER_SHARE = 1 / 6  # of the lease duration, between renewals by the holder
 WAITER_SHARE = 1 / 2  # of the lease duration, between attempts by other entries
+ATTEMPT_SECONDS = 2.0  # longest attempt to get the lease, of two calls of the store
 RELEASE_SECONDS = 1.0  # timeout for releasing the lease
 REPORT_SECONDS = 0.5  # timeout for a server's report
 ORDER_TRIES = 4  # attempts to send an order that gets no response
@@ -225,7 +226,8 @@
         """
         if not self.fenced or self.is_held_by_peer():
             return False
-        return self.clock() - self.asked_at < self.lease.duration
+        longest = self.lease.duration * WAITER_SHARE + ATTEMPT_SECONDS
+        return self.clock() - self.asked_at < longest
 
     def has_duty(self) -> bool:
         """Tell peers whether this entry holds the lease, by its own clock."""
