Bound what an unfinished message of the mesh holds

What others saw: a faulty process that sends a message in parts without end takes the memory of an entry or an agent. Cause: ZeroMQ keeps the parts of a message until its last; it bounds the bytes of a part and the number of messages.

A guard now listens on the address of the mesh, reads the heads of frames and passes the bytes on to the ROUTER on an abstract Unix socket. A message of more than 64 MB, with 64 bytes for each part, ends its connection before ZeroMQ has it.

--- a/packages/core/src/kumquatway_core/mesh/_mesh.py
+++ b/packages/core/src/kumquatway_core/mesh/_mesh.py
@@ -9,12 +9,20 @@
 from loguru import logger
 
 from kumquatway_core import Verdict
+from kumquatway_core.mesh._connection import SEQUENCE_BYTES
+from kumquatway_core.mesh._guard import (
+    BACKLOG,
+    PART_BYTES,
+    guarding,
+    private_endpoint,
+)
 from kumquatway_core.mesh._inbox import Inbox, Sender
 from kumquatway_core.mesh._peer import OutgoingMessage, Peer, PeerState
 from kumquatway_core.mesh._traffic import Traffic
 from kumquatway_core.wire import MAX_MESSAGE_BYTES, Message
 
 MAX_WAITING_MESSAGES = 16  # of each sender, in the queue of the socket
+OVERHEAD_BYTES = SEQUENCE_BYTES + 2 * PART_BYTES  # of a message
 IDLE_TIMEOUT = 120.0  # seconds without use after which a peer is closed
 IDLE_CHECK_INTERVAL = 10.0  # seconds
 
@@ -78,6 +86,7 @@
         # Longer ones are not read; without it they are kept until they end.
         self.socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         self.socket.setsockopt(zmq.RCVHWM, MAX_WAITING_MESSAGES)
+        self.socket.setsockopt(zmq.BACKLOG, BACKLOG)
         self.inbox = Inbox(
             socket=self.socket,
             incarnation=incarnation,
@@ -91,9 +100,13 @@
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED) -> None:
         """Run until cancelled; reports as started once the socket is bound."""
-        self.socket.bind(f"tcp://{self.bind}")
+        endpoint = private_endpoint()
+        self.socket.bind(endpoint)
         try:
-            async with anyio.create_task_group() as group:
+            async with (
+                guarding(self.bind, endpoint, MAX_MESSAGE_BYTES + OVERHEAD_BYTES),
+                anyio.create_task_group() as group,
+            ):
                 self._group = group
                 for peer in self.peers.values():
                     group.start_soon(peer.run)
--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -318,6 +318,31 @@
                         sent += len(part)
         assert sent < 64 << 20
 
+    @pytest.mark.anyio
+    async def test_sound_senders_are_served_meanwhile(self, monkeypatch):
+        monkeypatch.setattr(_mesh, "MAX_MESSAGE_BYTES", 100_000)
+        local, remote = Node(address=free_address()), Node(address=free_address())
+        host, _, port = remote.mesh.address.rpartition(":")
+        part = b"\x03" + (1 << 16).to_bytes(8, "big") + bytes(1 << 16)
+
+        async def send_without_end() -> None:
+            while True:
+                with contextlib.suppress(anyio.BrokenResourceError):
+                    async with await anyio.connect_tcp(host, int(port)) as stream:
+                        await self.greet(stream)
+                        while True:
+                            await stream.send(part)
+
+        async with running(local, remote) as group:
+            group.start_soon(send_without_end)
+            sent = [make_message(number) for number in range(100)]
+            for message in sent:
+                local.mesh.send(remote.mesh.address, message)
+                await anyio.sleep(0.01)
+            await wait_until(lambda: len(remote.received) >= len(sent))
+            assert local.mesh.peer(remote.mesh.address).connection_count == 1
+        assert remote.received == sent
+
 
 class TestManyMessages:
     """Messages that come faster than they are handled."""
