Choose a chain without a look at every request in progress

What callers saw: with 400 requests to a model at once the event loop of an entry was held for .2 s and more, and others waited. Cause: each choice of a chain summed the tokens of all requests in progress, server by server: work with the square of their number.

The router keeps the sum and the number of claims for each chain.

--- a/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_model_router.py
@@ -37,6 +37,15 @@
     released: bool = False
 
 
+@dataclass(kw_only=True, slots=True)
+class _ChainUse:
+    """The claims on a chain, and the sum of their tokens."""
+
+    chain: Chain
+    requests: int = 0
+    tokens: float = 0.0
+
+
 class ModelRouter:
     """
     Assigns the requests of one model service to chains.
@@ -72,6 +81,8 @@
         self.clock = clock
         self.own_loads: dict[str, ChainLoad] = {}
         self.claims: set[Claim] = set()
+        # By identity: the requests of a burst are on few chains, and share them.
+        self._uses: dict[int, _ChainUse] = {}
         # The average and when it was last updated, by ID of the first server.
         self.first_event_seconds: dict[str, tuple[float, float]] = {}
         self.failure_rates: dict[str, tuple[float, float]] = {}
@@ -174,6 +185,7 @@
         self.queue.begin_service(waiter)
         claim = Claim(chain=chain, waiter=waiter)
         self.claims.add(claim)
+        self._count_use(chain, waiter.tokens, 1)
         return claim
 
     def _choose_permitted_chain(
@@ -254,17 +266,26 @@
             return
         claim.released = True
         self.claims.discard(claim)
+        self._count_use(claim.chain, -claim.waiter.tokens, -1)
         self._add_load(claim.chain.first_server.id, -claim.waiter.tokens, -1)
         self.queue.end_service(claim.waiter)
 
+    def _count_use(self, chain: Chain, tokens: float, requests: int) -> None:
+        """Count claims on a chain that begin, or end if the numbers are negative."""
+        use = self._uses.setdefault(id(chain), _ChainUse(chain=chain))
+        use.tokens += tokens
+        use.requests += requests
+        if not use.requests:
+            del self._uses[id(chain)]
+
     def servers_in_use(self) -> set[str]:
         """
         Return the servers of current chains and of chains with requests in progress.
 
         :return: IDs of the servers.
         """
-        chains = {claim.chain for claim in self.claims}
-        chains.update(self.chains())
+        chains = [use.chain for use in self._uses.values()]
+        chains += self.chains()
         return {stage.server.id for chain in chains for stage in chain.stages}
 
     def tokens_by_server(self, silent: Collection[str] = ()) -> dict[str, float]:
@@ -279,10 +300,10 @@
         """
         by_first = {chain.first_server.id: chain for chain in self.chains()}
         used_tokens: dict[str, float] = {}
-        for claim in self.claims:
-            by_first.setdefault(claim.chain.first_server.id, claim.chain)
-            if self._may_progress(claim.chain, silent):
-                _add_tokens(used_tokens, claim.chain, claim.waiter.tokens)
+        for use in self._uses.values():
+            by_first.setdefault(use.chain.first_server.id, use.chain)
+            if self._may_progress(use.chain, silent):
+                _add_tokens(used_tokens, use.chain, use.tokens)
         if silent:
             by_first = self._former_chains | by_first
         for first_id, load in self.peer_loads().items():
--- a/packages/gateway/tests/test_model_router.py
+++ b/packages/gateway/tests/test_model_router.py
@@ -93,6 +93,29 @@
         self.fleet.set_health(self.servers["s48"], down=True, reason="test")
         assert self.router.tokens_by_server() == {}
 
+    def test_a_choice_costs_the_same_however_many_requests_run(self, monkeypatch):
+        looked_at = []
+        is_responding = self.fleet.is_responding
+
+        def spy(server):
+            looked_at.append(server.id)
+            return is_responding(server)
+
+        monkeypatch.setattr(self.fleet, "is_responding", spy)
+        counts = []
+        for _ in range(20):
+            looked_at.clear()
+            assert self.router.claim(replace(_waiter(), tokens=1.0))
+            counts.append(len(looked_at))
+        assert counts == [counts[0]] * 20
+
+    def test_requests_that_end_are_counted_no_longer(self):
+        claims = [self.router.claim(replace(_waiter(), tokens=9.0)) for _ in range(2)]
+        self.router.release(claims[0])
+        assert self.router.tokens_by_server()["s0"] == 1409.0
+        self.router.release(claims[1])
+        assert self.router.tokens_by_server()["s0"] == 1400.0
+
     def test_new_chain_counts_requests_of_the_former_chain(self):
         replacement = server("replacement", "x", "big", layer_range(0, 16))
         del self.servers["s0"]
