Do not go through all requests given up for each other one

What callers saw: as hundreds of callers of faulty servers left, or their deadlines passed, at once, the event loop of an entry was held and others waited.

A server is looked at once for all of them; requests that were given up are gone through only once one of their servers has ended, or the first has waited for long enough. Which of them count as evidence stays the same.

--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -91,6 +91,7 @@
         self.generation = 0  # incremented with each new block
         self.broken_off: deque[_Unanswered] = deque(maxlen=MAX_BROKEN_OFF)
         self.given_up: deque[_Unanswered] = deque(maxlen=MAX_GIVEN_UP)
+        self._given_up_at: dict[CrashKey, Server] = {}  # at least those of `given_up`
         self.judged_at = float("-inf")
         # Crashes that have no known cause yet, and the next two times to look for it.
         self.judge_at: dict[CrashKey, tuple[float, float]] = {}
@@ -225,19 +226,26 @@
             beginning=beginning,
         )
         (self.broken_off if broken_off else self.given_up).append(unanswered)
+        if not broken_off:
+            self._given_up_at.update(_by_key(present))
         self.confirm_crashes()
 
     def confirm_crashes(self) -> None:
         """Turn answers that did not come into evidence where a server has ended."""
         self._retract_crashes()
         crashes: dict[CrashKey, bool] = {}
+        # Hundreds of requests may wait for the end of a few servers.
+        ended: dict[CrashKey, bool] = {}
         for waiting in (self.broken_off, self.given_up):
-            if not waiting:
+            if not waiting or self._is_unchanged(waiting, ended):
                 continue
-            rest = [each for each in waiting if self._is_open(each, crashes)]
+            rest = [each for each in waiting if self._is_open(each, crashes, ended)]
             if len(rest) < len(waiting):
                 waiting.clear()
                 waiting.extend(rest)
+            if waiting is self.given_up:
+                servers = (server for each in waiting for server in each.servers)
+                self._given_up_at = _by_key(servers)
         news = [key for key, is_news in crashes.items() if is_news]
         for key in news:
             self._judge_soon(key)
@@ -247,9 +255,18 @@
         if not self.broken_off and not self.given_up:
             self.answered_at.clear()
 
-    def _is_open(self, each: _Unanswered, crashes: dict[CrashKey, bool]) -> bool:
-        """Tell whether to wait for more; evidence of an end is added to `crashes`."""
-        ended = next(filter(self._has_ended, each.servers), None)
+    def _is_open(
+        self,
+        each: _Unanswered,
+        crashes: dict[CrashKey, bool],
+        known: dict[CrashKey, bool],
+    ) -> bool:
+        """
+        Tell whether to wait for more; evidence of an end is added to `crashes`.
+
+        :param known: whether servers have ended, as far as they were looked at.
+        """
+        ended = self._find_ended(each.servers, known)
         if ended is None:
             if self.clock() - each.ended_at < CONFIRMATION_SECONDS:
                 self._recheck(each)
@@ -347,6 +364,32 @@
             return True
         return server.id in self.fleet.servers and not self.fleet.is_responding(server)
 
+    def _is_unchanged(
+        self, waiting: deque[_Unanswered], known: dict[CrashKey, bool]
+    ) -> bool:
+        """
+        Tell whether requests that were given up all wait on, without a look at each.
+
+        Load pattern: the callers of hundreds of requests leave at once.
+        """
+        if waiting is not self.given_up:
+            return False
+        if self.clock() - waiting[0].ended_at >= CONFIRMATION_SECONDS:
+            return False
+        return self._find_ended(self._given_up_at.values(), known) is None
+
+    def _find_ended(
+        self, servers: Iterable[Server], known: dict[CrashKey, bool]
+    ) -> Server | None:
+        """Return the first server that has ended; `known` is looked at and added to."""
+        for server in servers:
+            key = (server.id, server.incarnation)
+            if key not in known:
+                known[key] = self._has_ended(server)
+            if known[key]:
+                return server
+        return None
+
     def _retract_crashes(self) -> None:
         """Forget the crashes of servers that respond again, and did not restart."""
         for server_id, incarnation in list(self.evidence.crashes):
@@ -557,3 +600,7 @@
 
 def _describe(names: frozenset[str]) -> str:
     return " and ".join(sorted(names))
+
+
+def _by_key(servers: Iterable[Server]) -> dict[CrashKey, Server]:
+    return {(server.id, server.incarnation): server for server in servers}
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -660,6 +660,48 @@
         self.entry.end("s0")
         assert self.entry.quarantine.evidence.crashes_of("=a")
 
+    def test_each_server_is_looked_at_once_however_many_requests_wait(
+        self, monkeypatch
+    ):
+        for number in range(MAX_GIVEN_UP):
+            self.entry.break_off(f"s{number % 4}", f"=own{number}", given_up=True)
+        looked_at = []
+        has_run_ended = self.entry.fleet.has_run_ended
+
+        def spy(server):
+            looked_at.append(server.id)
+            return has_run_ended(server)
+
+        monkeypatch.setattr(self.entry.fleet, "has_run_ended", spy)
+        self.entry.break_off("s0", "=a", given_up=True)
+        assert sorted(looked_at) == ["s0", "s1", "s2", "s3"]
+
+    def test_requests_given_up_are_not_gone_through_for_each_other_one(
+        self, monkeypatch
+    ):
+        looked_at = []
+        is_open = Quarantine._is_open
+
+        def spy(quarantine, each, *others):
+            looked_at.append(each)
+            return is_open(quarantine, each, *others)
+
+        monkeypatch.setattr(Quarantine, "_is_open", spy)
+        for number in range(MAX_GIVEN_UP):
+            self.entry.break_off(f"s{number % 4}", f"=own{number}", given_up=True)
+        assert len(looked_at) <= MAX_GIVEN_UP
+
+    def test_requests_given_up_do_not_wait_for_ever(self):
+        for number in range(8):
+            self.entry.break_off(f"s{number % 4}", f"=own{number}", given_up=True)
+            self.clock.now += CONFIRMATION_SECONDS / 8
+        assert len(self.entry.quarantine.given_up) == 8
+        self.entry.quarantine.confirm_crashes()
+        assert len(self.entry.quarantine.given_up) == 7
+        self.clock.now += CONFIRMATION_SECONDS
+        self.entry.quarantine.confirm_crashes()
+        assert not self.entry.quarantine.given_up
+
     def test_crashes_are_not_judged_for_ever(self):
         self.entry.crash("s0", "=a@0")
         for _ in range(20):
