Test that an entry that has started fetches what a peer with the same list keeps

It passes: an entry's own lists bound the gap of a peer before it is learnt, so the copy is fetched before the list is confirmed.

--- a/packages/gateway/tests/test_follow.py
+++ b/packages/gateway/tests/test_follow.py
@@ -197,6 +197,16 @@
         self._receive("s1", age=0.3, gap=gap)
         assert self.copies.requested == [PEER]
 
+    def test_what_a_peer_keeps_is_fetched_though_its_list_is_the_same(self):
+        """This entry has started after the outage, and the peer read a bit later."""
+        self._read("s1")
+        self.clock.now += 0.1
+        end = _store_time(self.clock)
+        self.copies.lapsed = ("s2",)
+        self.copies.gap = gap = (end - 4.0, end)
+        self._receive("s1", age=0.0, gap=gap)
+        assert set(self.fleet.servers) == {"s1", "s2"}
+
     def test_lists_of_peers_that_follow_each_other_show_that_there_is_no_outage(self):
         """The store turns this entry away and serves its peers."""
         self._receive("s1", "s2", age=0.0)
