--- a/packages/gateway/tests/lapse_replay.py
+++ b/packages/gateway/tests/lapse_replay.py
@@ -39,6 +39,7 @@
 REGISTERED_AGAIN_SECONDS = 2.0
 CALL_TIMEOUT_SECONDS = 0.8  # of the store's client
 CALL_SECONDS = (0.001, 0.02)  # one way, to the store or a peer's copy
+STEP_SECONDS = 1e-6  # of a process, until it goes on after a wait
 WAKE_SECONDS = 0.004  # in which a process that was frozen goes on with all it does
 DUTY_SECONDS = (0.2, 2.0)  # until the lease of an entry that ended is taken
 SERVERS = tuple(f"s{number}" for number in range(5))
@@ -119,6 +120,8 @@
             except StopIteration:
                 return
             yield awaited
+            # A wait that is too short for the clock to move would never end.
+            yield from asyncio.sleep(STEP_SECONDS).__await__()
             yield from thawed().__await__()
     finally:
         coroutine.close()
