--- a/packages/gateway/src/kumquatway_gateway/chains/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/__init__.py
@@ -3,7 +3,6 @@
 from kumquatway_gateway.chains._capacity import layer_capacity, token_capacity
 from kumquatway_gateway.chains._choice import ChainLoad, choose_chain
 from kumquatway_gateway.chains._duration import loaded_request_seconds
-from kumquatway_gateway.chains._link import can_cross
 from kumquatway_gateway.chains._paths import CandidateServer, Chain, Stage, find_chains
 
 __all__ = [
@@ -11,7 +10,6 @@
     "CandidateServer",
     "ChainLoad",
     "Stage",
-    "can_cross",
     "choose_chain",
     "find_chains",
     "layer_capacity",
--- a/packages/gateway/src/kumquatway_gateway/chains/_pass_time.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_pass_time.py
@@ -9,11 +9,6 @@
     name="", memory_megabytes=0.0, step_factor=1.0, prefill_factor=1.0
 )
 
-# Of the prompts of all entries that the link between data centres carries at a time.
-# Each token of the streams on chains that cross waits in the link behind them, and
-# callers notice pauses of 200 ms.
-MAX_LINK_SECONDS = 0.1
-
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StageShare:
@@ -69,28 +64,3 @@
         for stage in stages
     )
     return timings.steps_per_pass * step_seconds
-
-
-def longest_link_wait(engine: Engine, crossings: int) -> float:
-    """
-    Estimate how long an event waits for prompts in the link between data centres.
-
-    :param engine: engine of the service.
-    :param crossings: hops of the chain between data centres.
-    :return: seconds.
-    """
-    if not crossings:
-        return 0.0
-    return max(MAX_LINK_SECONDS, prompt_link_seconds(engine, crossings))
-
-
-def prompt_link_seconds(engine: Engine, crossings: int) -> float:
-    """
-    Return for how long a mean prompt occupies the link between data centres.
-
-    :param engine: engine of the service.
-    :param crossings: hops of the chain between data centres.
-    :return: seconds.
-    """
-    moved_bytes = crossings * engine.mean_prompt_tokens * engine.activation_bytes
-    return moved_bytes / engine.inter_dc_bytes_per_second
--- a/packages/gateway/src/kumquatway_gateway/chains/_paths.py
+++ b/packages/gateway/src/kumquatway_gateway/chains/_paths.py
@@ -4,12 +4,7 @@
 from dataclasses import dataclass
 
 from kumquatway_gateway.chains._capacity import token_capacity
-from kumquatway_gateway.chains._pass_time import (
-    StageShare,
-    longest_link_wait,
-    longest_pass_seconds,
-    prompt_link_seconds,
-)
+from kumquatway_gateway.chains._pass_time import StageShare, longest_pass_seconds
 from kumquatway_gateway.model import Engine, LayerRange, Server
 
 HOP_SECONDS = 0.0001  # per token, within a data centre in the users' deployments
@@ -71,8 +66,6 @@
     :param step_factor: how many times longer a step takes than on one reference server.
     :param prefill_factor: the same for prefill.
     :param hop_seconds: time between servers in one step.
-    :param crossing_seconds: time for which a token occupies the link between data
-        centres, in each crossing.
     """
 
     stages: tuple[Stage, ...]
@@ -84,7 +77,6 @@
     step_factor: float = 1.0
     prefill_factor: float = 1.0
     hop_seconds: float = 0.0
-    crossing_seconds: float = 0.0
 
     @property
     def first_server(self) -> Server:
@@ -369,21 +361,18 @@
         return None
     centres = [stage.server.data_centre for stage in stages]
     tokens = min(engine.max_kv_tokens, *(stage.token_capacity for stage in stages))
-    crossings = sum(a != b for a, b in zip(centres, centres[1:], strict=False))
     hop_seconds = _hop_seconds(stages)
     return Chain(
         stages=tuple(stages),
         token_capacity=tokens,
         pass_seconds=longest_pass_seconds(engine, shares, tokens)
-        + engine.timings.steps_per_pass * hop_seconds
-        + longest_link_wait(engine, crossings),
+        + engine.timings.steps_per_pass * hop_seconds,
         step_factor=sum(share.step_factor(engine) for share in shares),
         prefill_factor=sum(share.prefill_factor(engine) for share in shares),
         hop_seconds=hop_seconds,
-        crossing_seconds=engine.activation_bytes / engine.inter_dc_bytes_per_second,
         request_seconds=last.cost - _start_cost(first),
-        prefill_seconds=prefill_seconds + prompt_link_seconds(engine, crossings),
-        crossings=crossings,
+        prefill_seconds=prefill_seconds,
+        crossings=sum(a != b for a, b in zip(centres, centres[1:], strict=False)),
     )
 
 
--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -17,7 +17,6 @@
     Unreachable,
     UpstreamConnection,
 )
-from kumquatway_gateway.model import RouteKind
 from kumquatway_gateway.quarantine import Progress
 from kumquatway_gateway.relay._chain_activity import ActivitySnapshot, StreamActivity
 from kumquatway_gateway.relay._dialect import Attempt, ResponseInfo
@@ -99,8 +98,6 @@
 
     def start(self) -> None:
         """Connect to the chain's first server and send it the request."""
-        if self.job.route.kind is not RouteKind.STREAM:
-            self.router.end_reading(self.claim)  # no event would show its end
         self.task = asyncio.get_running_loop().create_task(self._run())
         # A task that is cancelled before its first step runs none of its own code.
         self.task.add_done_callback(self._end)
@@ -281,7 +278,6 @@
         self.writes += 1
         if not self.has_events:
             self.has_events = True
-            self.router.end_reading(self.claim)
             self.relay.quarantine.record_beginning(self.job.features)
         if self.events.count == 1:
             self.relay.metrics.first_events.observe({}, self.job.age())
@@ -469,7 +465,6 @@
             return
         is_first = not self.suspects
         self.suspects |= servers
-        self.router.end_reading(self.claim)
         if is_first:
             self.record_failure("silence", f"to {action.value}, ")
             self.record_unanswered(broken_off=False)
--- a/packages/gateway/src/kumquatway_gateway/relay/_streams.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_streams.py
@@ -458,11 +458,8 @@
         only = None
         if choice is RetryChoice.SAME:
             only = frozenset(self.ran_on - in_use)
-        made_tokens = self.events.count  # at least; they are read like the prompt
         return replace(
             self.waiter,
-            prompt_tokens=self.waiter.prompt_tokens + made_tokens,
-            max_output_tokens=max(0.0, self.waiter.max_output_tokens - made_tokens),
             begun=self.may_have_run,
             priority=-1,
             patient=self.streaming,
@@ -472,23 +469,17 @@
 
     async def _wait_for_others(self, waiter: Waiter) -> Claim | None:
         """
-        Wait for servers that refused the request, or are full or busy, to take it.
+        Wait for servers that refused the request, or are full, to take it.
 
         Load pattern: one server refuses requests for a moment, and another one breaks
         them off. A request that went straight back to the second one would use up its
         attempts there.
-
-        Load pattern: a chain is lost, and its streams wait until the prompts of those
-        that came first are through the link. The lost chain seems to have room.
         """
-        shunned = frozenset(self.rejecting)
-        if self.router.awaits_link(waiter, waiter.avoid | self.avoid):
-            shunned = frozenset(self.avoid)
-        if not shunned:
+        if not self.rejecting:
             return None
         end = min(time.monotonic() + AVOID_SECONDS, self._patience_end())
         return await self.router.queue.admit(
-            replace(waiter, avoid=waiter.avoid | shunned, deadline=end)
+            replace(waiter, avoid=waiter.avoid | self.rejecting, deadline=end)
         )
 
     async def _wait_for_room(self, waiter: Waiter) -> Claim | None:
