--- a/packages/gateway/tests/test_lapse_replay.py
+++ b/packages/gateway/tests/test_lapse_replay.py
@@ -195,6 +195,15 @@
         assert replay.missing_at_the_end() == []
 
 
+@pytest.mark.parametrize("seed", [39, 55])
+class TestSeedsThatFailed:
+    """A second outage of a fraction of a second delays registrations unnoticed."""
+
+    def test_no_server_is_dropped(self, seed):
+        replay = LapseReplay(_draw(_again, seed), seed).run()
+        assert [str(change) for change in replay.drops_of_live()] == []
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("kind", OUTAGES.values(), ids=OUTAGES)
 class TestServerThatEndsInAnOutage:
