Learn the part of a peer's gap in which an entry has no list of its own

What callers would see: a server that lives is dropped by one entry for a moment, as the store is away again for .65 s within two seconds of its return. Seven entries had no list for 1.1 s and kept servers; one had a list .9 s after its last, which is no gap without a failed read, and which lay inside the gap that the others told, so that it knew better.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass, replace
+from itertools import pairwise
 
 from kumquatway_gateway.model import Gap, Server, ServerList, ServerState
 
@@ -148,10 +149,7 @@
         if gap is None or self.newest is None or generation != self.newest.generation:
             return False
         unknown = self._unknown_part(gap)
-        if (
-            unknown is None
-            or unknown.end - unknown.start < MAX_GAP_AFTER_FAILURE_SECONDS
-        ):
+        if unknown is None:
             return False
         kept_until = unknown.end + REREGISTRATION_GRACE_SECONDS
         return (
@@ -202,9 +200,15 @@
     def _unknown_part(self, gap: Gap) -> Gap | None:
         """Return the part of a peer's gap for which this entry knows no list either."""
         if self.followed_since > gap.start:
-            return Gap(start=gap.start, end=min(gap.end, self.followed_since))
-        is_known = any(gap.start < listed_at < gap.end for listed_at in self.listed_at)
-        return None if is_known else gap
+            parts = [Gap(start=gap.start, end=min(gap.end, self.followed_since))]
+        else:
+            inside = [at for at in self.listed_at if gap.start < at < gap.end]
+            times = pairwise((gap.start, *inside, gap.end))
+            parts = [Gap(start=start, end=end) for start, end in times]
+        longest = max(parts, key=lambda part: part.end - part.start)
+        is_sound = self.is_up_to_date() and self.followed_since <= gap.start
+        least = MAX_GAP_SECONDS if is_sound else MAX_GAP_AFTER_FAILURE_SECONDS
+        return longest if longest.end - longest.start > least else None
 
     def _is_overtaken(self, found: ServerList) -> bool:
         """Tell whether a newer list came while this one was on its way."""
--- a/packages/gateway/tests/test_membership.py
+++ b/packages/gateway/tests/test_membership.py
@@ -235,6 +235,13 @@
         assert self._learn(96.0, end)
         assert self.members.kept_until == 100.0 + REREGISTRATION_GRACE_SECONDS
 
+    def test_the_part_without_a_list_of_this_entry_is_learnt(self):
+        """The store was away again, and no read of this entry has failed."""
+        for listed_at in (104.0, 104.3, 105.2, 105.5):
+            self._update(listed_at)
+        assert self._learn(104.3, 105.4)
+        assert self.members.kept_until == 105.2 + REREGISTRATION_GRACE_SECONDS
+
     def test_of_another_generation_is_ignored(self):
         assert not self.members.may_learn(Gap(start=95.0, end=99.7), 2)
 
