--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -508,7 +508,7 @@
         :param message: the peer's message.
         """
         freshness = message.freshness
-        if freshness is None or not self._may_be(freshness.listed_at):
+        if freshness is None or not self._is_plausible(freshness.listed_at):
             return
         self._narrow_gap(freshness)
         gap = decode_gap(freshness.gap)
@@ -538,7 +538,7 @@
     def _is_outdated(self) -> bool:
         return self.age() > self._max_age() - MIN_WAIT_SECONDS
 
-    def _may_be(self, listed_at: float) -> bool:
+    def _is_plausible(self, listed_at: float) -> bool:
         """Tell whether the store's clock may have reached the time of a peer's list."""
         newest = self.membership.newest
         if newest is None or not newest.listed_at:
@@ -558,7 +558,7 @@
         :param address: address of the peer.
         """
         copy = await self.copies.fetch_servers(address)
-        if copy is None or not copy.records or not self._may_be(copy.listed_at):
+        if copy is None or not copy.records or not self._is_plausible(copy.listed_at):
             return
         found = copy.server_list()
         gap = decode_gap(copy.gap)
