Pause between two reads of the list as before, outside of the grace

That a block is lifted between a server's return and the next list is a fault that is older, and is listed. Only in the grace the list is read every .25 s now, as the constant says.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -436,7 +436,8 @@
             self._record_read(found, started_at)
             # A store that is slow is read as often.
             delay = self.clock() - started_at - wait
-            pause = GRACE_PAUSE_SECONDS if is_urgent else SERVERS_PAUSE_SECONDS
+            in_grace = self._in_grace()
+            pause = GRACE_PAUSE_SECONDS if in_grace else SERVERS_PAUSE_SECONDS
             await asyncio.sleep(max(0.0, pause - max(0.0, delay)))
 
     def _record_read(self, found: ServerList, started_at: float) -> None:
