--- a/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
@@ -124,8 +124,9 @@
         if self.newest is not None:
             if self._is_overtaken(found):
                 return self.servers
-            if found.servers == self.newest.servers:
-                found = replace(found, servers=self.newest.servers)
+            known = self.newest.servers
+            if found.servers is not known and found.servers == known:
+                found = replace(found, servers=known)
         self._record_gap(found)
         self._record_time(found.listed_at)
         self.read_failed = False
