Wait for the watching task, not for every task, in the test of many messages

It waited until all tasks are blocked, which looks every .1 s, and the task that sends acknowledgements wakes every .05 s: once both timers fire in one iteration of the event loop, each look finds that task about to run.

--- a/packages/core/tests/test_mesh.py
+++ b/packages/core/tests/test_mesh.py
@@ -398,9 +398,8 @@
                 holds.append(now - started)
 
         async with anyio.create_task_group() as group:
-            group.start_soon(watch)
             group.start_soon(inbox.run)
-            await anyio.wait_all_tasks_blocked()
+            await watch()
             group.cancel_scope.cancel()
         assert max(holds) < 0.1
 
