Hold a block until the list shows whether a crashed server restarted

Callers: a request that crashes its servers got through to them for half a second, again and again. Servers that had crashed were back at their addresses and answered before the list named their new incarnation. The old incarnation counted as one that had never ended, its crash was forgotten, and with it the block (_retract_crashes).

An incarnation that was seen to end (its VM refused connections) and responds again may be the next one. Servers that were only silent are believed at once, as before.

The two new tests of test_quarantine failed before.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -130,6 +130,8 @@
             clock=clock,
         )
         self.ended_at: dict[str, float] = {}  # of servers that ended and are unlisted
+        # When servers whose incarnation was seen to end responded again, or infinity.
+        self.resumed_at: dict[str, float] = {}
         self.avoided_until: dict[str, float] = {}
         self.slowdowns: dict[str, Slowdown] = {}
         self.listed_at = float("-inf")  # time of the last list that was up to date
@@ -167,6 +169,7 @@
             return
         self._emit_changes(servers)
         self._record_ended(servers)
+        self._forget_restarted(servers)
         self._keep_leaving(servers)
         self.servers = dict(servers)
         self.by_address = {server.address: server for server in servers.values()}
@@ -253,6 +256,13 @@
         for name in [name for name, at in self.ended_at.items() if at < cutoff]:
             del self.ended_at[name]
 
+    def _forget_restarted(self, servers: dict[str, Server]) -> None:
+        """Forget the ends of incarnations that the list no longer has."""
+        for name in list(self.resumed_at):
+            server, known = servers.get(name), self.servers.get(name)
+            if None in (server, known) or server.incarnation != known.incarnation:
+                del self.resumed_at[name]
+
     def _drop_report(self, server_id: str) -> None:
         self.dropped_reports[server_id] = self.layer_reports.pop(server_id)
 
@@ -388,6 +398,19 @@
             return True
         return self.has_ended(server.id)
 
+    def may_have_restarted(self, server_id: str) -> bool:
+        """
+        Tell whether a listed server may be a later incarnation than the list says.
+
+        :param server_id: ID of a server that responds.
+        :return: True if its incarnation was seen to end, until a list would show the
+            next one.
+        """
+        resumed_at = self.resumed_at.get(server_id)
+        if resumed_at is None:
+            return False
+        return self.listed_at < resumed_at + LIST_LAG_SECONDS
+
     def set_health(
         self,
         server: Server,
@@ -444,12 +467,20 @@
             return False
         was_down = known is not None and known.down
         self.health[server_id] = status
+        self._record_restart(server_id, status)
         if was_down == status.down:
             return False
         self._emit(server, "down" if status.down else "up", status.reason)
         self.mark_changed()
         return True
 
+    def _record_restart(self, server_id: str, status: HealthStatus) -> None:
+        if status.down and status.ended:
+            self.resumed_at[server_id] = float("inf")
+        elif not status.down and server_id in self.resumed_at:
+            resumed_at = min(self.resumed_at[server_id], status.observed_at)
+            self.resumed_at[server_id] = resumed_at
+
     def update_layers(
         self, server_id: str, report: LayerReport, *, is_copy: bool = False
     ) -> bool:
--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -396,6 +396,8 @@
             status = self.fleet.health.get(server_id)
             if status is None or status.incarnation != incarnation or status.down:
                 continue
+            if self.fleet.may_have_restarted(server_id):
+                continue
             known = self.fleet.servers.get(server_id)
             if known is not None and known.incarnation == incarnation:
                 self._retract((server_id, incarnation))
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -6,6 +6,7 @@
 from engines import layer_range, server
 
 from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.fleet._fleet import LIST_LAG_SECONDS
 from kumquatway_gateway.http1 import Headers
 from kumquatway_gateway.model import Request
 from kumquatway_gateway.quarantine import (
@@ -606,6 +607,31 @@
         self.silence(names[:1], down=False)
         assert self.entry.blocks("=a")
 
+    def restart(self, *, incarnation: int) -> None:
+        """Let servers that have ended respond, and the list name an incarnation."""
+        names = ["s0", "s1", "s2"]
+        self.silence(names, down=False)
+        self.entry.fleet.update_servers(self.entry.servers)
+        self.entry.settle()
+        assert self.entry.blocks("=a")
+        self.clock.now += LIST_LAG_SECONDS
+        for name in names:
+            server = replace(self.entry.servers[name], incarnation=incarnation)
+            self.entry.servers[name] = server
+        self.entry.fleet.update_servers(self.entry.servers)
+        self.entry.settle()
+
+    def test_a_block_holds_until_the_list_shows_that_the_servers_restarted(self):
+        """Servers that crashed respond before the list names their next run."""
+        self.block()
+        self.restart(incarnation=2)
+        assert self.entry.blocks("=a")
+
+    def test_a_block_ends_once_the_list_shows_that_they_did_not(self):
+        self.block()
+        self.restart(incarnation=1)
+        assert not self.entry.blocks("=a")
+
     def test_a_block_that_outlived_its_evidence_stays(self):
         self.block()
         self.clock.now += FIRST_TRIAL_SECONDS
