Keep the gaps between lists apart from the servers of the lists

Membership held two things: for which times no list is known, and which servers are in use. The former is Gaps now, in a module of its own.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -583,16 +583,16 @@
         :param read_at: when it was read, monotonic seconds.
         :param known_by_peer: what the peer knows of outages, see `Membership.update`.
         """
-        before, gap = self.membership.servers, self.membership.gap
+        before, gap = self.membership.servers, self.membership.gaps.last
         after = self.membership.update(found, **known_by_peer)
         self.read_at = max(self.read_at, read_at)
         self._replaced_at = self.clock()
-        if self.membership.gap is not gap:
+        if self.membership.gaps.last is not gap:
             self._log_gap()
         self._apply(is_same=after is before)
 
     def _log_gap(self) -> None:
-        gap = self.membership.gap
+        gap = self.membership.gaps.last
         logger.warning(
             "no list of servers is known of {:.1f} s, so the store may have been away; "
             "{} servers that the list lacks are kept for {} s",
--- a/packages/gateway/src/kumquatway_gateway/_gateway.py
+++ b/packages/gateway/src/kumquatway_gateway/_gateway.py
@@ -601,7 +601,7 @@
             listed_at=listed.listed_at if listed else 0.0,
             generation=listed.generation if listed else 0,
             gap=encode_gap(self.servers.membership),
-            followed_since=max(0.0, self.servers.membership.followed_since),
+            followed_since=max(0.0, self.servers.membership.gaps.followed_since),
             configuration_at=configured_at,
             configuration_generation=generation,
         )
--- a/packages/gateway/src/kumquatway_gateway/fleet/__init__.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/__init__.py
@@ -10,13 +10,13 @@
     Fleet,
     HealthStatus,
 )
-from kumquatway_gateway.fleet._membership import (
+from kumquatway_gateway.fleet._gaps import (
     MAX_GAP_AFTER_FAILURE_SECONDS,
     MAX_GAP_IN_GRACE_SECONDS,
     MAX_GAP_SECONDS,
     REREGISTRATION_GRACE_SECONDS,
-    Membership,
 )
+from kumquatway_gateway.fleet._membership import Membership
 from kumquatway_gateway.fleet._pauses import MAX_PAUSE_SECONDS, Pauses
 
 __all__ = [
--- a/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_membership.py
@@ -1,24 +1,18 @@
 """Tracks the platform's server list and bridges outages of the store."""
 
-from collections import deque
 from dataclasses import dataclass, replace
-from itertools import pairwise
 
+from kumquatway_gateway.fleet._gaps import (
+    MAX_GAP_AFTER_FAILURE_SECONDS,
+    MAX_GAP_IN_GRACE_SECONDS,
+    MAX_GAP_SECONDS,
+    NEVER,
+    REREGISTRATION_GRACE_SECONDS,
+    Gaps,
+)
 from kumquatway_gateway.model import Gap, Server, ServerList, ServerState
 
-# After an outage of the store, servers write their lapsed registrations again within
-# two seconds (service discovery of the users' platform).
-REREGISTRATION_GRACE_SECONDS = 2.3
 REMEMBERED_SECONDS = 30.0  # longer than copies of the store are old
-# Between two lists, beyond which registrations of live servers may have lapsed. They do
-# so 3.6 s after the last heartbeat, which may be 1.2 s old as an outage begins, and a
-# second more if the server was silent.
-MAX_GAP_SECONDS = 1.4
-# The same while servers are registering again, and lists follow each other faster: an
-# interruption that is too short to let registrations lapse still delays those.
-MAX_GAP_IN_GRACE_SECONDS = 1.0
-MAX_GAP_AFTER_FAILURE_SECONDS = 0.6  # the same, if a read has failed
-NEVER = float("-inf")
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,28 +36,23 @@
 
     :ivar newest: the newest list, or None before the first one.
     :ivar servers: the servers in use, by ID.
-    :ivar gap: the last time for which no list is known, or None.
+    :ivar gaps: the times for which no list is known.
     """
 
     def __init__(self):
         self.newest: ServerList | None = None
         self.servers: dict[str, Server] = {}
-        self.gap: Gap | None = None
-        self.earlier_gap: Gap | None = None  # in force if a peer shows `gap` to be none
+        self.gaps = Gaps()
         self.read_failed = False  # since the newest list
         # End of the time in which the list may be from an older copy of the store.
         self.restored_until = NEVER
-        # Time since which lists are known to follow each other without a gap.
-        self.followed_since = NEVER
-        # Times of the last lists, which show that the store answered then.
-        self.listed_at: deque[float] = deque()
         # Incarnations that left the list, by server; an older copy still has them.
         self.removed: dict[str, _Removal] = {}
 
     @property
     def kept_until(self) -> float:
         """Return until when servers that the list lacks are kept."""
-        return self.gap.end + REREGISTRATION_GRACE_SECONDS if self.gap else NEVER
+        return self.gaps.grace_until
 
     def record_failure(self) -> None:
         """Record that the store did not respond to this entry."""
@@ -128,7 +117,7 @@
             if found.servers is not known and found.servers == known:
                 found = replace(found, servers=known)
         self._record_gap(found)
-        self._record_time(found.listed_at)
+        self.gaps.record_list(found.listed_at)
         self.read_failed = False
         self.newest = found
         if self.may_learn(gap, found.generation):
@@ -149,7 +138,7 @@
         """
         if gap is None or self.newest is None or generation != self.newest.generation:
             return False
-        unknown = self._unknown_part(gap)
+        unknown = self.gaps.unknown_part(gap, now=self.newest.listed_at)
         if unknown is None:
             return False
         kept_until = unknown.end + REREGISTRATION_GRACE_SECONDS
@@ -166,7 +155,8 @@
         :param gap: the last time for which the peer knows no list.
         :return: the servers in use, by ID.
         """
-        self._begin_grace(self._unknown_part(gap))
+        unknown = self.gaps.unknown_part(gap, now=self.newest.listed_at)
+        self.gaps.begin_grace(unknown)
         self._replace_servers({**lapsed, **self.servers})
         return self.servers
 
@@ -181,36 +171,13 @@
         :param generation: generation of the store that the peer's list is from.
         :return: whether the gap has changed.
         """
-        gap = self.gap
-        if (
-            gap is None
-            or generation != self.newest.generation
-            or gap.end - gap.start <= MAX_GAP_SECONDS
-        ):
+        if self.newest is None or generation != self.newest.generation:
             return False
-        if gap.start < since < gap.end:
-            self._begin_grace(Gap(start=gap.start, end=since))
-        elif 0 < since <= gap.start and until >= gap.end:
-            self.gap, self.earlier_gap = self.earlier_gap, None
-            self.followed_since = since
-        else:
+        if not self.gaps.narrow(since, until):
             return False
         self._replace_servers(self.servers)
         return True
 
-    def _unknown_part(self, gap: Gap) -> Gap | None:
-        """Return the part of a peer's gap for which this entry knows no list either."""
-        if self.followed_since > gap.start:
-            parts = [Gap(start=gap.start, end=min(gap.end, self.followed_since))]
-        else:
-            inside = [at for at in self.listed_at if gap.start < at < gap.end]
-            times = pairwise((gap.start, *inside, gap.end))
-            parts = [Gap(start=start, end=end) for start, end in times]
-        longest = max(parts, key=lambda part: part.end - part.start)
-        is_sound = self.is_up_to_date() and self.followed_since <= gap.start
-        least = MAX_GAP_SECONDS if is_sound else MAX_GAP_AFTER_FAILURE_SECONDS
-        return longest if longest.end - longest.start > least else None
-
     def _is_overtaken(self, found: ServerList) -> bool:
         """Tell whether a newer list came while this one was on its way."""
         lead = self.newest.listed_at - found.listed_at
@@ -220,35 +187,29 @@
         """Begin a grace period if registrations may have lapsed before a list."""
         known = self.newest
         if known is None or not known.listed_at:
-            self.followed_since = found.listed_at
+            self.gaps.followed_since = found.listed_at
         elif not self.is_newer(found.listed_at, found.generation):
             self._forget_times(found)
         elif self._is_restored(found) or (
             found.listed_at - known.listed_at > self._max_gap()
         ):
-            self._begin_grace(Gap(start=known.listed_at, end=found.listed_at))
+            self.gaps.begin_grace(Gap(start=known.listed_at, end=found.listed_at))
             if self._is_restored(found):
                 self.restored_until = self.kept_until
-                self.listed_at.clear()  # the clock of an older copy may be behind
+                self.gaps.listed_at.clear()  # the clock of an older copy may be behind
 
     def _is_restored(self, found: ServerList) -> bool:
         """Tell whether the store came back from an older copy before a list."""
         return 0 < self.newest.generation < found.generation
 
-    def _begin_grace(self, gap: Gap) -> None:
-        if self.gap is not None and self.gap.end <= gap.start:
-            self.earlier_gap = self.gap
-        self.gap = gap
-        self.followed_since = gap.end
-
     def _forget_times(self, found: ServerList) -> None:
         """Forget what a peer told of times that the store's clock has not reached."""
         if found.listed_at == self.newest.listed_at:
             return
         self.restored_until = NEVER
-        self.listed_at.clear()
+        self.gaps.listed_at.clear()
         self.removed.clear()
-        self._begin_grace(Gap(start=0.0, end=found.listed_at))
+        self.gaps.begin_grace(Gap(start=0.0, end=found.listed_at))
 
     def _max_gap(self) -> float:
         """Return the time until the next list in which no registration is delayed."""
@@ -258,12 +219,6 @@
             return MAX_GAP_AFTER_FAILURE_SECONDS
         return MAX_GAP_IN_GRACE_SECONDS
 
-    def _record_time(self, listed_at: float) -> None:
-        self.listed_at.append(listed_at)
-        cutoff = listed_at - REREGISTRATION_GRACE_SECONDS - MAX_GAP_SECONDS
-        while self.listed_at[0] < cutoff:
-            self.listed_at.popleft()
-
     def _replace_servers(self, known: dict[str, Server]) -> None:
         """
         Derive the servers in use from the list and those known before.
--- a/packages/gateway/src/kumquatway_gateway/peers/_copies.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_copies.py
@@ -279,9 +279,10 @@
     :param membership: the servers, and the list that they are from.
     :return: start and end by the store's clock, seconds; None if it is over for long.
     """
-    if membership.gap is None or membership.is_up_to_date():
+    gap = membership.gaps.last
+    if gap is None or membership.is_up_to_date():
         return None
-    return membership.gap.start, membership.gap.end
+    return gap.start, gap.end
 
 
 def decode_gap(gap: tuple[float, float] | None) -> Gap | None:
--- a/packages/gateway/tests/lapse_replay.py
+++ b/packages/gateway/tests/lapse_replay.py
@@ -334,7 +334,7 @@
             listed_at=listed.listed_at if listed else 0.0,
             generation=listed.generation if listed else 0,
             gap=encode_gap(self.follower.membership),
-            followed_since=max(0.0, self.follower.membership.followed_since),
+            followed_since=max(0.0, self.follower.membership.gaps.followed_since),
         )
         return GossipMessage(
             incarnation=1,
--- a/packages/gateway/tests/test_lists_of_servers.py
+++ b/packages/gateway/tests/test_lists_of_servers.py
@@ -122,7 +122,7 @@
             listed_at=newest.listed_at if newest else 0.0,
             generation=newest.generation if newest else 0,
             gap=encode_gap(follower.membership),
-            followed_since=max(0.0, follower.membership.followed_since),
+            followed_since=max(0.0, follower.membership.gaps.followed_since),
         )
         return _message(msgspec.structs.replace(freshness, **changes), self.name)
 
@@ -366,7 +366,7 @@
         members = Membership()
         members.update(ServersCopy(age=0.1, records=()).server_list())
         members.update(_list(1004.6, "s1"))
-        assert members.gap is None
+        assert members.gaps.last is None
 
 
 class TestNoRegularReader:
@@ -402,7 +402,9 @@
             await site.until(5.0)
             site.store_seconds = seconds
             await site.until(15.0)
-            assert [one.follower.membership.gap for one in entries] == [None] * count
+            assert [one.follower.membership.gaps.last for one in entries] == [
+                None
+            ] * count
 
         _run(scenario)
 
@@ -441,7 +443,7 @@
         members.update(_list(1000.0, "s1"))
         for tick in range(1000):
             members.update(_list(1.0 + 0.5 * tick, "s1", generation=2))
-        assert len(members.listed_at) < 20
+        assert len(members.gaps.listed_at) < 20
 
 
 class TestRestore:
