Hold a block where a peer was refused before this entry saw only silence

Callers: a request that crashes its servers gets through to them again, at the entry whose own check of a server timed out and came after a peer's check that was refused.

The peer's word was older than this entry's and was dropped as a whole, and with it that the incarnation had ended. Its first response then retracted the crash at once, and the block was lifted for all entries.

That an incarnation was seen to end is kept now although a newer word is known, unless the server has responded since.

Evidence: the new test of test_quarantine failed before.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -456,6 +456,8 @@
         if server is None or server.incarnation != status.incarnation:
             return False
         known = self.health.get(server_id)
+        if status.down and status.ended:
+            self._record_end(server_id, status)
         if known is not None and known.observed_at >= status.observed_at:
             return False
         is_repeated = known is not None and known.says_the_same_as(status)
@@ -467,17 +469,27 @@
             return False
         was_down = known is not None and known.down
         self.health[server_id] = status
-        self._record_restart(server_id, status)
+        if not status.down:
+            self._record_response(server_id, status)
         if was_down == status.down:
             return False
         self._emit(server, "down" if status.down else "up", status.reason)
         self.mark_changed()
         return True
 
-    def _record_restart(self, server_id: str, status: HealthStatus) -> None:
-        if status.down and status.ended:
+    def _record_end(self, server_id: str, status: HealthStatus) -> None:
+        """Record that an incarnation was seen to end, also before the last word."""
+        if status.observed_at <= self.resumed_at.get(server_id, float("-inf")):
+            return
+        known = self.health.get(server_id)
+        responds = known is not None and not known.down
+        if responds and known.observed_at >= status.observed_at:
+            self.resumed_at[server_id] = known.observed_at
+        else:
             self.resumed_at[server_id] = float("inf")
-        elif not status.down and server_id in self.resumed_at:
+
+    def _record_response(self, server_id: str, status: HealthStatus) -> None:
+        if server_id in self.resumed_at:
             resumed_at = min(self.resumed_at[server_id], status.observed_at)
             self.resumed_at[server_id] = resumed_at
 
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -5,7 +5,7 @@
 import pytest
 from engines import layer_range, server
 
-from kumquatway_gateway.fleet import Fleet
+from kumquatway_gateway.fleet import Fleet, HealthStatus
 from kumquatway_gateway.fleet._fleet import LIST_LAG_SECONDS
 from kumquatway_gateway.http1 import Headers
 from kumquatway_gateway.model import Request
@@ -632,6 +632,21 @@
         self.restart(incarnation=1)
         assert not self.entry.blocks("=a")
 
+    def test_a_block_holds_where_a_peer_saw_the_refusals(self):
+        """This entry saw the servers fall silent, after a peer was refused."""
+        names = self.block_by_silence()
+        for name in names:
+            refusal = HealthStatus(
+                incarnation=1,
+                down=True,
+                observed_at=self.entry.fleet.health[name].observed_at - 0.05,
+                reason="refused",
+                ended=True,
+            )
+            self.entry.fleet.update_health(name, refusal, is_copy=True)
+        self.restart(incarnation=2)
+        assert self.entry.blocks("=a")
+
     def test_a_block_that_outlived_its_evidence_stays(self):
         self.block()
         self.clock.now += FIRST_TRIAL_SECONDS
