Hold a block on what crashed servers that report no incarnation

Callers: a request that crashes its servers gets through to them again 2.2 s after these have restarted, where servers register without the time of their start (the field may be missing).

A list shows no next run of such a server, so it seemed to name the one that had ended, which retracted the crash and lifted the block. The block ends now by its trials, or once the server is no longer listed.

Evidence: the new test of test_quarantine failed before.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -404,11 +404,13 @@
 
         :param server_id: ID of a server that responds.
         :return: True if its incarnation was seen to end, until a list would show the
-            next one.
+            next one; a list shows none of a server that reports no incarnation.
         """
         resumed_at = self.resumed_at.get(server_id)
         if resumed_at is None:
             return False
+        if self.servers[server_id].incarnation == NO_INCARNATION:
+            return True
         return self.listed_at < resumed_at + LIST_LAG_SECONDS
 
     def set_health(
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -6,7 +6,7 @@
 from engines import layer_range, server
 
 from kumquatway_gateway.fleet import Fleet, HealthStatus
-from kumquatway_gateway.fleet._fleet import LIST_LAG_SECONDS
+from kumquatway_gateway.fleet._fleet import LIST_LAG_SECONDS, NO_INCARNATION
 from kumquatway_gateway.http1 import Headers
 from kumquatway_gateway.model import Request
 from kumquatway_gateway.quarantine import (
@@ -647,6 +647,15 @@
         self.restart(incarnation=2)
         assert self.entry.blocks("=a")
 
+    def test_a_block_holds_where_nothing_tells_that_the_servers_restarted(self):
+        """The servers register without the time of their start."""
+        for name, known in self.entry.servers.items():
+            self.entry.servers[name] = replace(known, incarnation=NO_INCARNATION)
+        self.entry.fleet.update_servers(self.entry.servers)
+        self.block()
+        self.restart(incarnation=NO_INCARNATION)
+        assert self.entry.blocks("=a")
+
     def test_a_block_that_outlived_its_evidence_stays(self):
         self.block()
         self.clock.now += FIRST_TRIAL_SECONDS
