Hold a block while another server answers at a crashed one's address

Callers: a request that crashes its servers may get through to others, as its block is lifted though the servers have ended.

A server that starts again mostly has another ID, and an address may be given to another server 2 s after an end. The old registration lapses only after three heartbeats. Until then the other server's answer counted as that of the one that had ended, and the list that still named that one as proof that it lived.

Evidence: the new test of test_quarantine failed before.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -404,15 +404,24 @@
 
         :param server_id: ID of a server that responds.
         :return: True if its incarnation was seen to end, until a list would show the
-            next one; a list shows none of a server that reports no incarnation.
+            next one. A list shows none of a server that reports no incarnation, and
+            another server may have its address before its registration lapses.
         """
         resumed_at = self.resumed_at.get(server_id)
         if resumed_at is None:
             return False
-        if self.servers[server_id].incarnation == NO_INCARNATION:
+        server = self.servers[server_id]
+        if server.incarnation == NO_INCARNATION or self._shares_address(server):
             return True
         return self.listed_at < resumed_at + LIST_LAG_SECONDS
 
+    def _shares_address(self, server: Server) -> bool:
+        """Tell whether another server, which may respond in its place, is listed."""
+        return any(
+            other.address == server.address and other.id != server.id
+            for other in self.servers.values()
+        )
+
     def set_health(
         self,
         server: Server,
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -656,6 +656,15 @@
         self.restart(incarnation=NO_INCARNATION)
         assert self.entry.blocks("=a")
 
+    def test_a_block_holds_where_other_servers_have_the_addresses(self):
+        """Servers start again under other IDs; their registrations have not lapsed."""
+        self.block()
+        for number in range(3):
+            next_run = replace(self.entry.servers[f"s{number}"], id=f"next{number}")
+            self.entry.servers[next_run.id] = next_run
+        self.restart(incarnation=1)
+        assert self.entry.blocks("=a")
+
     def test_a_block_that_outlived_its_evidence_stays(self):
         self.block()
         self.clock.now += FIRST_TRIAL_SECONDS
