Learn from a recheck that a silent server has ended

Callers: a request that hangs a part of its server, which ends seconds later, gets through to others again: the servers' crashes are forgotten as they respond again, and the block is lifted.

A server that had fallen silent was only rechecked for whether it responds. That its VM refused connections by then was not noted, so that its next run counted as one that was only silent. The requests on it were not known to have lost their server either.

A recheck that is refused now checks the server as at first: twice, and only if other servers respond.

Evidence: of the two new tests of test_health the first failed before, the other guards the case of a link that refuses in place of all servers.

--- a/packages/gateway/src/kumquatway_gateway/relay/_health.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_health.py
@@ -248,15 +248,21 @@
         """
         Probe a server that is down, and mark it up if it responds or accepts work.
 
+        A silent server that refuses connections now has ended.
+
         :param server: a server with a health status in the fleet.
         """
         status = self.fleet.health[server.id]
         if status.refuses_work:
             await self._recheck_refusing(server, status)
-        elif not await self._may_probe(server):
             return
-        elif await self._probe_failure(server) is None:
+        if not await self._may_probe(server):
+            return
+        failure = await self._probe_failure(server)
+        if failure is None:
             self.fleet.set_health(server, down=False, reason="server responds again")
+        elif failure.refused and not status.ended:
+            await self._check(server)
 
     async def _probe(self, server: Server) -> None:
         if not self.is_model_server(server):
--- a/packages/gateway/tests/test_health.py
+++ b/packages/gateway/tests/test_health.py
@@ -311,6 +311,34 @@
 
         run(scenario)
 
+    def test_server_that_fell_silent_and_ends_is_known_to_have_ended(self):
+        """Its VM refuses connections once its process has ended."""
+
+        async def scenario(deployment):
+            deployment.fleet.set_health(
+                deployment.fleet.servers["a2"], down=True, reason="test"
+            )
+            deployment.engines.refusing_connections.add("a2")
+            deployment.health_checker.recheck_servers()
+            await deployment.wait_for_checks()
+            assert deployment.fleet.has_ended("a2")
+
+        run(scenario)
+
+    def test_server_that_refuses_to_one_entry_alone_has_not_ended(self):
+        """A link of this entry that is cut may refuse in place of all servers."""
+
+        async def scenario(deployment):
+            deployment.fleet.set_health(
+                deployment.fleet.servers["a2"], down=True, reason="test"
+            )
+            deployment.engines.refusing_connections.update(deployment.fleet.servers)
+            deployment.health_checker.recheck_servers()
+            await deployment.wait_for_checks()
+            assert not deployment.fleet.has_ended("a2")
+
+        run(scenario)
+
     def test_entries_share_the_probes_of_a_server_that_is_down(self):
         async def scenario(deployment):
             deployment.engines.unresponsive.add("a2")
