Keep the pause and the limit of a server's next run

Callers: requests are sent to a server in a pause that it asked for, or above the rate that it takes, and are refused.

The notice of a response was recorded for the run that the request was sent to. If the list had named the next run meanwhile, it replaced what that run had said, and counted for neither of the two.

A pause and a limit count for the listed run now. That a server leaves still counts for the run that was asked, as it never ends.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -647,12 +647,16 @@
         """
         Record what a server said about itself in a response to this entry.
 
+        If the list names its next run by now, a pause and a limit count for that run,
+        which may have responded.
+
         :param server: server that responded.
         :param notice: what it said.
         :param asked_at: when the request was sent, monotonic seconds; by default now.
         """
         if notice.leaving and self.mark_leaving(server.id, server.incarnation):
             self.on_local_change()
+        server = self.servers.get(server.id, server)
         if not notice.limit_is_unknown:
             asked_at = self.clock() if asked_at is None else asked_at
             self._record_limit(server, notice.max_request_rate, asked_at)
--- a/packages/gateway/tests/test_notices.py
+++ b/packages/gateway/tests/test_notices.py
@@ -114,6 +114,33 @@
         assert site.fleet.limits.rate(site.one) == 2.0
 
 
+class TestResponseToARequestToTheRunBefore:
+    """A server starts again under its ID, and the list names its next run meanwhile."""
+
+    def setup_method(self):
+        self.site = _Servers()
+        self.restarted = _plain_server("one", incarnation=2)
+        self.site.list_servers(self.restarted, self.site.two)
+
+    def test_does_not_end_a_pause(self):
+        self.site.fleet.record_notice(self.restarted, _pause(5.0))
+        self.site.fleet.record_notice(self.site.one, _pause(1.0))
+        self.site.clock.now += 4.9
+        assert self.site.fleet.pauses.is_paused(self.restarted)
+
+    def test_does_not_end_a_limit(self):
+        fleet = self.site.fleet
+        sent_at = self.site.clock.now
+        self.site.clock.now += 1.0
+        fleet.record_notice(self.restarted, ServerNotice(max_request_rate=2.0))
+        fleet.record_notice(self.site.one, ServerNotice(max_request_rate=5.0), sent_at)
+        assert fleet.limits.rate(self.restarted) == 2.0
+
+    def test_may_come_from_the_next_run(self):
+        self.site.fleet.record_notice(self.site.one, _pause(5.0))
+        assert self.site.fleet.pauses.is_paused(self.restarted)
+
+
 class TestPauses:
     """Bookkeeping of the pauses that servers ask for."""
 
