Keep what a server's next run said before the list named it

Callers: a server that has restarted asks for a pause or names its rate, and half a second later gets requests as if it had not, which it refuses.

Until the list shows the restart, what the next run says was recorded for the run before, and forgotten with it once the list did. Where the run before was seen to end, what was said since the first response is counted for the next one.

Evidence: two of the four new tests of test_notices failed before; the other two guard that words of the run before end with it.

--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -169,6 +169,7 @@
             return
         self._emit_changes(servers)
         self._record_ended(servers)
+        self._keep_words_of_next_runs(servers)
         self._forget_restarted(servers)
         self._keep_leaving(servers)
         self.servers = dict(servers)
@@ -256,6 +257,14 @@
         for name in [name for name, at in self.ended_at.items() if at < cutoff]:
             del self.ended_at[name]
 
+    def _keep_words_of_next_runs(self, servers: dict[str, Server]) -> None:
+        """Keep what servers said after they had restarted and before the list did."""
+        for name, resumed_at in self.resumed_at.items():
+            server, known = servers.get(name), self.servers.get(name)
+            if server is not None and server.incarnation != known.incarnation:
+                self.pauses.pass_on(known, server, since=resumed_at)
+                self.limits.pass_on(known, server, since=resumed_at)
+
     def _forget_restarted(self, servers: dict[str, Server]) -> None:
         """Forget the ends of incarnations that the list no longer has."""
         for name in list(self.resumed_at):
--- a/packages/gateway/src/kumquatway_gateway/fleet/_pauses.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_pauses.py
@@ -18,11 +18,13 @@
     """
     A pause that one incarnation of a server asked for.
 
+    :param asked_at: when it last asked for it, monotonic seconds.
     :param until: end of the pause, monotonic seconds.
     :param checks_left: health checks that may still reach the server.
     """
 
     incarnation: int
+    asked_at: float
     until: float
     checks_left: int = MAX_CHECKS_PER_PAUSE
 
@@ -58,14 +60,30 @@
                 MAX_PAUSE_SECONDS,
             )
             seconds = MAX_PAUSE_SECONDS
-        until = self.clock() + seconds
+        now = self.clock()
+        until = now + seconds
         current = self._current(server)
         if current is not None:
+            current.asked_at = now
             current.until = max(current.until, until)
             return False
-        self._pauses[server.id] = _Pause(incarnation=server.incarnation, until=until)
+        self._pauses[server.id] = _Pause(
+            incarnation=server.incarnation, asked_at=now, until=until
+        )
         return True
 
+    def pass_on(self, server: Server, next_run: Server, *, since: float) -> None:
+        """
+        Count a pause for the next run of a server, which asked for it.
+
+        :param server: the server as it was listed before.
+        :param next_run: the server as it is listed now.
+        :param since: when the next run first responded, monotonic seconds.
+        """
+        current = self._current(server)
+        if current is not None and current.asked_at >= since:
+            current.incarnation = next_run.incarnation
+
     def is_paused(self, server: Server) -> bool:
         """
         Tell whether a server is to get no requests now.
--- a/packages/gateway/src/kumquatway_gateway/limits/_named.py
+++ b/packages/gateway/src/kumquatway_gateway/limits/_named.py
@@ -99,6 +99,19 @@
         )
         return self._note(server, rate)
 
+    def pass_on(self, server: Server, next_run: Server, *, since: float) -> None:
+        """
+        Count a limit for the next run of a server, which named it.
+
+        :param server: the server as it was listed before.
+        :param next_run: the server as it is listed now.
+        :param since: when the next run first responded, monotonic seconds.
+        """
+        known = self.get(server)
+        if known is not None and known.observed_at >= since:
+            self.limits[server.id] = replace(known, incarnation=next_run.incarnation)
+            self._note(next_run, known.rate)
+
     def receive(self, server: Server, limit: NamedLimit) -> bool:
         """
         Record what a peer knows about the limit of a server, if it is newer.
--- a/packages/gateway/tests/test_notices.py
+++ b/packages/gateway/tests/test_notices.py
@@ -141,6 +141,54 @@
         assert self.site.fleet.pauses.is_paused(self.restarted)
 
 
+class TestRunThatTheListDoesNotNameYet:
+    """A server has ended, started again under its ID, and responds."""
+
+    def setup_method(self):
+        self.site = _Servers()
+        self.fleet = self.site.fleet
+        self.restarted = _plain_server("one", incarnation=2)
+
+    def respond_again(self) -> None:
+        one = self.site.one
+        self.fleet.set_health(one, down=True, ended=True, reason="refused")
+        self.site.clock.now += 0.3
+        self.fleet.set_health(one, down=False, reason="responds again")
+        self.site.clock.now += 0.1
+
+    def list_next_run(self) -> None:
+        self.site.clock.now += 0.5
+        self.site.list_servers(self.restarted, self.site.two)
+
+    def test_has_its_pause_once_it_is_listed(self):
+        self.respond_again()
+        self.fleet.record_notice(self.site.one, _pause(5.0))
+        self.list_next_run()
+        assert self.fleet.pauses.is_paused(self.restarted)
+
+    def test_has_its_limit_once_it_is_listed(self):
+        self.respond_again()
+        notice = ServerNotice(max_request_rate=2.0)
+        self.fleet.record_notice(self.site.one, notice)
+        self.list_next_run()
+        assert self.fleet.limits.rate(self.restarted) == 2.0
+
+    def test_has_no_pause_of_the_run_before(self):
+        self.fleet.record_notice(self.site.one, _pause(5.0))
+        self.site.clock.now += 0.1
+        self.respond_again()
+        self.list_next_run()
+        assert not self.fleet.pauses.is_paused(self.restarted)
+
+    def test_has_no_limit_of_the_run_before(self):
+        notice = ServerNotice(max_request_rate=2.0)
+        self.fleet.record_notice(self.site.one, notice)
+        self.site.clock.now += 0.1
+        self.respond_again()
+        self.list_next_run()
+        assert self.fleet.limits.rate(self.restarted) is None
+
+
 class TestPauses:
     """Bookkeeping of the pauses that servers ask for."""
 
