Do not go through all that wait for each request that ends or arrives

What callers saw: with 400 requests to a model at once, those of others waited. Cause: each request that ended or arrived went through all that wait for a place, to find the one that is next, the tokens ahead of it and the restrictions; the ends of a burst did work with the square of its size.

Of requests with the same account, priority and restriction the oldest one is always first, whatever time it is. The queue keeps these groups and compares the first of each; the order stays the same (a test with random requests compares it with a look at each).

--- a/packages/gateway/src/kumquatway_gateway/waiting/_order.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_order.py
@@ -1,6 +1,6 @@
 """Order waiting requests by priority, account usage and age."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection
 from dataclasses import dataclass
 
 AGING_SECONDS = 0.4  # waiting time that raises a request by one priority level
@@ -87,22 +87,3 @@
         )
 
     return min(waiters, key=key, default=None)
-
-
-def tokens_ahead(
-    waiter: Waiter, waiters: Iterable[Waiter], in_service: dict[str, float]
-) -> float:
-    """
-    Sum up the tokens of the requests that rank before a new one, without aging.
-
-    :param waiter: the new request.
-    :param waiters: all waiting requests.
-    :param in_service: tokens in service, by account.
-    :return: tokens.
-    """
-    rank = _rank(waiter, waiter.priority, in_service)
-    return sum(
-        other.tokens
-        for other in waiters
-        if _rank(other, other.priority, in_service) < rank
-    )
--- a/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
+++ b/packages/gateway/src/kumquatway_gateway/waiting/_queue.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 from typing import Generic, TypeVar
 
-from kumquatway_gateway.waiting._order import Waiter, next_waiter, tokens_ahead
+from kumquatway_gateway.waiting._order import Waiter
+from kumquatway_gateway.waiting._waiting import WaitingRequests
 
 # Callers on the users' platform give up after two seconds without a first event, and
 # the first event arrives a few hundred milliseconds after a chain is found.
@@ -54,7 +55,7 @@
         self.can_serve = can_serve
         self.places = places
         self.clock = clock
-        self.waiting: dict[Waiter, asyncio.Future[T | None]] = {}
+        self.waiting = WaitingRequests[asyncio.Future[T | None]]()
         self.in_service: dict[str, float] = {}
         self.queued_tokens = 0.0
         self.rate = MIN_RATE
@@ -71,7 +72,7 @@
         self._update_rate()
         ahead = self.queued_tokens
         if waiter is not None:
-            ahead = tokens_ahead(waiter, self.waiting, self.in_service)
+            ahead = self.waiting.tokens_ahead(waiter, self.in_service)
         rate = min(max(self.rate, self.min_rate(), MIN_RATE), self.max_rate())
         queueing = ahead / rate if ahead else 0.0
         return self.blocked_seconds() + queueing
@@ -88,7 +89,7 @@
         :param waiter: the request.
         :return: the reservation, or None if the request is refused.
         """
-        if all(other.is_restricted for other in self.waiting):
+        if self.waiting.are_all_restricted():
             reservation = self._claim(waiter, self._reserved())
             if reservation is not None:
                 return reservation
@@ -99,7 +100,7 @@
         if not waiter.patient and self.expected_wait(waiter) > time_left:
             return None
         future: asyncio.Future[T | None] = asyncio.get_running_loop().create_future()
-        self.waiting[waiter] = future
+        self.waiting.add(waiter, future)
         self.queued_tokens += waiter.tokens
         try:
             async with asyncio.timeout(time_left):
@@ -112,7 +113,7 @@
                 self.release(reservation)
             raise
         finally:
-            if self.waiting.pop(waiter, None) is not None:
+            if self.waiting.remove(waiter) is not None:
                 self.queued_tokens -= waiter.tokens
 
     def begin_service(self, waiter: Waiter) -> None:
@@ -139,8 +140,7 @@
         """
         reserved: frozenset[str] = frozenset()
         unmet: set[tuple] = set()  # restrictions of requests that found no room
-        while waiters := [one for one in self.waiting if one.restriction not in unmet]:
-            waiter = next_waiter(waiters, self.in_service, self.clock())
+        while waiter := self.waiting.next(self.in_service, self.clock(), unmet):
             reservation = self._claim(waiter, reserved)
             if reservation is None and self.can_serve(waiter):
                 if not waiter.is_restricted:
@@ -148,7 +148,7 @@
                 unmet.add(waiter.restriction)
                 reserved |= self.places(waiter)
                 continue
-            future = self.waiting.pop(waiter)
+            future = self.waiting.remove(waiter)
             self.queued_tokens -= waiter.tokens
             if not future.done():
                 future.set_result(reservation)
@@ -161,8 +161,8 @@
 
     def _reserved(self) -> frozenset[str]:
         """Return the places that waiting requests wait for."""
-        by_restriction = {waiter.restriction: waiter for waiter in self.waiting}
-        return frozenset().union(*map(self.places, by_restriction.values()))
+        waiters = self.waiting.one_of_each_restriction()
+        return frozenset().union(*map(self.places, waiters))
 
     @staticmethod
     def _result(future: asyncio.Future[T | None]) -> T | None:
--- a/packages/gateway/tests/test_waiting.py
+++ b/packages/gateway/tests/test_waiting.py
@@ -20,6 +20,8 @@
     MAX_WAIT_SECONDS,
     AdmissionQueue,
     RetryBudget,
+    Waiter,
+    WaitingRequests,
     next_waiter,
     retry_after,
     shutdown_retry_after,
@@ -124,6 +126,111 @@
         asyncio.run(scenario())
 
 
+class _CountedWaiter(Waiter):
+    """A request that counts how often one of its fields is looked at."""
+
+    __slots__ = ()
+    looks = 0
+
+    def __getattribute__(self, name):
+        _CountedWaiter.looks += 1
+        return super().__getattribute__(name)
+
+
+class TestManyWaiting:
+    """Each request that ended or arrived went through all that wait."""
+
+    def _count_looks(self, waiting: int, act, **fields) -> int:
+        """Count the looks at requests that wait while something is done."""
+
+        async def scenario():
+            clock = Clock()
+            chains = TokenPool(clock=clock, capacity=1000)
+            queue = AdmissionQueue(
+                claim=lambda waiter, reserved=frozenset(): chains.claim(waiter),
+                release=chains.free,
+                min_rate=lambda: 1e9,
+                clock=clock,
+            )
+            running = make_waiter()
+            await queue.admit(running)
+            tasks = []
+            for number in range(waiting):
+                counted = make_waiter(f"account{number % 2}", **fields)
+                counted = _CountedWaiter(
+                    **{name: getattr(counted, name) for name in Waiter.__slots__}
+                )
+                tasks.append(asyncio.create_task(queue.admit(counted)))
+            await asyncio.sleep(0)
+            assert len(queue.waiting) == waiting
+            _CountedWaiter.looks = 0
+            await act(queue, chains, running)
+            looks = _CountedWaiter.looks
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            return looks
+
+        return asyncio.run(scenario())
+
+    @pytest.mark.parametrize("only", [None, frozenset({"one"})])
+    def test_an_end_costs_the_same_however_many_wait(self, only):
+        async def end(queue, chains, running):
+            chains.free(running)
+            queue.end_service(running)
+
+        few, many = (self._count_looks(size, end, only=only) for size in (10, 300))
+        assert many == few
+
+    @pytest.mark.parametrize("only", [None, frozenset({"one"})])
+    def test_an_arrival_costs_the_same_however_many_wait(self, only):
+        async def arrive(queue, chains, running):
+            late = make_waiter("account0", at=0.1)
+            task = asyncio.create_task(queue.admit(late))
+            await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        few, many = (self._count_looks(size, arrive, only=only) for size in (10, 300))
+        assert many == few
+
+    @pytest.mark.parametrize("seed", range(5))
+    def test_the_order_is_that_of_a_look_at_each(self, seed):
+        rng = random.Random(seed)
+        waiting = WaitingRequests()
+        all_waiting = []
+        for number in range(300):
+            if all_waiting and rng.random() < 0.4:
+                now = rng.uniform(0.0, 4.0)
+                served = {name: rng.choice([0.0, 5.0, 9.0]) for name in "abc"}
+                unmet = {(frozenset(), None)} if rng.random() < 0.3 else set()
+                left = [one for one in all_waiting if one.restriction not in unmet]
+                expected = next_waiter(left, served, now)
+                assert waiting.next(served, now, unmet) is expected
+                gone = expected or rng.choice(all_waiting)
+                all_waiting.remove(gone)
+                assert waiting.remove(gone)
+                assert waiting.remove(gone) is None
+                continue
+            waiter = make_waiter(
+                rng.choice("abc"),
+                at=round(rng.uniform(0.0, 3.0), 1),
+                priority=rng.randrange(3),
+                tokens=float(rng.randrange(1, 900)),
+                only=rng.choice([None, frozenset({"one"})]),
+            )
+            served = {name: rng.choice([0.0, 5.0, 9.0]) for name in "abc"}
+            rank = (waiter.priority, served[waiter.account], waiter.arrived)
+            assert waiting.tokens_ahead(waiter, served) == sum(
+                one.tokens
+                for one in all_waiting
+                if (one.priority, served[one.account], one.arrived) < rank
+            )
+            all_waiting.append(waiter)
+            waiting.add(waiter, f"value {number}")
+        assert list(waiting) == all_waiting
+
+
 class TestTooLarge:
     """A request that no chain can hold kept all others waiting behind it."""
 
