--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -419,10 +419,10 @@
         resumed_at = self.resumed_at.get(server_id)
         if resumed_at is None:
             return False
-        server = self.servers[server_id]
-        if server.incarnation == NO_INCARNATION or self._shares_address(server):
+        if self.listed_at < resumed_at + LIST_LAG_SECONDS:
             return True
-        return self.listed_at < resumed_at + LIST_LAG_SECONDS
+        server = self.servers[server_id]
+        return server.incarnation == NO_INCARNATION or self._shares_address(server)
 
     def _shares_address(self, server: Server) -> bool:
         """Tell whether another server, which may respond in its place, is listed."""
