--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -558,6 +558,19 @@
             self.entry.quarantine.confirm_crashes()
         assert self.entry.blocks("=a")
 
+    def test_an_answer_of_a_next_incarnation_that_is_not_listed_yet_does_not(self):
+        """Load pattern: servers restart before a check of them is refused."""
+        for number in range(3):
+            old = self.entry.servers[f"s{number}"]
+            self.entry.break_off(old.id, f"=a@{number}")
+            self.clock.now += 0.6
+            self.entry.quarantine.record_answer(old)
+            self.clock.now += 0.4
+            self.entry.servers[old.id] = replace(old, incarnation=2)
+            self.entry.fleet.update_servers(self.entry.servers)
+            self.entry.quarantine.confirm_crashes()
+        assert self.entry.blocks("=a")
+
     def test_a_server_that_responds_again_had_not_ended(self):
         for number in range(2):
             name = f"s{number}"
