Do not go through all answers that broke off for each other one

What callers saw: as hundreds of callers left, or their deadlines passed, the event loop of an entry was held. Cause: spares the requests that were given up, but each request without an answer still went through the answers that broke off (256 at most); and through all of either kind once the first had waited for long enough. In a profile of an entry (gen) it was a third of the longest iteration, of 106 ms.

Both are gone through only once one of their servers has ended. Those that have waited for long enough are dropped from the oldest on, and so are the checks due once more.

--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -91,7 +91,11 @@
         self.generation = 0  # incremented with each new block
         self.broken_off: deque[_Unanswered] = deque(maxlen=MAX_BROKEN_OFF)
         self.given_up: deque[_Unanswered] = deque(maxlen=MAX_GIVEN_UP)
-        self._given_up_at: dict[CrashKey, Server] = {}  # at least those of `given_up`
+        # At least the servers of `broken_off`, and of `given_up`.
+        self._broken_off_at: dict[CrashKey, Server] = {}
+        self._given_up_at: dict[CrashKey, Server] = {}
+        # Those of `broken_off` whose servers were not checked once more.
+        self._to_recheck: deque[_Unanswered] = deque(maxlen=MAX_BROKEN_OFF)
         self.judged_at = float("-inf")
         # Crashes that have no known cause yet, and the next two times to look for it.
         self.judge_at: dict[CrashKey, tuple[float, float]] = {}
@@ -225,8 +229,12 @@
             broken_off=broken_off,
             beginning=beginning,
         )
-        (self.broken_off if broken_off else self.given_up).append(unanswered)
-        if not broken_off:
+        if broken_off:
+            self.broken_off.append(unanswered)
+            self._broken_off_at.update(_by_key(present))
+            self._to_recheck.append(unanswered)
+        else:
+            self.given_up.append(unanswered)
             self._given_up_at.update(_by_key(present))
         self.confirm_crashes()
 
@@ -236,16 +244,23 @@
         crashes: dict[CrashKey, bool] = {}
         # Hundreds of requests may wait for the end of a few servers.
         ended: dict[CrashKey, bool] = {}
-        for waiting in (self.broken_off, self.given_up):
-            if not waiting or self._is_unchanged(waiting, ended):
+        for waiting, servers in (
+            (self.broken_off, self._broken_off_at),
+            (self.given_up, self._given_up_at),
+        ):
+            if self._find_ended(servers.values(), ended) is None:
+                self._drop_outlived(waiting, crashes, ended)
                 continue
             rest = [each for each in waiting if self._is_open(each, crashes, ended)]
             if len(rest) < len(waiting):
                 waiting.clear()
                 waiting.extend(rest)
-            if waiting is self.given_up:
-                servers = (server for each in waiting for server in each.servers)
-                self._given_up_at = _by_key(servers)
+            servers.clear()
+            servers.update(_by_key(server for each in rest for server in each.servers))
+            if waiting is self.broken_off:
+                self._to_recheck.clear()
+                self._to_recheck.extend(each for each in rest if not each.rechecked)
+        self._recheck_due(ended)
         news = [key for key, is_news in crashes.items() if is_news]
         for key in news:
             self._judge_soon(key)
@@ -364,19 +379,32 @@
             return True
         return server.id in self.fleet.servers and not self.fleet.is_responding(server)
 
-    def _is_unchanged(
-        self, waiting: deque[_Unanswered], known: dict[CrashKey, bool]
-    ) -> bool:
+    def _drop_outlived(
+        self,
+        waiting: deque[_Unanswered],
+        crashes: dict[CrashKey, bool],
+        known: dict[CrashKey, bool],
+    ) -> None:
         """
-        Tell whether requests that were given up all wait on, without a look at each.
+        Wait no longer for those that have waited for long enough, the oldest first.
 
-        Load pattern: the callers of hundreds of requests leave at once.
+        Load pattern: hundreds of requests end at once, and none of their servers.
         """
-        if waiting is not self.given_up:
-            return False
-        if self.clock() - waiting[0].ended_at >= CONFIRMATION_SECONDS:
-            return False
-        return self._find_ended(self._given_up_at.values(), known) is None
+        while waiting and self._has_waited(waiting[0], CONFIRMATION_SECONDS):
+            self._is_open(waiting.popleft(), crashes, known)
+
+    def _recheck_due(self, known: dict[CrashKey, bool]) -> None:
+        """Check the servers once more that broke off answers a moment ago."""
+        due = self._to_recheck
+        while due and self._has_waited(due[0], RECHECK_SECONDS):
+            each = due.popleft()
+            if self._has_waited(each, CONFIRMATION_SECONDS):
+                continue
+            if self._find_ended(each.servers, known) is None:
+                self._recheck(each)
+
+    def _has_waited(self, each: _Unanswered, seconds: float) -> bool:
+        return self.clock() - each.ended_at >= seconds
 
     def _find_ended(
         self, servers: Iterable[Server], known: dict[CrashKey, bool]
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -39,6 +39,7 @@
     MAX_BROKEN_OFF,
     MAX_GIVEN_UP,
     MAX_JUDGE_SECONDS,
+    RECHECK_SECONDS,
     SETTLE_SECONDS,
 )
 from kumquatway_gateway.quarantine._traffic import MAX_FEATURES, PERIOD_SECONDS
@@ -748,8 +749,9 @@
         self.entry.break_off("s0", "=a", given_up=True)
         assert sorted(looked_at) == ["s0", "s1", "s2", "s3"]
 
-    def test_requests_given_up_are_not_gone_through_for_each_other_one(
-        self, monkeypatch
+    @pytest.mark.parametrize("given_up", [True, False])
+    def test_those_that_wait_are_not_gone_through_for_each_other_one(
+        self, monkeypatch, given_up
     ):
         looked_at = []
         is_open = Quarantine._is_open
@@ -760,9 +762,44 @@
 
         monkeypatch.setattr(Quarantine, "_is_open", spy)
         for number in range(MAX_GIVEN_UP):
-            self.entry.break_off(f"s{number % 4}", f"=own{number}", given_up=True)
+            self.entry.break_off(f"s{number % 4}", f"=own{number}", given_up=given_up)
         assert len(looked_at) <= MAX_GIVEN_UP
 
+    @pytest.mark.parametrize("given_up", [True, False])
+    def test_those_that_wait_are_not_gone_through_as_the_first_is_dropped(
+        self, monkeypatch, given_up
+    ):
+        looked_at = []
+        is_open = Quarantine._is_open
+
+        def spy(quarantine, each, *others):
+            looked_at.append(each)
+            return is_open(quarantine, each, *others)
+
+        monkeypatch.setattr(Quarantine, "_is_open", spy)
+        for number in range(200):
+            self.entry.break_off(f"s{number % 4}", f"=own{number}", given_up=given_up)
+            self.clock.now += CONFIRMATION_SECONDS / 100
+            self.entry.quarantine.confirm_crashes()
+        assert len(looked_at) <= 200
+
+    def test_each_server_that_broke_off_is_checked_once_more(self):
+        for number in range(8):
+            self.entry.break_off(f"s{number % 4}", f"=own{number}")
+            self.clock.now += RECHECK_SECONDS / 4
+        self.clock.now += RECHECK_SECONDS
+        self.entry.quarantine.confirm_crashes()
+        self.entry.quarantine.confirm_crashes()
+        assert self.entry.checked == [f"s{number % 4}" for number in range(8)]
+
+    def test_a_server_that_ended_is_not_checked_once_more(self):
+        for number in range(4):
+            self.entry.break_off(f"s{number}", f"=own{number}")
+        self.entry.end("s0")
+        self.clock.now += RECHECK_SECONDS
+        self.entry.quarantine.confirm_crashes()
+        assert self.entry.checked == ["s1", "s2", "s3"]
+
     def test_requests_given_up_do_not_wait_for_ever(self):
         for number in range(8):
             self.entry.break_off(f"s{number % 4}", f"=own{number}", given_up=True)
