--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -250,6 +250,8 @@
         ):
             if self._find_ended(servers.values(), ended) is None:
                 self._drop_outlived(waiting, crashes, ended)
+                if not waiting:
+                    servers.clear()
                 continue
             rest = [each for each in waiting if self._is_open(each, crashes, ended)]
             if len(rest) < len(waiting):
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -738,6 +738,23 @@
     ):
         for number in range(MAX_GIVEN_UP):
             self.entry.break_off(f"s{number % 4}", f"=own{number}", given_up=True)
+        looked_at = self.watch_looks(monkeypatch)
+        self.entry.break_off("s0", "=a", given_up=True)
+        assert sorted(looked_at) == ["s0", "s1", "s2", "s3"]
+
+    @pytest.mark.parametrize("given_up", [True, False])
+    def test_no_server_is_looked_at_once_no_request_waits(self, monkeypatch, given_up):
+        """Load pattern: callers leave from time to time at servers that never end."""
+        for number in range(8):
+            self.entry.break_off(f"s{number}", f"=own{number}", given_up=given_up)
+        self.clock.now += CONFIRMATION_SECONDS + 1
+        self.entry.quarantine.confirm_crashes()
+        looked_at = self.watch_looks(monkeypatch)
+        self.entry.quarantine.confirm_crashes()
+        assert not looked_at
+
+    def watch_looks(self, monkeypatch) -> list[str]:
+        """Return a list that fills with the IDs of servers that are looked at."""
         looked_at = []
         has_run_ended = self.entry.fleet.has_run_ended
 
@@ -746,8 +763,7 @@
             return has_run_ended(server)
 
         monkeypatch.setattr(self.entry.fleet, "has_run_ended", spy)
-        self.entry.break_off("s0", "=a", given_up=True)
-        assert sorted(looked_at) == ["s0", "s1", "s2", "s3"]
+        return looked_at
 
     @pytest.mark.parametrize("given_up", [True, False])
     def test_those_that_wait_are_not_gone_through_for_each_other_one(
