Test offers of another protocol with the usual limits of a connection

The test failed in 1 of 500 runs alone: "connection reset by peer". It pauses within a request on a connection whose limits are 0.2 and 0.3 s, and its process was held up for as long, so that the listener closed the connection. With a hold of 0.35 s in the pause, all ten cases fail in 3 of 3 runs.

The limits are not the subject of this test; it uses the usual ones now, and asserts the same. With the hold, all cases pass in 3 of 3 runs.

--- a/packages/gateway/tests/test_http1.py
+++ b/packages/gateway/tests/test_http1.py
@@ -156,7 +156,7 @@
             names = {name.lower() for name, _ in echo.requests[0].headers.fields}
             assert not names & {b"upgrade", b"http2-settings", b"connection"}
 
-        run_scenario(scenario)
+        run_scenario(scenario, Limits())
 
     def test_is_ignored_in_many_pipelined_requests(self):
         """The connection was closed, with all requests on it unanswered."""
