Copy a long configuration from two peers at most at a time

Callers: entries that the store refused served a configuration with 1,888 routes more than 4 s after it was acknowledged (CONFIG). Each message of a peer with a newer revision began a copy of it from that peer, so that an entry in an outage read up to 29 copies at once. They shared its link: connections did not open within .3 s, and copies that arrived took 2 to 3 s or were given up at 3 s.

Two copies are read at a time, as the peer of one may have gone.

Two of the tests of TestManyPeersWithANewerRevision failed before.

--- a/packages/gateway/src/kumquatway_gateway/_follow.py
+++ b/packages/gateway/src/kumquatway_gateway/_follow.py
@@ -55,6 +55,7 @@
 # Bytes that a peer may have to send if all others fetch its configuration at once: half
 # a second of the slowest link (10 Mbit/s in the users' deployments).
 MAX_COPIED_BYTES = 600_000
+MAX_PARALLEL_COPIES = 2  # of a configuration; they share this entry's link
 MAX_REMEMBERED_DOCUMENTS = 64  # digests of configurations that are no longer in force
 PEER_AFTER_SECONDS = 0.6  # of a store outage, before a peer is asked
 # Between reads of the list of entries. Live peers also announce themselves by gossip.
@@ -335,9 +336,13 @@
         """
         Start to fetch the configuration from a peer that has a newer revision.
 
+        Load pattern: the store refuses some entries, the others announce a revision
+        with hundreds of routes, and copies from all of them fill the link at once. One
+        more than a single copy, as its peer may have gone.
+
         :param address: address of the peer.
         """
-        if address in self._fetching:
+        if address in self._fetching or len(self._fetching) >= MAX_PARALLEL_COPIES:
             return
         self._fetching.add(address)
         task = asyncio.get_running_loop().create_task(self._fetch(address))
--- a/packages/gateway/tests/test_follow.py
+++ b/packages/gateway/tests/test_follow.py
@@ -3,6 +3,7 @@
 import asyncio
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from engines import layer_range, server
 
@@ -27,6 +28,7 @@
 from kumquatway_gateway.peers._copies import _to_record
 
 PEER = "10.0.0.1:9"
+PEERS = [f"10.0.1.{number}:9" for number in range(30)]
 
 
 class _Clock:
@@ -55,6 +57,16 @@
     )
 
 
+def _long_document() -> Freshness:
+    """Return what a peer tells of a long configuration."""
+    return Freshness(
+        configuration_age=0.0,
+        servers_digest=0,
+        servers_age=0.0,
+        document_bytes=200_000,
+    )
+
+
 class _CopyClient:
     """Returns copies of one peer's list of servers."""
 
@@ -345,13 +357,7 @@
         assert self.follower.seconds_until_read() == 0
 
     def _receive_long_document(self, revision: int) -> None:
-        freshness = Freshness(
-            configuration_age=0.0,
-            servers_digest=0,
-            servers_age=0.0,
-            document_bytes=200_000,
-        )
-        self.follower.receive(_message(freshness, revision))
+        self.follower.receive(_message(_long_document(), revision))
 
     def test_long_document_is_read_from_the_store_if_there_are_many_peers(self):
         self.follower.peers = lambda: [PEER] * 26
@@ -440,6 +446,74 @@
         assert self.relay.configuration_confirmed_at == self.start + 4.0
 
 
+class TestManyPeersWithANewerRevision:
+    """
+    An entry that the store refuses copied a long configuration from all peers at once.
+
+    Load pattern: the store refuses a third of the entries, an operator adds 1,888
+    routes, and dozens of the others announce them within a second. The copies share the
+    link of the entry, so that none is whole in time.
+    """
+
+    def setup_method(self):
+        self.requested: list[str] = []
+        self.answers: dict[str, asyncio.Future] = {}
+        self.applied: list[int] = []
+        relay = SimpleNamespace(
+            configuration_confirmed_at=0.0,
+            configure=lambda found: self.applied.append(found.revision),
+        )
+        self.follower = ConfigurationFollower(
+            source=_Source(), relay=relay, copies=self, emit=lambda event: None
+        )
+        self.follower.outage_since = 0.0
+
+    async def fetch_configuration(self, address: str) -> ConfigurationCopy | None:
+        self.requested.append(address)
+        self.answers[address] = asyncio.get_running_loop().create_future()
+        return await self.answers[address]
+
+    async def _announce(self, *peers: str, revision: int = 9) -> None:
+        for peer in peers:
+            message = msgspec.structs.replace(
+                _message(_long_document(), revision), address=peer
+            )
+            self.follower.receive(message)
+        await asyncio.sleep(0)
+
+    async def _answer(self, peer: str, revision: int | None) -> None:
+        copy = None
+        if revision is not None:
+            copy = ConfigurationCopy(revision=revision, document=b"%d" % revision)
+        self.answers[peer].set_result(copy)
+        for _ in range(3):
+            await asyncio.sleep(0)
+
+    def test_are_not_all_copied_from_at_once(self):
+        async def scenario():
+            await self._announce(*PEERS)
+            assert len(self.requested) == 2
+
+        asyncio.run(scenario())
+
+    def test_a_peer_that_does_not_answer_delays_nothing(self):
+        async def scenario():
+            await self._announce(*PEERS)
+            await self._answer(self.requested[1], 9)
+            assert self.applied == [9]
+
+        asyncio.run(scenario())
+
+    def test_another_peer_is_asked_after_one_that_had_gone(self):
+        async def scenario():
+            await self._announce(*PEERS)
+            await self._answer(self.requested[0], None)
+            await self._announce(*PEERS)
+            assert len(self.requested) == 3
+
+        asyncio.run(scenario())
+
+
 class _Source:
     """Decodes documents that consist of their revision."""
 
