Send no more copies of a configuration at once than a link carries

The first entries with it announce it, and all that cannot read the store ask these few at once; with two copies at a time at those that ask, more of them meet at the first ones.

An entry sends what the slowest link (10 Mbit/s) carries in half a second, and refuses the next copies with 503 until then.

The three tests of TestManyPeersThatAskAtOnce failed before.

--- a/packages/gateway/src/kumquatway_gateway/peers/_copies.py
+++ b/packages/gateway/src/kumquatway_gateway/peers/_copies.py
@@ -38,6 +38,9 @@
 FETCH_TIMEOUT_SECONDS = 0.6
 # Of a configuration, which may be long and is to be in force within 4 s.
 CONFIGURATION_TRANSFER = Transfer(silence=FETCH_TIMEOUT_SECONDS, total=3.0)
+# Of an entry, 10 Mbit/s, and how long copies of the configuration may take on it.
+SLOWEST_LINK_BYTES_PER_SECOND = 1_250_000
+MAX_SENDING_SECONDS = 0.5
 
 
 class _ServerRecord(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -156,6 +159,7 @@
         self.membership = membership
         self.read_at = read_at
         self.clock = clock
+        self._sending_until = float("-inf")  # configurations, on the slowest link
         self._handlers = {
             CONFIGURATION_PATH: self._copy_configuration,
             SERVERS_PATH: self._copy_servers,
@@ -174,13 +178,30 @@
         """
         Respond with the requested copy.
 
+        Load pattern: the first entries with a long configuration announce it, and all
+        that cannot read the store ask these few. Those that are refused ask the next
+        ones that announce it.
+
         :param caller: connection of the peer.
         :param incoming: a request for which `handles` is true.
         """
+        is_configuration = incoming.target == CONFIGURATION_PATH
+        if is_configuration and not self._may_send_configuration():
+            caller.respond(503, [], b"", keep_alive=True)
+            return
         copy = self._handlers[incoming.target]()
         fields = [(b"Content-Type", MEDIA_TYPE)]
         caller.respond(200, fields, _encoder.encode(copy), keep_alive=True)
 
+    def _may_send_configuration(self) -> bool:
+        """Tell whether the copies before have left, and count one more if so."""
+        now = self.clock()
+        if self._sending_until - now > MAX_SENDING_SECONDS:
+            return False
+        seconds = len(self.document()) / SLOWEST_LINK_BYTES_PER_SECOND
+        self._sending_until = max(now, self._sending_until) + seconds
+        return True
+
     def _copy_configuration(self) -> ConfigurationCopy:
         return ConfigurationCopy(
             revision=self.revision(),
--- a/packages/gateway/tests/test_copies.py
+++ b/packages/gateway/tests/test_copies.py
@@ -34,8 +34,9 @@
             document=lambda: DOCUMENT,
             membership=self.membership,
             read_at=lambda: 10.0,
-            clock=lambda: 10.5,
+            clock=lambda: self.now,
         )
+        self.now = 10.5
         self.address = free_address()
         self.listener = Listener(limits=Limits, serve=self._serve)
 
@@ -99,6 +100,46 @@
         run_scenario(scenario)
 
 
+class TestManyPeersThatAskAtOnce:
+    """
+    The first entries with a long configuration were asked for it by all at once.
+
+    Load pattern: the store refuses a third of the entries, and 1,888 routes are
+    published. What one entry sends on its link at once comes too late for all of them.
+    """
+
+    def _play(self, *waits: float) -> list[bool]:
+        """Ask for the configuration after each wait; return whether it was sent."""
+        sent = []
+
+        async def scenario(peer, client):
+            peer.copy_server.document = lambda: b"x" * 400_000
+            for wait in waits:
+                peer.now += wait
+                copy = await client.fetch_configuration(peer.address)
+                sent.append(copy is not None)
+
+        run_scenario(scenario)
+        return sent
+
+    def test_get_what_the_slowest_link_carries_in_time(self):
+        assert self._play(*[0.0] * 20).count(True) == 2
+
+    def test_get_it_once_the_copies_before_have_left(self):
+        assert self._play(0.0, 0.0, 0.0, 0.4, 0.0) == [True, True, False, True, False]
+
+    def test_a_longer_one_is_sent_to_one(self):
+        sent = []
+
+        async def scenario(peer, client):
+            peer.copy_server.document = lambda: b"x" * 3_000_000
+            for _ in range(3):
+                sent.append(await client.fetch_configuration(peer.address) is not None)
+
+        run_scenario(scenario)
+        assert sent == [True, False, False]
+
+
 class TestInvalidCopy:
     """One invalid record of a peer's list cost the whole list."""
 
