Do not take a server that outlives a recalled attempt for a survival

Callers: a request that had crashed three servers got through again 16 s later and ended five more; others were refused meanwhile.

An attempt that the new block itself had recalled after 18 ms counted as given up. Its server lived on, as the attempt had been taken from it, and 15 s later that counted as a survival of the request. All entries heard of it and lifted the block. What a server does without a request says nothing about the request.

The new test failed before.

--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -48,6 +48,7 @@
     :param sent_at: when it was sent, monotonic seconds.
     :param ended_at: when its answer broke off or was given up, monotonic seconds.
     :param broken_off: whether the connection ended, rather than this entry's patience.
+    :param recalled: whether this entry took it back, as it had become blocked.
     :param rechecked: whether the first server was checked once more.
     """
 
@@ -58,6 +59,7 @@
     ended_at: float
     broken_off: bool
     beginning: bool
+    recalled: bool
     rechecked: bool = False
 
 
@@ -203,6 +205,7 @@
         *,
         broken_off: bool,
         beginning: bool = False,
+        recalled: bool = False,
         attempt: str = "",
     ) -> None:
         """
@@ -216,6 +219,7 @@
         :param broken_off: whether the connection ended; False if this entry closed it,
             as its caller left, the deadline passed or another server was asked.
         :param beginning: whether the head of the answer had arrived and nothing else.
+        :param recalled: whether this entry took it back, as it had become blocked.
         :param attempt: ID of the caller's attempt.
         """
         # The end of a server that leaves needs no other cause.
@@ -230,6 +234,7 @@
             ended_at=self.clock(),
             broken_off=broken_off,
             beginning=beginning,
+            recalled=recalled,
         )
         if broken_off:
             self.broken_off.append(unanswered)
@@ -311,7 +316,7 @@
         Load pattern: a request takes longer than its callers wait, and servers end of
         themselves.
         """
-        if each.broken_off:
+        if each.broken_off or each.recalled:
             return
         self.traffic.record_harmless(each.features)
         identity = find_identity(each.features)
--- a/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
+++ b/packages/gateway/src/kumquatway_gateway/relay/_attempt.py
@@ -91,6 +91,7 @@
         self.writes = 0  # to the caller
         self.suspects: frozenset[str] = frozenset()  # servers, while it is silent
         self.superseded = False
+        self.recalled = False  # as the request had become blocked
         self.error: Exception | None = None  # of this entry, which ended the attempt
         self.outcome: AttemptOutcome | None = None
         self.has_ended = False  # and holds nothing any more
@@ -367,6 +368,7 @@
             self.sent_at,
             broken_off=broken_off,
             beginning=self.progress() is Progress.BEGINNING,
+            recalled=self.recalled,
             attempt=self.job.request.id,
         )
 
@@ -375,6 +377,7 @@
         if self.job.is_trial or self.writes:
             return
         if self.relay.is_blocked(self.job):
+            self.recalled = True
             self.connection.abandon()
 
     # stalls
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -714,6 +714,16 @@
         self.restart(incarnation=1)
         assert self.entry.blocks("=a")
 
+    def test_a_block_holds_though_a_server_outlives_a_request_that_was_taken_back(self):
+        """Attempts that the block itself had ended lifted it 15 s later."""
+        self.block()
+        self.entry.break_off("s3", "=a@3", given_up=True, recalled=True)
+        self.clock.now += CONFIRMATION_SECONDS + 1
+        self.entry.quarantine.confirm_crashes()
+        told = self.entry.quarantine.evidence.surviving_suspects(9)
+        self.entry.quarantine.receive_survivals(told)
+        assert self.entry.blocks("=a")
+
     def test_a_block_that_outlived_its_evidence_stays(self):
         self.block()
         self.clock.now += FIRST_TRIAL_SECONDS
