Lift a block only if most of its crashes were before a survival

Callers: a request that crashes servers got through, again and again, once something had got through between its crashes: each block was lifted in the instant in which an entry learned of it.

A survival lifted a block if it came after the first of its crashes.

Of the two new tests the first failed before; the other holds before and after.

--- a/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
+++ b/packages/gateway/src/kumquatway_gateway/quarantine/_quarantine.py
@@ -535,9 +535,11 @@
     def _lift_survivors(self, blocked: Iterable[frozenset[str]]) -> None:
         """Lift blocks of what got through after the crashes that led to them."""
         for names in blocked:
-            crashes = (self.evidence.crashes[key].seen_at for key in self._at(names))
+            survived_at = min(map(self.traffic.last_survival, names))
+            crashes = [self.evidence.crashes[key].seen_at for key in self._at(names)]
             since = min((self.blocks.states[names].changed_at, *crashes))
-            if all(self.traffic.last_survival(feature) > since for feature in names):
+            later = sum(seen_at > survived_at for seen_at in crashes)
+            if survived_at > since and later < MIN_CRASHES:
                 self._lift(names)
 
     def _at(self, names: frozenset[str]) -> list[CrashKey]:
--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -724,6 +724,27 @@
         self.entry.quarantine.receive_survivals(told)
         assert self.entry.blocks("=a")
 
+    def hear_of_survival(self, at: float) -> None:
+        """Hear from a peer that the request got through at a time."""
+        self.clock.now += 0.1
+        self.entry.quarantine.receive_survivals({"=a": self.clock.now - at})
+
+    def test_a_block_holds_though_something_got_through_before_its_crashes(self):
+        """A survival lifted each block that was decided on later crashes."""
+        self.entry.crash("s3", "=a@3")
+        survived_at = self.clock.now
+        self.hear_of_survival(survived_at)
+        self.block()
+        self.hear_of_survival(survived_at)
+        assert self.entry.blocks("=a")
+
+    def test_a_block_ends_if_something_got_through_after_most_of_its_crashes(self):
+        self.block()
+        survived_at = self.clock.now
+        self.entry.crash("s4", "=a@4")
+        self.hear_of_survival(survived_at)
+        assert not self.entry.blocks("=a")
+
     def test_a_block_that_outlived_its_evidence_stays(self):
         self.block()
         self.clock.now += FIRST_TRIAL_SECONDS
