--- a/packages/gateway/tests/test_quarantine.py
+++ b/packages/gateway/tests/test_quarantine.py
@@ -831,10 +831,8 @@
         monkeypatch.setattr(self.entry.fleet, "has_run_ended", spy)
         return looked_at
 
-    @pytest.mark.parametrize("given_up", [True, False])
-    def test_those_that_wait_are_not_gone_through_for_each_other_one(
-        self, monkeypatch, given_up
-    ):
+    def watch_requests(self, monkeypatch) -> list:
+        """Return a list that fills with the requests that are looked at."""
         looked_at = []
         is_open = Quarantine._is_open
 
@@ -843,6 +841,13 @@
             return is_open(quarantine, each, *others)
 
         monkeypatch.setattr(Quarantine, "_is_open", spy)
+        return looked_at
+
+    @pytest.mark.parametrize("given_up", [True, False])
+    def test_those_that_wait_are_not_gone_through_for_each_other_one(
+        self, monkeypatch, given_up
+    ):
+        looked_at = self.watch_requests(monkeypatch)
         for number in range(MAX_GIVEN_UP):
             self.entry.break_off(f"s{number % 4}", f"=own{number}", given_up=given_up)
         assert len(looked_at) <= MAX_GIVEN_UP
@@ -851,14 +856,7 @@
     def test_those_that_wait_are_not_gone_through_as_the_first_is_dropped(
         self, monkeypatch, given_up
     ):
-        looked_at = []
-        is_open = Quarantine._is_open
-
-        def spy(quarantine, each, *others):
-            looked_at.append(each)
-            return is_open(quarantine, each, *others)
-
-        monkeypatch.setattr(Quarantine, "_is_open", spy)
+        looked_at = self.watch_requests(monkeypatch)
         for number in range(200):
             self.entry.break_off(f"s{number % 4}", f"=own{number}", given_up=given_up)
             self.clock.now += CONFIRMATION_SECONDS / 100
