--- a/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
+++ b/packages/gateway/src/kumquatway_gateway/fleet/_fleet.py
@@ -169,8 +169,7 @@
             return
         self._emit_changes(servers)
         self._record_ended(servers)
-        self._keep_words_of_next_runs(servers)
-        self._forget_restarted(servers)
+        self._replace_restarted(servers)
         self._keep_leaving(servers)
         self.servers = dict(servers)
         self.by_address = {server.address: server for server in servers.values()}
@@ -257,20 +256,21 @@
         for name in [name for name, at in self.ended_at.items() if at < cutoff]:
             del self.ended_at[name]
 
-    def _keep_words_of_next_runs(self, servers: dict[str, Server]) -> None:
-        """Keep what servers said after they had restarted and before the list did."""
-        for name, resumed_at in self.resumed_at.items():
-            server, known = servers.get(name), self.servers.get(name)
-            if server is not None and server.incarnation != known.incarnation:
+    def _replace_restarted(self, servers: dict[str, Server]) -> None:
+        """
+        Forget the ends of incarnations that the list no longer has.
+
+        What servers said after they had restarted counts for the incarnation that the
+        list has now.
+        """
+        for name, resumed_at in list(self.resumed_at.items()):
+            server, known = servers.get(name), self.servers[name]
+            if server is not None and server.incarnation == known.incarnation:
+                continue
+            if server is not None:
                 self.pauses.pass_on(known, server, since=resumed_at)
                 self.limits.pass_on(known, server, since=resumed_at)
-
-    def _forget_restarted(self, servers: dict[str, Server]) -> None:
-        """Forget the ends of incarnations that the list no longer has."""
-        for name in list(self.resumed_at):
-            server, known = servers.get(name), self.servers.get(name)
-            if None in (server, known) or server.incarnation != known.incarnation:
-                del self.resumed_at[name]
+            del self.resumed_at[name]
 
     def _drop_report(self, server_id: str) -> None:
         self.dropped_reports[server_id] = self.layer_reports.pop(server_id)
