--- a/packages/gateway/tests/test_lapse_replay.py
+++ b/packages/gateway/tests/test_lapse_replay.py
@@ -58,30 +58,28 @@
     return {"outages": (outage,), "retry_seconds": HEARTBEAT_SECONDS}
 
 
-def _restarted_during(rng: random.Random) -> dict:
-    outage, entries = _outage(rng), rng.choice(SIZES)
-    restarts = [
+def _restarts(rng: random.Random, entries: int, begin: float, end: float) -> tuple:
+    """Restart some entries between two times."""
+    return tuple(
         Fault(
-            at=rng.uniform(outage.at, outage.end),
+            at=rng.uniform(begin, end),
             seconds=rng.uniform(0.1, 2.0),
             entry=entry,
         )
         for entry in _entries(rng, entries)
-    ]
-    return {"entries": entries, "outages": (outage,), "restarts": tuple(restarts)}
+    )
+
+
+def _restarted_during(rng: random.Random) -> dict:
+    outage, entries = _outage(rng), rng.choice(SIZES)
+    restarts = _restarts(rng, entries, outage.at, outage.end)
+    return {"entries": entries, "outages": (outage,), "restarts": restarts}
 
 
 def _restarted_after(rng: random.Random) -> dict:
     outage, entries = _outage(rng), rng.choice(SIZES)
-    restarts = [
-        Fault(
-            at=outage.end + rng.uniform(0.0, 2.0),
-            seconds=rng.uniform(0.1, 2.0),
-            entry=entry,
-        )
-        for entry in _entries(rng, entries)
-    ]
-    return {"entries": entries, "outages": (outage,), "restarts": tuple(restarts)}
+    restarts = _restarts(rng, entries, outage.end, outage.end + 2.0)
+    return {"entries": entries, "outages": (outage,), "restarts": restarts}
 
 
 def _frozen(rng: random.Random) -> dict:
